workspace: lay out crates, ids, units, configuration model and frames

Cause: an empty repository; every later part needs shared types. Conclusion: the base on which the parts can be built side by side.

--- /dev/null
+++ b/agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/lib/src/lib.rs
@@ -0,0 +1,13 @@
+//! Decisions of snipeyoke as state machines without input or output.
+//!
+//! Nothing in this crate opens a socket, starts a thread, reads a clock or owns
+//! a global random source. Callers pass the current [`time::Time`] and events
+//! in, and carry out the actions that come out. The same code is therefore
+//! driven by tests, by fuzzers, by the processes of snipeyoke and by programs
+//! that embed it with their own transport.
+
+pub mod config;
+pub mod ids;
+pub mod outcome;
+pub mod time;
+pub mod units;
--- /dev/null
+++ b/lib/tests/runner.rs
@@ -0,0 +1,3 @@
+//! Runs every test of the library.
+
+mod test_config_model;
