--- /dev/null
+++ b/lib/src/journal/mod.rs
@@ -0,0 +1,249 @@
+//! A bounded record of the requests at a router, for its operators.
+//!
+//! The driver of the request chains reports each acceptance, decision, end of
+//! an attempt and outcome. The journal keeps them within a number of bytes and
+//! forgets the requests that finished first.
+
+mod entry;
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+
+pub use entry::ATTEMPTS_MAX;
+pub use entry::Accepted;
+pub use entry::Attempt;
+pub use entry::Choice;
+pub use entry::Decision;
+pub use entry::Finish;
+pub use entry::Request;
+
+use crate::ids::AttemptId;
+use crate::ids::RequestId;
+use crate::outcome::AttemptEnd;
+use crate::outcome::Outcome;
+use crate::outcome::Reason;
+use crate::time::Time;
+use crate::units::Bytes;
+
+/// The alternatives kept with a decision.
+const OTHERS_MAX: usize = 2;
+
+/// The bytes kept of the ground for a choice.
+const WHY_MAX: usize = 64;
+
+/// What an entry costs in the tree and the queue, beside its own fields.
+///
+/// A tree node is at least five of eleven slots full, so a slot costs at most
+/// 2.2 times its content; the queue doubles when it grows.
+const SLOT: usize = 2 * size_of::<Request>() + 4 * size_of::<RequestId>();
+
+/// What an allocation costs beside its content.
+const ALLOCATION: usize = 16;
+
+/// A bounded record of requests.
+#[derive(Debug, Clone)]
+pub struct Journal {
+    limit: usize,
+    used: usize,
+    requests: BTreeMap<RequestId, Request>,
+    // Finished requests, the first finished first.
+    finished: VecDeque<RequestId>,
+    forgotten: u64,
+    skipped: u64,
+}
+
+impl Journal {
+    /// Builds an empty journal that keeps within `limit`.
+    #[must_use]
+    pub fn new(limit: Bytes) -> Self {
+        Self {
+            limit: usize::try_from(limit.0).unwrap_or(usize::MAX),
+            used: 0,
+            requests: BTreeMap::new(),
+            finished: VecDeque::new(),
+            forgotten: 0,
+            skipped: 0,
+        }
+    }
+
+    /// Records a request that was accepted.
+    ///
+    /// A second record of the same id is ignored.
+    pub fn on_accept(&mut self, now: Time, accepted: Accepted) {
+        let id = accepted.id;
+        if self.requests.contains_key(&id) {
+            return;
+        }
+        let size = base_size(&accepted);
+        if !self.make_room(size) {
+            self.skipped += 1;
+            return;
+        }
+        let request = Request {
+            accepted,
+            at: now,
+            attempts: Vec::new(),
+            unrecorded: 0,
+            finish: None,
+        };
+        self.used += size;
+        self.requests.insert(id, request);
+    }
+
+    /// Records where an attempt was sent.
+    pub fn on_decision(&mut self, now: Time, id: RequestId, mut decision: Decision) {
+        decision.others.truncate(OTHERS_MAX);
+        decision.others.shrink_to_fit();
+        shorten(&mut decision.why);
+        let size = decision_size(&decision);
+        let room = self.make_room(size);
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if !room || request.attempts.len() >= ATTEMPTS_MAX {
+            request.unrecorded += 1;
+            return;
+        }
+        request.attempts.push(Attempt {
+            decision,
+            sent: now,
+            end: None,
+        });
+        self.used += size;
+    }
+
+    /// Records how an attempt ended; the first end of an attempt stays.
+    pub fn on_attempt_end(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        attempt: AttemptId,
+        end: &AttemptEnd,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let found = request
+            .attempts
+            .iter_mut()
+            .find(|a| a.decision.attempt == attempt && a.end.is_none());
+        if let Some(found) = found {
+            found.end = Some((now, end.clone()));
+        }
+    }
+
+    /// Records the one outcome of a request; the first one stays.
+    pub fn on_finish(
+        &mut self,
+        now: Time,
+        id: RequestId,
+        outcome: Outcome,
+        reason: Option<Reason>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if request.finish.is_some() {
+            return;
+        }
+        request.finish = Some(Finish {
+            at: now,
+            outcome,
+            reason,
+        });
+        self.finished.push_back(id);
+    }
+
+    /// Records a request that was refused at the door.
+    pub fn on_refuse(&mut self, now: Time, accepted: Accepted, reason: Reason) {
+        let id = accepted.id;
+        self.on_accept(now, accepted);
+        self.on_finish(now, id, Outcome::NotRun, Some(reason));
+    }
+
+    /// Returns what is recorded of a request.
+    #[must_use]
+    pub fn get(&self, id: RequestId) -> Option<&Request> {
+        self.requests.get(&id)
+    }
+
+    /// Iterates over the recorded requests, the newest id first.
+    pub fn requests(&self) -> impl Iterator<Item = &Request> {
+        self.requests.values().rev()
+    }
+
+    /// Returns an estimate of the memory in use, from above.
+    #[must_use]
+    pub const fn used(&self) -> Bytes {
+        Bytes(self.used as u64)
+    }
+
+    /// Returns how many finished requests were dropped to make room.
+    #[must_use]
+    pub const fn forgotten(&self) -> u64 {
+        self.forgotten
+    }
+
+    /// Returns how many requests were never recorded for want of room.
+    #[must_use]
+    pub const fn skipped(&self) -> u64 {
+        self.skipped
+    }
+
+    // A flood of requests must not take the router's memory: the symptom would
+    // be a router killed with everything in flight. Finished requests go first;
+    // a running one is never dropped, so `explain` of it stays whole, and new
+    // ones are counted instead of recorded when only running ones are left.
+    fn make_room(&mut self, size: usize) -> bool {
+        while self.used + size > self.limit {
+            let Some(oldest) = self.finished.pop_front() else {
+                return false;
+            };
+            let request = self.requests.remove(&oldest);
+            self.used -= request.as_ref().map_or(0, request_size);
+            self.forgotten += 1;
+        }
+        true
+    }
+}
+
+fn shorten(text: &mut String) {
+    if text.len() > WHY_MAX {
+        let cut = text.floor_char_boundary(WHY_MAX);
+        text.truncate(cut);
+    }
+    text.shrink_to_fit();
+}
+
+fn text_size(len: usize) -> usize {
+    len + ALLOCATION
+}
+
+fn base_size(accepted: &Accepted) -> usize {
+    let texts = [
+        accepted.account.as_str(),
+        accepted.kind.as_str(),
+        accepted.pipeline.as_str(),
+    ];
+    SLOT + texts.iter().map(|t| text_size(t.len())).sum::<usize>()
+}
+
+fn decision_size(decision: &Decision) -> usize {
+    let others: usize = decision
+        .others
+        .iter()
+        .map(|c| size_of::<Choice>() + text_size(c.endpoint.as_str().len()))
+        .sum();
+    // The list of attempts doubles when it grows.
+    2 * size_of::<Attempt>()
+        + text_size(decision.stage.as_str().len())
+        + text_size(decision.chosen.endpoint.as_str().len())
+        + text_size(decision.why.len())
+        + others
+        + ALLOCATION
+}
+
+fn request_size(request: &Request) -> usize {
+    let attempts = request.attempts.iter().map(|a| decision_size(&a.decision));
+    base_size(&request.accepted) + attempts.sum::<usize>()
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,8 @@
 
 pub mod config;
 pub mod ids;
+pub mod journal;
 pub mod outcome;
+pub mod query;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/lib/src/query/ast.rs
@@ -0,0 +1,197 @@
+//! Queries and commands as typed trees, which print as the language.
+
+use derive_more::Display;
+use derive_more::From;
+
+use super::edit::Edit;
+use super::field::Field;
+use super::field::Subject;
+use super::interval::Interval;
+use super::value::Value;
+use crate::ids::RequestId;
+use crate::ids::Revision;
+
+/// One statement of the language.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Display, From)]
+pub enum Statement {
+    /// Asks for a description of the language.
+    #[display("help")]
+    Help,
+    /// Asks a question.
+    Query(Query),
+    /// Asks a question again and again.
+    #[display("watch {show} every {every}")]
+    Watch {
+        /// The question.
+        show: Show,
+        /// The pause between two answers.
+        every: Interval,
+    },
+    /// Changes something.
+    Command(Command),
+}
+
+/// A question.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Display, From)]
+pub enum Query {
+    /// Asks for rows.
+    Show(Show),
+    /// Asks for the whole story of one request.
+    #[display("explain request {_0}")]
+    Explain(RequestId),
+    /// Asks for the configuration, now or at an earlier revision.
+    #[display("show config{}", at(*_0))]
+    Config(Option<Revision>),
+}
+
+fn at(revision: Option<Revision>) -> String {
+    revision.map_or_else(String::new, |r| format!(" at revision {r}"))
+}
+
+/// A question for rows.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Display)]
+#[display("show {subject}{}", self.clauses())]
+pub struct Show {
+    /// What it is about.
+    pub subject: Subject,
+    /// Which rows.
+    pub filter: Option<Filter>,
+    /// How far back.
+    pub since: Option<Interval>,
+    /// The field whose values are counted.
+    pub by: Option<Field>,
+    /// The most rows.
+    pub limit: Option<usize>,
+}
+
+impl Show {
+    /// Builds a question for all rows.
+    #[must_use]
+    pub const fn all(subject: Subject) -> Self {
+        Self {
+            subject,
+            filter: None,
+            since: None,
+            by: None,
+            limit: None,
+        }
+    }
+
+    fn clauses(&self) -> String {
+        let clauses = [
+            self.filter.as_ref().map(|f| format!(" where {f}")),
+            self.since.map(|s| format!(" since {s}")),
+            self.by.map(|b| format!(" by {b}")),
+            self.limit.map(|l| format!(" limit {l}")),
+        ];
+        clauses.into_iter().flatten().collect()
+    }
+}
+
+/// How a field is compared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
+pub enum Op {
+    /// Equal.
+    #[display("=")]
+    Eq,
+    /// Not equal.
+    #[display("!=")]
+    Ne,
+    /// Less.
+    #[display("<")]
+    Lt,
+    /// Less or equal.
+    #[display("<=")]
+    Le,
+    /// Greater.
+    #[display(">")]
+    Gt,
+    /// Greater or equal.
+    #[display(">=")]
+    Ge,
+    /// Contains the text.
+    #[display("~")]
+    Has,
+}
+
+/// A condition on a row.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Display)]
+pub enum Filter {
+    /// A flag that has to be set.
+    #[display("{_0}")]
+    Flag(Field),
+    /// A comparison.
+    #[display("{field} {op} {}", literal(value))]
+    Compare {
+        /// The field.
+        field: Field,
+        /// The comparison.
+        op: Op,
+        /// The value to compare to.
+        value: Value,
+    },
+    /// The opposite.
+    #[display("not {}", _0.nested())]
+    Not(Box<Self>),
+    /// All of them.
+    #[display("{}", joined(_0, " and "))]
+    All(Vec<Self>),
+    /// At least one of them.
+    #[display("{}", joined(_0, " or "))]
+    Any(Vec<Self>),
+}
+
+impl Filter {
+    fn nested(&self) -> String {
+        match self {
+            Self::All(_) | Self::Any(_) => format!("({self})"),
+            _ => self.to_string(),
+        }
+    }
+}
+
+fn joined(parts: &[Filter], word: &str) -> String {
+    let parts: Vec<_> = parts.iter().map(Filter::nested).collect();
+    parts.join(word)
+}
+
+fn literal(value: &Value) -> String {
+    match value {
+        Value::Text(text) => format!("\"{text}\""),
+        Value::Interval(interval) => interval.to_string(),
+        other => other.to_string(),
+    }
+}
+
+/// Something to be done.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Display, From)]
+pub enum Command {
+    /// Changes the configuration.
+    Change(ChangeCommand),
+    /// Stops a request.
+    #[display("stop request {_0}")]
+    Stop(RequestId),
+}
+
+/// A change of the configuration on a base revision.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Display)]
+#[display("{}{edit}{}", if *dry_run { "dry-run " } else { "" }, on(*base))]
+pub struct ChangeCommand {
+    /// The change.
+    pub edit: Edit,
+    /// The revision that the operator saw, if stated.
+    pub base: Option<Revision>,
+    /// Whether only the difference is asked for.
+    pub dry_run: bool,
+}
+
+fn on(base: Option<Revision>) -> String {
+    base.map_or_else(String::new, |b| format!(" on revision {b}"))
+}
--- /dev/null
+++ b/lib/src/query/edit.rs
@@ -0,0 +1,211 @@
+//! Changes of the configuration as operators write them.
+
+use derive_more::Display;
+use derive_more::FromStr;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::interval::Interval;
+use crate::config::KeyDigest;
+use crate::config::Stage;
+use crate::ids::ClientAccount;
+use crate::ids::EndpointId;
+use crate::ids::FailureDomain;
+use crate::ids::HostId;
+use crate::ids::NodeId;
+use crate::ids::PipelineName;
+use crate::ids::PoolName;
+use crate::ids::RequestKind;
+
+/// What a drain takes out of service.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Target {
+    /// One endpoint.
+    #[display("endpoint {_0}")]
+    Endpoint(EndpointId),
+    /// All that runs on a host.
+    #[display("host {_0}")]
+    Host(HostId),
+    /// One router.
+    #[display("router {_0}")]
+    Router(NodeId),
+    /// All that runs in a failure domain.
+    #[display("domain {_0}")]
+    Domain(FailureDomain),
+}
+
+/// A limit of a client account.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display, FromStr)]
+pub enum LimitKey {
+    /// Requests a second.
+    #[display("requests")]
+    Requests,
+    /// Tokens a second.
+    #[display("tokens")]
+    Tokens,
+    /// Requests in flight.
+    #[display("concurrency")]
+    Concurrency,
+    /// The share under contention.
+    #[display("share")]
+    Share,
+}
+
+/// One limit with its value.
+#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Display)]
+#[display("{key} {value}")]
+pub struct LimitEdit {
+    /// The limit.
+    pub key: LimitKey,
+    /// The value.
+    pub value: f64,
+}
+
+/// A weight of a pipeline.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display, FromStr)]
+pub enum WeightKey {
+    /// The weight of predicted lateness.
+    #[display("lateness")]
+    Lateness,
+    /// The weight of cost.
+    #[display("cost")]
+    Cost,
+}
+
+/// A part of a pipeline to set.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Display)]
+pub enum Clause {
+    /// The deadline.
+    #[display("deadline {_0}")]
+    Deadline(Interval),
+    /// A weight.
+    #[display("{key} {value}")]
+    Weight {
+        /// The weight.
+        key: WeightKey,
+        /// The value.
+        value: f64,
+    },
+    /// The stages, in order.
+    #[display("stages ({})", stages(_0))]
+    Stages(Vec<Stage>),
+}
+
+/// A change of the configuration.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Display)]
+pub enum Edit {
+    /// Adds a pipeline.
+    #[display("create pipeline {name} {}", words(clauses))]
+    CreatePipeline {
+        /// The pipeline.
+        name: PipelineName,
+        /// Its parts.
+        clauses: Vec<Clause>,
+    },
+    /// Changes parts of a pipeline.
+    #[display("alter pipeline {name} {}", words(clauses))]
+    AlterPipeline {
+        /// The pipeline.
+        name: PipelineName,
+        /// The parts to set.
+        clauses: Vec<Clause>,
+    },
+    /// Removes a pipeline.
+    #[display("drop pipeline {_0}")]
+    DropPipeline(PipelineName),
+    /// Adds a client account.
+    #[display("create account {name} keys ({}) {}", list(keys), words(limits))]
+    CreateAccount {
+        /// The account.
+        name: ClientAccount,
+        /// The digests of its keys.
+        keys: Vec<KeyDigest>,
+        /// Its limits.
+        limits: Vec<LimitEdit>,
+    },
+    /// Removes a client account.
+    #[display("drop account {_0}")]
+    DropAccount(ClientAccount),
+    /// Adds a pool.
+    #[display("create pool {name} price {price}{}", at_path(path.as_ref()))]
+    CreatePool {
+        /// The pool.
+        name: PoolName,
+        /// The cost of a busy second.
+        price: f64,
+        /// The path of a plain service.
+        path: Option<String>,
+    },
+    /// Removes a pool.
+    #[display("drop pool {_0}")]
+    DropPool(PoolName),
+    /// Binds a request kind of an account to a pipeline.
+    #[display("bind {account} {kind} to {pipeline}")]
+    Bind {
+        /// The account.
+        account: ClientAccount,
+        /// The request kind.
+        kind: RequestKind,
+        /// The pipeline.
+        pipeline: PipelineName,
+    },
+    /// Removes a binding.
+    #[display("unbind {account} {kind}")]
+    Unbind {
+        /// The account.
+        account: ClientAccount,
+        /// The request kind.
+        kind: RequestKind,
+    },
+    /// Sets limits of an account.
+    #[display("set limit {account} {}", words(limits))]
+    SetLimit {
+        /// The account.
+        account: ClientAccount,
+        /// The limits to set.
+        limits: Vec<LimitEdit>,
+    },
+    /// Takes something out of service.
+    #[display("drain {_0}")]
+    Drain(Target),
+    /// Puts something back into service.
+    #[display("resume {_0}")]
+    Resume(Target),
+}
+
+fn words(parts: &[impl ToString]) -> String {
+    let parts: Vec<_> = parts.iter().map(ToString::to_string).collect();
+    parts.join(" ")
+}
+
+fn list(parts: &[impl ToString]) -> String {
+    let parts: Vec<_> = parts.iter().map(ToString::to_string).collect();
+    parts.join(", ")
+}
+
+fn at_path(path: Option<&String>) -> String {
+    path.map_or_else(String::new, |p| format!(" path {p}"))
+}
+
+fn stages(stages: &[Stage]) -> String {
+    let parts: Vec<_> = stages.iter().map(stage).collect();
+    parts.join(", ")
+}
+
+/// Writes a stage as the language has it.
+pub(super) fn stage(stage: &Stage) -> String {
+    let model = stage.model.as_ref();
+    let model = model.map_or_else(String::new, |m| format!(" model {m}"));
+    let once = if stage.idempotent { "" } else { " once" };
+    format!(
+        "{} {} on {}{model}{once}",
+        stage.role, stage.name, stage.pool
+    )
+}
--- /dev/null
+++ b/lib/src/query/evaluate.rs
@@ -0,0 +1,238 @@
+//! Answers to questions over a router's facts.
+
+use std::cmp::Ordering;
+use std::collections::BTreeMap;
+
+use super::ast::Filter;
+use super::ast::Op;
+use super::ast::Query;
+use super::ast::Show;
+use super::explain;
+use super::facts::AccountFact;
+use super::facts::Binding;
+use super::facts::DomainFact;
+use super::facts::EndpointFact;
+use super::facts::FactError;
+use super::facts::Facts;
+use super::facts::Record;
+use super::facts::RequestAt;
+use super::field::Field;
+use super::field::Subject;
+use super::table::Row;
+use super::table::Table;
+use super::table::sort_counts;
+use super::value::Value;
+use crate::config::Config;
+use crate::ids::FailureDomain;
+
+/// The most rows that one router answers without `limit`.
+///
+/// A question for everything must not stall the thread that serves operators.
+pub const ROWS_MAX: usize = 1_000;
+
+/// Answers a question.
+///
+/// # Errors
+///
+/// Returns a [`FactError`] if the request or revision asked for is not known.
+pub fn evaluate(query: &Query, facts: &dyn Facts) -> Result<Table, FactError> {
+    match query {
+        Query::Show(show) => shown(show, facts),
+        Query::Explain(id) => {
+            let request = facts.request(*id);
+            let request = request.ok_or(FactError::NoRequest { id: *id })?;
+            Ok(explain::request(&request, facts.now()))
+        }
+        Query::Config(at) => Ok(explain::config(&facts.config(*at)?)),
+    }
+}
+
+/// Tells whether a row with these values passes a condition.
+#[must_use]
+pub fn matches(filter: &Filter, value: &dyn Fn(Field) -> Value) -> bool {
+    match filter {
+        Filter::Flag(field) => value(*field) == Value::Flag(true),
+        Filter::Compare {
+            field,
+            op,
+            value: wanted,
+        } => compare(&value(*field), *op, wanted),
+        Filter::Not(opposite) => !matches(opposite, value),
+        Filter::All(parts) => parts.iter().all(|p| matches(p, value)),
+        Filter::Any(parts) => parts.iter().any(|p| matches(p, value)),
+    }
+}
+
+fn compare(found: &Value, op: Op, wanted: &Value) -> bool {
+    if let (Op::Has, Value::Text(found), Value::Text(wanted)) = (op, found, wanted) {
+        return found.contains(wanted.as_str());
+    }
+    let order = found.compare(wanted);
+    match op {
+        Op::Eq => order == Some(Ordering::Equal),
+        Op::Ne => order != Some(Ordering::Equal),
+        Op::Lt => order == Some(Ordering::Less),
+        Op::Le => order.is_some_and(Ordering::is_le),
+        Op::Gt => order == Some(Ordering::Greater),
+        Op::Ge => order.is_some_and(Ordering::is_ge),
+        Op::Has => false,
+    }
+}
+
+// Takes rows in, one after another, and keeps only what the answer needs, so
+// that a journal of a hundred thousand requests is never copied as a whole.
+struct Collector<'a> {
+    show: &'a Show,
+    limit: usize,
+    table: Table,
+    counts: BTreeMap<String, (Value, f64)>,
+}
+
+impl<'a> Collector<'a> {
+    fn new(show: &'a Show) -> Self {
+        let columns = match show.by {
+            Some(by) => vec![by, Field::Count],
+            None => show.subject.fields().to_vec(),
+        };
+        Self {
+            show,
+            limit: show.limit.unwrap_or(ROWS_MAX).min(ROWS_MAX),
+            table: Table {
+                columns,
+                ..Table::default()
+            },
+            counts: BTreeMap::new(),
+        }
+    }
+
+    fn take(&mut self, record: &dyn Record) {
+        if !self.wanted(record) {
+            return;
+        }
+        if let Some(by) = self.show.by {
+            let value = record.value(by);
+            let entry = self.counts.entry(value.to_string());
+            entry.or_insert((value, 0.0)).1 += 1.0;
+            return;
+        }
+        if self.table.rows.len() >= self.limit {
+            self.table.omitted += 1;
+            return;
+        }
+        let fields = self.show.subject.fields().iter();
+        let row = Row(fields.map(|f| record.value(*f)).collect());
+        self.table.rows.push(row);
+    }
+
+    fn wanted(&self, record: &dyn Record) -> bool {
+        if let (Some(since), Some(age)) = (self.show.since, self.show.subject.age()) {
+            let old = compare(&record.value(age), Op::Gt, &Value::Interval(since));
+            if old {
+                return false;
+            }
+        }
+        let value = |field| record.value(field);
+        self.show.filter.as_ref().is_none_or(|f| matches(f, &value))
+    }
+
+    fn finish(mut self) -> Table {
+        let mut counts: Vec<_> = self.counts.into_values().collect();
+        sort_counts(&mut counts);
+        let rows = counts
+            .into_iter()
+            .map(|(v, n)| Row(vec![v, Value::Number(n)]));
+        self.table.rows.extend(rows.take(self.limit));
+        self.table
+    }
+}
+
+fn shown(show: &Show, facts: &dyn Facts) -> Result<Table, FactError> {
+    let mut rows = Collector::new(show);
+    match show.subject {
+        Subject::Requests => {
+            let now = facts.now();
+            facts.requests(&mut |request| rows.take(&RequestAt { request, now }));
+        }
+        Subject::Endpoints => take_all(&mut rows, &facts.endpoints()),
+        Subject::Hosts => take_all(&mut rows, &facts.hosts()),
+        Subject::Domains => take_all(&mut rows, &domains(facts)?),
+        Subject::Nodes => take_all(&mut rows, &facts.nodes()),
+        Subject::Leases => take_all(&mut rows, &facts.leases()),
+        Subject::Changes => take_all(&mut rows, &facts.changes()),
+        Subject::Pipelines | Subject::Bindings | Subject::Accounts | Subject::Pools => {
+            configured(&mut rows, facts)?;
+        }
+    }
+    Ok(rows.finish())
+}
+
+fn take_all<R: Record>(rows: &mut Collector<'_>, records: &[R]) {
+    for record in records {
+        rows.take(record);
+    }
+}
+
+fn configured(rows: &mut Collector<'_>, facts: &dyn Facts) -> Result<(), FactError> {
+    let config = facts.config(None)?.config;
+    match rows.show.subject {
+        Subject::Pipelines => config.pipelines.iter().for_each(|p| rows.take(&p)),
+        Subject::Pools => config.pools.iter().for_each(|p| rows.take(&p)),
+        Subject::Bindings => bindings(rows, &config),
+        _ => {
+            for (name, account) in &config.accounts {
+                let active = facts.active(name);
+                rows.take(&AccountFact {
+                    name,
+                    account,
+                    active,
+                });
+            }
+        }
+    }
+    Ok(())
+}
+
+fn bindings(rows: &mut Collector<'_>, config: &Config) {
+    for (account, kinds) in &config.bindings {
+        for (kind, pipeline) in kinds {
+            rows.take(&Binding {
+                account,
+                kind: kind.to_string(),
+                pipeline,
+            });
+        }
+    }
+}
+
+fn domains(facts: &dyn Facts) -> Result<Vec<DomainFact>, FactError> {
+    let config = facts.config(None)?.config;
+    let mut domains: BTreeMap<FailureDomain, DomainFact> = BTreeMap::new();
+    let fact = |domain: &FailureDomain, region| DomainFact {
+        domain: domain.clone(),
+        region,
+        draining: is_drained(&config, domain),
+        count: 0,
+        active: 0,
+    };
+    for host in facts.hosts() {
+        let entry = domains.entry(host.domain.clone());
+        entry.or_insert_with(|| fact(&host.domain, host.region));
+    }
+    for endpoint in facts.endpoints() {
+        let EndpointFact {
+            domain,
+            region,
+            active,
+            ..
+        } = endpoint;
+        let entry = domains.entry(domain.clone());
+        let entry = entry.or_insert_with(|| fact(&domain, region));
+        entry.count += 1;
+        entry.active += active;
+    }
+    Ok(domains.into_values().collect())
+}
+
+fn is_drained(_config: &Config, _domain: &FailureDomain) -> bool {
+    false
+}
--- /dev/null
+++ b/lib/src/query/facts.rs
@@ -0,0 +1,429 @@
+//! What a router knows, as the language asks for it.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+
+use super::edit;
+use super::field::Field;
+use super::value::Value;
+use crate::config::Account;
+use crate::config::Config;
+use crate::config::Pipeline;
+use crate::config::Pool;
+use crate::ids::ClientAccount;
+use crate::ids::EndpointId;
+use crate::ids::FailureDomain;
+use crate::ids::FencingNumber;
+use crate::ids::HostId;
+use crate::ids::ModelName;
+use crate::ids::NodeId;
+use crate::ids::PipelineName;
+use crate::ids::PoolName;
+use crate::ids::Region;
+use crate::ids::RequestId;
+use crate::ids::Revision;
+use crate::journal::Request;
+use crate::time::Time;
+
+/// What a router can tell its operators.
+pub trait Facts {
+    /// Returns the present on the router's clock.
+    fn now(&self) -> Time;
+
+    /// Shows each recorded request to `visit`, the newest first.
+    fn requests(&self, visit: &mut dyn FnMut(&Request));
+
+    /// Returns what is recorded of one request.
+    fn request(&self, id: RequestId) -> Option<Request>;
+
+    /// Returns the configuration, now or at an earlier revision.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`FactError`] if that revision is not remembered.
+    fn config(&self, at: Option<Revision>) -> Result<ConfigFact, FactError>;
+
+    /// Returns the requests in flight of an account at this router.
+    fn active(&self, account: &ClientAccount) -> u32;
+
+    /// Returns the endpoints that the router sees.
+    fn endpoints(&self) -> Vec<EndpointFact>;
+
+    /// Returns the hosts of the host list.
+    fn hosts(&self) -> Vec<HostFact>;
+
+    /// Returns the processes that the router sees, itself included.
+    fn nodes(&self) -> Vec<NodeFact>;
+
+    /// Returns the leases as the log has them.
+    fn leases(&self) -> Vec<LeaseFact>;
+
+    /// Returns the changes of the configuration, the newest first.
+    fn changes(&self) -> Vec<ChangeFact>;
+}
+
+/// The reason why a fact can't be told.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error)]
+pub enum FactError {
+    /// No such request is recorded here.
+    #[display("this router has no record of request {id}: ask the router that accepted it")]
+    NoRequest {
+        /// The request.
+        id: RequestId,
+    },
+    /// A revision is not remembered.
+    #[display("revision {asked} is not remembered: ask for one of {first} to {last}")]
+    NoRevision {
+        /// The revision asked for.
+        asked: Revision,
+        /// The first one remembered.
+        first: Revision,
+        /// The revision in force.
+        last: Revision,
+    },
+}
+
+/// The configuration at a revision.
+#[derive(Debug, Clone, PartialEq)]
+pub struct ConfigFact {
+    /// The revision.
+    pub revision: Revision,
+    /// The configuration.
+    pub config: Arc<Config>,
+}
+
+/// An endpoint as a router sees it.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EndpointFact {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its pool.
+    pub pool: PoolName,
+    /// Its host.
+    pub host: HostId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Its region.
+    pub region: Region,
+    /// Calls at work there.
+    pub active: u32,
+    /// Calls that wait there.
+    pub queued: u32,
+    /// Calls that it runs at the same time.
+    pub slots: u32,
+    /// Tokens that wait or are at work.
+    pub pending: u64,
+    /// The age of its last report.
+    pub report: Duration,
+    /// Whether the report is fresh enough for new work.
+    pub fresh: bool,
+    /// Whether the endpoint answered its last health probe.
+    pub healthy: bool,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// The models loaded.
+    pub models: Vec<ModelName>,
+}
+
+/// A host of the host list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HostFact {
+    /// The host.
+    pub host: HostId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Its region.
+    pub region: Region,
+    /// What the host list says of it.
+    pub state: String,
+    /// Whether an operator drains it.
+    pub draining: bool,
+}
+
+/// A process of snipeyoke.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct NodeFact {
+    /// The node.
+    pub node: NodeId,
+    /// Router or agent.
+    pub kind: String,
+    /// Its host.
+    pub host: HostId,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// Where it is reached.
+    pub address: String,
+    /// The revision in force there, as last heard.
+    pub revision: Option<Revision>,
+    /// The age of its last heartbeat.
+    pub report: Duration,
+    /// Whether the heartbeat is fresh enough for new work.
+    pub fresh: bool,
+    /// Whether it is leaving.
+    pub draining: bool,
+}
+
+/// A lease as the log has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LeaseFact {
+    /// What it covers.
+    pub lease: String,
+    /// The node that holds it.
+    pub holder: Option<NodeId>,
+    /// The fencing number.
+    pub fence: FencingNumber,
+    /// The time that it has left.
+    pub left: Duration,
+    /// Held, waited out or free.
+    pub state: String,
+}
+
+/// A change of the configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ChangeFact {
+    /// The revision that it made.
+    pub revision: Revision,
+    /// Who made it.
+    pub author: String,
+    /// Accepted or lost.
+    pub state: String,
+    /// What it changed.
+    pub detail: String,
+}
+
+/// Something whose fields can be asked for.
+pub(super) trait Record {
+    /// Returns the value of a field.
+    fn value(&self, field: Field) -> Value;
+}
+
+/// A request at a point in time.
+#[derive(Debug)]
+pub(super) struct RequestAt<'a> {
+    pub request: &'a Request,
+    pub now: Time,
+}
+
+impl Record for RequestAt<'_> {
+    fn value(&self, field: Field) -> Value {
+        let request = self.request;
+        let accepted = &request.accepted;
+        match field {
+            Field::Id => Value::text(&accepted.id),
+            Field::Account => Value::text(&accepted.account),
+            Field::Kind => Value::text(&accepted.kind),
+            Field::Pipeline => Value::text(&accepted.pipeline),
+            Field::State => Value::from(state(request)),
+            Field::Reason => Value::some(request.finish.and_then(|f| f.reason).map(|r| text(&r))),
+            Field::Age => self.now.since(request.at).into(),
+            Field::Elapsed => request.elapsed(self.now).into(),
+            Field::Predicted => Value::some(accepted.predicted),
+            Field::Deadline => accepted.deadline.into(),
+            Field::Stage => Value::some(request.stage().map(text)),
+            Field::Endpoint => Value::some(request.endpoint().map(text)),
+            Field::Attempts => {
+                Value::count(request.attempts.len() as u64 + u64::from(request.unrecorded))
+            }
+            Field::Outcome => Value::some(request.finish.map(|f| text(&f.outcome))),
+            Field::Late => request.is_late(self.now).into(),
+            Field::Refused => request.is_refused().into(),
+            Field::Running => request.is_running().into(),
+            _ => Value::Absent,
+        }
+    }
+}
+
+fn state(request: &Request) -> &'static str {
+    if request.is_running() {
+        "running"
+    } else if request.is_refused() {
+        "refused"
+    } else {
+        "answered"
+    }
+}
+
+fn text(value: &impl ToString) -> Value {
+    Value::text(value)
+}
+
+fn number(value: u32) -> Value {
+    Value::Number(f64::from(value))
+}
+
+impl Record for (&PipelineName, &Pipeline) {
+    fn value(&self, field: Field) -> Value {
+        let stages: Vec<_> = self.1.stages.iter().map(edit::stage).collect();
+        match field {
+            Field::Pipeline => text(self.0),
+            Field::Deadline => self.1.deadline().into(),
+            Field::Stages => Value::Text(stages.join(", ")),
+            Field::Lateness => self.1.weights.lateness.into(),
+            Field::Cost => self.1.weights.cost.into(),
+            _ => Value::Absent,
+        }
+    }
+}
+
+/// A binding of an account's request kind.
+#[derive(Debug)]
+pub(super) struct Binding<'a> {
+    pub account: &'a ClientAccount,
+    pub kind: String,
+    pub pipeline: &'a PipelineName,
+}
+
+impl Record for Binding<'_> {
+    fn value(&self, field: Field) -> Value {
+        match field {
+            Field::Account => text(self.account),
+            Field::Kind => Value::Text(self.kind.clone()),
+            Field::Pipeline => text(self.pipeline),
+            _ => Value::Absent,
+        }
+    }
+}
+
+/// A client account with its use.
+#[derive(Debug)]
+pub struct AccountFact<'a> {
+    /// The account.
+    pub name: &'a ClientAccount,
+    /// Its limits and share.
+    pub account: &'a Account,
+    /// Its requests in flight at this router.
+    pub active: u32,
+}
+
+impl Record for AccountFact<'_> {
+    fn value(&self, field: Field) -> Value {
+        let limits = &self.account.limits;
+        match field {
+            Field::Account => text(self.name),
+            Field::Requests => limits.requests.0.into(),
+            Field::Tokens => limits.tokens.0.into(),
+            Field::Concurrency => number(limits.concurrency),
+            Field::Share => self.account.share.into(),
+            Field::Active => number(self.active),
+            _ => Value::Absent,
+        }
+    }
+}
+
+impl Record for (&PoolName, &Pool) {
+    fn value(&self, field: Field) -> Value {
+        match field {
+            Field::Pool => text(self.0),
+            Field::Price => self.1.price.into(),
+            Field::Path => Value::some(self.1.path.as_deref()),
+            _ => Value::Absent,
+        }
+    }
+}
+
+impl Record for EndpointFact {
+    fn value(&self, field: Field) -> Value {
+        match field {
+            Field::Endpoint => text(&self.endpoint),
+            Field::Pool => text(&self.pool),
+            Field::Host => text(&self.host),
+            Field::Domain => text(&self.domain),
+            Field::Region => text(&self.region),
+            Field::Active => number(self.active),
+            Field::Queued => number(self.queued),
+            Field::Slots => number(self.slots),
+            Field::Pending => Value::count(self.pending),
+            Field::Report => self.report.into(),
+            Field::Fresh => self.fresh.into(),
+            Field::Healthy => self.healthy.into(),
+            Field::Draining => self.draining.into(),
+            Field::Models => {
+                let models: Vec<_> = self.models.iter().map(ModelName::as_str).collect();
+                Value::Text(models.join(","))
+            }
+            _ => Value::Absent,
+        }
+    }
+}
+
+impl Record for HostFact {
+    fn value(&self, field: Field) -> Value {
+        match field {
+            Field::Host => text(&self.host),
+            Field::Domain => text(&self.domain),
+            Field::Region => text(&self.region),
+            Field::State => text(&self.state),
+            Field::Draining => self.draining.into(),
+            _ => Value::Absent,
+        }
+    }
+}
+
+/// A failure domain with the endpoints in it.
+#[derive(Debug)]
+pub(super) struct DomainFact {
+    pub domain: FailureDomain,
+    pub region: Region,
+    pub draining: bool,
+    pub count: u32,
+    pub active: u32,
+}
+
+impl Record for DomainFact {
+    fn value(&self, field: Field) -> Value {
+        match field {
+            Field::Domain => text(&self.domain),
+            Field::Region => text(&self.region),
+            Field::Draining => self.draining.into(),
+            Field::Count => number(self.count),
+            Field::Active => number(self.active),
+            _ => Value::Absent,
+        }
+    }
+}
+
+impl Record for NodeFact {
+    fn value(&self, field: Field) -> Value {
+        match field {
+            Field::Node => text(&self.node),
+            Field::Kind => text(&self.kind),
+            Field::Host => text(&self.host),
+            Field::Domain => text(&self.domain),
+            Field::Address => text(&self.address),
+            Field::Revision => Value::some(self.revision.map(|r| Value::count(r.0))),
+            Field::Report => self.report.into(),
+            Field::Fresh => self.fresh.into(),
+            Field::Draining => self.draining.into(),
+            _ => Value::Absent,
+        }
+    }
+}
+
+impl Record for LeaseFact {
+    fn value(&self, field: Field) -> Value {
+        match field {
+            Field::Lease => text(&self.lease),
+            Field::Holder => Value::some(self.holder.as_ref().map(text)),
+            Field::Fence => Value::count(self.fence.0),
+            Field::Left => self.left.into(),
+            Field::State => text(&self.state),
+            _ => Value::Absent,
+        }
+    }
+}
+
+impl Record for ChangeFact {
+    fn value(&self, field: Field) -> Value {
+        match field {
+            Field::Revision => Value::count(self.revision.0),
+            Field::Author => text(&self.author),
+            Field::State => text(&self.state),
+            Field::Detail => text(&self.detail),
+            _ => Value::Absent,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/query/interval.rs
@@ -0,0 +1,94 @@
+//! Lengths of time as operators write them.
+
+use std::str::FromStr;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Units with their microseconds, the largest first.
+const UNITS: [(&str, u64); 6] = [
+    ("d", 86_400_000_000),
+    ("h", 3_600_000_000),
+    ("m", 60_000_000),
+    ("s", 1_000_000),
+    ("ms", 1_000),
+    ("us", 1),
+];
+
+/// A text that is no length of time.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error)]
+#[display("{text:?} is no length of time: write a number and its unit, us, ms, s, m, h or d")]
+pub struct IntervalError {
+    /// The text found.
+    #[error(not(source))]
+    text: String,
+}
+
+/// A length of time, written as a number with its unit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
+#[derive(Serialize, Deserialize, Display)]
+#[display("{}", exact(*micros))]
+#[serde(transparent)]
+pub struct Interval {
+    micros: u64,
+}
+
+impl Interval {
+    /// Returns the length as a duration.
+    #[must_use]
+    pub const fn duration(self) -> Duration {
+        Duration::from_micros(self.micros)
+    }
+
+    /// Returns the length in milliseconds.
+    #[must_use]
+    pub fn millis(self) -> f64 {
+        self.micros as f64 / 1_000.0
+    }
+
+    /// Writes the length with at most three digits behind the point.
+    #[must_use]
+    pub fn rounded(self) -> String {
+        let fits = |u: &&(&str, u64)| self.micros >= u.1 && (u.0 == "s" || u.1 < 1_000_000);
+        match UNITS.iter().find(fits) {
+            Some(("s", unit)) => format!("{:.2}s", self.micros as f64 / *unit as f64),
+            Some(("ms", unit)) => format!("{:.0}ms", self.micros as f64 / *unit as f64),
+            _ => format!("{}us", self.micros),
+        }
+    }
+}
+
+impl From<Duration> for Interval {
+    fn from(duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self { micros }
+    }
+}
+
+impl FromStr for Interval {
+    type Err = IntervalError;
+
+    fn from_str(text: &str) -> Result<Self, IntervalError> {
+        let wrong = || IntervalError {
+            text: text.to_owned(),
+        };
+        let digits = text.len() - text.trim_start_matches(|c: char| c.is_ascii_digit()).len();
+        let (number, unit) = text.split_at(digits);
+        let found = UNITS.iter().find(|u| u.0 == unit).ok_or_else(wrong)?;
+        let number: u64 = number.parse().map_err(|_malformed| wrong())?;
+        let micros = number.checked_mul(found.1).ok_or_else(wrong)?;
+        Ok(Self { micros })
+    }
+}
+
+fn exact(micros: u64) -> String {
+    let fits = |u: &&(&str, u64)| micros.is_multiple_of(u.1);
+    match UNITS.iter().find(fits) {
+        Some((unit, size)) if micros > 0 => format!("{}{unit}", micros / size),
+        _ => format!("{micros}us"),
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,3 +1,4 @@
 //! Runs every test of the library.
 
 mod test_config_model;
+mod test_query;
