--- /dev/null
+++ b/agent/src/calls.rs
@@ -0,0 +1,111 @@
+//! The life of one call at the agent, from frame to reply.
+
+use std::time::Duration;
+
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use snipeyoke_lib::outcome::Reason;
+use snipeyoke_runtime::flag::Flag;
+use snipeyoke_runtime::link::LinkSender;
+use snipeyoke_wire::Call;
+use snipeyoke_wire::Chunk;
+use snipeyoke_wire::End;
+use snipeyoke_wire::Reply;
+use snipeyoke_wire::frame::Body;
+
+use crate::endpoint::Answer;
+use crate::endpoint::Piece;
+use crate::node::Node;
+
+/// Runs a call and sends its one reply.
+pub(crate) async fn run(node: &Node, link: &LinkSender, call: Call, cancel: Flag) {
+    let started = node.clock.now();
+    let number = call.call;
+    let answer = match node.gate.enter(&call) {
+        Err(refusal) => Answer::NotRun {
+            reason: refusal.reason,
+            retry: refusal.retry,
+        },
+        Ok(_permit) => admitted(node, link, &call, cancel).await,
+    };
+    let work = node.clock.now().since(started);
+    let mut reply = reply_of(number, answer, work);
+    reply.load = Some(node.load());
+    log::debug!(
+        event = "call-ended", call = number, stage = call.stage.as_str(),
+        end = reply.end, reason = reply.reason.as_str(), work_us = reply.work_us; ""
+    );
+    if link.send(Body::Reply(reply)).is_err() {
+        log::debug!(event = "reply-lost", call = number; "");
+    }
+}
+
+async fn admitted(node: &Node, link: &LinkSender, call: &Call, cancel: Flag) -> Answer {
+    let number = call.call;
+    let deliver = |piece: Piece| {
+        let chunk = Chunk {
+            call: number,
+            index: piece.index,
+            tokens: piece.tokens,
+            data: Bytes::from(piece.text),
+        };
+        // A router that does not read its link can't use the answer either.
+        if link.send(Body::Chunk(chunk)).is_err() {
+            cancel.set();
+        }
+    };
+    let work = node.endpoint.run(call, deliver);
+    let cancelled = async {
+        cancel.wait().await;
+        Answer::Unknown {
+            reason: Reason::CallerGone,
+            status: 0,
+        }
+    };
+    let late = async {
+        Timer::after(Duration::from_micros(call.left_us)).await;
+        Answer::Unknown {
+            reason: Reason::Timeout,
+            status: 0,
+        }
+    };
+    // Dropping `work` closes its connection, at which the endpoint stops.
+    work.or(cancelled).or(late).await
+}
+
+fn reply_of(call: u64, answer: Answer, work: Duration) -> Reply {
+    let work_us = u64::try_from(work.as_micros()).unwrap_or(u64::MAX);
+    let base = Reply {
+        call,
+        work_us,
+        ..Reply::default()
+    };
+    match answer {
+        Answer::Completed {
+            status,
+            body,
+            usage,
+        } => Reply {
+            end: End::Completed.into(),
+            status: u32::from(status),
+            body,
+            queue_us: usage.queue_us,
+            cached_tokens: usage.cached_tokens,
+            output_tokens: usage.completion_tokens,
+            ..base
+        },
+        Answer::NotRun { reason, retry } => Reply {
+            end: End::NotRun.into(),
+            reason: reason.to_string(),
+            retry_after_ms: retry.map_or(0, |r| u32::try_from(r.as_millis()).unwrap_or(u32::MAX)),
+            ..base
+        },
+        Answer::Unknown { reason, status } => Reply {
+            end: End::Unknown.into(),
+            reason: reason.to_string(),
+            status: u32::from(status),
+            ..base
+        },
+    }
+}
--- /dev/null
+++ b/agent/src/endpoint.rs
@@ -0,0 +1,286 @@
+//! One call to the endpoint, over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use serde::Deserialize;
+use snipeyoke_lib::outcome::Reason;
+use snipeyoke_runtime::http::Client;
+use snipeyoke_runtime::http::ClientError;
+use snipeyoke_runtime::http::Response;
+use snipeyoke_runtime::http::collect;
+use snipeyoke_wire::Call;
+use uuid::Uuid;
+
+use crate::sse::Events;
+
+/// The largest answer of an endpoint, in bytes: what fits in a frame.
+const ANSWER_MAX: usize = 1 << 20;
+
+/// The header with which an endpoint vouches that it did not run a request.
+const NOT_RUN: &str = "x-not-run";
+
+/// The data of the event that ends a streamed answer.
+const DONE: &[u8] = b"[DONE]";
+
+/// How a call to the endpoint ended.
+#[derive(Debug)]
+pub(crate) enum Answer {
+    /// The whole answer; `body` is empty if it was streamed.
+    Completed {
+        status: u16,
+        body: Bytes,
+        usage: TokenUse,
+    },
+    /// The endpoint, or the lack of a connection, proves that it did not run.
+    NotRun {
+        reason: Reason,
+        retry: Option<Duration>,
+    },
+    /// It may have run.
+    Unknown { reason: Reason, status: u16 },
+}
+
+/// Tokens that an engine says it used.
+#[derive(Debug, Clone, Copy, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+pub(crate) struct TokenUse {
+    pub(crate) cached_tokens: u32,
+    pub(crate) completion_tokens: u32,
+    /// Time in the engine's queue, in microseconds.
+    pub(crate) queue_us: u64,
+}
+
+/// A piece of a streamed answer.
+#[derive(Debug)]
+pub(crate) struct Piece {
+    pub(crate) index: u32,
+    pub(crate) tokens: u32,
+    pub(crate) text: String,
+}
+
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct ChunkBody {
+    choices: Vec<ChunkChoice>,
+    usage: Option<TokenUse>,
+    /// Index of the event's first token, where the engine says it.
+    token_index: Option<u32>,
+    /// Tokens in the event, where the engine says it.
+    token_count: Option<u32>,
+}
+
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct ChunkChoice {
+    delta: Delta,
+}
+
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct Delta {
+    content: Option<String>,
+}
+
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct UsageBody {
+    usage: TokenUse,
+}
+
+/// Calls the endpoint beside this agent.
+#[derive(Debug, Clone)]
+pub(crate) struct Endpoint {
+    client: Client,
+    address: SocketAddr,
+}
+
+impl Endpoint {
+    pub(crate) fn new(client: Client, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    /// Runs one call; pieces of a streamed answer go to `deliver` as they come.
+    pub(crate) async fn run(&self, call: &Call, deliver: impl FnMut(Piece)) -> Answer {
+        let sent = self.client.send(self.address, request(call)).await;
+        let (response, kept) = match sent {
+            Ok(sent) => sent,
+            Err(error) => return failed(&error),
+        };
+        let status = response.status();
+        if !status.is_success() {
+            return refused(&response);
+        }
+        if call.stream {
+            return stream(response, call.resume_from, deliver).await;
+        }
+        match collect(response.into_body(), ANSWER_MAX).await {
+            Ok(body) => {
+                self.client.keep(kept);
+                let usage = serde_json::from_slice::<UsageBody>(&body)
+                    .unwrap_or_default()
+                    .usage;
+                Answer::Completed {
+                    status: status.as_u16(),
+                    body,
+                    usage,
+                }
+            }
+            Err(_broken) => Answer::Unknown {
+                reason: Reason::Connection,
+                status: status.as_u16(),
+            },
+        }
+    }
+
+    /// Fetches a small JSON document, or nothing on any failure.
+    pub(crate) async fn get(&self, path: &str) -> Option<Bytes> {
+        let request = hyper::Request::get(path).body(Full::default()).ok()?;
+        let (response, kept) = self.client.send(self.address, request).await.ok()?;
+        if !response.status().is_success() {
+            return None;
+        }
+        let body = collect(response.into_body(), ANSWER_MAX).await.ok()?;
+        self.client.keep(kept);
+        Some(body)
+    }
+}
+
+fn request(call: &Call) -> hyper::Request<Full<Bytes>> {
+    let mut request = hyper::Request::new(Full::new(call.body.clone()));
+    *request.method_mut() = hyper::Method::POST;
+    // The path comes from the checked configuration; a bad one would only
+    // reach "/" of the endpoint, which answers 404.
+    *request.uri_mut() = call.path.parse().unwrap_or_default();
+    let headers = request.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    if let Ok(id) = Uuid::from_slice(&call.request) {
+        insert(headers, "x-request-id", &id.to_string());
+    }
+    insert(headers, "x-client-account", &call.account);
+    insert(
+        headers,
+        "x-deadline-ms",
+        &(call.left_us / 1_000).to_string(),
+    );
+    if let Some(once) = &call.once
+        && let Ok(key) = Uuid::from_slice(&once.key)
+    {
+        insert(headers, "idempotency-key", &key.to_string());
+    }
+    request
+}
+
+fn insert(headers: &mut hyper::HeaderMap, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        headers.insert(name, value);
+    }
+}
+
+fn failed(error: &ClientError) -> Answer {
+    if error.is_not_sent() {
+        return Answer::NotRun {
+            reason: Reason::Connection,
+            retry: None,
+        };
+    }
+    Answer::Unknown {
+        reason: Reason::Connection,
+        status: 0,
+    }
+}
+
+fn refused(response: &Response) -> Answer {
+    let status = response.status();
+    let vouched = response.headers().contains_key(NOT_RUN);
+    if !vouched {
+        return Answer::Unknown {
+            reason: Reason::EndpointFailure,
+            status: status.as_u16(),
+        };
+    }
+    let busy = [
+        StatusCode::TOO_MANY_REQUESTS,
+        StatusCode::SERVICE_UNAVAILABLE,
+    ];
+    let reason = if busy.contains(&status) {
+        Reason::Overload
+    } else {
+        Reason::EndpointFailure
+    };
+    let seconds = response
+        .headers()
+        .get(RETRY_AFTER)
+        .and_then(|v| v.to_str().ok());
+    let retry = seconds
+        .and_then(|s| s.parse::<f64>().ok())
+        .and_then(|s| Duration::try_from_secs_f64(s).ok());
+    Answer::NotRun { reason, retry }
+}
+
+async fn stream(response: Response, from: u32, mut deliver: impl FnMut(Piece)) -> Answer {
+    let mut body = response.into_body();
+    let mut events = Events::default();
+    let mut next = from;
+    let mut usage = TokenUse::default();
+    while let Some(frame) = body.frame().await {
+        let Ok(frame) = frame else {
+            break;
+        };
+        let Some(piece) = frame.data_ref() else {
+            continue;
+        };
+        events.push(piece);
+        while let Some(data) = events.next() {
+            if data == DONE {
+                return Answer::Completed {
+                    status: 200,
+                    body: Bytes::new(),
+                    usage,
+                };
+            }
+            let Ok(chunk) = serde_json::from_slice::<ChunkBody>(&data) else {
+                return Answer::Unknown {
+                    reason: Reason::EndpointFailure,
+                    status: 200,
+                };
+            };
+            usage = chunk.usage.unwrap_or(usage);
+            if let Some(piece) = piece_of(chunk, next) {
+                next = piece.index + piece.tokens;
+                deliver(piece);
+            }
+        }
+    }
+    // Without its last event the answer is not whole, whatever came before.
+    Answer::Unknown {
+        reason: Reason::Connection,
+        status: 200,
+    }
+}
+
+fn piece_of(chunk: ChunkBody, next: u32) -> Option<Piece> {
+    let index = chunk.token_index.unwrap_or(next);
+    let tokens = chunk.token_count.unwrap_or(1);
+    let text = chunk.choices.into_iter().next()?.delta.content?;
+    if text.is_empty() {
+        return None;
+    }
+    Some(Piece {
+        index,
+        tokens,
+        text,
+    })
+}
--- /dev/null
+++ b/agent/src/gate.rs
@@ -0,0 +1,108 @@
+//! Admission to the endpoint.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use snipeyoke_lib::outcome::Reason;
+use snipeyoke_runtime::flag::Flag;
+use snipeyoke_wire::Call;
+
+/// When a caller may come back after it found the endpoint full.
+const FULL_RETRY: Duration = Duration::from_millis(200);
+
+/// Admits calls up to the endpoint's room, and none while draining.
+#[derive(Debug, Clone)]
+pub(crate) struct Gate {
+    room: u32,
+    drain: Flag,
+    state: Arc<Mutex<State>>,
+}
+
+#[derive(Debug, Default)]
+struct State {
+    active: u32,
+    tokens: u64,
+}
+
+/// A refusal before anything was passed on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) reason: Reason,
+    pub(crate) retry: Option<Duration>,
+}
+
+/// Room taken by one call, given back when dropped.
+#[derive(Debug)]
+pub(crate) struct Permit {
+    state: Arc<Mutex<State>>,
+    tokens: u64,
+}
+
+/// What the gate has admitted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Admitted {
+    pub(crate) active: u32,
+    pub(crate) tokens: u64,
+}
+
+impl Gate {
+    pub(crate) fn new(room: u32, drain: Flag) -> Self {
+        Self {
+            room,
+            drain,
+            state: Arc::default(),
+        }
+    }
+
+    /// Takes room for a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`Refusal`], which proves that the call was not passed on.
+    pub(crate) fn enter(&self, call: &Call) -> Result<Permit, Refusal> {
+        if self.drain.is_set() {
+            return Err(Refusal {
+                reason: Reason::Draining,
+                retry: None,
+            });
+        }
+        if call.left_us == 0 {
+            return Err(Refusal {
+                reason: Reason::Deadline,
+                retry: None,
+            });
+        }
+        let tokens = u64::from(call.prompt_tokens) + u64::from(call.max_tokens);
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        if state.active >= self.room {
+            return Err(Refusal {
+                reason: Reason::Overload,
+                retry: Some(FULL_RETRY),
+            });
+        }
+        state.active += 1;
+        state.tokens += tokens;
+        Ok(Permit {
+            state: Arc::clone(&self.state),
+            tokens,
+        })
+    }
+
+    pub(crate) fn admitted(&self) -> Admitted {
+        let state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        Admitted {
+            active: state.active,
+            tokens: state.tokens,
+        }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        state.active -= 1;
+        state.tokens -= self.tokens;
+    }
+}
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -1,1 +1,16 @@
-//! placeholder
+//! The process beside an endpoint: its only gate.
+//!
+//! Routers reach the endpoint through it alone, so it can vouch for what did
+//! not run.
+
+mod calls;
+mod endpoint;
+mod gate;
+mod node;
+mod peers;
+mod report;
+pub mod settings;
+mod sse;
+
+pub use node::Agent;
+pub use node::StartError;
--- /dev/null
+++ b/agent/src/node.rs
@@ -0,0 +1,200 @@
+//! The agent as a whole: what it shares, how it starts and leaves.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_runtime::board::Fact;
+use snipeyoke_runtime::clock::Clock;
+use snipeyoke_runtime::flag::Flag;
+use snipeyoke_runtime::http;
+use snipeyoke_runtime::http::Client;
+use snipeyoke_runtime::link::LinkSender;
+use snipeyoke_runtime::scope::Scope;
+use snipeyoke_runtime::threads::Execs;
+use snipeyoke_wire::Goodbye;
+use snipeyoke_wire::Hello;
+use snipeyoke_wire::Load;
+use snipeyoke_wire::NodeKind;
+use snipeyoke_wire::frame::Body;
+
+use crate::endpoint::Endpoint;
+use crate::gate::Gate;
+use crate::peers;
+use crate::report;
+use crate::report::Seen;
+use crate::settings::Raw;
+use crate::settings::Settings;
+
+/// The version of the frames between processes.
+const PROTOCOL: u32 = 1;
+
+/// The longest time to connect to the endpoint on the same host.
+const CONNECT_LIMIT: Duration = Duration::from_millis(500);
+
+/// The pause between two looks at what a drain still waits for.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+
+/// The reason why an agent can't start.
+#[derive(Debug)]
+#[derive(Display, Error)]
+pub enum StartError {
+    /// The address to listen on can't be bound.
+    #[display("can't listen on {address}: {source}; free the address or change `listen`")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        source: io::Error,
+    },
+}
+
+/// What the tasks of an agent share.
+#[derive(Debug)]
+pub(crate) struct Node {
+    pub(crate) settings: Raw,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) clock: Clock,
+    pub(crate) gate: Gate,
+    pub(crate) endpoint: Endpoint,
+    pub(crate) seen: Fact<Seen>,
+    pub(crate) drain: Flag,
+    pub(crate) stop: Flag,
+    pub(crate) scope: Scope,
+    address: SocketAddr,
+    links: Mutex<Links>,
+}
+
+#[derive(Debug, Default)]
+struct Links {
+    next: u64,
+    open: BTreeMap<u64, LinkSender>,
+}
+
+impl Node {
+    pub(crate) fn hello(&self) -> Hello {
+        let own = &self.settings;
+        Hello {
+            protocol: PROTOCOL,
+            node: own.node.to_string(),
+            kind: NodeKind::Agent.into(),
+            incarnation: self.incarnation.0,
+            host: own.host.to_string(),
+            domain: own.domain.to_string(),
+            region: own.region.to_string(),
+            address: self.address.to_string(),
+            endpoint: own.endpoint.id.to_string(),
+            pool: own.endpoint.pool.to_string(),
+        }
+    }
+
+    pub(crate) fn load(&self) -> Load {
+        self.seen.get().frame(self)
+    }
+
+    pub(crate) fn add_link(&self, sender: LinkSender) -> u64 {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let id = links.next;
+        links.next += 1;
+        links.open.insert(id, sender);
+        id
+    }
+
+    pub(crate) fn drop_link(&self, id: u64) {
+        self.links
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .open
+            .remove(&id);
+    }
+
+    pub(crate) fn broadcast(&self, body: &Body) {
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        for sender in links.open.values() {
+            if let Err(error) = sender.send(body.clone()) {
+                log::debug!(event = "report-dropped", error = error.to_string().as_str(); "");
+            }
+        }
+    }
+}
+
+/// A running agent.
+#[derive(Debug)]
+pub struct Agent {
+    node: Arc<Node>,
+}
+
+impl Agent {
+    /// Starts an agent on the given executors.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] if the address can't be bound.
+    pub fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
+        let raw = settings.raw;
+        let listen = raw.listen;
+        let wrap = |source| StartError::Listen {
+            address: listen,
+            source,
+        };
+        let listener = http::bind(listen).map_err(wrap)?;
+        let address = listener.get_ref().local_addr().map_err(wrap)?;
+        let scope = Scope::new(Arc::clone(&execs.traffic));
+        let client = Client::new(scope.clone(), CONNECT_LIMIT);
+        let drain = Flag::default();
+        let room = raw.endpoint.slots + raw.endpoint.queue;
+        let node = Arc::new(Node {
+            incarnation: Incarnation(Clock::wall().as_millis()),
+            clock: Clock::start(),
+            gate: Gate::new(room, drain.clone()),
+            endpoint: Endpoint::new(client, raw.endpoint.address),
+            seen: Fact::new(Seen::default()),
+            settings: raw,
+            drain,
+            stop: Flag::default(),
+            scope,
+            address,
+            links: Mutex::default(),
+        });
+        node.scope.spawn(peers::accept(Arc::clone(&node), listener));
+        node.scope.spawn(report::run(Arc::clone(&node)));
+        log::info!(event = "agent-up", node = node.settings.node.as_str(), address = address.to_string().as_str(), incarnation = node.incarnation.0; "");
+        Ok(Self { node })
+    }
+
+    /// Returns the address that routers connect to.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.node.address
+    }
+
+    /// Drains: takes nothing new, finishes what runs, says goodbye, and ends.
+    pub async fn leave(&self) {
+        self.node.drain.set();
+        let goodbye = Goodbye {
+            incarnation: self.node.incarnation.0,
+            reason: "drain".to_owned(),
+        };
+        self.node.broadcast(&Body::Goodbye(goodbye));
+        while self.node.gate.admitted().active > 0 {
+            async_io::Timer::after(DRAIN_LOOK).await;
+        }
+        // The last replies are queued by now; the writers end once the links
+        // are closed and their queues are empty.
+        self.stop().await;
+    }
+
+    /// Stops at once, cutting off what runs.
+    pub async fn stop(&self) {
+        self.node.stop.set();
+        self.node.scope.cancel_later().await;
+        log::info!(event = "agent-down", node = self.node.settings.node.as_str(); "");
+    }
+}
--- /dev/null
+++ b/agent/src/peers.rs
@@ -0,0 +1,145 @@
+//! Links from routers.
+
+use std::collections::BTreeMap;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_io::Async;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use snipeyoke_runtime::flag::Flag;
+use snipeyoke_runtime::link;
+use snipeyoke_runtime::link::LinkReader;
+use snipeyoke_runtime::link::LinkSender;
+use snipeyoke_wire::Call;
+use snipeyoke_wire::frame::Body;
+
+use crate::calls;
+use crate::node::Node;
+
+/// The pause after a failed accept, so that a lack of descriptors can't spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The calls of one link that have no reply yet, by number.
+type Calls = Arc<Mutex<BTreeMap<u64, Running>>>;
+
+#[derive(Debug)]
+struct Running {
+    cancel: Flag,
+    idempotent: bool,
+}
+
+/// Accepts links until the agent stops.
+pub(crate) async fn accept(node: Arc<Node>, listener: Async<TcpListener>) {
+    let stopped = async {
+        node.stop.wait().await;
+        None
+    };
+    let mut stopped = Box::pin(stopped);
+    loop {
+        let accepted = async { Some(listener.accept().await) };
+        match accepted.or(&mut stopped).await {
+            None => return,
+            Some(Ok((stream, _peer))) => start(&node, stream),
+            Some(Err(error)) => {
+                log::warn!(event = "accept-failed", error = error.to_string().as_str(), remedy = "raise the descriptor limit"; "");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+fn start(node: &Arc<Node>, stream: Async<TcpStream>) {
+    let Ok((sender, writer, reader)) = link::open(stream) else {
+        return;
+    };
+    node.scope.spawn(async move {
+        if let Err(error) = writer.run().await {
+            log::debug!(event = "link-write-failed", error = error.to_string().as_str(); "");
+        }
+    });
+    let owner = Arc::clone(node);
+    node.scope
+        .spawn(async move { serve(owner, sender, reader).await });
+}
+
+async fn serve(node: Arc<Node>, sender: LinkSender, mut reader: LinkReader) {
+    let id = node.add_link(sender.clone());
+    let calls = Calls::default();
+    if sender.send(Body::Hello(node.hello())).is_err() {
+        node.drop_link(id);
+        return;
+    }
+    let stopped = async {
+        node.stop.wait().await;
+        Ok(None)
+    };
+    let mut stopped = Box::pin(stopped);
+    loop {
+        match reader.next().or(&mut stopped).await {
+            Ok(Some(body)) => receive(&node, &sender, &calls, body),
+            Ok(None) => break,
+            Err(error) => {
+                log::info!(event = "link-failed", error = error.to_string().as_str(); "");
+                break;
+            }
+        }
+    }
+    node.drop_link(id);
+    sender.close();
+    abandon(&calls);
+}
+
+fn receive(node: &Arc<Node>, sender: &LinkSender, calls: &Calls, body: Body) {
+    match body {
+        Body::Call(call) => start_call(node, sender, calls, call),
+        Body::Cancel(cancel) => {
+            let calls = calls.lock().unwrap_or_else(PoisonError::into_inner);
+            if let Some(running) = calls.get(&cancel.call) {
+                running.cancel.set();
+            }
+        }
+        Body::Hello(hello) => {
+            log::info!(event = "link-up", peer = hello.node.as_str(), incarnation = hello.incarnation; "");
+        }
+        other => log::debug!(event = "frame-ignored", frame = format!("{other:?}").as_str(); ""),
+    }
+}
+
+fn start_call(node: &Arc<Node>, sender: &LinkSender, calls: &Calls, call: Call) {
+    let cancel = Flag::default();
+    let running = Running {
+        cancel: cancel.clone(),
+        idempotent: call.once.is_none(),
+    };
+    let number = call.call;
+    calls
+        .lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .insert(number, running);
+    let owner = Arc::clone(node);
+    let sender = sender.clone();
+    let calls = Arc::clone(calls);
+    node.scope.spawn(async move {
+        calls::run(&owner, &sender, call, cancel).await;
+        calls
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&number);
+    });
+}
+
+/// Cancels what nobody waits for any more.
+///
+/// A non-idempotent call goes on: its router may ask for the result on another
+/// link, and a cancelled effect would leave nothing to tell.
+fn abandon(calls: &Calls) {
+    let calls = calls.lock().unwrap_or_else(PoisonError::into_inner);
+    for running in calls.values().filter(|r| r.idempotent) {
+        running.cancel.set();
+    }
+}
--- /dev/null
+++ b/agent/src/report.rs
@@ -0,0 +1,187 @@
+//! Reports of the endpoint's load and cache to the routers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use serde::Deserialize;
+use snipeyoke_lib::time::Time;
+use snipeyoke_wire::CacheEvents;
+use snipeyoke_wire::Heartbeat;
+use snipeyoke_wire::Load;
+use snipeyoke_wire::frame::Body;
+
+use crate::node::Node;
+use crate::settings::EndpointKind;
+
+/// The time between two reports to each router.
+///
+/// At 8 routers an agent and some 120 bytes a report this is 2 KB/s, well
+/// below the 30 KB/s that a node may spend on control.
+const REPORT_EVERY: Duration = Duration::from_millis(500);
+
+/// The longest wait for the endpoint's own report.
+const POLL_LIMIT: Duration = Duration::from_millis(400);
+
+/// What an engine says of its load.
+#[derive(Debug, Clone, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+pub(crate) struct EngineLoad {
+    slots: u32,
+    active: u32,
+    queued: u32,
+    pending_tokens: u64,
+    prefill_rate: f64,
+    decode_rate: f64,
+    kv_used: u64,
+    kv_total: u64,
+    models: Vec<String>,
+    age_ms: u64,
+}
+
+/// The newest report of the endpoint and when it came.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Seen {
+    load: EngineLoad,
+    at: Time,
+    healthy: bool,
+}
+
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct CachePage {
+    epoch: u64,
+    first: u64,
+    next: u64,
+    gap: bool,
+    events: Vec<CacheEvent>,
+}
+
+#[derive(Debug, Default)]
+#[derive(Deserialize)]
+#[serde(default)]
+struct CacheEvent {
+    op: String,
+    block: String,
+}
+
+impl Seen {
+    /// Combines the endpoint's report with what the gate has admitted.
+    pub(crate) fn frame(&self, node: &Node) -> Load {
+        let admitted = node.gate.admitted();
+        let own = &self.load;
+        let slots = if own.slots == 0 {
+            node.settings.endpoint.slots
+        } else {
+            own.slots
+        };
+        let age = node.clock.now().since(self.at) + Duration::from_millis(own.age_ms);
+        // The gate knows each call at once, the endpoint's report lags: the
+        // greater of the two never hides work.
+        let active = own.active.max(admitted.active.min(slots));
+        let queued = own.queued.max(admitted.active.saturating_sub(slots));
+        Load {
+            seq: 0,
+            slots,
+            active,
+            queued,
+            pending_tokens: own.pending_tokens.max(admitted.tokens),
+            prefill_rate: own.prefill_rate,
+            decode_rate: own.decode_rate,
+            age_us: u64::try_from(age.as_micros()).unwrap_or(u64::MAX),
+            draining: node.drain.is_set(),
+            healthy: self.healthy,
+            kv_used: own.kv_used,
+            kv_total: own.kv_total,
+            models: own.models.clone(),
+        }
+    }
+}
+
+/// Polls the endpoint and reports to every router until the agent stops.
+pub(crate) async fn run(node: Arc<Node>) {
+    let mut seq = 0;
+    let mut cache = (0, 0);
+    while !node.stop.is_set() {
+        seq += 1;
+        poll(&node).await;
+        let heartbeat = Heartbeat {
+            incarnation: node.incarnation.0,
+            seq,
+            draining: node.drain.is_set(),
+            load: Some(Load { seq, ..node.load() }),
+            ..Heartbeat::default()
+        };
+        node.broadcast(&Body::Heartbeat(heartbeat));
+        if node.settings.endpoint.kind == EndpointKind::Engine {
+            cache = report_cache(&node, cache).await;
+        }
+        let pause = async {
+            Timer::after(REPORT_EVERY).await;
+        };
+        pause.or(node.stop.wait()).await;
+    }
+}
+
+async fn poll(node: &Node) {
+    let path = match node.settings.endpoint.kind {
+        EndpointKind::Engine => "/load",
+        EndpointKind::Plain => "/health",
+    };
+    let timeout = async {
+        Timer::after(POLL_LIMIT).await;
+        None
+    };
+    let body = node.endpoint.get(path).or(timeout).await;
+    let old = node.seen.get();
+    let Some(body) = body else {
+        node.seen.set(Seen {
+            healthy: false,
+            ..Seen::clone(&old)
+        });
+        return;
+    };
+    let load = match node.settings.endpoint.kind {
+        EndpointKind::Engine => serde_json::from_slice(&body).unwrap_or_default(),
+        EndpointKind::Plain => EngineLoad::default(),
+    };
+    node.seen.set(Seen {
+        load,
+        at: node.clock.now(),
+        healthy: true,
+    });
+}
+
+async fn report_cache(node: &Node, (epoch, since): (u64, u64)) -> (u64, u64) {
+    let path = format!("/cache/events?since={since}&wait_ms=0");
+    let timeout = async {
+        Timer::after(POLL_LIMIT).await;
+        None
+    };
+    let Some(body) = node.endpoint.get(&path).or(timeout).await else {
+        return (epoch, since);
+    };
+    let Ok(page) = serde_json::from_slice::<CachePage>(&body) else {
+        return (epoch, since);
+    };
+    let pick = |op: &str| {
+        let chosen = page.events.iter().filter(|e| e.op == op);
+        chosen
+            .filter_map(|e| u64::from_str_radix(&e.block, 16).ok())
+            .collect::<Vec<_>>()
+    };
+    let events = CacheEvents {
+        epoch: page.epoch,
+        first: page.first,
+        added: pick("add"),
+        dropped: pick("drop"),
+        gap: page.gap || page.epoch != epoch,
+    };
+    if events.gap || !events.added.is_empty() || !events.dropped.is_empty() {
+        node.broadcast(&Body::Cache(events));
+    }
+    (page.epoch, page.next)
+}
--- /dev/null
+++ b/agent/src/settings.rs
@@ -0,0 +1,143 @@
+//! The settings of an agent.
+
+use std::net::SocketAddr;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::FailureDomain;
+use snipeyoke_lib::ids::HostId;
+use snipeyoke_lib::ids::NodeId;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::ids::Region;
+use snipeyoke_runtime::settings::Checked;
+
+/// The most slots an endpoint may be said to have.
+const SLOTS_MAX: u32 = 4_096;
+
+/// The most traffic threads of an agent.
+const THREADS_MAX: usize = 16;
+
+/// The settings as they stand in the file.
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Raw {
+    /// The name of this process.
+    pub node: NodeId,
+    /// The host it runs on.
+    pub host: HostId,
+    /// The failure domain of the host.
+    pub domain: FailureDomain,
+    /// The region of the failure domain.
+    pub region: Region,
+    /// The address that routers connect to.
+    pub listen: SocketAddr,
+    /// The endpoint beside this process.
+    pub endpoint: Endpoint,
+    /// The platform's address.
+    pub platform: Option<SocketAddr>,
+    /// The number of traffic threads.
+    #[serde(default = "one")]
+    pub threads: usize,
+    /// The log filter: `LEVEL` or `TARGET=LEVEL,…`.
+    #[serde(default = "info")]
+    pub log: String,
+}
+
+const fn one() -> usize {
+    1
+}
+
+fn info() -> String {
+    "info".to_owned()
+}
+
+/// What stands beside the agent.
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Endpoint {
+    /// The endpoint's name.
+    pub id: EndpointId,
+    /// The pool it belongs to.
+    pub pool: PoolName,
+    /// Its address.
+    pub address: SocketAddr,
+    /// What it speaks.
+    pub kind: EndpointKind,
+    /// The calls it works on at once.
+    pub slots: u32,
+    /// The calls that may wait at it beyond those.
+    pub queue: u32,
+}
+
+/// What an endpoint speaks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum EndpointKind {
+    /// A model engine: reports its load, takes orders.
+    Engine,
+    /// A plain service.
+    Plain,
+}
+
+/// The checked settings.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The values, within their ranges.
+    pub raw: Raw,
+}
+
+/// The reason why a value is refused.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error)]
+pub enum ValueError {
+    /// The slots are out of range.
+    #[display("`endpoint.slots` is {found}: give 1 to {SLOTS_MAX}")]
+    Slots {
+        /// The number found.
+        found: u32,
+    },
+    /// The threads are out of range.
+    #[display("`threads` is {found}: give 1 to {THREADS_MAX}")]
+    Threads {
+        /// The number found.
+        found: usize,
+    },
+}
+
+impl ValueError {
+    /// Tells whether the endpoint's slots were refused.
+    #[must_use]
+    pub const fn is_slots(&self) -> bool {
+        matches!(self, Self::Slots { .. })
+    }
+}
+
+impl TryFrom<Raw> for Settings {
+    type Error = ValueError;
+
+    fn try_from(raw: Raw) -> Result<Self, ValueError> {
+        let found = raw.endpoint.slots;
+        if found == 0 || found > SLOTS_MAX {
+            return Err(ValueError::Slots { found });
+        }
+        let found = raw.threads;
+        if found == 0 || found > THREADS_MAX {
+            return Err(ValueError::Threads { found });
+        }
+        Ok(Self { raw })
+    }
+}
+
+impl Checked for Settings {
+    type Raw = Raw;
+    type Error = ValueError;
+
+    fn check(raw: Raw) -> Result<Self, ValueError> {
+        Self::try_from(raw)
+    }
+}
--- /dev/null
+++ b/runtime/src/http/body.rs
@@ -0,0 +1,80 @@
+//! Bodies of requests and replies.
+
+use std::convert::Infallible;
+
+use async_channel::Receiver;
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use futures_util::StreamExt;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use http_body_util::StreamBody;
+use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Frame;
+use hyper::body::Incoming;
+
+/// The body of a reply.
+pub type ReplyBody = UnsyncBoxBody<Bytes, Infallible>;
+
+/// The reason why a body can't be read.
+#[derive(Debug)]
+#[derive(Display, Error, From)]
+pub enum BodyError {
+    /// The body is larger than allowed.
+    #[display("the body has more than {max} bytes: send less")]
+    #[from(ignore)]
+    TooLarge {
+        /// The most bytes allowed.
+        max: usize,
+    },
+    /// The connection failed.
+    #[display("the body ended early: {_0}; send it again")]
+    Connection(hyper::Error),
+}
+
+impl BodyError {
+    /// Tells whether the body was too large.
+    #[must_use]
+    pub const fn is_too_large(&self) -> bool {
+        matches!(self, Self::TooLarge { .. })
+    }
+}
+
+/// Returns a body of known bytes.
+#[must_use]
+pub fn full(bytes: impl Into<Bytes>) -> ReplyBody {
+    Full::new(bytes.into()).boxed_unsync()
+}
+
+/// Returns a body without bytes.
+#[must_use]
+pub fn empty() -> ReplyBody {
+    full(Bytes::new())
+}
+
+/// Returns a body whose pieces come through a channel, until it closes.
+#[must_use]
+pub fn streamed(pieces: Receiver<Bytes>) -> ReplyBody {
+    let frames = pieces.map(|piece| Ok(Frame::data(piece)));
+    StreamBody::new(frames).boxed_unsync()
+}
+
+/// Reads a whole body of at most `max` bytes.
+///
+/// # Errors
+///
+/// Returns [`BodyError`] if it is larger or its connection fails.
+pub async fn collect(body: Incoming, max: usize) -> Result<Bytes, BodyError> {
+    match Limited::new(body, max).collect().await {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge { max }),
+        Err(error) => match error.downcast::<hyper::Error>() {
+            Ok(error) => Err(BodyError::Connection(*error)),
+            Err(_other) => Err(BodyError::TooLarge { max }),
+        },
+    }
+}
--- /dev/null
+++ b/runtime/src/http/client.rs
@@ -0,0 +1,167 @@
+//! A client that keeps connections to each address.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use smol_hyper::rt::FuturesIo;
+
+use crate::link::connect;
+use crate::link::prepare;
+use crate::scope::Scope;
+
+/// A response whose body is still to be read.
+pub type Response = hyper::Response<Incoming>;
+
+type Sender = SendRequest<Full<Bytes>>;
+
+/// The idle connections kept to one address.
+const IDLE_MAX: usize = 32;
+
+/// The reason why a request got no response.
+#[derive(Debug)]
+#[derive(Display, Error)]
+pub enum ClientError {
+    /// No connection could be made: the request was not sent.
+    #[display("no connection: {_0}; the request was not sent")]
+    Connect(io::Error),
+    /// The request was taken by no connection: it was not sent.
+    #[display("the connection closed before the request was sent: {_0}")]
+    NotSent(hyper::Error),
+    /// The connection failed after the request may have been sent.
+    #[display("the connection failed: {_0}; the request may have run")]
+    Sent(hyper::Error),
+}
+
+impl ClientError {
+    /// Tells whether the request surely never left this process.
+    #[must_use]
+    pub const fn is_not_sent(&self) -> bool {
+        !matches!(self, Self::Sent(_))
+    }
+}
+
+/// Sends requests; clones share the connections.
+#[derive(Debug, Clone)]
+pub struct Client {
+    scope: Scope,
+    idle: Arc<Mutex<BTreeMap<SocketAddr, Vec<Sender>>>>,
+    limit: Duration,
+}
+
+impl Client {
+    /// Builds a client whose connections run in `scope`.
+    ///
+    /// `limit` bounds the time to connect.
+    #[must_use]
+    pub fn new(scope: Scope, limit: Duration) -> Self {
+        Self {
+            scope,
+            idle: Arc::default(),
+            limit,
+        }
+    }
+
+    /// Sends a request and returns the head of its response.
+    ///
+    /// The connection is used again once the body has been read to its end and
+    /// [`Client::keep`] was given the sender back; a dropped future closes it,
+    /// which cancels the request at the other side.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`ClientError`], which tells whether the request may have run.
+    pub async fn send(
+        &self,
+        address: SocketAddr,
+        mut request: hyper::Request<Full<Bytes>>,
+    ) -> Result<(Response, Kept), ClientError> {
+        set_host(&mut request, address);
+        loop {
+            let Some(mut sender) = self.take(address) else {
+                break;
+            };
+            if sender.ready().await.is_err() {
+                continue;
+            }
+            match sender.try_send_request(request).await {
+                Ok(response) => return Ok((response, Kept { sender, address })),
+                Err(mut error) => match error.take_message() {
+                    // The idle connection had closed: the request comes back
+                    // unsent, so another connection may carry it.
+                    Some(unsent) => request = unsent,
+                    None => return Err(ClientError::Sent(error.into_error())),
+                },
+            }
+        }
+        let mut sender = self.fresh(address).await?;
+        match sender.try_send_request(request).await {
+            Ok(response) => Ok((response, Kept { sender, address })),
+            Err(mut error) => match error.take_message() {
+                Some(_unsent) => Err(ClientError::NotSent(error.into_error())),
+                None => Err(ClientError::Sent(error.into_error())),
+            },
+        }
+    }
+
+    /// Keeps a connection whose response has been read to its end.
+    pub fn keep(&self, kept: Kept) {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let conns = idle.entry(kept.address).or_default();
+        if conns.len() < IDLE_MAX && !kept.sender.is_closed() {
+            conns.push(kept.sender);
+        }
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<Sender> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        let conns = idle.get_mut(&address)?;
+        while let Some(sender) = conns.pop() {
+            if !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    async fn fresh(&self, address: SocketAddr) -> Result<Sender, ClientError> {
+        let stream = connect(address, self.limit)
+            .await
+            .map_err(ClientError::Connect)?;
+        prepare(&stream).map_err(ClientError::Connect)?;
+        let (sender, conn) = http1::handshake(FuturesIo::new(stream))
+            .await
+            .map_err(ClientError::NotSent)?;
+        self.scope.spawn(async move {
+            if let Err(error) = conn.await {
+                log::debug!(event = "conn-ended", error = error.to_string().as_str(); "");
+            }
+        });
+        Ok(sender)
+    }
+}
+
+/// A connection in use, to be kept after its response was read.
+#[derive(Debug)]
+pub struct Kept {
+    sender: Sender,
+    address: SocketAddr,
+}
+
+fn set_host(request: &mut hyper::Request<Full<Bytes>>, address: SocketAddr) {
+    let host = hyper::header::HeaderValue::try_from(address.to_string());
+    if let Ok(host) = host {
+        request.headers_mut().insert(hyper::header::HOST, host);
+    }
+}
--- /dev/null
+++ b/runtime/src/http/mod.rs
@@ -0,0 +1,22 @@
+//! HTTP/1.1 over the project's executor.
+
+mod body;
+mod client;
+mod server;
+
+pub use body::BodyError;
+pub use body::ReplyBody;
+pub use body::collect;
+pub use body::empty;
+pub use body::full;
+pub use body::streamed;
+pub use client::Client;
+pub use client::ClientError;
+pub use client::Kept;
+pub use client::Response;
+pub use server::Bounds;
+pub use server::Handler;
+pub use server::Reply;
+pub use server::Request;
+pub use server::bind;
+pub use server::serve;
--- /dev/null
+++ b/runtime/src/http/server.rs
@@ -0,0 +1,138 @@
+//! A server loop: bounded heads, idle times and connections.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::pin::pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Async;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use smol_hyper::rt::FuturesIo;
+use smol_hyper::rt::SmolTimer;
+
+use super::body::ReplyBody;
+use crate::flag::Flag;
+use crate::link::prepare;
+use crate::scope::Scope;
+
+/// A request as the server hands it over.
+pub type Request = hyper::Request<Incoming>;
+
+/// A reply as the server takes it.
+pub type Reply = hyper::Response<ReplyBody>;
+
+/// Answers requests.
+pub trait Handler: Send + Sync + 'static {
+    /// Answers one request.
+    ///
+    /// The future is dropped when the caller's connection closes.
+    fn handle(&self, request: Request) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>>;
+}
+
+/// What a client may take of the server.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// The longest time for the head of a request; also for an idle connection.
+    pub head_time: Duration,
+    /// The most connections at once.
+    pub conns: usize,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Self {
+            head_time: Duration::from_secs(30),
+            conns: 3_500,
+        }
+    }
+}
+
+/// The pause after a failed accept.
+///
+/// Accept fails when descriptors run out; trying again at once would spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Binds a listener.
+///
+/// # Errors
+///
+/// Returns the system's error, for example if the address is taken.
+pub fn bind(address: SocketAddr) -> io::Result<Async<TcpListener>> {
+    Async::<TcpListener>::bind(address)
+}
+
+/// Serves connections until `drain` is set and each has finished its request.
+pub async fn serve(
+    listener: Async<TcpListener>,
+    handler: Arc<dyn Handler>,
+    bounds: Bounds,
+    scope: Scope,
+    drain: Flag,
+) {
+    loop {
+        let accepted = async { Some(listener.accept().await) };
+        let drained = async {
+            drain.wait().await;
+            None
+        };
+        match accepted.or(drained).await {
+            None => break,
+            Some(Ok((stream, _peer))) if scope.len() < bounds.conns => {
+                let handler = Arc::clone(&handler);
+                let drain = drain.clone();
+                scope.spawn(connection(stream, handler, bounds, drain));
+            }
+            // Beyond the bound the connection is closed unread: nothing ran.
+            Some(Ok(_refused)) => metrics::counter!("snipeyoke_conns_refused_total").increment(1),
+            Some(Err(error)) => {
+                log::warn!(event = "accept-failed", error = error.to_string().as_str(), remedy = "raise the descriptor limit"; "");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+    scope.join().await;
+}
+
+async fn connection(
+    stream: Async<TcpStream>,
+    handler: Arc<dyn Handler>,
+    bounds: Bounds,
+    drain: Flag,
+) {
+    if prepare(&stream).is_err() {
+        return;
+    }
+    let service = service_fn(|request: Request| {
+        let handler = Arc::clone(&handler);
+        async move { Ok::<_, Infallible>(handler.handle(request).await) }
+    });
+    let conn = http1::Builder::new()
+        .timer(SmolTimer::new())
+        .header_read_timeout(bounds.head_time)
+        .serve_connection(FuturesIo::new(stream), service);
+    let mut conn = pin!(conn);
+    let served = async { Some(conn.as_mut().await) };
+    let drained = async {
+        drain.wait().await;
+        None
+    };
+    let ended = served.or(drained).await;
+    let result = if let Some(result) = ended {
+        result
+    } else {
+        conn.as_mut().graceful_shutdown();
+        conn.await
+    };
+    if let Err(error) = result {
+        log::debug!(event = "conn-ended", error = error.to_string().as_str(); "");
+    }
+}
--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -1,1 +1,15 @@
-//! placeholder
+//! Threads, tasks, sockets and settings for the processes of snipeyoke.
+//!
+//! Adapters only: each decision lives in `snipeyoke_lib`.
+
+pub mod board;
+pub mod clock;
+pub mod flag;
+pub mod http;
+pub mod link;
+pub mod logs;
+pub mod measures;
+pub mod scope;
+pub mod settings;
+pub mod signals;
+pub mod threads;
--- /dev/null
+++ b/runtime/src/link.rs
@@ -0,0 +1,221 @@
+//! Framed connections between two processes.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use async_io::Async;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use futures_util::stream::SplitSink;
+use futures_util::stream::SplitStream;
+use snipeyoke_wire::FrameCodec;
+use snipeyoke_wire::FrameError;
+use snipeyoke_wire::frame::Body;
+use tokio_util::codec::Framed;
+use tokio_util::compat::Compat;
+use tokio_util::compat::FuturesAsyncReadCompatExt;
+
+type Stream = Framed<Compat<Async<TcpStream>>, FrameCodec>;
+
+/// The frames that may wait for a connection.
+///
+/// A peer that does not read fills its queue, and new calls to it are refused
+/// as not run instead of piling up in memory.
+const QUEUE_MAX: usize = 1_024;
+
+/// The longest time that sent bytes may go unacknowledged, in milliseconds.
+///
+/// A peer without power never answers: without this bound a connection to it
+/// would look alive for many minutes.
+const USER_TIMEOUT_MS: u32 = 3_000;
+
+/// A frame on its way out.
+#[derive(Debug)]
+pub struct Outbound {
+    body: Body,
+    written: Option<Written>,
+}
+
+/// Tells whether a frame has begun to be written.
+///
+/// Until then the peer can't have read it: a call in it was not run.
+#[derive(Debug, Clone, Default)]
+pub struct Written(Arc<AtomicBool>);
+
+impl Written {
+    /// Tells whether the frame has begun to be written.
+    #[must_use]
+    pub fn is_set(&self) -> bool {
+        self.0.load(Ordering::SeqCst)
+    }
+}
+
+/// The reason why a frame was not taken for sending.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::Error)]
+pub enum SendError {
+    /// The queue is full.
+    #[display("the peer does not read fast enough: send it less or use another")]
+    Full,
+    /// The connection is closed.
+    #[display("the connection is closed: use another")]
+    Closed,
+}
+
+/// The sending half; clones share the connection.
+#[derive(Debug, Clone)]
+pub struct LinkSender {
+    queue: Sender<Outbound>,
+}
+
+impl LinkSender {
+    /// Queues a frame.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError`]; the frame was not and won't be written.
+    pub fn send(&self, body: Body) -> Result<(), SendError> {
+        self.push(Outbound {
+            body,
+            written: None,
+        })
+    }
+
+    /// Queues a frame and tells later whether it began to be written.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SendError`]; the frame was not and won't be written.
+    pub fn send_tracked(&self, body: Body) -> Result<Written, SendError> {
+        let written = Written::default();
+        self.push(Outbound {
+            body,
+            written: Some(written.clone()),
+        })?;
+        Ok(written)
+    }
+
+    /// Closes the connection once the queued frames are written.
+    pub fn close(&self) {
+        self.queue.close();
+    }
+
+    fn push(&self, outbound: Outbound) -> Result<(), SendError> {
+        self.queue.try_send(outbound).map_err(|e| {
+            if e.is_full() {
+                SendError::Full
+            } else {
+                SendError::Closed
+            }
+        })
+    }
+}
+
+/// Writes queued frames to the connection.
+#[derive(Debug)]
+pub struct LinkWriter {
+    queue: Receiver<Outbound>,
+    sink: SplitSink<Stream, Body>,
+}
+
+impl LinkWriter {
+    /// Runs until the queue is closed and empty, or the connection fails.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FrameError`] if the connection fails.
+    pub async fn run(mut self) -> Result<(), FrameError> {
+        let result = self.write_all().await;
+        // Frames left in the queue are never written; closing it tells later
+        // senders at once.
+        self.queue.close();
+        result
+    }
+
+    async fn write_all(&mut self) -> Result<(), FrameError> {
+        while let Ok(first) = self.queue.recv().await {
+            self.feed(first).await?;
+            while let Ok(more) = self.queue.try_recv() {
+                self.feed(more).await?;
+            }
+            self.sink.flush().await?;
+        }
+        self.sink.close().await
+    }
+
+    async fn feed(&mut self, outbound: Outbound) -> Result<(), FrameError> {
+        if let Some(written) = outbound.written {
+            // Set before the first byte: if the connection fails in between,
+            // the call counts as possibly run, which is the safe error.
+            written.0.store(true, Ordering::SeqCst);
+        }
+        self.sink.feed(outbound.body).await
+    }
+}
+
+/// Reads frames from the connection.
+#[derive(Debug)]
+pub struct LinkReader {
+    stream: SplitStream<Stream>,
+}
+
+impl LinkReader {
+    /// Returns the next frame, or `None` at the orderly end.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`FrameError`] if the connection fails or the bytes are no frame.
+    pub async fn next(&mut self) -> Result<Option<Body>, FrameError> {
+        self.stream.next().await.transpose()
+    }
+}
+
+/// Connects to a peer.
+///
+/// # Errors
+///
+/// Returns the system's error, or a timeout after `limit`.
+pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Async<TcpStream>> {
+    let connect = Async::<TcpStream>::connect(address);
+    let timeout = async {
+        Timer::after(limit).await;
+        Err(io::Error::from(io::ErrorKind::TimedOut))
+    };
+    connect.or(timeout).await
+}
+
+/// Splits a connection into its three parts.
+///
+/// # Errors
+///
+/// Returns the system's error if the socket options can't be set.
+pub fn open(stream: Async<TcpStream>) -> io::Result<(LinkSender, LinkWriter, LinkReader)> {
+    prepare(&stream)?;
+    let (sink, stream) = Framed::new(stream.compat(), FrameCodec::default()).split();
+    let (send, queue) = async_channel::bounded(QUEUE_MAX);
+    Ok((
+        LinkSender { queue: send },
+        LinkWriter { queue, sink },
+        LinkReader { stream },
+    ))
+}
+
+/// Sets the socket options that every connection of ours has.
+///
+/// # Errors
+///
+/// Returns the system's error if an option can't be set.
+pub fn prepare(stream: &Async<TcpStream>) -> io::Result<()> {
+    stream.get_ref().set_nodelay(true)?;
+    rustix::net::sockopt::set_tcp_user_timeout(stream.get_ref(), USER_TIMEOUT_MS)?;
+    Ok(())
+}
--- /dev/null
+++ b/runtime/src/logs.rs
@@ -0,0 +1,55 @@
+//! The log lines of a process: key=value pairs on standard error.
+
+use derive_more::Display;
+use derive_more::Error;
+use logforth::append::Stderr;
+use logforth::append::asynchronous::AsyncBuilder;
+use logforth::bridge::log::LogBridge;
+use logforth::core::builder;
+use logforth::filter::rustlog::RustLogFilterBuilder;
+use logforth::layout::LogfmtLayout;
+
+/// The lines that may wait for standard error.
+///
+/// A slow reader of the log must not block traffic: lines beyond this number
+/// are dropped.
+const BUFFER_LINES: usize = 8_192;
+
+/// The reason why the log can't be set up.
+#[derive(Debug)]
+#[derive(Display, Error)]
+pub enum LogsError {
+    /// The filter is malformed.
+    #[display("the log filter {filter:?} is malformed: write LEVEL or TARGET=LEVEL,…")]
+    Filter {
+        /// The filter found.
+        filter: String,
+    },
+    /// Another logger is in place.
+    #[display("the process has a logger already: call this once")]
+    Taken,
+}
+
+/// Sends log events to standard error, filtered by `filter`.
+///
+/// # Errors
+///
+/// Returns [`LogsError`] for a malformed filter or a second call.
+pub fn install(filter: &str) -> Result<(), LogsError> {
+    let spec =
+        RustLogFilterBuilder::try_from_spec(filter).map_err(|_malformed| LogsError::Filter {
+            filter: filter.to_owned(),
+        })?;
+    let stderr = Stderr::default().with_layout(LogfmtLayout::default());
+    let append = AsyncBuilder::new("log")
+        .buffered_lines_limit(Some(BUFFER_LINES))
+        .overflow_drop_incoming()
+        .append(stderr)
+        .build();
+    let logger = builder()
+        .dispatch(|d| d.filter(spec.build()).append(append))
+        .build();
+    log::set_boxed_logger(Box::new(LogBridge::new(logger))).map_err(|_taken| LogsError::Taken)?;
+    log::set_max_level(log::LevelFilter::Trace);
+    Ok(())
+}
--- /dev/null
+++ b/runtime/src/threads.rs
@@ -0,0 +1,75 @@
+//! The threads of a process: one for control state, others for traffic.
+
+use std::io;
+use std::sync::Arc;
+use std::thread;
+use std::thread::JoinHandle;
+
+use async_executor::Executor;
+use futures_lite::future;
+
+use crate::flag::Flag;
+
+/// An executor that tasks are spawned on.
+pub type Exec = Arc<Executor<'static>>;
+
+/// The executors of a process, by what runs on them.
+#[derive(Debug, Clone, Default)]
+pub struct Execs {
+    /// Runs control state, on one thread.
+    pub control: Exec,
+    /// Runs traffic, on the other threads.
+    pub traffic: Exec,
+}
+
+/// Runs one control thread and some traffic threads until joined.
+#[derive(Debug)]
+pub struct Threads {
+    execs: Execs,
+    stop: Flag,
+    handles: Vec<JoinHandle<()>>,
+}
+
+impl Threads {
+    /// Starts the threads.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if a thread can't be started.
+    pub fn start(traffic_count: usize) -> io::Result<Self> {
+        let execs = Execs::default();
+        let stop = Flag::default();
+        let mut handles = vec![run("control", &execs.control, &stop)?];
+        for _ in 0..traffic_count.max(1) {
+            handles.push(run("traffic", &execs.traffic, &stop)?);
+        }
+        Ok(Self {
+            execs,
+            stop,
+            handles,
+        })
+    }
+
+    /// Returns the executors that the threads run.
+    #[must_use]
+    pub fn execs(&self) -> Execs {
+        self.execs.clone()
+    }
+
+    /// Stops the threads and waits for their end.
+    pub fn join(self) {
+        self.stop.set();
+        for handle in self.handles {
+            if handle.join().is_err() {
+                log::error!(event = "thread-panicked"; "");
+            }
+        }
+    }
+}
+
+fn run(name: &str, exec: &Exec, stop: &Flag) -> io::Result<JoinHandle<()>> {
+    let exec = Arc::clone(exec);
+    let stop = stop.clone();
+    let body = move || future::block_on(exec.run(stop.wait()));
+    thread::Builder::new().name(name.to_owned()).spawn(body)
+}
