lib: hash prompt prefixes by blocks

Cause: routers, engines and checkers must agree on the blocks of a prompt. Change: block_hashes, token_count and prompt_text in one small module.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod config;
 pub mod ids;
 pub mod outcome;
+pub mod prefix;
 pub mod time;
 pub mod units;
