chain: own one request's attempts up to its one outcome

Cause: the router's driver needs a pure owner of each request. Change: chain/ (state machine), routing/ (fleet view, policies predicted, round-robin, least-outstanding), deadline, retry and hedge budgets.

--- /dev/null
+++ b/lib/src/chain/attempt.rs
@@ -0,0 +1,55 @@
+//! One attempt at a stage.
+
+use std::time::Duration;
+
+use crate::ids::AttemptId;
+use crate::ids::EndpointId;
+use crate::routing::Booking;
+use crate::time::Time;
+
+/// Where an attempt stands.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum State {
+    /// It is on its way or at work.
+    Open,
+    /// Nobody waits for it any more; it may still run.
+    Dropped,
+    /// It ended, and it ran or may have run.
+    Ran,
+    /// It ended with proof that it did not run.
+    NotRun,
+}
+
+/// One attempt at a stage.
+#[derive(Debug, Clone)]
+pub(super) struct Attempt {
+    pub(super) id: AttemptId,
+    pub(super) stage: usize,
+    pub(super) slot: usize,
+    pub(super) domain: u16,
+    pub(super) endpoint: EndpointId,
+    pub(super) booking: Option<Booking>,
+    pub(super) began: Time,
+    pub(super) predicted: Duration,
+    pub(super) state: State,
+    /// The time of the first token, if one came.
+    pub(super) first: Option<Time>,
+    /// The time of the last sign of progress.
+    pub(super) progress: Time,
+    /// When the attempt counts as late enough for a hedge.
+    pub(super) hedge: Time,
+    /// When the attempt is given up.
+    pub(super) patience: Time,
+}
+
+impl Attempt {
+    pub(super) fn is_open(&self) -> bool {
+        self.state == State::Open
+    }
+
+    /// Returns how many times its predicted time the attempt has taken.
+    pub(super) fn ratio(&self, now: Time) -> f32 {
+        let predicted = self.predicted.as_secs_f32().max(0.001);
+        now.since(self.began).as_secs_f32() / predicted
+    }
+}
--- /dev/null
+++ b/lib/src/chain/mod.rs
@@ -0,0 +1,23 @@
+//! The state machine that owns one accepted request.
+//!
+//! A [`Chain`] takes a request through its stages to its one outcome. It names
+//! attempts and never sees a payload: the driver keeps the bytes, carries the
+//! [`Action`]s out and reports what happened as [`Event`]s.
+
+mod attempt;
+mod decision;
+mod machine;
+mod model;
+mod select;
+mod shared;
+mod timing;
+
+pub use decision::Alternative;
+pub use decision::Decision;
+pub use machine::Chain;
+pub use model::Action;
+pub use model::Event;
+pub use model::Prompt;
+pub use model::Spec;
+pub use model::Usage;
+pub use shared::Shared;
--- /dev/null
+++ b/lib/src/chain/select.rs
@@ -0,0 +1,194 @@
+//! The choice of an endpoint for an attempt, and what its end teaches.
+
+use std::time::Duration;
+
+use super::Alternative;
+use super::Chain;
+use super::Shared;
+use super::Usage;
+use super::attempt::Attempt;
+use super::timing;
+use crate::config::Stage;
+use crate::config::StageRole;
+use crate::ids::EndpointId;
+use crate::outcome::Reason;
+use crate::routing;
+use crate::routing::Need;
+use crate::routing::Pool;
+use crate::routing::Why;
+use crate::time::Time;
+
+/// The share of a prompt's limit that an answer is taken to have at first.
+const OUTPUT_FIRST: f32 = 0.5;
+
+/// An endpoint picked for an attempt.
+#[derive(Debug, Clone)]
+pub(super) struct Picked {
+    pub(super) slot: usize,
+    pub(super) domain: u16,
+    pub(super) endpoint: EndpointId,
+    pub(super) why: Why,
+    pub(super) predicted: Duration,
+    pub(super) others: [Option<Alternative>; 2],
+}
+
+/// Tells whether a stage generates tokens.
+pub(super) fn generates(stage: &Stage) -> bool {
+    stage.role == StageRole::Generate
+}
+
+/// Picks an endpoint for the next attempt at the chain's stage.
+pub(super) fn pick(now: Time, chain: &Chain, shared: &mut Shared) -> Result<Picked, Reason> {
+    let stage = chain.current();
+    let tried: Vec<usize> = here(chain).map(|a| a.slot).collect();
+    let domain = here(chain).last().map(|a| a.domain);
+    let output = expected_output(chain, shared);
+    let budget = budget(now, chain, shared);
+    let Some(pool) = shared.fleet.pool_mut(&stage.pool) else {
+        return Err(Reason::NoEndpoint);
+    };
+    if !stage.idempotent {
+        return pick_owner(now, chain, pool);
+    }
+    let model = match &stage.model {
+        Some(name) if pool.has_models() => pool.model(name).ok_or(Reason::NoEndpoint)?,
+        _ => 0,
+    };
+    let with_prompt = generates(stage);
+    let need = Need {
+        model,
+        prompt: if with_prompt {
+            chain.spec.prompt.tokens.0 + chain.tokens
+        } else {
+            0
+        },
+        output,
+        prefix: if with_prompt {
+            &chain.spec.prompt.prefix
+        } else {
+            &[]
+        },
+        budget,
+        weights: chain.spec.pipeline.weights,
+        avoid: &tried,
+        domain,
+    };
+    let policy = shared.policy.as_mut();
+    let choice = routing::choose(policy, now, pool, &need, &mut shared.rng);
+    let choice = choice.ok_or(Reason::NoEndpoint)?;
+    let named = |(slot, total): (usize, f32)| Alternative {
+        endpoint: pool.endpoints()[slot].id().clone(),
+        predicted: seconds(total),
+    };
+    let endpoint = &pool.endpoints()[choice.slot];
+    Ok(Picked {
+        slot: choice.slot,
+        domain: endpoint.domain(),
+        endpoint: endpoint.id().clone(),
+        why: choice.why,
+        predicted: seconds(choice.predicted),
+        others: choice.others.map(|other| other.map(named)),
+    })
+}
+
+// Two agents that both take a key would both run the call. Only the owner of
+// the key's slot knows what became of it, so no other endpoint is asked.
+fn pick_owner(now: Time, chain: &Chain, pool: &Pool) -> Result<Picked, Reason> {
+    let owner = chain.spec.slot.as_ref().ok_or(Reason::NoLease)?;
+    let slot = pool.find(owner).ok_or(Reason::NoEndpoint)?;
+    let endpoint = &pool.endpoints()[slot];
+    if !endpoint.is_usable(now) {
+        return Err(Reason::NoEndpoint);
+    }
+    Ok(Picked {
+        slot,
+        domain: endpoint.domain(),
+        endpoint: owner.clone(),
+        why: Why::KeySlot,
+        predicted: seconds(pool.predict(now, slot)),
+        others: [None, None],
+    })
+}
+
+fn here(chain: &Chain) -> impl Iterator<Item = &Attempt> {
+    chain.attempts.iter().filter(|a| a.stage == chain.stage)
+}
+
+fn expected_output(chain: &Chain, shared: &Shared) -> f32 {
+    if !generates(chain.current()) {
+        return 0.0;
+    }
+    let max = chain.spec.prompt.max.0 as f32;
+    let known = shared.times.get(&chain.spec.name, chain.stage);
+    let usual = known.and_then(crate::deadline::StageTime::output);
+    let whole = usual.unwrap_or(max * OUTPUT_FIRST).min(max.max(1.0));
+    (whole - chain.tokens as f32).max(1.0)
+}
+
+fn budget(now: Time, chain: &Chain, shared: &Shared) -> Duration {
+    let rest = timing::rest(chain, shared, chain.stage + 1, timing::USUAL);
+    (chain.spec.deadline - rest).since(now)
+}
+
+fn seconds(value: f32) -> Duration {
+    Duration::try_from_secs_f32(value).unwrap_or(Duration::MAX)
+}
+
+/// Learns from a completed attempt.
+pub(super) fn note_answer(
+    now: Time,
+    attempt: &Attempt,
+    usage: Usage,
+    chain: &Chain,
+    shared: &mut Shared,
+) {
+    let pool = &chain.current().pool;
+    let took = now.since(attempt.began);
+    if let Some(endpoint) = shared.fleet.at(pool, attempt.slot, &attempt.endpoint) {
+        endpoint.health_mut().answered(now, attempt.ratio(now));
+    }
+    shared.fleet.worked(pool, attempt.slot, usage.work);
+    let entry = shared.times.entry(&chain.spec.name, chain.stage);
+    entry.took.observe(now.since(chain.entered));
+    if attempt.first.is_none() {
+        entry.first.observe(took);
+    }
+    if usage.output.0 > 0 {
+        entry.observe_output(usage.output.0);
+    }
+}
+
+/// Learns from an attempt that ended without an answer.
+pub(super) fn note_failure(now: Time, attempt: &Attempt, chain: &Chain, shared: &mut Shared) {
+    let pool = &chain.current().pool;
+    if let Some(endpoint) = shared.fleet.at(pool, attempt.slot, &attempt.endpoint) {
+        endpoint.health_mut().failed(now);
+    }
+}
+
+/// Learns from an attempt that was refused with proof.
+pub(super) fn note_refusal(
+    now: Time,
+    attempt: &Attempt,
+    reason: Reason,
+    chain: &Chain,
+    shared: &mut Shared,
+) {
+    let pool = &chain.current().pool;
+    let Some(endpoint) = shared.fleet.at(pool, attempt.slot, &attempt.endpoint) else {
+        return;
+    };
+    match reason {
+        Reason::Overload | Reason::Limit | Reason::Deadline => endpoint.refused(),
+        Reason::Draining => endpoint.leaves(),
+        _ => endpoint.health_mut().failed(now),
+    }
+}
+
+/// Learns that an attempt takes longer than predicted, before it ends.
+pub(super) fn note_overdue(now: Time, attempt: &Attempt, chain: &Chain, shared: &mut Shared) {
+    let pool = &chain.current().pool;
+    if let Some(endpoint) = shared.fleet.at(pool, attempt.slot, &attempt.endpoint) {
+        endpoint.health_mut().overdue(now, attempt.ratio(now));
+    }
+}
--- /dev/null
+++ b/lib/src/chain/shared.rs
@@ -0,0 +1,52 @@
+//! The state that all chains of a router share.
+
+use std::fmt;
+
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+
+use crate::deadline::StageTimes;
+use crate::hedge::HedgeBudget;
+use crate::retry::RetryBudget;
+use crate::routing::Fleet;
+use crate::routing::Home;
+use crate::routing::Policy;
+
+/// The router-wide state behind the decisions of its chains.
+pub struct Shared {
+    /// The endpoints as this router sees them.
+    pub fleet: Fleet,
+    /// How long stages take.
+    pub times: StageTimes,
+    /// The budget for retries.
+    pub retry: RetryBudget,
+    /// The budget for hedges.
+    pub hedge: HedgeBudget,
+    /// The generator for ties and jitter.
+    pub rng: Pcg32,
+    /// The choice of endpoints.
+    pub policy: Box<dyn Policy>,
+}
+
+impl Shared {
+    /// Builds the state of a router that has seen nothing yet.
+    #[must_use]
+    pub fn new(home: Home, policy: Box<dyn Policy>, seed: u64) -> Self {
+        Self {
+            fleet: Fleet::new(home),
+            times: StageTimes::default(),
+            retry: RetryBudget::default(),
+            hedge: HedgeBudget::default(),
+            rng: Pcg32::seed_from_u64(seed),
+            policy,
+        }
+    }
+}
+
+impl fmt::Debug for Shared {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Shared")
+            .field("policy", &self.policy.name())
+            .finish_non_exhaustive()
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,8 +6,13 @@
 //! driven by tests, by fuzzers, by the processes of snipeyoke and by programs
 //! that embed it with their own transport.
 
+pub mod chain;
 pub mod config;
+pub mod deadline;
+pub mod hedge;
 pub mod ids;
 pub mod outcome;
+pub mod retry;
+pub mod routing;
 pub mod time;
 pub mod units;
--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -15,7 +15,7 @@
     /// The caller got the whole answer.
     #[display("completed")]
     Completed,
-    /// Nothing ran that may not run twice, and nothing will.
+    /// No attempt of any stage ran, with proof for each, and none will.
     #[display("not-run")]
     NotRun,
     /// It may have run; the caller has to ask before repeating it.
--- /dev/null
+++ b/lib/src/routing/baseline.rs
@@ -0,0 +1,76 @@
+//! The policies that ours is measured against.
+
+use rand::Rng;
+use rand_pcg::Pcg32;
+
+use super::Choice;
+use super::Need;
+use super::Policy;
+use super::Pool;
+use super::Why;
+use crate::time::Time;
+
+/// Takes the endpoints in turn.
+#[derive(Debug, Clone, Default)]
+pub struct RoundRobin {
+    turn: usize,
+}
+
+impl Policy for RoundRobin {
+    fn name(&self) -> &'static str {
+        "round-robin"
+    }
+
+    fn choose(
+        &mut self,
+        now: Time,
+        pool: &mut Pool,
+        need: &Need<'_>,
+        _rng: &mut Pcg32,
+    ) -> Option<Choice> {
+        let count = pool.endpoints.len();
+        let allowed = |slot: &usize| pool.allows(now, *slot, need);
+        let turn = self.turn;
+        let slot = (0..count).map(|i| (turn + i) % count).find(allowed)?;
+        self.turn = slot + 1;
+        Some(plain(now, pool, need, slot, Why::Turn))
+    }
+}
+
+/// Takes the endpoint with the fewest of this router's calls in flight.
+#[derive(Debug, Clone, Default)]
+pub struct LeastOutstanding;
+
+impl Policy for LeastOutstanding {
+    fn name(&self) -> &'static str {
+        "least-outstanding"
+    }
+
+    fn choose(
+        &mut self,
+        now: Time,
+        pool: &mut Pool,
+        need: &Need<'_>,
+        rng: &mut Pcg32,
+    ) -> Option<Choice> {
+        let count = pool.endpoints.len();
+        if count == 0 {
+            return None;
+        }
+        let start = rng.next_u32() as usize % count;
+        let slot = (0..count)
+            .map(|i| (start + i) % count)
+            .filter(|&slot| pool.allows(now, slot, need))
+            .min_by_key(|&slot| pool.endpoints[slot].outstanding)?;
+        Some(plain(now, pool, need, slot, Why::Outstanding))
+    }
+}
+
+fn plain(now: Time, pool: &Pool, need: &Need<'_>, slot: usize, why: Why) -> Choice {
+    Choice {
+        slot,
+        why,
+        predicted: pool.forecast(now, slot, need).total,
+        others: [None; 2],
+    }
+}
--- /dev/null
+++ b/lib/src/routing/fleet.rs
@@ -0,0 +1,227 @@
+//! All endpoints as one router sees them.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::CacheUpdate;
+use super::Endpoint;
+use super::Home;
+use super::LoadReport;
+use super::Pool;
+use crate::ids::EndpointId;
+use crate::ids::FailureDomain;
+use crate::ids::Incarnation;
+use crate::ids::PoolName;
+use crate::ids::Region;
+use crate::time::Time;
+
+/// The seconds that a call spends on the way within a failure domain, between
+/// two of one region, and between regions. The users state 1 to 3 ms for the
+/// first two; the last is a usual figure between regions.
+const OVERHEAD_NEAR: f32 = 0.001;
+const OVERHEAD_DOMAIN: f32 = 0.004;
+const OVERHEAD_REGION: f32 = 0.040;
+
+/// Work booked on an endpoint, to be released once.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Booking {
+    slot: usize,
+    life: u64,
+    sent: Time,
+}
+
+impl Booking {
+    /// Returns the slot that the work was booked on.
+    #[must_use]
+    pub const fn slot(&self) -> usize {
+        self.slot
+    }
+}
+
+/// All endpoints as one router sees them.
+#[derive(Debug, Clone)]
+pub struct Fleet {
+    home: Home,
+    pools: BTreeMap<PoolName, Pool>,
+    places: BTreeMap<EndpointId, PoolName>,
+    domains: Vec<FailureDomain>,
+    lives: u64,
+}
+
+impl Fleet {
+    /// Builds an empty fleet for a router that stands at `home`.
+    #[must_use]
+    pub const fn new(home: Home) -> Self {
+        Self {
+            home,
+            pools: BTreeMap::new(),
+            places: BTreeMap::new(),
+            domains: Vec::new(),
+            lives: 0,
+        }
+    }
+
+    /// Notes an endpoint, or a new incarnation of one.
+    ///
+    /// It gets no work before its first load report.
+    pub fn upsert(
+        &mut self,
+        endpoint: EndpointId,
+        pool: PoolName,
+        domain: &FailureDomain,
+        region: &Region,
+        incarnation: Incarnation,
+    ) {
+        if self.places.get(&endpoint).is_some_and(|old| *old != pool) {
+            self.gone(&endpoint);
+        }
+        let index = self.domain(domain);
+        let overhead = self.overhead(domain, region);
+        self.lives += 1;
+        let life = self.lives;
+        let slots = self.pools.entry(pool.clone()).or_default();
+        let slot = slots.enter(&endpoint, incarnation, life);
+        let Some(slot) = slot else {
+            return;
+        };
+        slots.endpoints[slot].place(index, overhead);
+        if self.places.insert(endpoint, pool).is_none() {
+            let pools = &self.pools;
+            self.places
+                .retain(|id, pool| pools.get(pool).is_some_and(|p| p.find(id).is_some()));
+        }
+    }
+
+    /// Takes in a load report.
+    pub fn on_load(&mut self, now: Time, endpoint: &EndpointId, report: &LoadReport) {
+        let Some((pool, slot)) = self.find_mut(endpoint) else {
+            return;
+        };
+        let models = pool.mask(&report.models);
+        pool.endpoints[slot].load(now, report, models);
+    }
+
+    /// Takes in what an endpoint gained and dropped of its prefix cache.
+    pub fn on_cache(&mut self, endpoint: &EndpointId, update: &CacheUpdate) {
+        let Some((pool, slot)) = self.find_mut(endpoint) else {
+            return;
+        };
+        pool.cache(slot, update);
+    }
+
+    /// Notes that an endpoint can't be reached any more.
+    pub fn gone(&mut self, endpoint: &EndpointId) {
+        if let Some((pool, slot)) = self.find_mut(endpoint) {
+            pool.endpoints[slot].present = false;
+            pool.holders.clear(slot);
+        }
+    }
+
+    /// Notes that an endpoint leaves and takes no new work.
+    pub fn drain(&mut self, endpoint: &EndpointId) {
+        if let Some((pool, slot)) = self.find_mut(endpoint) {
+            pool.endpoints[slot].draining = true;
+        }
+    }
+
+    /// Sets the cost of a busy second of a pool's endpoint.
+    pub fn set_price(&mut self, pool: &PoolName, price: f64) {
+        if !self.pools.contains_key(pool) {
+            self.pools.insert(pool.clone(), Pool::default());
+        }
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.price = price as f32;
+        }
+    }
+
+    /// Returns a pool.
+    #[must_use]
+    pub fn pool(&self, name: &PoolName) -> Option<&Pool> {
+        self.pools.get(name)
+    }
+
+    /// Returns all pools.
+    #[must_use]
+    pub const fn pools(&self) -> &BTreeMap<PoolName, Pool> {
+        &self.pools
+    }
+
+    /// Returns a pool for a choice in it.
+    pub fn pool_mut(&mut self, name: &PoolName) -> Option<&mut Pool> {
+        self.pools.get_mut(name)
+    }
+
+    /// Returns an endpoint.
+    #[must_use]
+    pub fn endpoint(&self, id: &EndpointId) -> Option<&Endpoint> {
+        let pool = self.pools.get(self.places.get(id)?)?;
+        pool.endpoints.get(pool.find(id)?)
+    }
+
+    /// Returns the failure domain of an index.
+    #[must_use]
+    pub fn domain_name(&self, index: u16) -> Option<&FailureDomain> {
+        self.domains.get(usize::from(index))
+    }
+
+    /// Books work that is sent now.
+    pub fn book(&mut self, now: Time, pool: &PoolName, slot: usize) -> Option<Booking> {
+        let endpoint = self.pools.get_mut(pool)?.endpoints.get_mut(slot)?;
+        endpoint.sent(now);
+        Some(Booking {
+            slot,
+            life: endpoint.life,
+            sent: now,
+        })
+    }
+
+    /// Releases booked work; returns the endpoint if it is still the same life.
+    pub fn release(&mut self, pool: &PoolName, booking: Booking) -> Option<&mut Endpoint> {
+        let endpoint = self.pools.get_mut(pool)?.endpoints.get_mut(booking.slot)?;
+        if endpoint.life != booking.life {
+            return None;
+        }
+        endpoint.released(booking.sent);
+        Some(endpoint)
+    }
+
+    /// Returns the endpoint at a slot, if it is still the one named.
+    pub fn at(&mut self, pool: &PoolName, slot: usize, id: &EndpointId) -> Option<&mut Endpoint> {
+        let endpoint = self.pools.get_mut(pool)?.endpoints.get_mut(slot)?;
+        (endpoint.id == *id).then_some(endpoint)
+    }
+
+    /// Notes the work time of a completed call.
+    pub fn worked(&mut self, pool: &PoolName, slot: usize, work: Duration) {
+        if let Some(pool) = self.pools.get_mut(pool)
+            && slot < pool.endpoints.len()
+        {
+            pool.worked(slot, work.as_secs_f32());
+        }
+    }
+
+    fn find_mut(&mut self, endpoint: &EndpointId) -> Option<(&mut Pool, usize)> {
+        let pool = self.pools.get_mut(self.places.get(endpoint)?)?;
+        let slot = pool.find(endpoint)?;
+        Some((pool, slot))
+    }
+
+    fn domain(&mut self, domain: &FailureDomain) -> u16 {
+        let known = self.domains.iter().position(|d| d == domain);
+        let index = known.unwrap_or_else(|| {
+            self.domains.push(domain.clone());
+            self.domains.len() - 1
+        });
+        index as u16
+    }
+
+    fn overhead(&self, domain: &FailureDomain, region: &Region) -> f32 {
+        if *region != self.home.region {
+            OVERHEAD_REGION
+        } else if *domain != self.home.domain {
+            OVERHEAD_DOMAIN
+        } else {
+            OVERHEAD_NEAR
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/routing/health.rs
@@ -0,0 +1,95 @@
+//! How an endpoint has kept its promises lately.
+
+use crate::time::Time;
+
+/// The weight of a new observation.
+const WEIGHT: f32 = 0.25;
+
+/// The bounds of one observed ratio, so that one freak answer is no verdict.
+const RATIO_MAX: f32 = 20.0;
+const RATIO_MIN: f32 = 0.1;
+
+/// The seconds in which a verdict without new evidence fades to a half.
+///
+/// It lets a recovered endpoint back in step by step: as its verdict fades it
+/// wins a few calls, and their answers move the verdict further.
+const FADE: f32 = 5.0;
+
+/// The most doublings of the fade for an endpoint that fails every probe.
+const STREAK_MAX: u32 = 5;
+
+/// Answers against predictions, and failures, of one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Health {
+    ratio: f32,
+    failing: f32,
+    streak: u32,
+    seen: Time,
+}
+
+impl Default for Health {
+    fn default() -> Self {
+        Self {
+            ratio: 1.0,
+            failing: 0.0,
+            streak: 0,
+            seen: Time::ZERO,
+        }
+    }
+}
+
+impl Health {
+    /// Notes an answer, and how much longer than predicted it took.
+    pub fn answered(&mut self, now: Time, ratio: f32) {
+        self.settle(now);
+        self.observe(ratio);
+        self.failing -= WEIGHT * self.failing;
+        self.streak = 0;
+    }
+
+    /// Notes that an answer is overdue by `ratio`, without an end in sight.
+    pub fn overdue(&mut self, now: Time, ratio: f32) {
+        self.settle(now);
+        if ratio > self.ratio {
+            self.observe(ratio);
+        }
+    }
+
+    /// Notes a failure, however fast it came.
+    pub fn failed(&mut self, now: Time) {
+        self.settle(now);
+        self.failing += WEIGHT * (1.0 - self.failing);
+        self.streak = (self.streak + 1).min(STREAK_MAX);
+    }
+
+    /// Returns how much longer than predicted an answer takes.
+    #[must_use]
+    pub fn slow(&self, now: Time) -> f32 {
+        1.0 + (self.ratio - 1.0) * self.kept(now)
+    }
+
+    /// Returns the share of calls that fail.
+    #[must_use]
+    pub fn failing(&self, now: Time) -> f32 {
+        self.failing * self.kept(now)
+    }
+
+    fn observe(&mut self, ratio: f32) {
+        let ratio = ratio.clamp(RATIO_MIN, RATIO_MAX);
+        self.ratio += WEIGHT * (ratio - self.ratio);
+    }
+
+    fn settle(&mut self, now: Time) {
+        self.ratio = self.slow(now);
+        self.failing = self.failing(now);
+        self.seen = now;
+    }
+
+    // The rational form is a close kin of the exponential one, and it is
+    // computed for every candidate of every choice.
+    fn kept(&self, now: Time) -> f32 {
+        let idle = now.since(self.seen).as_micros() as f32 * 1e-6;
+        let fade = FADE * (1_u32 << self.streak) as f32;
+        1.0 / (1.0 + idle / fade)
+    }
+}
--- /dev/null
+++ b/lib/src/routing/mod.rs
@@ -0,0 +1,30 @@
+//! Where a stage goes: the router's view of endpoints and the choice among them.
+
+mod baseline;
+mod endpoint;
+mod fleet;
+mod health;
+mod policy;
+mod pool;
+mod predicted;
+mod prefix;
+mod report;
+
+pub use baseline::LeastOutstanding;
+pub use baseline::RoundRobin;
+pub use endpoint::Endpoint;
+pub use fleet::Booking;
+pub use fleet::Fleet;
+pub use health::Health;
+pub use policy::Choice;
+pub use policy::Need;
+pub use policy::Policy;
+pub use policy::PolicyKind;
+pub use policy::Why;
+pub use policy::choose;
+pub use pool::Pool;
+pub use predicted::Predicted;
+pub use prefix::Holders;
+pub use report::CacheUpdate;
+pub use report::Home;
+pub use report::LoadReport;
--- /dev/null
+++ b/lib/src/routing/policy.rs
@@ -0,0 +1,145 @@
+//! The border behind which the choice of an endpoint varies.
+
+use std::fmt;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::FromStr;
+use rand_pcg::Pcg32;
+use serde::Deserialize;
+use serde::Serialize;
+
+use super::LeastOutstanding;
+use super::Pool;
+use super::Predicted;
+use super::RoundRobin;
+use crate::config::Weights;
+use crate::time::Time;
+
+/// What a stage needs of an endpoint.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Need<'a> {
+    /// The model's bit in the pool, or zero where any will do.
+    pub model: u64,
+    /// The prompt's length in tokens.
+    pub prompt: u32,
+    /// The expected output tokens; zero for stages without tokens.
+    pub output: f32,
+    /// The hashes of the prompt's prefix blocks.
+    pub prefix: &'a [u64],
+    /// The time that this stage may take.
+    pub budget: Duration,
+    /// The weights of the pipeline.
+    pub weights: Weights,
+    /// Slots that must not be chosen again.
+    pub avoid: &'a [usize],
+    /// A failure domain to keep out of.
+    pub domain: Option<u16>,
+}
+
+/// Why an endpoint was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
+pub enum Why {
+    /// It has the least predicted lateness and cost.
+    #[display("predicted")]
+    Predicted,
+    /// It holds the prompt's prefix.
+    #[display("prefix")]
+    Prefix,
+    /// It is the next in turn.
+    #[display("turn")]
+    Turn,
+    /// It has the fewest calls in flight.
+    #[display("outstanding")]
+    Outstanding,
+    /// It owns the slot of the idempotency key.
+    #[display("key-slot")]
+    KeySlot,
+}
+
+/// A chosen slot, with the two next best.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Choice {
+    /// The slot chosen.
+    pub slot: usize,
+    /// Why it was chosen.
+    pub why: Why,
+    /// The predicted seconds to the answer.
+    pub predicted: f32,
+    /// The two next best, with their predicted seconds.
+    pub others: [Option<(usize, f32)>; 2],
+}
+
+/// Chooses among the endpoints of a pool.
+pub trait Policy: Send + Sync + fmt::Debug {
+    /// Returns the name in the settings and logs.
+    fn name(&self) -> &'static str;
+
+    /// Chooses a slot, or none if no endpoint may get the work.
+    fn choose(
+        &mut self,
+        now: Time,
+        pool: &mut Pool,
+        need: &Need<'_>,
+        rng: &mut Pcg32,
+    ) -> Option<Choice>;
+}
+
+/// The policies that settings can name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Display, FromStr, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PolicyKind {
+    /// The endpoint with the least predicted lateness and cost.
+    #[default]
+    #[display("predicted")]
+    Predicted,
+    /// The endpoints in turn.
+    #[display("round-robin")]
+    RoundRobin,
+    /// The endpoint with the fewest calls in flight.
+    #[display("least-outstanding")]
+    LeastOutstanding,
+}
+
+impl PolicyKind {
+    /// Builds the policy.
+    #[must_use]
+    pub fn build(self) -> Box<dyn Policy> {
+        match self {
+            Self::Predicted => Box::new(Predicted),
+            Self::RoundRobin => Box::new(RoundRobin::default()),
+            Self::LeastOutstanding => Box::new(LeastOutstanding),
+        }
+    }
+}
+
+/// Chooses with the wishes of `need` given up one by one.
+///
+/// Another failure domain is the first wish to go, another endpoint the second.
+pub fn choose(
+    policy: &mut dyn Policy,
+    now: Time,
+    pool: &mut Pool,
+    need: &Need<'_>,
+    rng: &mut Pcg32,
+) -> Option<Choice> {
+    if let Some(choice) = policy.choose(now, pool, need, rng) {
+        return Some(choice);
+    }
+    let near = Need {
+        domain: None,
+        ..*need
+    };
+    if need.domain.is_some()
+        && let Some(choice) = policy.choose(now, pool, &near, rng)
+    {
+        return Some(choice);
+    }
+    if need.avoid.is_empty() {
+        return None;
+    }
+    let again = Need { avoid: &[], ..near };
+    policy.choose(now, pool, &again, rng)
+}
--- /dev/null
+++ b/lib/src/routing/pool.rs
@@ -0,0 +1,188 @@
+//! The endpoints of one pool.
+
+use super::CacheUpdate;
+use super::Endpoint;
+use super::Holders;
+use super::Need;
+use super::endpoint::Forecast;
+use super::endpoint::first_work;
+use crate::ids::EndpointId;
+use crate::ids::Incarnation;
+use crate::ids::ModelName;
+use crate::time::Time;
+
+/// The most models that a pool tells apart.
+const MODELS_MAX: usize = 64;
+
+/// The tokens of one prefix block.
+const BLOCK_TOKENS: u32 = 64;
+
+/// The weight of a new observation of the pool's work.
+const WORK_WEIGHT: f32 = 0.02;
+
+/// The endpoints of one pool, each in a slot that stays its own.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    pub(super) endpoints: Vec<Endpoint>,
+    pub(super) holders: Holders,
+    pub(super) price: f32,
+    pub(super) mean: f32,
+    models: Vec<ModelName>,
+    work: f32,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            endpoints: Vec::new(),
+            holders: Holders::default(),
+            price: 1.0,
+            mean: 0.0,
+            models: Vec::new(),
+            work: first_work(),
+        }
+    }
+}
+
+impl Pool {
+    /// Returns the endpoints, by slot.
+    #[must_use]
+    pub fn endpoints(&self) -> &[Endpoint] {
+        &self.endpoints
+    }
+
+    /// Finds an endpoint's slot.
+    #[must_use]
+    pub fn find(&self, id: &EndpointId) -> Option<usize> {
+        self.endpoints.iter().position(|e| e.id == *id)
+    }
+
+    /// Predicts the seconds to an answer of usual work at a slot.
+    #[must_use]
+    pub fn predict(&self, now: Time, slot: usize) -> f32 {
+        let need = Need::default();
+        self.forecast_with(now, slot, &need, 0).total
+    }
+
+    /// Tells whether any endpoint may get new work.
+    #[must_use]
+    pub fn is_usable(&self, now: Time) -> bool {
+        self.endpoints.iter().any(|e| e.is_usable(now))
+    }
+
+    /// Returns the bit of a model, or `None` if no endpoint has it.
+    #[must_use]
+    pub fn model(&self, name: &ModelName) -> Option<u64> {
+        let index = self.models.iter().position(|m| m == name)?;
+        Some(1 << index)
+    }
+
+    /// Tells whether the endpoints of the pool report models at all.
+    #[must_use]
+    pub fn has_models(&self) -> bool {
+        !self.models.is_empty()
+    }
+
+    pub(super) fn mask(&mut self, names: &[ModelName]) -> u64 {
+        let mut mask = 0;
+        for name in names {
+            if !self.models.contains(name) && self.models.len() < MODELS_MAX {
+                self.models.push(name.clone());
+            }
+            mask |= self.model(name).unwrap_or(0);
+        }
+        mask
+    }
+
+    /// Finds or makes the slot of an endpoint; `None` for a life that is over.
+    pub(super) fn enter(
+        &mut self,
+        id: &EndpointId,
+        incarnation: Incarnation,
+        life: u64,
+    ) -> Option<usize> {
+        let Some(slot) = self.find(id) else {
+            return Some(self.fill(Endpoint::new(id.clone(), incarnation, life)));
+        };
+        let old = &mut self.endpoints[slot];
+        if incarnation < old.incarnation {
+            return None;
+        }
+        if incarnation > old.incarnation {
+            self.holders.clear(slot);
+            self.endpoints[slot] = Endpoint::new(id.clone(), incarnation, life);
+        } else {
+            old.present = true;
+        }
+        Some(slot)
+    }
+
+    // Replaced hosts bring new names every day; without reuse the slots, and
+    // with them each choice, would grow for as long as the router lives.
+    fn fill(&mut self, endpoint: Endpoint) -> usize {
+        let free = |e: &Endpoint| !e.present && e.outstanding == 0;
+        if let Some(slot) = self.endpoints.iter().position(free) {
+            self.endpoints[slot] = endpoint;
+            return slot;
+        }
+        self.endpoints.push(endpoint);
+        self.endpoints.len() - 1
+    }
+
+    pub(super) fn cache(&mut self, slot: usize, update: &CacheUpdate) {
+        let endpoint = &mut self.endpoints[slot];
+        let renewed = update.epoch > endpoint.cache_epoch;
+        let skipped = update.first > endpoint.cache_next;
+        let known = !renewed && update.first < endpoint.cache_next;
+        if update.epoch < endpoint.cache_epoch || known {
+            return;
+        }
+        endpoint.cache_epoch = update.epoch;
+        let count = (update.added.len() + update.dropped.len()) as u64;
+        endpoint.cache_next = update.first + count;
+        // After a gap a drop may have been missed, and the endpoint would draw
+        // prompts for blocks that it lost long ago. Starting again from nothing
+        // costs a few prompts read twice.
+        if renewed || update.gap || skipped {
+            self.holders.clear(slot);
+        }
+        for &block in &update.added {
+            self.holders.add(slot, block);
+        }
+        for &block in &update.dropped {
+            self.holders.drop_block(slot, block);
+        }
+    }
+
+    pub(super) fn worked(&mut self, slot: usize, seconds: f32) {
+        self.work += WORK_WEIGHT * (seconds - self.work);
+        self.endpoints[slot].worked(seconds);
+    }
+
+    /// Tells whether a slot may get the work.
+    pub(super) fn allows(&self, now: Time, slot: usize, need: &Need<'_>) -> bool {
+        let endpoint = &self.endpoints[slot];
+        endpoint.is_usable(now)
+            && endpoint.models & need.model == need.model
+            && need.domain != Some(endpoint.domain)
+            && !need.avoid.contains(&slot)
+    }
+
+    pub(super) fn cached(&self, slot: usize) -> u32 {
+        u32::from(self.holders.held(slot)) * BLOCK_TOKENS
+    }
+
+    pub(super) fn forecast(&self, now: Time, slot: usize, need: &Need<'_>) -> Forecast {
+        self.forecast_with(now, slot, need, self.cached(slot))
+    }
+
+    pub(super) fn forecast_with(
+        &self,
+        now: Time,
+        slot: usize,
+        need: &Need<'_>,
+        cached: u32,
+    ) -> Forecast {
+        self.endpoints[slot].forecast(now, need, cached, self.work)
+    }
+}
--- /dev/null
+++ b/lib/src/routing/prefix.rs
@@ -0,0 +1,103 @@
+//! Which endpoints of a pool hold which prefix blocks.
+
+use std::collections::BTreeMap;
+
+/// The most blocks that are remembered for a pool.
+///
+/// At 680 endpoints an entry takes about 120 bytes, so the whole takes 4 MB.
+const BLOCKS_MAX: usize = 32_768;
+
+/// The endpoints that hold each prefix block, by slot of the pool.
+///
+/// The knowledge is a hint: events come late and with gaps, and a wrong hint
+/// costs a prompt read again, never a wrong answer.
+#[derive(Debug, Clone, Default)]
+pub struct Holders {
+    blocks: BTreeMap<u64, Vec<u64>>,
+    alive: Vec<u64>,
+    held: Vec<u16>,
+}
+
+impl Holders {
+    /// Notes that a slot holds a block.
+    pub fn add(&mut self, slot: usize, block: u64) {
+        if self.blocks.len() >= BLOCKS_MAX && !self.blocks.contains_key(&block) {
+            // Hashes are evenly spread, so the first is as good as a random one.
+            self.blocks.pop_first();
+        }
+        let words = self.blocks.entry(block).or_default();
+        let word = slot / 64;
+        if words.len() <= word {
+            words.resize(word + 1, 0);
+        }
+        words[word] |= 1 << (slot % 64);
+    }
+
+    /// Notes that a slot dropped a block.
+    pub fn drop_block(&mut self, slot: usize, block: u64) {
+        let Some(words) = self.blocks.get_mut(&block) else {
+            return;
+        };
+        if let Some(word) = words.get_mut(slot / 64) {
+            *word &= !(1 << (slot % 64));
+        }
+        if words.iter().all(|&word| word == 0) {
+            self.blocks.remove(&block);
+        }
+    }
+
+    /// Forgets all that a slot held.
+    pub fn clear(&mut self, slot: usize) {
+        self.blocks.retain(|_, words| {
+            if let Some(word) = words.get_mut(slot / 64) {
+                *word &= !(1 << (slot % 64));
+            }
+            words.iter().any(|&word| word != 0)
+        });
+    }
+
+    /// Finds how many of the leading blocks each of `slots` slots holds.
+    ///
+    /// The answer is read with [`Holders::held`].
+    pub fn measure(&mut self, prefix: &[u64], slots: usize) {
+        self.held.clear();
+        self.held.resize(slots, 0);
+        self.alive.clear();
+        self.alive.resize(slots.div_ceil(64), u64::MAX);
+        for (index, block) in prefix.iter().enumerate() {
+            let words = self.blocks.get(block).map_or(&[][..], Vec::as_slice);
+            let mut left = 0;
+            for (place, alive) in self.alive.iter_mut().enumerate() {
+                let still = *alive & words.get(place).copied().unwrap_or(0);
+                mark(&mut self.held, place, *alive & !still, index);
+                *alive = still;
+                left |= still;
+            }
+            if left == 0 {
+                return;
+            }
+        }
+        for (place, &alive) in self.alive.iter().enumerate() {
+            mark(&mut self.held, place, alive, prefix.len());
+        }
+    }
+
+    /// Returns the leading blocks that a slot holds, as last measured.
+    #[must_use]
+    pub fn held(&self, slot: usize) -> u16 {
+        self.held.get(slot).copied().unwrap_or(0)
+    }
+}
+
+fn mark(held: &mut [u16], place: usize, mut bits: u64, blocks: usize) {
+    if blocks == 0 {
+        return;
+    }
+    while bits != 0 {
+        let slot = place * 64 + bits.trailing_zeros() as usize;
+        if let Some(entry) = held.get_mut(slot) {
+            *entry = u16::try_from(blocks).unwrap_or(u16::MAX);
+        }
+        bits &= bits - 1;
+    }
+}
