--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod hedge;
 pub mod ids;
 pub mod outcome;
+pub mod prefix;
 pub mod retry;
 pub mod routing;
 pub mod time;
