state: add log records, configuration fold, publisher and follower

Cause: configuration has to outlive every process, without a store of our own. Conclusion: the border that router, agent and CLI are written against.

--- a/lib/src/config/mod.rs
+++ b/lib/src/config/mod.rs
@@ -1,7 +1,18 @@
 //! The configuration that operators publish and every process follows.
 
+mod change;
+mod fold;
 mod model;
+mod snapshot;
 
+pub use change::Change;
+pub use change::DrainTarget;
+pub use fold::Applied;
+pub use fold::Fold;
+pub use fold::FoldGuards;
+pub use fold::RECENT_MAX;
+pub use fold::TAIL_MAX;
+pub use fold::Winner;
 pub use model::Account;
 pub use model::Config;
 pub use model::ConfigError;
@@ -12,3 +23,5 @@
 pub use model::Stage;
 pub use model::StageRole;
 pub use model::Weights;
+pub use snapshot::Accepted;
+pub use snapshot::Snapshot;
--- a/lib/src/config/model.rs
+++ b/lib/src/config/model.rs
@@ -1,6 +1,7 @@
 //! Pipelines, bindings, client accounts and pools, checked as a whole.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::str::FromStr;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::config::DrainTarget;
 use crate::ids::ClientAccount;
 use crate::ids::ModelName;
 use crate::ids::PipelineName;
@@ -201,6 +203,9 @@
     pub pipelines: BTreeMap<PipelineName, Pipeline>,
     /// The pipeline for each account and request kind.
     pub bindings: BTreeMap<ClientAccount, BTreeMap<RequestKind, PipelineName>>,
+    /// What operators drain.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub drains: BTreeSet<DrainTarget>,
 }
 
 /// The reason why a configuration is refused.
@@ -277,6 +282,13 @@
         #[error(not(source))]
         what: String,
     },
+    /// A change names what does not exist.
+    #[display("{what} does not exist: look at the newest revision")]
+    Missing {
+        /// What is missing.
+        #[error(not(source))]
+        what: String,
+    },
     /// Two accounts share a key.
     #[display("accounts {first} and {second} share a key: give each its own")]
     KeyTwice {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -8,6 +8,9 @@
 
 pub mod config;
 pub mod ids;
+pub mod lease;
+pub mod log;
 pub mod outcome;
+pub mod record;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/lib/src/log/follower.rs
@@ -0,0 +1,152 @@
+//! Reads one topic in order.
+
+use std::time::Duration;
+
+use crate::ids::Offset;
+use crate::log::Backoff;
+use crate::log::Read;
+use crate::log::ReadEnd;
+use crate::log::Topic;
+use crate::time::Time;
+use crate::units::Bytes;
+
+/// How long the service may hold a read that finds nothing.
+const WAIT: Duration = Duration::from_secs(20);
+
+/// The pause after a read that found nothing.
+const EMPTY_PAUSE: Duration = Duration::from_millis(100);
+
+/// The most bytes of one read.
+const LIMIT: Bytes = Bytes(1024 * 1024);
+
+/// What a read brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Followed {
+    /// The records, each with its offset.
+    Records {
+        /// The records, in offset order.
+        records: Vec<(Offset, Vec<u8>)>,
+        /// The lowest offset that retention left.
+        first: Offset,
+        /// The offset after the newest record.
+        end: Offset,
+    },
+    /// Retention took what comes next; reading goes on at `first`.
+    Behind {
+        /// The lowest offset that is left.
+        first: Offset,
+    },
+    /// Nothing, for lack of an answer.
+    Failed,
+}
+
+/// The position of one reader in one topic.
+#[derive(Debug, Clone)]
+pub struct Follower {
+    topic: Topic,
+    next: Offset,
+    flying: Option<Offset>,
+    resume: Time,
+    backoff: Backoff,
+    heard: Option<Time>,
+}
+
+impl Follower {
+    /// Starts at an offset, with a seed for the pauses' jitter.
+    #[must_use]
+    pub fn new(topic: Topic, next: Offset, seed: u64) -> Self {
+        Self {
+            topic,
+            next,
+            flying: None,
+            resume: Time::ZERO,
+            backoff: Backoff::new(seed),
+            heard: None,
+        }
+    }
+
+    /// Returns the next offset to read.
+    #[must_use]
+    pub const fn next(&self) -> Offset {
+        self.next
+    }
+
+    /// Returns when the service last answered a read, if ever.
+    #[must_use]
+    pub const fn heard(&self) -> Option<Time> {
+        self.heard
+    }
+
+    /// Reads on from an offset, after a snapshot or a peer brought the state there.
+    pub const fn seek(&mut self, next: Offset) {
+        self.next = next;
+    }
+
+    /// Returns when [`Self::poll`] may next have a read.
+    #[must_use]
+    pub const fn wake(&self) -> Time {
+        if self.flying.is_some() {
+            return Time::NEVER;
+        }
+        self.resume
+    }
+
+    /// Returns the next read, if one is due.
+    pub fn poll(&mut self, now: Time) -> Option<Read> {
+        if self.wake() > now {
+            return None;
+        }
+        self.flying = Some(self.next);
+        Some(Read {
+            topic: self.topic.clone(),
+            from: self.next,
+            wait: WAIT,
+            limit: LIMIT,
+        })
+    }
+
+    /// Takes the end of the read under way.
+    pub fn answered(&mut self, now: Time, end: ReadEnd) -> Followed {
+        let from = self.flying.take().unwrap_or(self.next);
+        match end {
+            ReadEnd::Records {
+                first,
+                end,
+                records,
+            } => {
+                self.answer_came(now);
+                let offsets = (from.0..).map(Offset);
+                let records: Vec<_> = offsets.zip(records).collect();
+                // After a seek while the read was under way, the seek stands:
+                // the fold sorts out what is old or leaves a gap.
+                if let (Some((last, _)), true) = (records.last(), self.next == from) {
+                    self.next = last.next();
+                }
+                // A service that doesn't hold reads would be asked without end.
+                if records.is_empty() {
+                    self.resume = now + EMPTY_PAUSE;
+                }
+                Followed::Records {
+                    records,
+                    first,
+                    end,
+                }
+            }
+            ReadEnd::Gone { first } => {
+                self.answer_came(now);
+                self.next = self.next.max(first);
+                Followed::Behind { first }
+            }
+            ReadEnd::Failed => {
+                self.resume = now + self.backoff.failed();
+                Followed::Failed
+            }
+        }
+    }
+
+    const fn answer_came(&mut self, now: Time) {
+        self.backoff.succeeded();
+        self.resume = now;
+        self.heard = Some(now);
+    }
+}
--- /dev/null
+++ b/lib/src/log/publisher.rs
@@ -0,0 +1,131 @@
+//! Appends records in batches and repeats what was not answered.
+
+use std::collections::VecDeque;
+
+use crate::ids::Offset;
+use crate::log::Append;
+use crate::log::AppendEnd;
+use crate::log::Backoff;
+use crate::log::Topic;
+use crate::record::Record;
+use crate::record::RecordId;
+use crate::time::Time;
+
+/// The most records of one append.
+pub const BATCH_RECORDS: usize = 64;
+
+/// The most bytes of one append, unless one record alone is larger.
+pub const BATCH_BYTES: usize = 256 * 1024;
+
+#[derive(Debug, Clone)]
+struct Waiting {
+    id: RecordId,
+    bytes: Vec<u8>,
+}
+
+/// The records of one process on their way to one topic.
+///
+/// One append is under way at a time, so that records keep their order. An
+/// append without an answer is repeated with the same records: folds know a
+/// record by its id, so a second copy has no effect. A record is not accepted
+/// when its append was answered, but when the fold has read it back.
+#[derive(Debug, Clone)]
+pub struct Publisher {
+    topic: Topic,
+    queue: VecDeque<Waiting>,
+    flying: usize,
+    resume: Time,
+    backoff: Backoff,
+}
+
+impl Publisher {
+    /// Starts with nothing to append, with a seed for the pauses' jitter.
+    #[must_use]
+    pub fn new(topic: Topic, seed: u64) -> Self {
+        Self {
+            topic,
+            queue: VecDeque::new(),
+            flying: 0,
+            resume: Time::ZERO,
+            backoff: Backoff::new(seed),
+        }
+    }
+
+    /// Queues a record.
+    pub fn submit(&mut self, record: &Record) {
+        self.queue.push_back(Waiting {
+            id: record.id,
+            bytes: record.encode(),
+        });
+    }
+
+    /// Returns the number of records that are queued or under way.
+    #[must_use]
+    pub fn pending(&self) -> usize {
+        self.queue.len()
+    }
+
+    /// Returns when [`Self::poll`] may next have an append.
+    #[must_use]
+    pub fn wake(&self) -> Time {
+        if self.queue.is_empty() || self.flying > 0 {
+            return Time::NEVER;
+        }
+        self.resume
+    }
+
+    /// Returns the next append, if one is due.
+    pub fn poll(&mut self, now: Time) -> Option<Append> {
+        if self.wake() > now {
+            return None;
+        }
+        self.flying = self.batch_len();
+        let batch = self.queue.iter().take(self.flying);
+        Some(Append {
+            topic: self.topic.clone(),
+            records: batch.map(|w| w.bytes.clone()).collect(),
+        })
+    }
+
+    fn batch_len(&self) -> usize {
+        let mut bytes = 0;
+        let fitting = self.queue.iter().take(BATCH_RECORDS).take_while(|w| {
+            bytes += w.bytes.len();
+            bytes <= BATCH_BYTES
+        });
+        fitting.count().max(1)
+    }
+
+    /// Takes the end of the append under way, and returns where it stands.
+    pub fn answered(&mut self, now: Time, end: &AppendEnd) -> Option<Offset> {
+        let flying = std::mem::take(&mut self.flying);
+        match end {
+            AppendEnd::Done { offset } => {
+                self.queue.drain(..flying.min(self.queue.len()));
+                self.backoff.succeeded();
+                self.resume = now;
+                Some(*offset)
+            }
+            AppendEnd::NotDone { retry_after } => {
+                let pause = self.backoff.failed();
+                self.resume = now + retry_after.map_or(pause, |asked| asked.max(pause));
+                None
+            }
+            AppendEnd::Unanswered => {
+                self.resume = now + self.backoff.failed();
+                None
+            }
+        }
+    }
+
+    /// Drops a record that was read back, so that it is not repeated.
+    pub fn settled(&mut self, id: RecordId) {
+        // The batch under way is a prefix of the queue; its length must follow.
+        if let Some(index) = self.queue.iter().position(|w| w.id == id) {
+            self.queue.remove(index);
+            if index < self.flying {
+                self.flying -= 1;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/record.rs
@@ -0,0 +1,159 @@
+//! Records that the system keeps in the platform's log.
+
+use std::str::FromStr;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use serde::Serialize;
+use uuid::Uuid;
+
+use crate::config::Change;
+use crate::config::Snapshot;
+use crate::ids::IdError;
+use crate::ids::NodeId;
+use crate::ids::Operator;
+use crate::ids::Revision;
+use crate::lease::LeaseRecord;
+
+/// The version that this code writes, and the only one that it reads.
+pub const RECORD_VERSION: u32 = 1;
+
+/// Identifies one record, however often it is appended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Display, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RecordId(pub Uuid);
+
+impl FromStr for RecordId {
+    type Err = IdError;
+
+    fn from_str(text: &str) -> Result<Self, IdError> {
+        let uuid = Uuid::parse_str(text);
+        uuid.map(Self).map_err(|_malformed| IdError::BadUuid {
+            text: text.to_owned(),
+        })
+    }
+}
+
+/// Who wrote a record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Author {
+    /// An operator.
+    #[display("operator {_0}")]
+    Operator(Operator),
+    /// A process of the system.
+    #[display("node {_0}")]
+    Node(NodeId),
+}
+
+/// What a record says.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "kebab-case")]
+pub enum Body {
+    /// A change of the configuration.
+    ConfigChange {
+        /// The revision that the change was made on.
+        base: Revision,
+        /// The change.
+        change: Change,
+    },
+    /// The whole configuration, for readers that fell behind retention.
+    Snapshot(Snapshot),
+    /// A step in the life of a lease.
+    Lease(LeaseRecord),
+}
+
+/// One record of the log.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Serialize, Deserialize)]
+pub struct Record {
+    /// The identity, the same when the append is repeated.
+    pub id: RecordId,
+    /// The author.
+    pub author: Author,
+    /// The content.
+    pub body: Body,
+}
+
+#[derive(Serialize)]
+struct Written<'a> {
+    version: u32,
+    #[serde(flatten)]
+    record: &'a Record,
+}
+
+#[derive(Deserialize)]
+struct Header {
+    version: u32,
+}
+
+/// The reason why bytes are no record.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error)]
+pub enum RecordError {
+    /// The bytes are no JSON object of the expected form.
+    #[display("the record is malformed ({detail}): look for a foreign writer on the topic")]
+    Malformed {
+        /// What the parser found.
+        detail: String,
+    },
+    /// The record was written by a newer release.
+    #[display("the record has version {found}, this release reads {RECORD_VERSION}: upgrade it")]
+    Version {
+        /// The version found.
+        found: u32,
+    },
+}
+
+impl RecordError {
+    /// Tells whether the record was written by another release.
+    #[must_use]
+    pub const fn is_version(&self) -> bool {
+        matches!(self, Self::Version { .. })
+    }
+}
+
+impl Record {
+    /// Encodes the record for the log.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the record has no JSON form, which would be a bug: every map
+    /// in it has text for keys, and checked configurations hold finite numbers.
+    #[must_use]
+    pub fn encode(&self) -> Vec<u8> {
+        let written = Written {
+            version: RECORD_VERSION,
+            record: self,
+        };
+        serde_json::to_vec(&written).expect("records have a JSON form")
+    }
+}
+
+impl TryFrom<&[u8]> for Record {
+    type Error = RecordError;
+
+    fn try_from(bytes: &[u8]) -> Result<Self, RecordError> {
+        let header: Header = serde_json::from_slice(bytes).map_err(malformed)?;
+        if header.version != RECORD_VERSION {
+            return Err(RecordError::Version {
+                found: header.version,
+            });
+        }
+        serde_json::from_slice(bytes).map_err(malformed)
+    }
+}
+
+#[expect(
+    clippy::needless_pass_by_value,
+    reason = "passed to map_err, which hands over the error"
+)]
+fn malformed(error: serde_json::Error) -> RecordError {
+    RecordError::Malformed {
+        detail: error.to_string(),
+    }
+}
