--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod log;
 pub mod outcome;
 pub mod record;
+pub mod prefix;
 pub mod time;
 pub mod units;
