query: turn words into changes on a known configuration

Cause: operators write parts, the log's records carry wholes. Change: Edit::change checks against the configuration it was read from, a diff line by line for dry runs, a bounded history for earlier revisions; a drain may name a router. Conclusion: the control port can build records from statements.

--- a/lib/src/config/change.rs
+++ b/lib/src/config/change.rs
@@ -15,6 +15,7 @@
 use crate::ids::EndpointId;
 use crate::ids::FailureDomain;
 use crate::ids::HostId;
+use crate::ids::NodeId;
 use crate::ids::PipelineName;
 use crate::ids::PoolName;
 use crate::ids::RequestKind;
@@ -30,6 +31,9 @@
     /// All that runs on one host.
     #[display("host {_0}")]
     Host(HostId),
+    /// One router.
+    #[display("router {_0}")]
+    Router(NodeId),
     /// All that runs in one failure domain.
     #[display("domain {_0}")]
     Domain(FailureDomain),
--- a/lib/src/query/answer.rs
+++ b/lib/src/query/answer.rs
@@ -97,6 +97,11 @@
         /// Whether it was.
         stopped: bool,
     },
+    /// Something that the operator should know beside the answer.
+    Note {
+        /// What was noticed.
+        text: String,
+    },
     /// Why there is no answer.
     Error {
         /// What is wrong and how to mend it.
--- /dev/null
+++ b/lib/src/query/apply.rs
@@ -0,0 +1,205 @@
+//! From an operator's words to a change on a known configuration.
+
+use std::collections::BTreeSet;
+
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+
+use super::edit::Clause;
+use super::edit::Edit;
+use super::edit::LimitEdit;
+use super::edit::LimitKey;
+use super::edit::WeightKey;
+use super::explain::statements;
+use crate::config::Account;
+use crate::config::Change;
+use crate::config::Config;
+use crate::config::ConfigError;
+use crate::config::Limits;
+use crate::config::Pipeline;
+use crate::config::Pool;
+use crate::config::Weights;
+use crate::units::RequestRate;
+use crate::units::TokenRate;
+
+/// The reason why a change can't be made on a configuration.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error, From)]
+pub enum EditError {
+    /// Something of that name exists.
+    #[display("{what} exists already: alter it, or choose another name")]
+    #[from(ignore)]
+    Exists {
+        /// What exists.
+        what: String,
+    },
+    /// Nothing of that name exists.
+    #[display("{what} does not exist: look at 'show config' for the names")]
+    #[from(ignore)]
+    Missing {
+        /// What is missing.
+        what: String,
+    },
+    /// A new account lacks a limit.
+    #[display("the new account has no limit for {key}: add '{key} NUMBER'")]
+    #[from(ignore)]
+    NoLimit {
+        /// The limit.
+        key: String,
+    },
+    /// The configuration that it leads to is refused.
+    #[display("{_0}")]
+    Config(ConfigError),
+}
+
+impl EditError {
+    /// Tells whether the name is taken.
+    #[must_use]
+    pub const fn is_exists(&self) -> bool {
+        matches!(self, Self::Exists { .. })
+    }
+}
+
+impl Edit {
+    /// Makes the change to append, checked against the configuration.
+    ///
+    /// The words set parts; the change carries them whole. Both were read at
+    /// the same revision, which the record names, so nothing is overwritten
+    /// unseen.
+    ///
+    /// # Errors
+    ///
+    /// Returns an [`EditError`] if the change does not fit.
+    pub fn change(&self, config: &Config) -> Result<Change, EditError> {
+        let change = self.raw_change(config)?;
+        change.apply(config)?;
+        Ok(change)
+    }
+
+    fn raw_change(&self, config: &Config) -> Result<Change, EditError> {
+        Ok(match self.clone() {
+            Self::CreatePipeline { name, clauses } => {
+                absent(config.pipelines.contains_key(&name), "pipeline", &name)?;
+                let pipeline = altered(empty_pipeline(), &clauses);
+                Change::SetPipeline { name, pipeline }
+            }
+            Self::AlterPipeline { name, clauses } => {
+                let found = config.pipelines.get(&name).cloned();
+                let found = found.ok_or_else(|| missing("pipeline", &name))?;
+                let pipeline = altered(found, &clauses);
+                Change::SetPipeline { name, pipeline }
+            }
+            Self::DropPipeline(name) => Change::DropPipeline { name },
+            Self::CreateAccount { name, keys, limits } => {
+                absent(config.accounts.contains_key(&name), "account", &name)?;
+                let mut account = Account {
+                    keys,
+                    limits: complete(&limits)?,
+                    share: 1.0,
+                };
+                limit(&mut account, &limits);
+                Change::SetAccount { name, account }
+            }
+            Self::DropAccount(name) => Change::DropAccount { name },
+            Self::CreatePool { name, price, path } => {
+                absent(config.pools.contains_key(&name), "pool", &name)?;
+                let pool = Pool { price, path };
+                Change::SetPool { name, pool }
+            }
+            Self::DropPool(name) => Change::DropPool { name },
+            Self::Bind {
+                account,
+                kind,
+                pipeline,
+            } => Change::Bind {
+                account,
+                kind,
+                pipeline,
+            },
+            Self::Unbind { account, kind } => Change::Unbind { account, kind },
+            Self::SetLimit { account, limits } => {
+                let found = config.accounts.get(&account).cloned();
+                let mut found = found.ok_or_else(|| missing("account", &account))?;
+                limit(&mut found, &limits);
+                Change::SetAccount {
+                    name: account,
+                    account: found,
+                }
+            }
+            Self::Drain(target) => Change::Drain { target },
+            Self::Resume(target) => Change::Resume { target },
+        })
+    }
+}
+
+fn absent(taken: bool, what: &str, name: &impl ToString) -> Result<(), EditError> {
+    if taken {
+        let what = format!("{what} {}", name.to_string());
+        return Err(EditError::Exists { what });
+    }
+    Ok(())
+}
+
+fn missing(what: &str, name: &impl ToString) -> EditError {
+    let what = format!("{what} {}", name.to_string());
+    EditError::Missing { what }
+}
+
+fn empty_pipeline() -> Pipeline {
+    Pipeline {
+        deadline_ms: 0,
+        stages: Vec::new(),
+        weights: Weights::default(),
+    }
+}
+
+fn altered(mut pipeline: Pipeline, clauses: &[Clause]) -> Pipeline {
+    for clause in clauses {
+        match clause {
+            Clause::Deadline(deadline) => pipeline.deadline_ms = deadline.millis() as u64,
+            Clause::Weight { key, value } => match key {
+                WeightKey::Lateness => pipeline.weights.lateness = *value,
+                WeightKey::Cost => pipeline.weights.cost = *value,
+            },
+            Clause::Stages(stages) => pipeline.stages.clone_from(stages),
+        }
+    }
+    pipeline
+}
+
+fn complete(limits: &[LimitEdit]) -> Result<Limits, EditError> {
+    let needed = [LimitKey::Requests, LimitKey::Tokens, LimitKey::Concurrency];
+    for key in needed {
+        if !limits.iter().any(|l| l.key == key) {
+            let key = key.to_string();
+            return Err(EditError::NoLimit { key });
+        }
+    }
+    Ok(Limits {
+        requests: RequestRate(0.0),
+        tokens: TokenRate(0.0),
+        concurrency: 0,
+    })
+}
+
+fn limit(account: &mut Account, limits: &[LimitEdit]) {
+    for edit in limits {
+        match edit.key {
+            LimitKey::Requests => account.limits.requests = RequestRate(edit.value),
+            LimitKey::Tokens => account.limits.tokens = TokenRate(edit.value),
+            LimitKey::Concurrency => account.limits.concurrency = edit.value as u32,
+            LimitKey::Share => account.share = edit.value,
+        }
+    }
+}
+
+/// Lists what differs between two configurations, `-` before `+`.
+#[must_use]
+pub fn difference(old: &Config, new: &Config) -> Vec<String> {
+    let before: BTreeSet<_> = statements(old).into_iter().collect();
+    let after: BTreeSet<_> = statements(new).into_iter().collect();
+    let gone = before.difference(&after).map(|l| format!("- {l}"));
+    let come = after.difference(&before).map(|l| format!("+ {l}"));
+    gone.chain(come).collect()
+}
--- a/lib/src/query/edit.rs
+++ b/lib/src/query/edit.rs
@@ -2,40 +2,16 @@
 
 use derive_more::Display;
 use derive_more::FromStr;
-use serde::Deserialize;
-use serde::Serialize;
 
 use super::interval::Interval;
+use crate::config::DrainTarget;
 use crate::config::KeyDigest;
 use crate::config::Stage;
 use crate::ids::ClientAccount;
-use crate::ids::EndpointId;
-use crate::ids::FailureDomain;
-use crate::ids::HostId;
-use crate::ids::NodeId;
 use crate::ids::PipelineName;
 use crate::ids::PoolName;
 use crate::ids::RequestKind;
 
-/// What a drain takes out of service.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
-#[derive(Display, Serialize, Deserialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Target {
-    /// One endpoint.
-    #[display("endpoint {_0}")]
-    Endpoint(EndpointId),
-    /// All that runs on a host.
-    #[display("host {_0}")]
-    Host(HostId),
-    /// One router.
-    #[display("router {_0}")]
-    Router(NodeId),
-    /// All that runs in a failure domain.
-    #[display("domain {_0}")]
-    Domain(FailureDomain),
-}
-
 /// A limit of a client account.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(Display, FromStr)]
@@ -174,10 +150,10 @@
     },
     /// Takes something out of service.
     #[display("drain {_0}")]
-    Drain(Target),
+    Drain(DrainTarget),
     /// Puts something back into service.
     #[display("resume {_0}")]
-    Resume(Target),
+    Resume(DrainTarget),
 }
 
 fn words(parts: &[impl ToString]) -> String {
--- a/lib/src/query/evaluate.rs
+++ b/lib/src/query/evaluate.rs
@@ -23,6 +23,7 @@
 use super::table::sort_counts;
 use super::value::Value;
 use crate::config::Config;
+use crate::config::DrainTarget;
 use crate::ids::FailureDomain;
 
 /// The most rows that one router answers without `limit`.
@@ -233,6 +234,7 @@
     Ok(domains.into_values().collect())
 }
 
-fn is_drained(_config: &Config, _domain: &FailureDomain) -> bool {
-    false
+fn is_drained(config: &Config, domain: &FailureDomain) -> bool {
+    let target = DrainTarget::Domain(domain.clone());
+    config.drains.contains(&target)
 }
--- a/lib/src/query/explain.rs
+++ b/lib/src/query/explain.rs
@@ -196,9 +196,11 @@
         let bind = move |(kind, pipeline)| format!("bind {account} {kind} to {pipeline}");
         kinds.iter().map(bind)
     });
+    let drains = config.drains.iter().map(|target| format!("drain {target}"));
     pools
         .chain(pipelines)
         .chain(accounts)
         .chain(bindings)
+        .chain(drains)
         .collect()
 }
--- a/lib/src/query/mod.rs
+++ b/lib/src/query/mod.rs
@@ -5,6 +5,7 @@
 //! [`Facts`] object.
 
 mod answer;
+mod apply;
 mod ast;
 mod edit;
 mod error;
@@ -12,6 +13,7 @@
 mod explain;
 mod facts;
 mod field;
+mod history;
 mod interval;
 mod parse;
 mod parse_edit;
@@ -21,6 +23,8 @@
 
 pub use answer::ChangeAnswer;
 pub use answer::Line;
+pub use apply::EditError;
+pub use apply::difference;
 pub use ast::ChangeCommand;
 pub use ast::Command;
 pub use ast::Filter;
@@ -32,7 +36,6 @@
 pub use edit::Edit;
 pub use edit::LimitEdit;
 pub use edit::LimitKey;
-pub use edit::Target;
 pub use edit::WeightKey;
 pub use error::Place;
 pub use error::QueryError;
@@ -52,6 +55,8 @@
 pub use field::Field;
 pub use field::Kind;
 pub use field::Subject;
+pub use history::CHANGES_MAX;
+pub use history::History;
 pub use interval::Interval;
 pub use interval::IntervalError;
 pub use parse::TEXT_MAX;
--- a/lib/src/query/parse_edit.rs
+++ b/lib/src/query/parse_edit.rs
@@ -5,7 +5,6 @@
 use super::edit::Clause;
 use super::edit::Edit;
 use super::edit::LimitEdit;
-use super::edit::Target;
 use super::error::QueryProblem;
 use super::parse::Parsed;
 use super::parse::Rule;
@@ -14,6 +13,7 @@
 use super::parse::number;
 use super::parse::part;
 use super::parse::word;
+use crate::config::DrainTarget;
 use crate::config::KeyDigest;
 use crate::config::Stage;
 use crate::config::StageRole;
@@ -173,14 +173,14 @@
     })
 }
 
-fn target(pair: &Node<'_>) -> Parsed<Target> {
+fn target(pair: &Node<'_>) -> Parsed<DrainTarget> {
     let kind = part(pair, Rule::target_kind)?;
     let name = part(pair, Rule::name)?;
     let kind = kind.as_str().to_ascii_lowercase();
     Ok(match kind.as_str() {
-        "endpoint" => Target::Endpoint(word(&name)?),
-        "host" => Target::Host(word(&name)?),
-        "router" => Target::Router(word(&name)?),
-        _ => Target::Domain(word(&name)?),
+        "endpoint" => DrainTarget::Endpoint(word(&name)?),
+        "host" => DrainTarget::Host(word(&name)?),
+        "router" => DrainTarget::Router(word(&name)?),
+        _ => DrainTarget::Domain(word(&name)?),
     })
 }
--- a/router/src/door/mod.rs
+++ b/router/src/door/mod.rs
@@ -54,7 +54,9 @@
             (method, path) => match (method, path.strip_prefix(REQUESTS)) {
                 (&Method::POST, Some(kind)) => plain::answer(&self.node, id, kind, request).await,
                 (&Method::GET, Some(asked)) => standing::answer(&self.node, id, asked, &request),
-                _ => Err(DoorError::NoPath { path: path.to_owned() }),
+                _ => Err(DoorError::NoPath {
+                    path: path.to_owned(),
+                }),
             },
         };
         result.unwrap_or_else(|error| {
@@ -85,6 +87,7 @@
         outcome: None,
         retry: None,
     };
-    let body = serde_json::json!({"status": if status.is_success() { "good" } else { "not-ready" }});
+    let body =
+        serde_json::json!({"status": if status.is_success() { "good" } else { "not-ready" }});
     reply::json(&head, &body)
 }
