--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -165,8 +165,8 @@
     shared.fleet.upsert(
         peer.endpoint.clone(),
         peer.pool.clone(),
-        peer.domain.clone(),
-        peer.region.clone(),
+        &peer.domain,
+        &peer.region,
         peer.incarnation,
     );
     log::info!(event = "agent-link-up", endpoint = peer.endpoint.as_str(), pool = peer.pool.as_str(), domain = peer.domain.as_str(), address = link.address.to_string().as_str(), incarnation = peer.incarnation.0; "");
@@ -206,14 +206,18 @@
         Body::Heartbeat(heartbeat) => {
             let mut shared = node.shared();
             if let Some(load) = heartbeat.load {
-                shared.fleet.on_load(now, &peer.endpoint, &load_report(load));
+                shared
+                    .fleet
+                    .on_load(now, &peer.endpoint, &load_report(load));
             }
             if heartbeat.draining {
                 shared.fleet.drain(&peer.endpoint);
             }
         }
         Body::Cache(events) => {
-            node.shared().fleet.on_cache(&peer.endpoint, &cache_update(events));
+            node.shared()
+                .fleet
+                .on_cache(&peer.endpoint, &cache_update(events));
         }
         Body::Goodbye(goodbye) => {
             node.shared().fleet.drain(&peer.endpoint);
--- a/router/src/door/chat.rs
+++ b/router/src/door/chat.rs
@@ -77,16 +77,25 @@
 }
 
 fn bad_body(error: serde_json::Error) -> DoorError {
-    DoorError::BadBody { what: error.to_string() }
+    DoorError::BadBody {
+        what: error.to_string(),
+    }
 }
 
 fn prepare(chat: &ChatBody, bound: &Bound) -> Result<(Prompt, Work), DoorError> {
-    let texts = chat.messages.iter().map(message_text).collect::<Option<Vec<_>>>();
+    let texts = chat
+        .messages
+        .iter()
+        .map(message_text)
+        .collect::<Option<Vec<_>>>();
     let Some(texts) = texts.filter(|t| !t.is_empty()) else {
         let what = "`messages` needs one message or more, each with role and text".to_owned();
         return Err(DoorError::BadBody { what });
     };
-    let max = chat.max_completion_tokens.or(chat.max_tokens).unwrap_or(DEFAULT_MAX_TOKENS);
+    let max = chat
+        .max_completion_tokens
+        .or(chat.max_tokens)
+        .unwrap_or(DEFAULT_MAX_TOKENS);
     if max == 0 || max > MAX_TOKENS {
         let what = format!("`max_tokens` is {max}, give 1 to {MAX_TOKENS}");
         return Err(DoorError::BadBody { what });
@@ -99,7 +108,10 @@
         tokens: Tokens(prefix::token_count(&text)),
         max: Tokens(max),
     };
-    let query = texts.last().map(|(_role, text)| text.clone()).unwrap_or_default();
+    let query = texts
+        .last()
+        .map(|(_role, text)| text.clone())
+        .unwrap_or_default();
     let work = Work {
         messages: chat.messages.clone(),
         input: json!({"messages": chat.messages}),
@@ -226,7 +238,10 @@
     let text = match up {
         Up::Piece(data) => {
             let text = String::from_utf8_lossy(&data);
-            format!("data: {}\n\n", chunk(id, model, &json!({"content": text}), None))
+            format!(
+                "data: {}\n\n",
+                chunk(id, model, &json!({"content": text}), None)
+            )
         }
         Up::Done(finish) => last_events(id, model, &finish),
     };
--- a/router/src/door/error.rs
+++ b/router/src/door/error.rs
@@ -49,9 +49,7 @@
             Self::NoPath { .. } | Self::NoKind { .. } | Self::NoRequest { .. } => {
                 StatusCode::NOT_FOUND
             }
-            Self::BadBody { .. } | Self::KeyMissing | Self::KeyMalformed => {
-                StatusCode::BAD_REQUEST
-            }
+            Self::BadBody { .. } | Self::KeyMissing | Self::KeyMalformed => StatusCode::BAD_REQUEST,
             Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfig | Self::Draining => StatusCode::SERVICE_UNAVAILABLE,
--- a/router/src/door/intake.rs
+++ b/router/src/door/intake.rs
@@ -98,7 +98,9 @@
         let body = collect(request.into_body(), bounds.body_bytes).await;
         body.map_err(|error| {
             if error.is_too_large() {
-                return DoorError::TooLarge { max: bounds.body_bytes };
+                return DoorError::TooLarge {
+                    max: bounds.body_bytes,
+                };
             }
             DoorError::SlowBody
         })
@@ -117,7 +119,9 @@
     ///
     /// Returns [`DoorError`] if there is none.
     pub(crate) fn bind(&self, kind: &str) -> Result<Bound, DoorError> {
-        let missing = || DoorError::NoKind { kind: kind.to_owned() };
+        let missing = || DoorError::NoKind {
+            kind: kind.to_owned(),
+        };
         let Ok(kind) = kind.parse::<RequestKind>() else {
             return Err(missing());
         };
@@ -144,7 +148,9 @@
         if pipeline.is_idempotent() {
             return Ok(None);
         }
-        let value = headers.get("idempotency-key").ok_or(DoorError::KeyMissing)?;
+        let value = headers
+            .get("idempotency-key")
+            .ok_or(DoorError::KeyMissing)?;
         let text = value.to_str().map_err(|_binary| DoorError::KeyMalformed)?;
         // The draft writes the key as a quoted string; many clients leave the
         // quotes out.
@@ -198,6 +204,9 @@
         };
         node.outcomes.begin(self.id);
         node.requests.spawn(drive(Arc::clone(node), job));
-        Ticket { up, guard: Guard(gone) }
+        Ticket {
+            up,
+            guard: Guard(gone),
+        }
     }
 }
--- a/router/src/door/mod.rs
+++ b/router/src/door/mod.rs
@@ -25,9 +25,6 @@
 use self::reply::Head;
 use crate::node::Node;
 
-pub(crate) use self::auth::bearer;
-pub(crate) use self::auth::digest;
-
 /// The path prefix of plain requests and of questions about requests.
 const REQUESTS: &str = "/v1/requests/";
 
@@ -54,7 +51,9 @@
             (method, path) => match (method, path.strip_prefix(REQUESTS)) {
                 (&Method::POST, Some(kind)) => plain::answer(&self.node, id, kind, request).await,
                 (&Method::GET, Some(asked)) => standing::answer(&self.node, id, asked, &request),
-                _ => Err(DoorError::NoPath { path: path.to_owned() }),
+                _ => Err(DoorError::NoPath {
+                    path: path.to_owned(),
+                }),
             },
         };
         result.unwrap_or_else(|error| {
@@ -85,6 +84,7 @@
         outcome: None,
         retry: None,
     };
-    let body = serde_json::json!({"status": if status.is_success() { "good" } else { "not-ready" }});
+    let body =
+        serde_json::json!({"status": if status.is_success() { "good" } else { "not-ready" }});
     reply::json(&head, &body)
 }
--- a/router/src/door/plain.rs
+++ b/router/src/door/plain.rs
@@ -42,8 +42,9 @@
     let bound = intake.bind(kind)?;
     let headers = request.headers().clone();
     let bytes = intake::body(node, request).await?;
-    let input: Value = serde_json::from_slice(&bytes)
-        .map_err(|error| DoorError::BadBody { what: error.to_string() })?;
+    let input: Value = serde_json::from_slice(&bytes).map_err(|error| DoorError::BadBody {
+        what: error.to_string(),
+    })?;
     let once = intake.once(&bound.pipeline, &headers, &bytes)?;
     let text = input.to_string();
     let work = Work {
--- a/router/src/door/standing.rs
+++ b/router/src/door/standing.rs
@@ -25,7 +25,9 @@
     request: &Request,
 ) -> Result<Reply, DoorError> {
     let _caller = intake::admit(node, id, request.headers())?;
-    let missing = || DoorError::NoRequest { id: asked.to_owned() };
+    let missing = || DoorError::NoRequest {
+        id: asked.to_owned(),
+    };
     let Ok(asked_id) = asked.parse::<RequestId>() else {
         return Err(missing());
     };
--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -199,7 +199,7 @@
                 self.send(&send, endpoint);
             }
             Action::Cancel { attempt } => self.cancel(attempt),
-            Action::Deliver { attempt: _, skip } => self.deliver(skip),
+            Action::Deliver { skip, .. } => self.deliver(skip),
             Action::StageDone { stage, attempt } => self.stage_done(stage, attempt),
             Action::Finish {
                 outcome,
@@ -216,7 +216,10 @@
         let stage = &self.job.spec.pipeline.stages[send.stage];
         let role = stage.role;
         let call = self.call(send);
-        let handle = self.node.agents.call(&endpoint, attempt, call, self.feed.clone());
+        let handle = self
+            .node
+            .agents
+            .call(&endpoint, attempt, call, self.feed.clone());
         let record = Attempt {
             endpoint,
             role,
@@ -233,7 +236,11 @@
                 retry_after: None,
             };
             let usage = Usage::default();
-            Event::Ended { attempt, end, usage }
+            Event::Ended {
+                attempt,
+                end,
+                usage,
+            }
         };
         self.attempts.insert(attempt, record);
         self.pending.push(event);
@@ -244,9 +251,16 @@
         let stage = &spec.pipeline.stages[send.stage];
         let pool = &self.job.config.pools[&stage.pool];
         let id = spec.request;
-        let (path, body) = self.job.work.request(id, stage, pool, send.priority, send.resume);
+        let (path, body) = self
+            .job
+            .work
+            .request(id, stage, pool, send.priority, send.resume);
         let generates = stage.role == StageRole::Generate;
-        let once = if stage.idempotent { None } else { self.job.once.as_ref() };
+        let once = if stage.idempotent {
+            None
+        } else {
+            self.job.once.as_ref()
+        };
         Call {
             call: 0,
             request: Bytes::copy_from_slice(id.0.as_bytes()),
@@ -329,7 +343,11 @@
             Signal::Chunk(chunk) => {
                 let (index, tokens) = (chunk.index, chunk.tokens);
                 self.chunk = Some((tokens, chunk.data));
-                Some(Event::Chunk { attempt, index, tokens })
+                Some(Event::Chunk {
+                    attempt,
+                    index,
+                    tokens,
+                })
             }
             Signal::Reply(reply) => {
                 record.call = None;
@@ -342,7 +360,11 @@
                     }
                     Err(end) => end,
                 };
-                Some(Event::Ended { attempt, end, usage })
+                Some(Event::Ended {
+                    attempt,
+                    end,
+                    usage,
+                })
             }
             Signal::Lost { written } => {
                 record.call = None;
@@ -351,10 +373,17 @@
                 let end = if written {
                     AttemptEnd::Unknown { reason }
                 } else {
-                    AttemptEnd::NotRun { reason, retry_after: None }
+                    AttemptEnd::NotRun {
+                        reason,
+                        retry_after: None,
+                    }
                 };
                 let usage = Usage::default();
-                Some(Event::Ended { attempt, end, usage })
+                Some(Event::Ended {
+                    attempt,
+                    end,
+                    usage,
+                })
             }
         }
     }
@@ -418,7 +447,10 @@
         End::NotRun => {
             let after = Duration::from_millis(u64::from(reply.retry_after_ms));
             let retry_after = (reply.retry_after_ms > 0).then_some(after);
-            Err(AttemptEnd::NotRun { reason, retry_after })
+            Err(AttemptEnd::NotRun {
+                reason,
+                retry_after,
+            })
         }
         End::Unknown | End::Unspecified => Err(AttemptEnd::Unknown { reason }),
     }
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -93,11 +93,14 @@
 
     /// Notes the end of a request.
     pub(crate) fn settled(&self, spec: &Spec, finish: &Finish) {
-        let reason = finish.reason.map_or_else(|| "-".to_owned(), |r| r.to_string());
+        let reason = finish
+            .reason
+            .map_or_else(|| "-".to_owned(), |r| r.to_string());
         let outcome = finish.outcome.to_string();
         metrics::counter!("snipeyoke_requests_total", "outcome" => outcome.clone(), "reason" => reason.clone()).increment(1);
         log::info!(target: "request", event = "request-ended", request = spec.request.to_string().as_str(), account = spec.account.as_str(), pipeline = spec.name.as_str(), outcome = outcome.as_str(), reason = reason.as_str(); "");
-        self.outcomes.note(spec.request, finish.outcome, finish.reason);
+        self.outcomes
+            .note(spec.request, finish.outcome, finish.reason);
     }
 }
 
@@ -131,7 +134,8 @@
         let door = Arc::new(Door::new(Arc::clone(&node)));
         let conns = Scope::new(Arc::clone(&execs.traffic));
         let drain = node.board.drain.clone();
-        node.scope.spawn(http::serve(listener, door, bounds, conns, drain));
+        node.scope
+            .spawn(http::serve(listener, door, bounds, conns, drain));
         log::info!(event = "router-up", node = node.settings.node.as_str(), callers = callers.to_string().as_str(), incarnation = node.incarnation.0; "");
         Ok(Self { node, callers })
     }
