standin: name token indices as the agent reads them

Cause: the agent reads token_index and token_count, the stand-in said token. Conclusion: resumed streams carry their place.

--- a/standin/src/engine/chat.rs
+++ b/standin/src/engine/chat.rs
@@ -246,7 +246,8 @@
             "id": self.request.id,
             "object": "chat.completion.chunk",
             "model": self.request.model,
-            "token": token,
+            "token_index": token,
+            "token_count": u32::from(usage.is_none()),
             "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
         });
         if let Some(usage) = usage {
--- a/standin/src/http.rs
+++ b/standin/src/http.rs
@@ -26,6 +26,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderMap;
 use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
 use hyper::header::USER_AGENT;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -275,6 +276,9 @@
     let mut response = refusal(status, message);
     let headers = response.headers_mut();
     headers.insert(NOT_RUN, HeaderValue::from_static("1"));
+    if status == StatusCode::TOO_MANY_REQUESTS {
+        headers.insert(RETRY_AFTER, HeaderValue::from_static("1"));
+    }
     response
 }
 
