--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -165,8 +165,8 @@
     shared.fleet.upsert(
         peer.endpoint.clone(),
         peer.pool.clone(),
-        peer.domain.clone(),
-        peer.region.clone(),
+        &peer.domain,
+        &peer.region,
         peer.incarnation,
     );
     log::info!(event = "agent-link-up", endpoint = peer.endpoint.as_str(), pool = peer.pool.as_str(), domain = peer.domain.as_str(), address = link.address.to_string().as_str(), incarnation = peer.incarnation.0; "");
--- a/router/src/door/mod.rs
+++ b/router/src/door/mod.rs
@@ -25,9 +25,6 @@
 use self::reply::Head;
 use crate::node::Node;
 
-pub(crate) use self::auth::bearer;
-pub(crate) use self::auth::digest;
-
 /// The path prefix of plain requests and of questions about requests.
 const REQUESTS: &str = "/v1/requests/";
 
--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -199,7 +199,7 @@
                 self.send(&send, endpoint);
             }
             Action::Cancel { attempt } => self.cancel(attempt),
-            Action::Deliver { attempt: _, skip } => self.deliver(skip),
+            Action::Deliver { skip, .. } => self.deliver(skip),
             Action::StageDone { stage, attempt } => self.stage_done(stage, attempt),
             Action::Finish {
                 outcome,
