--- a/lib/src/journal/entry.rs
+++ b/lib/src/journal/entry.rs
@@ -45,8 +45,8 @@
     pub endpoint: EndpointId,
     /// The time until completion that was expected there.
     pub predicted: Duration,
-    /// The cost that was expected there.
-    pub cost: Cost,
+    /// The cost that was expected there, where the policy weighs it.
+    pub cost: Option<Cost>,
 }
 
 /// Where an attempt was sent, and why.
--- a/lib/src/journal/mod.rs
+++ b/lib/src/journal/mod.rs
@@ -5,9 +5,11 @@
 //! forgets the requests that finished first.
 
 mod entry;
+mod route;
 
 use std::collections::BTreeMap;
 use std::collections::VecDeque;
+use std::ops::Bound;
 
 pub use entry::ATTEMPTS_MAX;
 pub use entry::Accepted;
@@ -172,6 +174,17 @@
         self.requests.values().rev()
     }
 
+    /// Copies at most `limit` requests older than `before`, the newest first.
+    ///
+    /// A reader that holds a lock takes it page by page, so that the requests
+    /// at work wait for one page at most.
+    #[must_use]
+    pub fn page(&self, before: Option<RequestId>, limit: usize) -> Vec<Request> {
+        let end = before.map_or(Bound::Unbounded, Bound::Excluded);
+        let range = self.requests.range((Bound::Unbounded, end));
+        range.rev().take(limit).map(|(_, r)| r.clone()).collect()
+    }
+
     /// Returns an estimate of the memory in use, from above.
     #[must_use]
     pub const fn used(&self) -> Bytes {
--- a/lib/src/query/explain.rs
+++ b/lib/src/query/explain.rs
@@ -11,6 +11,7 @@
 use super::value::Value;
 use crate::config::Config;
 use crate::journal::Attempt;
+use crate::journal::Choice;
 use crate::journal::Request;
 use crate::outcome::AttemptEnd;
 use crate::time::Time;
@@ -63,12 +64,17 @@
     (Duration::ZERO, "came", detail)
 }
 
+fn expected(choice: &Choice) -> String {
+    let cost = choice.cost.map_or_else(String::new, |c| format!(" cost {c}"));
+    format!("{}{cost}", span(choice.predicted))
+}
+
 fn sent(request: &Request, attempt: &Attempt) -> Event {
     let decision = &attempt.decision;
     let others: Vec<_> = decision
         .others
         .iter()
-        .map(|o| format!("{} {} cost {}", o.endpoint, span(o.predicted), o.cost))
+        .map(|o| format!("{} {}", o.endpoint, expected(o)))
         .collect();
     let others = if others.is_empty() {
         "no alternative".to_owned()
@@ -77,13 +83,12 @@
     };
     let hedge = if decision.hedge { ", as a hedge" } else { "" };
     let detail = format!(
-        "stage {} attempt {} to {} ({}), predicted {} cost {}, {others}{hedge}",
+        "stage {} attempt {} to {} ({}), predicted {}, {others}{hedge}",
         decision.stage,
         decision.attempt,
         decision.chosen.endpoint,
         decision.why,
-        span(decision.chosen.predicted),
-        decision.chosen.cost,
+        expected(&decision.chosen),
     );
     (attempt.sent.since(request.at), "sent", detail)
 }
--- /dev/null
+++ b/router/src/control/facts.rs
@@ -0,0 +1,90 @@
+//! What this router can tell, for the language.
+
+use std::time::Duration;
+
+use snipeyoke_lib::ids::ClientAccount;
+use snipeyoke_lib::ids::RequestId;
+use snipeyoke_lib::ids::Revision;
+use snipeyoke_lib::journal::Request;
+use snipeyoke_lib::query::ChangeFact;
+use snipeyoke_lib::query::ConfigFact;
+use snipeyoke_lib::query::EndpointFact;
+use snipeyoke_lib::query::FactError;
+use snipeyoke_lib::query::Facts;
+use snipeyoke_lib::query::HostFact;
+use snipeyoke_lib::query::LeaseFact;
+use snipeyoke_lib::query::NodeFact;
+use snipeyoke_lib::time::Time;
+
+use crate::node::Node;
+
+/// A router's facts.
+#[derive(Debug)]
+pub(crate) struct NodeFacts<'a>(pub(crate) &'a Node);
+
+impl Facts for NodeFacts<'_> {
+    fn now(&self) -> Time {
+        self.0.clock.now()
+    }
+
+    fn requests(&self, visit: &mut dyn FnMut(&Request)) {
+        self.0.control.records.each(visit);
+    }
+
+    fn request(&self, id: RequestId) -> Option<Request> {
+        self.0.control.records.get(id)
+    }
+
+    fn config(&self, at: Option<Revision>) -> Result<ConfigFact, FactError> {
+        let in_force = self.0.board.config.get();
+        if at.is_none_or(|asked| asked == in_force.revision) {
+            return Ok(ConfigFact {
+                revision: in_force.revision,
+                config: std::sync::Arc::clone(&in_force.config),
+            });
+        }
+        self.0.control.history().at(at)
+    }
+
+    fn active(&self, account: &ClientAccount) -> u32 {
+        self.0.control.records.active(account)
+    }
+
+    fn endpoints(&self) -> Vec<EndpointFact> {
+        let config = &self.0.board.config.get().config;
+        self.0.control.sight.endpoints(self.now(), config)
+    }
+
+    fn hosts(&self) -> Vec<HostFact> {
+        Vec::new()
+    }
+
+    fn nodes(&self) -> Vec<NodeFact> {
+        let mut nodes = vec![own(self.0)];
+        nodes.extend(self.0.control.sight.agents(self.now()));
+        nodes
+    }
+
+    fn leases(&self) -> Vec<LeaseFact> {
+        Vec::new()
+    }
+
+    fn changes(&self) -> Vec<ChangeFact> {
+        self.0.control.history().changes()
+    }
+}
+
+fn own(node: &Node) -> NodeFact {
+    let own = &node.settings;
+    NodeFact {
+        node: own.node.clone(),
+        kind: "router".to_owned(),
+        host: own.host.clone(),
+        domain: own.domain.clone(),
+        address: own.listen.control.to_string(),
+        revision: Some(node.board.config.get().revision),
+        report: Duration::ZERO,
+        fresh: true,
+        draining: node.board.drain.is_set(),
+    }
+}
--- /dev/null
+++ b/router/src/control/mod.rs
@@ -0,0 +1,40 @@
+//! The operators' control port: questions, changes, stops.
+
+mod auth;
+mod changes;
+mod drains;
+mod facts;
+mod port;
+mod records;
+mod sight;
+mod waiters;
+
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use snipeyoke_lib::query::History;
+
+pub(crate) use self::port::Port;
+pub(crate) use self::records::Records;
+pub(crate) use self::sight::Sight;
+pub(crate) use self::waiters::Waiters;
+
+/// What the control port knows beside the blackboard.
+#[derive(Debug, Default)]
+pub(crate) struct Control {
+    /// The requests of this router.
+    pub(crate) records: Records,
+    /// The endpoints that it sees.
+    pub(crate) sight: Sight,
+    /// The operators who wait for a change to be read back.
+    pub(crate) waiters: Waiters,
+    history: Mutex<History>,
+}
+
+impl Control {
+    /// Locks the earlier configurations.
+    pub(crate) fn history(&self) -> MutexGuard<'_, History> {
+        self.history.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/router/src/control/waiters.rs
@@ -0,0 +1,74 @@
+//! Operators who wait until their change is read back from the log.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use snipeyoke_lib::config::Applied;
+use snipeyoke_lib::record::Record;
+use snipeyoke_lib::record::RecordId;
+
+/// Those who wait, by the record that they wait for.
+#[derive(Debug, Default)]
+pub(crate) struct Waiters {
+    waiting: Mutex<BTreeMap<RecordId, Sender<Applied>>>,
+}
+
+/// One who waits; forgotten when dropped.
+#[derive(Debug)]
+pub(crate) struct Waiter<'a> {
+    waiters: &'a Waiters,
+    id: RecordId,
+    told: Receiver<Applied>,
+}
+
+impl Waiters {
+    /// Begins to wait for a record; call it before the append.
+    pub(crate) fn wait(&self, id: RecordId) -> Waiter<'_> {
+        let (tell, told) = async_channel::unbounded();
+        self.lock().insert(id, tell);
+        Waiter {
+            waiters: self,
+            id,
+            told,
+        }
+    }
+
+    /// Tells who waits for the record in `bytes` what it did.
+    pub(crate) fn tell(&self, bytes: &[u8], applied: &Applied) {
+        let waiting = self.lock();
+        if waiting.is_empty() {
+            return;
+        }
+        let Ok(record) = Record::try_from(bytes) else {
+            return;
+        };
+        let told = waiting.get(&record.id).map(|w| w.try_send(applied.clone()));
+        if matches!(told, Some(Err(_))) {
+            log::debug!(event = "operator-gone", record = record.id.to_string().as_str(); "");
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, BTreeMap<RecordId, Sender<Applied>>> {
+        self.waiting.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Waiter<'_> {
+    /// Waits until the record is read back.
+    pub(crate) async fn applied(&self) -> Applied {
+        match self.told.recv().await {
+            Ok(applied) => applied,
+            Err(_closed) => std::future::pending().await,
+        }
+    }
+}
+
+impl Drop for Waiter<'_> {
+    fn drop(&mut self) {
+        self.waiters.lock().remove(&self.id);
+    }
+}
