--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -1,1 +1,1 @@
-//! placeholder
+//! Not yet built; see docs/architecture.md.
--- a/router/src/agents.rs
+++ b/router/src/agents.rs
@@ -97,6 +97,11 @@
         link.call(attempt, call, feed)
     }
 
+    /// Returns the number of open links.
+    pub(crate) fn count(&self) -> usize {
+        self.links().len()
+    }
+
     fn links(&self) -> MutexGuard<'_, BTreeMap<EndpointId, Arc<AgentLink>>> {
         self.links.lock().unwrap_or_else(PoisonError::into_inner)
     }
--- a/router/src/board.rs
+++ b/router/src/board.rs
@@ -6,9 +6,7 @@
 use snipeyoke_lib::config::Config;
 use snipeyoke_lib::config::KeyDigest;
 use snipeyoke_lib::ids::ClientAccount;
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::ids::Revision;
-use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::board::Fact;
 use snipeyoke_runtime::flag::Flag;
 
@@ -17,16 +15,12 @@
 pub(crate) struct ConfigFact {
     pub(crate) config: Arc<Config>,
     pub(crate) revision: Revision,
-    /// The offset after the last record applied.
-    pub(crate) next: Offset,
-    /// When it came into force here.
-    pub(crate) since: Time,
     /// The account of each key.
     pub(crate) keys: BTreeMap<KeyDigest, ClientAccount>,
 }
 
 impl ConfigFact {
-    pub(crate) fn new(config: Arc<Config>, revision: Revision, next: Offset, since: Time) -> Self {
+    pub(crate) fn new(config: Arc<Config>, revision: Revision) -> Self {
         let mut keys = BTreeMap::new();
         for (name, account) in &config.accounts {
             for key in &account.keys {
@@ -36,8 +30,6 @@
         Self {
             config,
             revision,
-            next,
-            since,
             keys,
         }
     }
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -208,7 +208,7 @@
             if let Some(load) = heartbeat.load {
                 shared
                     .fleet
-                    .on_load(now, &peer.endpoint, &load_report(load));
+                    .on_load(now, &peer.endpoint, &load_report(&load));
             }
             if heartbeat.draining {
                 shared.fleet.drain(&peer.endpoint);
@@ -229,7 +229,7 @@
     }
 }
 
-fn load_report(load: Load) -> LoadReport {
+fn load_report(load: &Load) -> LoadReport {
     LoadReport {
         seq: load.seq,
         slots: load.slots,
--- a/router/src/door/chat.rs
+++ b/router/src/door/chat.rs
@@ -64,7 +64,7 @@
     let intake = intake::admit(node, id, request.headers())?;
     let headers = request.headers().clone();
     let bytes = intake::body(node, request).await?;
-    let chat: ChatBody = serde_json::from_slice(&bytes).map_err(bad_body)?;
+    let chat: ChatBody = serde_json::from_slice(&bytes).map_err(|e| bad_body(&e))?;
     let bound = intake.bind(&chat.model)?;
     let once = intake.once(&bound.pipeline, &headers, &bytes)?;
     let (prompt, work) = prepare(&chat, &bound)?;
@@ -76,7 +76,7 @@
     Ok(whole_reply(id, &model, &ticket).await)
 }
 
-fn bad_body(error: serde_json::Error) -> DoorError {
+fn bad_body(error: &serde_json::Error) -> DoorError {
     DoorError::BadBody {
         what: error.to_string(),
     }
@@ -112,13 +112,8 @@
         .last()
         .map(|(_role, text)| text.clone())
         .unwrap_or_default();
-    let work = Work {
-        messages: chat.messages.clone(),
-        input: json!({"messages": chat.messages}),
-        query,
-        max_tokens: max,
-        ..Work::default()
-    };
+    let input = json!({"messages": chat.messages});
+    let work = Work::new(chat.messages.clone(), query, input, max);
     Ok((prompt, work))
 }
 
--- a/router/src/door/plain.rs
+++ b/router/src/door/plain.rs
@@ -47,13 +47,8 @@
     })?;
     let once = intake.once(&bound.pipeline, &headers, &bytes)?;
     let text = input.to_string();
-    let work = Work {
-        messages: vec![json!({"role": "user", "content": text})],
-        query: text,
-        input,
-        max_tokens: MAX_TOKENS,
-        ..Work::default()
-    };
+    let messages = vec![json!({"role": "user", "content": text})];
+    let work = Work::new(messages, text, input, MAX_TOKENS);
     let ticket = intake.start(node, bound, Prompt::default(), work, once, false);
     while let Ok(up) = ticket.up.recv().await {
         if let Up::Done(finish) = up {
--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -107,7 +107,7 @@
 
 /// What the driver waits for.
 enum Next {
-    Input(Input),
+    Input(Box<Input>),
     Wake,
     Gone,
     Stopped,
@@ -123,7 +123,7 @@
                 }
             }
             let event = match self.next(&inputs).await {
-                Next::Input(input) => self.event_of(input),
+                Next::Input(input) => self.event_of(*input),
                 Next::Wake => {
                     self.wake = Time::NEVER;
                     Some(Event::Wake)
@@ -144,7 +144,7 @@
         let input = async {
             // The feed has a sender in `self`, so the channel stays open.
             match inputs.recv().await {
-                Ok(input) => Next::Input(input),
+                Ok(input) => Next::Input(Box::new(input)),
                 Err(_closed) => std::future::pending().await,
             }
         };
@@ -169,10 +169,8 @@
     fn step(&mut self, event: Event) {
         let mut actions = Vec::new();
         let now = self.node.clock.now();
-        {
-            let mut shared = self.node.shared();
-            self.chain.on_event(now, event, &mut shared, &mut actions);
-        }
+        self.chain
+            .on_event(now, event, &mut self.node.shared(), &mut actions);
         for action in actions {
             self.carry_out(action);
         }
--- a/router/src/drive/work.rs
+++ b/router/src/drive/work.rs
@@ -35,12 +35,12 @@
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Work {
     /// The caller's messages, in the chat dialect.
-    pub(crate) messages: Vec<Value>,
+    messages: Vec<Value>,
     /// The text that is embedded and searched with.
-    pub(crate) query: String,
+    query: String,
     /// The caller's body, for plain services.
-    pub(crate) input: Value,
-    pub(crate) max_tokens: u32,
+    input: Value,
+    max_tokens: u32,
     embedding: Value,
     documents: Vec<Document>,
     /// Generated text that has been delivered.
@@ -92,6 +92,17 @@
 }
 
 impl Work {
+    /// Starts with what the caller sent.
+    pub(crate) fn new(messages: Vec<Value>, query: String, input: Value, max_tokens: u32) -> Self {
+        Self {
+            messages,
+            query,
+            input,
+            max_tokens,
+            ..Self::default()
+        }
+    }
+
     /// Builds the path and body for a stage.
     pub(crate) fn request(
         &self,
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -5,6 +5,7 @@
 mod connect;
 mod door;
 mod drive;
+mod follow;
 mod node;
 mod outcomes;
 pub mod settings;
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -21,6 +21,8 @@
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Bounds;
+use snipeyoke_runtime::http::Client;
+use snipeyoke_runtime::platform::HttpLog;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::threads::Execs;
 use snipeyoke_wire::Hello;
@@ -31,6 +33,7 @@
 use crate::connect;
 use crate::door::Door;
 use crate::drive::Finish;
+use crate::follow;
 use crate::outcomes::Outcomes;
 use crate::settings::PolicyName;
 use crate::settings::Raw;
@@ -39,6 +42,9 @@
 /// The version of the frames between processes.
 const PROTOCOL: u32 = 1;
 
+/// The longest time to connect to the platform.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
 /// The reason why a router can't start.
 #[derive(Debug)]
 #[derive(Display, Error)]
@@ -109,6 +115,7 @@
 pub struct Router {
     node: Arc<Node>,
     callers: SocketAddr,
+    control: Scope,
 }
 
 impl Router {
@@ -131,13 +138,21 @@
         for agent in node.settings.agents.clone() {
             node.scope.spawn(connect::keep(Arc::clone(&node), agent));
         }
+        let client = Client::new(node.scope.clone(), CONNECT_LIMIT);
+        let log = Arc::new(HttpLog::new(client, node.settings.platform));
+        let control = Scope::new(Arc::clone(&execs.control));
+        control.spawn(follow::run(Arc::clone(&node), log));
         let door = Arc::new(Door::new(Arc::clone(&node)));
         let conns = Scope::new(Arc::clone(&execs.traffic));
         let drain = node.board.drain.clone();
         node.scope
             .spawn(http::serve(listener, door, bounds, conns, drain));
         log::info!(event = "router-up", node = node.settings.node.as_str(), callers = callers.to_string().as_str(), incarnation = node.incarnation.0; "");
-        Ok(Self { node, callers })
+        Ok(Self {
+            node,
+            callers,
+            control,
+        })
     }
 
     /// Returns the address that callers connect to.
@@ -146,6 +161,12 @@
         self.callers
     }
 
+    /// Returns the number of agents that this router has a link to.
+    #[must_use]
+    pub fn linked(&self) -> usize {
+        self.node.agents.count()
+    }
+
     /// Drains: takes nothing new, finishes what runs, and ends.
     pub async fn leave(&self) {
         self.node.board.drain.set();
@@ -157,6 +178,7 @@
     pub async fn stop(&self) {
         self.node.board.drain.set();
         self.node.board.stop.set();
+        self.control.cancel_later().await;
         self.node.scope.cancel_later().await;
         self.node.requests.cancel().await;
         log::info!(event = "router-down", node = self.node.settings.node.as_str(); "");
@@ -169,9 +191,9 @@
         region: raw.region.clone(),
     };
     let policy: Box<dyn Policy> = match raw.policy {
-        PolicyName::Predicted => Box::new(Predicted::default()),
+        PolicyName::Predicted => Box::new(Predicted),
         PolicyName::RoundRobin => Box::new(RoundRobin::default()),
-        PolicyName::LeastOutstanding => Box::new(LeastOutstanding::default()),
+        PolicyName::LeastOutstanding => Box::new(LeastOutstanding),
     };
     let incarnation = Incarnation(Clock::wall().as_millis());
     Node {
--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod link;
 pub mod logs;
 pub mod measures;
+pub mod platform;
 pub mod scope;
 pub mod settings;
 pub mod signals;
--- /dev/null
+++ b/runtime/src/platform/log.rs
@@ -0,0 +1,196 @@
+//! The log service over HTTP.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_io::Timer;
+use bytes::Buf;
+use bytes::BufMut;
+use bytes::Bytes;
+use bytes::BytesMut;
+use futures_lite::FutureExt;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::StatusCode;
+use hyper::header::RETRY_AFTER;
+use serde::Deserialize;
+use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::log::Append;
+use snipeyoke_lib::log::AppendEnd;
+use snipeyoke_lib::log::LogCall;
+use snipeyoke_lib::log::LogStore;
+use snipeyoke_lib::log::Read;
+use snipeyoke_lib::log::ReadEnd;
+
+use crate::http::Client;
+use crate::http::ClientError;
+use crate::http::collect;
+
+/// The longest time for an append.
+///
+/// Beyond it the append counts as unanswered and is repeated under the same
+/// record ids.
+const APPEND_LIMIT: Duration = Duration::from_secs(2);
+
+/// The longest time for a read beyond the wait that it asks for.
+const READ_SLACK: Duration = Duration::from_secs(2);
+
+/// The largest answer that is taken, in bytes.
+const ANSWER_MAX: usize = 8 << 20;
+
+/// The header with the lowest offset left.
+const FIRST: &str = "x-log-first";
+
+/// The header with the offset after the newest record.
+const END: &str = "x-log-end";
+
+/// Speaks to the platform's log service; one try for each call.
+#[derive(Debug, Clone)]
+pub struct HttpLog {
+    client: Client,
+    address: SocketAddr,
+}
+
+#[derive(Deserialize)]
+struct Appended {
+    offset: u64,
+}
+
+#[derive(Deserialize)]
+struct GoneBody {
+    first: u64,
+}
+
+impl HttpLog {
+    /// Builds an adapter for the service at `address`.
+    #[must_use]
+    pub const fn new(client: Client, address: SocketAddr) -> Self {
+        Self { client, address }
+    }
+
+    async fn try_append(&self, append: Append) -> AppendEnd {
+        let path = format!("/log/{}/append", append.topic);
+        let Some(request) = post(&path, encode(&append.records)) else {
+            return AppendEnd::NotDone { retry_after: None };
+        };
+        let (response, kept) = match self.client.send(self.address, request).await {
+            Ok(answered) => answered,
+            Err(error) if error.is_not_sent() => return AppendEnd::NotDone { retry_after: None },
+            Err(ClientError::Connect(_) | ClientError::NotSent(_) | ClientError::Sent(_)) => {
+                return AppendEnd::Unanswered;
+            }
+        };
+        match response.status() {
+            StatusCode::OK => {}
+            // These two say that nothing was done; no other answer does.
+            StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE => {
+                let retry_after = retry_after(response.headers());
+                return AppendEnd::NotDone { retry_after };
+            }
+            _ => return AppendEnd::Unanswered,
+        }
+        let Ok(body) = collect(response.into_body(), ANSWER_MAX).await else {
+            return AppendEnd::Unanswered;
+        };
+        self.client.keep(kept);
+        match serde_json::from_slice::<Appended>(&body) {
+            Ok(appended) => AppendEnd::Done {
+                offset: Offset(appended.offset),
+            },
+            Err(_malformed) => AppendEnd::Unanswered,
+        }
+    }
+
+    async fn try_read(&self, read: Read) -> ReadEnd {
+        let path = format!(
+            "/log/{}/read?from={}&wait_ms={}&max_bytes={}",
+            read.topic,
+            read.from,
+            read.wait.as_millis(),
+            read.limit
+        );
+        let Ok(request) = hyper::Request::get(path).body(Full::default()) else {
+            return ReadEnd::Failed;
+        };
+        let Ok((response, kept)) = self.client.send(self.address, request).await else {
+            return ReadEnd::Failed;
+        };
+        let status = response.status();
+        let first = offset(response.headers(), FIRST);
+        let end = offset(response.headers(), END);
+        let Ok(body) = collect(response.into_body(), ANSWER_MAX).await else {
+            return ReadEnd::Failed;
+        };
+        self.client.keep(kept);
+        if status == StatusCode::GONE {
+            let gone = serde_json::from_slice::<GoneBody>(&body);
+            return gone.map_or(ReadEnd::Failed, |g| ReadEnd::Gone {
+                first: Offset(g.first),
+            });
+        }
+        match (status, first, end, decode(body)) {
+            (StatusCode::OK, Some(first), Some(end), Some(records)) => ReadEnd::Records {
+                first,
+                end,
+                records,
+            },
+            _ => ReadEnd::Failed,
+        }
+    }
+}
+
+impl LogStore for HttpLog {
+    fn append(&self, append: Append) -> LogCall<'_, AppendEnd> {
+        let timeout = async {
+            Timer::after(APPEND_LIMIT).await;
+            AppendEnd::Unanswered
+        };
+        Box::pin(self.try_append(append).or(timeout))
+    }
+
+    fn read(&self, read: Read) -> LogCall<'_, ReadEnd> {
+        let limit = read.wait + READ_SLACK;
+        let timeout = async move {
+            Timer::after(limit).await;
+            ReadEnd::Failed
+        };
+        Box::pin(self.try_read(read).or(timeout))
+    }
+}
+
+fn post(path: &str, body: Bytes) -> Option<hyper::Request<Full<Bytes>>> {
+    hyper::Request::post(path).body(Full::new(body)).ok()
+}
+
+/// Writes records, each with its length before it.
+fn encode(records: &[Vec<u8>]) -> Bytes {
+    let mut out = BytesMut::new();
+    for record in records {
+        // A record is far below 4 GiB: the service takes 256 KiB at most.
+        out.put_u32(u32::try_from(record.len()).unwrap_or(u32::MAX));
+        out.put_slice(record);
+    }
+    out.freeze()
+}
+
+/// Reads records; `None` for an answer that was cut off.
+fn decode(mut body: Bytes) -> Option<Vec<Vec<u8>>> {
+    let mut records = Vec::new();
+    while body.has_remaining() {
+        let length = body.try_get_u32().ok()? as usize;
+        if body.remaining() < length {
+            return None;
+        }
+        records.push(body.split_to(length).to_vec());
+    }
+    Some(records)
+}
+
+fn offset(headers: &HeaderMap, name: &str) -> Option<Offset> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn retry_after(headers: &HeaderMap) -> Option<Duration> {
+    let seconds: f64 = headers.get(RETRY_AFTER)?.to_str().ok()?.parse().ok()?;
+    Duration::try_from_secs_f64(seconds).ok()
+}
