chain: split the state machine by what it reacts to

Change: Turn carries time, shared state and actions; progress, ending and watch each hold one concern.

--- a/lib/src/chain/attempt.rs
+++ b/lib/src/chain/attempt.rs
@@ -32,6 +32,8 @@
     pub(super) began: Time,
     pub(super) predicted: Duration,
     pub(super) state: State,
+    /// Whether its frame was written.
+    pub(super) sent: bool,
     /// The time of the first token, if one came.
     pub(super) first: Option<Time>,
     /// The time of the last sign of progress.
--- a/lib/src/chain/machine.rs
+++ b/lib/src/chain/machine.rs
@@ -1,29 +1,28 @@
 //! The state machine itself: events in, actions out.
 
-use std::time::Duration;
-
 use super::Action;
 use super::Decision;
 use super::Event;
 use super::Shared;
 use super::Spec;
-use super::Usage;
 use super::attempt::Attempt;
 use super::attempt::State;
 use super::select;
 use super::timing;
 use crate::config::Stage;
 use crate::ids::AttemptId;
-use crate::outcome::AttemptEnd;
-use crate::outcome::Outcome;
 use crate::outcome::Reason;
 use crate::time::Time;
 
 /// The most attempts at one stage, hedges included.
-const ATTEMPTS_MAX: usize = 5;
+pub(super) const ATTEMPTS_MAX: usize = 5;
 
-/// The first pause before asking a full pool again; it doubles.
-const PAUSE_FIRST: Duration = Duration::from_millis(10);
+/// One event's handling: the time, what is shared, and the actions so far.
+pub(super) struct Turn<'a> {
+    pub(super) now: Time,
+    pub(super) shared: &'a mut Shared,
+    pub(super) out: &'a mut Vec<Action>,
+}
 
 /// Owns one accepted request until its one outcome.
 #[derive(Debug, Clone)]
@@ -35,8 +34,8 @@
     pub(super) source: Option<AttemptId>,
     pub(super) again: Option<Time>,
     pub(super) entered: Time,
+    pub(super) finished: bool,
     started: bool,
-    finished: bool,
     wake: Option<Time>,
 }
 
@@ -52,8 +51,8 @@
             source: None,
             again: None,
             entered: Time::ZERO,
-            started: false,
             finished: false,
+            started: false,
             wake: None,
         }
     }
@@ -89,56 +88,64 @@
         if self.finished {
             return;
         }
+        let mut turn = Turn { now, shared, out };
+        self.dispatch(event, &mut turn);
+        if self.started && !self.finished {
+            self.check_time(&mut turn);
+        }
+        if self.started && !self.finished {
+            self.ask_wake(&mut turn);
+        }
+    }
+
+    fn dispatch(&mut self, event: Event, turn: &mut Turn<'_>) {
         match event {
-            Event::Start => self.start(now, shared, out),
-            Event::Sent { attempt } => self.on_sent(now, attempt, shared),
+            Event::Start => self.start(turn),
+            Event::Sent { attempt } => self.on_sent(attempt, turn),
             Event::Chunk {
                 attempt,
                 index,
                 tokens,
-            } => self.on_chunk(now, attempt, index, tokens, shared, out),
+            } => self.on_chunk(attempt, index, tokens, turn),
             Event::Ended {
                 attempt,
                 end,
                 usage,
-            } => self.on_ended(now, attempt, &end, usage, shared, out),
+            } => self.on_ended(attempt, &end, usage, turn),
             Event::Wake => self.wake = None,
-            Event::CallerGone => self.give_up(now, Reason::CallerGone, None, shared, out),
-            Event::Stop => self.give_up(now, Reason::Stopped, None, shared, out),
-        }
-        if self.started {
-            self.check_time(now, shared, out);
-            self.ask_wake(shared, out);
+            Event::CallerGone => self.give_up(Reason::CallerGone, None, turn),
+            Event::Stop => self.give_up(Reason::Stopped, None, turn),
         }
     }
 
-    fn start(&mut self, now: Time, shared: &mut Shared, out: &mut Vec<Action>) {
+    fn start(&mut self, turn: &mut Turn<'_>) {
         if !self.started {
             self.started = true;
-            self.enter(now, 0, shared, out);
+            self.enter(0, turn);
         }
     }
 
-    fn enter(&mut self, now: Time, stage: usize, shared: &mut Shared, out: &mut Vec<Action>) {
+    pub(super) fn enter(&mut self, stage: usize, turn: &mut Turn<'_>) {
         self.stage = stage;
-        self.entered = now;
+        self.entered = turn.now;
         self.tokens = 0;
         self.source = None;
         self.again = None;
-        shared.retry.earn(&self.current().pool);
-        shared.hedge.earn();
-        self.send(now, shared, out);
+        turn.shared.retry.earn(&self.current().pool);
+        turn.shared.hedge.earn();
+        self.send(turn);
     }
 
     pub(super) fn current(&self) -> &Stage {
         &self.spec.pipeline.stages[self.stage]
     }
 
-    fn is_last(&self) -> bool {
+    pub(super) fn is_last(&self) -> bool {
         self.stage + 1 == self.spec.pipeline.stages.len()
     }
 
-    fn here(&self) -> impl Iterator<Item = &Attempt> {
+    /// Returns the attempts at the current stage.
+    pub(super) fn here(&self) -> impl Iterator<Item = &Attempt> {
         let stage = self.stage;
         self.attempts.iter().filter(move |a| a.stage == stage)
     }
@@ -147,48 +154,40 @@
         self.here().filter(|a| a.is_open())
     }
 
-    fn find_open(&self, id: AttemptId) -> Option<usize> {
-        self.attempts
-            .iter()
-            .position(|a| a.id == id && a.is_open() && a.stage == self.stage)
+    pub(super) fn find_open(&self, id: AttemptId) -> Option<usize> {
+        self.attempts.iter().position(|a| a.id == id && a.is_open())
     }
 
     /// Sends a new attempt at the current stage, or gives the request up.
-    fn send(&mut self, now: Time, shared: &mut Shared, out: &mut Vec<Action>) {
-        if now >= timing::latest(self, shared) {
-            self.give_up(now, Reason::Deadline, None, shared, out);
+    pub(super) fn send(&mut self, turn: &mut Turn<'_>) {
+        if turn.now >= timing::latest(self, turn.shared) {
+            self.give_up(Reason::Deadline, None, turn);
             return;
         }
         // An approval sent twice is invoiced twice. Only a proof for every
         // earlier attempt makes another one safe, whatever led here.
         let may_have_run = self.here().any(|a| a.state != State::NotRun);
         if !self.current().idempotent && may_have_run {
-            self.give_up(now, Reason::Connection, None, shared, out);
+            self.give_up(Reason::Connection, None, turn);
             return;
         }
-        match select::pick(now, self, shared) {
-            Ok(picked) => self.send_to(now, picked, shared, out),
+        match select::pick(turn.now, self, turn.shared) {
+            Ok(picked) => self.send_to(picked, turn),
             Err(_) if self.open().next().is_some() => {}
             Err(reason) => {
-                let after = Some(timing::come_back(shared));
-                self.give_up(now, reason, after, shared, out);
+                let after = timing::come_back(turn.shared);
+                self.give_up(reason, Some(after), turn);
             }
         }
     }
 
-    fn send_to(
-        &mut self,
-        now: Time,
-        picked: select::Picked,
-        shared: &mut Shared,
-        out: &mut Vec<Action>,
-    ) {
+    fn send_to(&mut self, picked: select::Picked, turn: &mut Turn<'_>) {
         let id = AttemptId(self.attempts.len() as u64);
-        let booking = shared.fleet.book(now, &self.current().pool, picked.slot);
-        let left = timing::latest(self, shared).since(now);
-        let priority = timing::priority(now, self, shared);
-        let limits = timing::limits(now, self, picked.predicted, shared);
-        out.push(Action::Decision(Decision::Chosen {
+        let now = turn.now;
+        let pool = &self.current().pool;
+        let booking = turn.shared.fleet.book(now, pool, picked.slot);
+        let limits = timing::limits(now, self, picked.predicted, turn.shared);
+        turn.out.push(Action::Decision(Decision::Chosen {
             request: self.spec.request,
             stage: self.stage,
             attempt: id,
@@ -197,12 +196,12 @@
             predicted: picked.predicted,
             others: picked.others,
         }));
-        out.push(Action::Send {
+        turn.out.push(Action::Send {
             attempt: id,
             stage: self.stage,
             endpoint: picked.endpoint.clone(),
-            left,
-            priority,
+            left: timing::latest(self, turn.shared).since(now),
+            priority: timing::priority(now, self, turn.shared),
             resume_from: self.tokens,
         });
         self.attempts.push(Attempt {
@@ -215,6 +214,7 @@
             began: now,
             predicted: picked.predicted,
             state: State::Open,
+            sent: false,
             first: None,
             progress: now,
             hedge: limits.hedge,
@@ -222,357 +222,11 @@
         });
     }
 
-    fn on_sent(&mut self, now: Time, id: AttemptId, shared: &Shared) {
-        let Some(index) = self.find_open(id) else {
-            return;
-        };
-        // The wait for the connection is the router's, not the endpoint's.
-        let predicted = self.attempts[index].predicted;
-        let limits = timing::limits(now, self, predicted, shared);
-        let attempt = &mut self.attempts[index];
-        if attempt.first.is_none() {
-            attempt.began = now;
-            attempt.progress = now;
-            attempt.hedge = limits.hedge;
-            attempt.patience = limits.patience;
-        }
-    }
-
-    fn on_chunk(
-        &mut self,
-        now: Time,
-        id: AttemptId,
-        first: u32,
-        count: u32,
-        shared: &mut Shared,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(index) = self.find_open(id) else {
-            return;
-        };
-        self.note_progress(now, index, shared);
-        if self.source != Some(id) {
-            self.choose_source(now, id, shared, out);
-        }
-        let end = first.saturating_add(count);
-        if first > self.tokens {
-            // Tokens are missing before this chunk. Appending it would give the
-            // caller an answer with a hole, so the rest is asked for elsewhere,
-            // from the first missing token.
-            self.drop_attempt(now, index, shared, out);
-            self.retry(now, Reason::Connection, None, shared, out);
-        } else if end > self.tokens {
-            out.push(Action::Deliver {
-                attempt: id,
-                skip: self.tokens - first,
-            });
-            self.tokens = end;
-        }
-    }
-
-    fn note_progress(&mut self, now: Time, index: usize, shared: &mut Shared) {
-        let began = self.attempts[index].began;
-        if self.attempts[index].first.is_none() {
-            self.attempts[index].first = Some(now);
-            let entry = shared.times.entry(&self.spec.name, self.stage);
-            entry.first.observe(now.since(began));
-        }
-        self.attempts[index].progress = now;
-    }
-
-    // Two engines may word an answer differently, so tokens of two attempts
-    // must not be mixed: the first to give one wins, the others are cancelled.
-    fn choose_source(
-        &mut self,
-        now: Time,
-        id: AttemptId,
-        shared: &mut Shared,
-        out: &mut Vec<Action>,
-    ) {
-        self.source = Some(id);
-        self.drop_others(now, id, shared, out);
-    }
-
-    fn on_ended(
-        &mut self,
-        now: Time,
-        id: AttemptId,
-        end: &AttemptEnd,
-        usage: Usage,
-        shared: &mut Shared,
-        out: &mut Vec<Action>,
-    ) {
-        let Some(index) = self.find_open(id) else {
-            self.note_proof(id, end);
-            return;
-        };
-        match end {
-            AttemptEnd::Completed if self.is_whole(id, usage) => {
-                self.complete(now, index, usage, shared, out);
-            }
-            AttemptEnd::Completed => {
-                self.settle(now, index, State::Ran, shared, out);
-                self.retry(now, Reason::Connection, None, shared, out);
-            }
-            AttemptEnd::NotRun {
-                reason,
-                retry_after,
-            } => {
-                self.settle(now, index, State::NotRun, shared, out);
-                select::note_refusal(now, &self.attempts[index], *reason, self, shared);
-                self.retry(now, *reason, *retry_after, shared, out);
-            }
-            AttemptEnd::Unknown { reason } => {
-                self.settle(now, index, State::Ran, shared, out);
-                select::note_failure(now, &self.attempts[index], self, shared);
-                if self.current().idempotent {
-                    self.retry(now, *reason, None, shared, out);
-                } else {
-                    self.give_up(now, *reason, None, shared, out);
-                }
-            }
-        }
-    }
-
-    // A cancelled attempt may still prove that it never ran, which decides
-    // between the outcomes not-run and unknown.
-    fn note_proof(&mut self, id: AttemptId, end: &AttemptEnd) {
-        let dropped = |a: &&mut Attempt| a.id == id && a.state == State::Dropped;
-        if let Some(attempt) = self.attempts.iter_mut().find(dropped) {
-            attempt.state = if end.is_not_run() {
-                State::NotRun
-            } else {
-                State::Ran
-            };
-        }
-    }
-
-    /// Tells whether a completed attempt's answer has all its tokens.
-    fn is_whole(&self, id: AttemptId, usage: Usage) -> bool {
-        let streams = self.spec.stream && self.is_last() && select::generates(self.current());
-        let chunked = self.source == Some(id) || self.tokens > 0;
-        !(streams || chunked) || self.tokens >= usage.output.0
-    }
-
-    fn complete(
-        &mut self,
-        now: Time,
-        index: usize,
-        usage: Usage,
-        shared: &mut Shared,
-        out: &mut Vec<Action>,
-    ) {
-        self.settle(now, index, State::Ran, shared, out);
-        let attempt = &self.attempts[index];
-        let id = attempt.id;
-        select::note_answer(now, attempt, usage, self, shared);
-        self.drop_others(now, id, shared, out);
-        out.push(Action::StageDone {
-            stage: self.stage,
-            attempt: id,
-        });
-        if self.is_last() {
-            self.finish(Outcome::Completed, None, None, out);
-        } else {
-            self.enter(now, self.stage + 1, shared, out);
-        }
-    }
-
-    /// Tries the stage again where that is allowed, or gives the request up.
-    fn retry(
-        &mut self,
-        now: Time,
-        reason: Reason,
-        after: Option<Duration>,
-        shared: &mut Shared,
-        out: &mut Vec<Action>,
-    ) {
-        if self.open().next().is_some() {
-            return;
-        }
-        let tries = self.here().count();
-        let free = matches!(reason, Reason::Draining);
-        let paid = free || shared.retry.take(&self.current().pool);
-        if tries >= ATTEMPTS_MAX || !paid {
-            let reason = if paid { reason } else { Reason::RetryBudget };
-            let after = after.unwrap_or_else(|| timing::come_back(shared));
-            self.give_up(now, reason, Some(after), shared, out);
-            return;
-        }
-        if matches!(reason, Reason::Overload) {
-            let pause = PAUSE_FIRST * (1 << tries.min(6)) as u32;
-            self.again = Some(now + timing::jitter(pause.max(after.unwrap_or_default()), shared));
-        } else {
-            self.send(now, shared, out);
-        }
-    }
-
-    fn settle(
-        &mut self,
-        now: Time,
-        index: usize,
-        state: State,
-        shared: &mut Shared,
-        out: &mut Vec<Action>,
-    ) {
-        self.release(index, state, shared);
-        let attempt = &self.attempts[index];
-        out.push(Action::Decision(Decision::Settled {
-            request: self.spec.request,
-            stage: attempt.stage,
-            attempt: attempt.id,
-            endpoint: attempt.endpoint.clone(),
-            predicted: attempt.predicted,
-            actual: now.since(attempt.began),
-        }));
-    }
-
-    fn release(&mut self, index: usize, state: State, shared: &mut Shared) {
-        let pool = &self.spec.pipeline.stages[self.attempts[index].stage].pool;
-        let attempt = &mut self.attempts[index];
-        attempt.state = state;
-        if let Some(booking) = attempt.booking.take() {
-            shared.fleet.release(pool, booking);
-        }
-    }
-
-    fn drop_attempt(
-        &mut self,
-        now: Time,
-        index: usize,
-        shared: &mut Shared,
-        out: &mut Vec<Action>,
-    ) {
-        select::note_overdue(now, &self.attempts[index], self, shared);
-        self.release(index, State::Dropped, shared);
-        // An effect that has begun is not called off: it would end as unknown
-        // where waiting for nobody gives an answer that the key remembers.
-        if self.current().idempotent {
-            out.push(Action::Cancel {
-                attempt: self.attempts[index].id,
-            });
-        }
-    }
-
-    fn drop_others(
-        &mut self,
-        now: Time,
-        winner: AttemptId,
-        shared: &mut Shared,
-        out: &mut Vec<Action>,
-    ) {
-        for index in 0..self.attempts.len() {
-            if self.attempts[index].is_open() && self.attempts[index].id != winner {
-                self.drop_attempt(now, index, shared, out);
-            }
-        }
-    }
-
-    /// Ends the request without an answer, at once.
-    fn give_up(
-        &mut self,
-        now: Time,
-        reason: Reason,
-        after: Option<Duration>,
-        shared: &mut Shared,
-        out: &mut Vec<Action>,
-    ) {
-        for index in 0..self.attempts.len() {
-            if self.attempts[index].is_open() {
-                self.drop_attempt(now, index, shared, out);
-            }
-        }
-        // "Not run" is a promise about every attempt of every stage. One
-        // attempt without proof, and the caller would repeat what did run.
-        let proven = self.attempts.iter().all(|a| a.state == State::NotRun);
-        let outcome = if proven {
-            Outcome::NotRun
-        } else {
-            Outcome::Unknown
-        };
-        self.finish(outcome, Some(reason), after, out);
-    }
-
-    fn finish(
-        &mut self,
-        outcome: Outcome,
-        reason: Option<Reason>,
-        retry_after: Option<Duration>,
-        out: &mut Vec<Action>,
-    ) {
-        self.finished = true;
-        out.push(Action::Finish {
-            outcome,
-            reason,
-            retry_after,
-        });
-    }
-
-    fn check_time(&mut self, now: Time, shared: &mut Shared, out: &mut Vec<Action>) {
-        if self.finished {
-            return;
-        }
-        if now >= timing::latest(self, shared) {
-            let after = Some(timing::come_back(shared));
-            self.give_up(now, Reason::Timeout, after, shared, out);
-            return;
-        }
-        if self.again.is_some_and(|at| now >= at) {
-            self.again = None;
-            self.send(now, shared, out);
-        }
-        self.check_patience(now, shared, out);
-        self.check_hedge(now, shared, out);
-    }
-
-    // Waiting on a silent endpoint to the deadline loses the request although
-    // others could still answer in time. What a stage may do twice is moved.
-    fn check_patience(&mut self, now: Time, shared: &mut Shared, out: &mut Vec<Action>) {
-        if self.finished || !self.current().idempotent {
-            return;
-        }
-        let silent = self
-            .attempts
-            .iter()
-            .position(|a| a.is_open() && now >= timing::silent_at(a));
-        let Some(index) = silent else {
-            return;
-        };
-        let alone = self.open().count() == 1;
-        if alone && self.here().count() < ATTEMPTS_MAX && shared.retry.take(&self.current().pool) {
-            self.drop_attempt(now, index, shared, out);
-            self.send(now, shared, out);
-        } else {
-            select::note_overdue(now, &self.attempts[index], self, shared);
-            timing::postpone(now, &mut self.attempts[index]);
-        }
-    }
-
-    fn check_hedge(&mut self, now: Time, shared: &mut Shared, out: &mut Vec<Action>) {
-        let Some(at) = timing::hedge_at(self) else {
-            return;
-        };
-        if self.finished || now < at {
-            return;
-        }
-        let Some(index) = self.attempts.iter().position(Attempt::is_open) else {
-            return;
-        };
-        select::note_overdue(now, &self.attempts[index], self, shared);
-        self.attempts[index].hedge = Time::NEVER;
-        if self.here().count() < ATTEMPTS_MAX && shared.hedge.take() {
-            self.send(now, shared, out);
-        }
-    }
-
-    fn ask_wake(&mut self, shared: &Shared, out: &mut Vec<Action>) {
-        if self.finished {
-            return;
-        }
-        let at = timing::next_wake(self, shared);
+    fn ask_wake(&mut self, turn: &mut Turn<'_>) {
+        let at = timing::next_wake(self, turn.shared);
         if self.wake != Some(at) {
             self.wake = Some(at);
-            out.push(Action::WakeAt(at));
+            turn.out.push(Action::WakeAt(at));
         }
     }
 }
--- a/lib/src/chain/mod.rs
+++ b/lib/src/chain/mod.rs
@@ -6,11 +6,14 @@
 
 mod attempt;
 mod decision;
+mod ending;
 mod machine;
 mod model;
+mod progress;
 mod select;
 mod shared;
 mod timing;
+mod watch;
 
 pub use decision::Alternative;
 pub use decision::Decision;
