--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,7 +6,10 @@
 //! driven by tests, by fuzzers, by the processes of snipeyoke and by programs
 //! that embed it with their own transport.
 
+pub mod chain;
 pub mod config;
+pub mod deadline;
+pub mod hedge;
 pub mod ids;
 pub mod lease;
 pub mod log;
@@ -14,5 +17,7 @@
 pub mod outcome;
 pub mod prefix;
 pub mod record;
+pub mod retry;
+pub mod routing;
 pub mod time;
 pub mod units;
