--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod ids;
 pub mod lease;
 pub mod log;
+pub mod once;
 pub mod outcome;
 pub mod prefix;
 pub mod record;
