--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod journal;
 pub mod lease;
 pub mod log;
+pub mod once;
 pub mod outcome;
 pub mod prefix;
 pub mod query;
--- a/lib/src/query/explain.rs
+++ b/lib/src/query/explain.rs
@@ -65,7 +65,9 @@
 }
 
 fn expected(choice: &Choice) -> String {
-    let cost = choice.cost.map_or_else(String::new, |c| format!(" cost {c}"));
+    let cost = choice
+        .cost
+        .map_or_else(String::new, |c| format!(" cost {c}"));
     format!("{}{cost}", span(choice.predicted))
 }
 
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -71,6 +71,7 @@
     domain: FailureDomain,
     region: Region,
     incarnation: Incarnation,
+    hello: Hello,
 }
 
 impl TryFrom<Hello> for Peer {
@@ -83,6 +84,7 @@
             domain: hello.domain.parse()?,
             region: hello.region.parse()?,
             incarnation: Incarnation(hello.incarnation),
+            hello,
         })
     }
 }
@@ -161,6 +163,8 @@
 
 fn join(node: &Node, peer: &Peer, link: &Arc<AgentLink>) {
     node.agents.open(peer.endpoint.clone(), Arc::clone(link));
+    let (now, hello) = (node.clock.now(), peer.hello.clone());
+    node.control.sight.join(now, peer.endpoint.clone(), hello);
     let mut shared = node.shared();
     shared.fleet.upsert(
         peer.endpoint.clone(),
@@ -175,6 +179,7 @@
 fn part(node: &Node, peer: &Peer, link: &Arc<AgentLink>) {
     if node.agents.close(&peer.endpoint, link) {
         node.shared().fleet.gone(&peer.endpoint);
+        node.control.sight.part(&peer.endpoint);
     }
 }
 
@@ -204,15 +209,18 @@
         Body::Chunk(chunk) => link.on_chunk(chunk),
         Body::Reply(reply) => link.on_reply(reply),
         Body::Heartbeat(heartbeat) => {
+            let load = heartbeat.load.as_ref().map(load_report);
             let mut shared = node.shared();
-            if let Some(load) = heartbeat.load {
-                shared
-                    .fleet
-                    .on_load(now, &peer.endpoint, &load_report(load));
+            if let Some(load) = &load {
+                shared.fleet.on_load(now, &peer.endpoint, load);
             }
             if heartbeat.draining {
                 shared.fleet.drain(&peer.endpoint);
             }
+            drop(shared);
+            let revision = heartbeat.config_revision;
+            let sight = &node.control.sight;
+            sight.report(now, &peer.endpoint, load, revision);
         }
         Body::Cache(events) => {
             node.shared()
@@ -229,7 +237,7 @@
     }
 }
 
-fn load_report(load: Load) -> LoadReport {
+fn load_report(load: &Load) -> LoadReport {
     LoadReport {
         seq: load.seq,
         slots: load.slots,
--- a/router/src/control/sight.rs
+++ b/router/src/control/sight.rs
@@ -71,7 +71,9 @@
     /// Returns the endpoints, in the order of their names.
     pub(crate) fn endpoints(&self, now: Time, config: &Config) -> Vec<EndpointFact> {
         let seen = self.lock();
-        let facts = seen.iter().filter_map(|(id, s)| s.endpoint(id, now, config));
+        let facts = seen
+            .iter()
+            .filter_map(|(id, s)| s.endpoint(id, now, config));
         facts.collect()
     }
 
--- a/router/src/door/mod.rs
+++ b/router/src/door/mod.rs
@@ -21,6 +21,8 @@
 use snipeyoke_runtime::measures;
 use uuid::Uuid;
 
+pub(crate) use self::auth::bearer;
+pub(crate) use self::auth::digest;
 use self::error::DoorError;
 use self::reply::Head;
 use crate::node::Node;
--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -107,7 +107,7 @@
 
 /// What the driver waits for.
 enum Next {
-    Input(Input),
+    Input(Box<Input>),
     Wake,
     Gone,
     Stopped,
@@ -123,7 +123,7 @@
                 }
             }
             let event = match self.next(&inputs).await {
-                Next::Input(input) => self.event_of(input),
+                Next::Input(input) => self.event_of(*input),
                 Next::Wake => {
                     self.wake = Time::NEVER;
                     Some(Event::Wake)
@@ -144,7 +144,7 @@
         let input = async {
             // The feed has a sender in `self`, so the channel stays open.
             match inputs.recv().await {
-                Ok(input) => Next::Input(input),
+                Ok(input) => Next::Input(Box::new(input)),
                 Err(_closed) => std::future::pending().await,
             }
         };
@@ -169,10 +169,9 @@
     fn step(&mut self, event: Event) {
         let mut actions = Vec::new();
         let now = self.node.clock.now();
-        {
-            let mut shared = self.node.shared();
-            self.chain.on_event(now, event, &mut shared, &mut actions);
-        }
+        self.record_end(now, &event);
+        self.chain
+            .on_event(now, event, &mut self.node.shared(), &mut actions);
         for action in actions {
             self.carry_out(action);
         }
@@ -388,8 +387,18 @@
         }
     }
 
+    /// Tells the journal how an attempt ended, for those who ask why.
+    fn record_end(&self, now: Time, event: &Event) {
+        if let Event::Ended { attempt, end, .. } = event {
+            let id = self.job.spec.request;
+            self.node.control.records.ended(now, id, *attempt, end);
+        }
+    }
+
     fn log(&self, decision: &Decision) {
         let spec = &self.job.spec;
+        let now = self.node.clock.now();
+        self.node.control.records.route(now, spec, decision);
         log::info!(target: "decision", account = spec.account.as_str(), pipeline = spec.name.as_str(); "{decision}");
     }
 }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -3,8 +3,10 @@
 mod agents;
 mod board;
 mod connect;
+mod control;
 mod door;
 mod drive;
+mod follow;
 mod node;
 mod outcomes;
 pub mod settings;
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -2,17 +2,20 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use async_io::Async;
 use derive_more::Display;
 use derive_more::Error;
 use snipeyoke_lib::chain::Shared;
 use snipeyoke_lib::chain::Spec;
 use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::log::LogStore;
 use snipeyoke_lib::routing::Home;
 use snipeyoke_lib::routing::LeastOutstanding;
 use snipeyoke_lib::routing::Policy;
@@ -21,6 +24,8 @@
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Bounds;
+use snipeyoke_runtime::http::Client;
+use snipeyoke_runtime::platform::HttpLog;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::threads::Execs;
 use snipeyoke_wire::Hello;
@@ -29,8 +34,11 @@
 use crate::agents::Agents;
 use crate::board::Board;
 use crate::connect;
+use crate::control::Control;
+use crate::control::Port;
 use crate::door::Door;
 use crate::drive::Finish;
+use crate::follow;
 use crate::outcomes::Outcomes;
 use crate::settings::PolicyName;
 use crate::settings::Raw;
@@ -39,6 +47,9 @@
 /// The version of the frames between processes.
 const PROTOCOL: u32 = 1;
 
+/// The longest time to connect to the platform.
+const CONNECT_LIMIT: Duration = Duration::from_secs(1);
+
 /// The reason why a router can't start.
 #[derive(Debug)]
 #[derive(Display, Error)]
@@ -62,6 +73,7 @@
     pub(crate) board: Board,
     pub(crate) agents: Agents,
     pub(crate) outcomes: Outcomes,
+    pub(crate) control: Control,
     /// Requests in flight; the parent of their tasks.
     pub(crate) requests: Scope,
     /// Everything else on the traffic threads.
@@ -101,6 +113,10 @@
         log::info!(target: "request", event = "request-ended", request = spec.request.to_string().as_str(), account = spec.account.as_str(), pipeline = spec.name.as_str(), outcome = outcome.as_str(), reason = reason.as_str(); "");
         self.outcomes
             .note(spec.request, finish.outcome, finish.reason);
+        let now = self.clock.now();
+        self.control
+            .records
+            .finish(now, spec.request, finish.outcome, finish.reason);
     }
 }
 
@@ -109,6 +125,8 @@
 pub struct Router {
     node: Arc<Node>,
     callers: SocketAddr,
+    operators: SocketAddr,
+    control: Scope,
 }
 
 impl Router {
@@ -119,10 +137,8 @@
     /// Returns [`StartError`] if an address can't be bound.
     pub fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
         let raw = settings.raw;
-        let address = raw.listen.callers;
-        let wrap = |source| StartError::Listen { address, source };
-        let listener = http::bind(address).map_err(wrap)?;
-        let callers = listener.get_ref().local_addr().map_err(wrap)?;
+        let (listener, callers) = listen(raw.listen.callers)?;
+        let (operators, control_at) = listen(raw.listen.control)?;
         let bounds = Bounds {
             head_time: Duration::from_millis(raw.bounds.head_ms),
             conns: raw.bounds.conns,
@@ -131,13 +147,28 @@
         for agent in node.settings.agents.clone() {
             node.scope.spawn(connect::keep(Arc::clone(&node), agent));
         }
+        let client = Client::new(node.scope.clone(), CONNECT_LIMIT);
+        let log: Arc<dyn LogStore> = Arc::new(HttpLog::new(client, node.settings.platform));
+        let control = Scope::new(Arc::clone(&execs.control));
+        control.spawn(follow::run(Arc::clone(&node), Arc::clone(&log)));
+        let port = Arc::new(Port::new(Arc::clone(&node), log));
+        // Operators look most of all while a router drains, so their port stays
+        // open until it stops.
+        let stop = node.board.stop.clone();
+        let asked = Scope::new(Arc::clone(&execs.control));
+        control.spawn(http::serve(operators, port, bounds, asked, stop));
         let door = Arc::new(Door::new(Arc::clone(&node)));
         let conns = Scope::new(Arc::clone(&execs.traffic));
         let drain = node.board.drain.clone();
         node.scope
             .spawn(http::serve(listener, door, bounds, conns, drain));
         log::info!(event = "router-up", node = node.settings.node.as_str(), callers = callers.to_string().as_str(), incarnation = node.incarnation.0; "");
-        Ok(Self { node, callers })
+        Ok(Self {
+            node,
+            callers,
+            operators: control_at,
+            control,
+        })
     }
 
     /// Returns the address that callers connect to.
@@ -146,6 +177,18 @@
         self.callers
     }
 
+    /// Returns the address that operators connect to.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Returns the number of agents that this router has a link to.
+    #[must_use]
+    pub fn linked(&self) -> usize {
+        self.node.agents.count()
+    }
+
     /// Drains: takes nothing new, finishes what runs, and ends.
     pub async fn leave(&self) {
         self.node.board.drain.set();
@@ -157,21 +200,29 @@
     pub async fn stop(&self) {
         self.node.board.drain.set();
         self.node.board.stop.set();
+        self.control.cancel_later().await;
         self.node.scope.cancel_later().await;
         self.node.requests.cancel().await;
         log::info!(event = "router-down", node = self.node.settings.node.as_str(); "");
     }
 }
 
+fn listen(address: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), StartError> {
+    let wrap = |source| StartError::Listen { address, source };
+    let listener = http::bind(address).map_err(wrap)?;
+    let bound = listener.get_ref().local_addr().map_err(wrap)?;
+    Ok((listener, bound))
+}
+
 fn node(raw: Raw, execs: &Execs) -> Node {
     let home = Home {
         domain: raw.domain.clone(),
         region: raw.region.clone(),
     };
     let policy: Box<dyn Policy> = match raw.policy {
-        PolicyName::Predicted => Box::new(Predicted::default()),
+        PolicyName::Predicted => Box::new(Predicted),
         PolicyName::RoundRobin => Box::new(RoundRobin::default()),
-        PolicyName::LeastOutstanding => Box::new(LeastOutstanding::default()),
+        PolicyName::LeastOutstanding => Box::new(LeastOutstanding),
     };
     let incarnation = Incarnation(Clock::wall().as_millis());
     Node {
@@ -180,6 +231,7 @@
         board: Board::new(),
         agents: Agents::default(),
         outcomes: Outcomes::default(),
+        control: Control::default(),
         requests: Scope::new(Arc::clone(&execs.traffic)),
         scope: Scope::new(Arc::clone(&execs.traffic)),
         shared: Mutex::new(Shared::new(home, policy, incarnation.0)),
