membership, drain: detect, choose peers, keep the view, drain without cutting

Cause: routers and agents meet from hints that lag and must tell dead, slow and cut-off peers apart with a bounded number of links. Change: detector with adaptive timeouts and echo, rendezvous subsets spread over failure domains, membership view with dials and probes, drain state machine.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,7 +7,10 @@
 //! that embed it with their own transport.
 
 pub mod config;
+pub mod drain;
 pub mod ids;
+pub mod membership;
 pub mod outcome;
+pub mod placement;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/lib/src/membership/mod.rs
@@ -0,0 +1,36 @@
+//! Who is there: failure detection, the choice of peers, the membership view.
+//!
+//! The host list lags and settings grow old, so both are hints: they tell whom
+//! to dial, never who lives. Only a peer's own heartbeats make it alive.
+
+mod detector;
+mod dial;
+mod event;
+mod pace;
+mod peer;
+mod subset;
+mod view;
+
+pub use detector::Detector;
+pub use detector::Heard;
+pub use detector::LinkEnd;
+pub use detector::PeerState;
+pub use detector::Timing;
+pub use event::Action;
+pub use event::Event;
+pub use event::LinkId;
+pub use event::Refusal;
+pub use pace::Pace;
+pub use peer::Beat;
+pub use peer::Listed;
+pub use peer::NodeKind;
+pub use peer::Profile;
+pub use subset::Candidate;
+pub use subset::Change;
+pub use subset::Place;
+pub use subset::Subset;
+pub use subset::choose;
+pub use subset::degree;
+pub use view::Member;
+pub use view::View;
+pub use view::ViewSettings;
--- /dev/null
+++ b/lib/src/membership/view/member.rs
@@ -0,0 +1,112 @@
+//! One node as the view knows it.
+
+use crate::ids::Incarnation;
+use crate::membership::Detector;
+use crate::membership::LinkId;
+use crate::membership::Listed;
+use crate::membership::PeerState;
+use crate::membership::Place;
+use crate::membership::Profile;
+use crate::membership::Timing;
+use crate::time::Time;
+
+/// One node as the view knows it.
+#[derive(Debug, Clone)]
+pub struct Member {
+    /// What is said about it, by itself if it was heard.
+    pub profile: Profile,
+    /// Whether the host list says that its host leaves.
+    pub leaving: bool,
+    /// Whether it says itself that it drains.
+    pub draining: bool,
+    pub(super) detector: Detector,
+    pub(super) link: Option<LinkId>,
+    pub(super) seq: u64,
+    pub(super) told: Option<u64>,
+    pub(super) due: Time,
+    pub(super) listed: bool,
+    pub(super) probed: Time,
+    pub(super) full_until: Time,
+}
+
+impl Member {
+    pub(super) fn new(profile: Profile, timing: Timing) -> Self {
+        Self {
+            profile,
+            leaving: false,
+            draining: false,
+            detector: Detector::new(timing),
+            link: None,
+            seq: 0,
+            told: None,
+            due: Time::ZERO,
+            listed: false,
+            probed: Time::ZERO,
+            full_until: Time::ZERO,
+        }
+    }
+
+    /// Returns the state of the peer.
+    #[must_use]
+    pub const fn state(&self) -> PeerState {
+        self.detector.state()
+    }
+
+    /// Returns the known life of the peer.
+    #[must_use]
+    pub const fn incarnation(&self) -> Option<Incarnation> {
+        self.detector.incarnation()
+    }
+
+    /// Returns the link to the peer.
+    #[must_use]
+    pub const fn link(&self) -> Option<LinkId> {
+        self.link
+    }
+
+    /// Tells whether new work may go to the peer.
+    #[must_use]
+    pub fn takes_work(&self) -> bool {
+        self.state() == PeerState::Alive && !self.draining && !self.leaving
+    }
+
+    pub(super) fn may_link(&self, now: Time) -> bool {
+        !self.is_gone() && !self.draining && !self.leaving && now >= self.full_until
+    }
+
+    pub(super) const fn is_gone(&self) -> bool {
+        matches!(
+            self.state(),
+            PeerState::CutOff | PeerState::Dead | PeerState::Left
+        )
+    }
+
+    /// Takes in what the host list says now, which a hello outranks.
+    pub(super) fn hint(&mut self, now: Time, hint: Listed) {
+        if self.link.is_none() {
+            // The pool is kept: the list may not know it, and the node said it.
+            let pool = hint
+                .profile
+                .pool
+                .clone()
+                .or_else(|| self.profile.pool.take());
+            let endpoint = self.profile.endpoint.take().or(hint.profile.endpoint);
+            self.profile = Profile {
+                pool,
+                endpoint,
+                ..hint.profile
+            };
+        }
+        self.leaving = hint.leaving;
+        self.listed = true;
+        self.detector.listed(now, true);
+    }
+
+    pub(super) fn place(&self) -> Place {
+        Place {
+            node: self.profile.node.clone(),
+            domain: self.profile.domain.clone(),
+            region: self.profile.region.clone(),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/membership/view/mod.rs
@@ -0,0 +1,445 @@
+//! The membership view of one node.
+
+mod member;
+mod plan;
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+pub use member::Member;
+
+use super::detector::Heard;
+use super::detector::LinkEnd;
+use super::detector::Timing;
+use super::dial::Dials;
+use super::event::Action;
+use super::event::Event;
+use super::event::LinkId;
+use super::event::Refusal;
+use super::pace::Pace;
+use super::peer::Beat;
+use super::peer::Listed;
+use super::peer::NodeKind;
+use super::peer::Profile;
+use super::subset::Subset;
+use crate::ids::Incarnation;
+use crate::ids::NodeId;
+use crate::ids::PoolName;
+use crate::time::Time;
+
+/// The settings of a view.
+#[derive(Debug, Clone, Copy)]
+pub struct ViewSettings {
+    /// The bounds of timeouts.
+    pub timing: Timing,
+    /// The pace of heartbeats.
+    pub pace: Pace,
+    /// Links to other routers that a router dials.
+    pub routers: usize,
+    /// The most links held, dialed and accepted.
+    pub links_max: usize,
+    /// The time between two steps of rebalancing in one group.
+    pub shift_period: Duration,
+    /// The time between two probes of nodes that aren't linked to.
+    pub probe_period: Duration,
+    /// How long a peer that was full isn't asked again.
+    pub full_pause: Duration,
+}
+
+impl Default for ViewSettings {
+    fn default() -> Self {
+        Self {
+            timing: Timing::default(),
+            pace: Pace::default(),
+            routers: 6,
+            links_max: 512,
+            shift_period: Duration::from_secs(5),
+            probe_period: Duration::from_millis(250),
+            full_pause: Duration::from_mins(1),
+        }
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Link {
+    node: NodeId,
+    dialed: Option<SocketAddr>,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Group {
+    Routers,
+    Agents(Option<PoolName>),
+}
+
+/// The members that one node knows, and its links to them.
+#[derive(Debug, Clone)]
+pub struct View {
+    me: Profile,
+    incarnation: Incarnation,
+    settings: ViewSettings,
+    seeds: BTreeSet<SocketAddr>,
+    members: BTreeMap<NodeId, Member>,
+    links: BTreeMap<LinkId, Link>,
+    subsets: BTreeMap<Group, Subset>,
+    dials: Dials,
+    draining: bool,
+    leaving: bool,
+    changed: bool,
+    probe_due: Time,
+    plan_due: Time,
+    wake: Time,
+}
+
+impl View {
+    /// Starts a view that knows nobody.
+    #[must_use]
+    pub fn new(me: Profile, incarnation: Incarnation, settings: ViewSettings) -> Self {
+        Self {
+            me,
+            incarnation,
+            settings,
+            seeds: BTreeSet::new(),
+            members: BTreeMap::new(),
+            links: BTreeMap::new(),
+            subsets: BTreeMap::new(),
+            dials: Dials::default(),
+            draining: false,
+            leaving: false,
+            changed: true,
+            probe_due: Time::ZERO,
+            plan_due: Time::ZERO,
+            wake: Time::ZERO,
+        }
+    }
+
+    /// Returns the members, by name.
+    #[must_use]
+    pub const fn members(&self) -> &BTreeMap<NodeId, Member> {
+        &self.members
+    }
+
+    /// Returns how many links stand.
+    #[must_use]
+    pub fn link_count(&self) -> usize {
+        self.links.len()
+    }
+
+    /// Returns the interval between heartbeats at the present count of links.
+    #[must_use]
+    pub fn interval(&self) -> Duration {
+        self.settings.pace.interval(self.links.len())
+    }
+
+    /// Counts the linked peers that may still send new work despite the drain.
+    ///
+    /// A peer that echoes the first draining heartbeat has read it, and a link
+    /// keeps its order, so all that the peer sent before is here by then.
+    #[must_use]
+    pub fn unaware(&self) -> usize {
+        let unaware = |m: &&Member| {
+            let told = m.told.is_some_and(|t| m.detector.echoed() >= t);
+            m.link.is_some() && !m.is_gone() && !told
+        };
+        self.members.values().filter(unaware).count()
+    }
+
+    /// Takes in an event and returns what to do.
+    pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
+        let mut out = Vec::new();
+        match event {
+            Event::Seeds(seeds) => {
+                self.seeds = seeds.into_iter().collect();
+                self.changed = true;
+            }
+            Event::HostList(listed) => self.on_list(now, listed, &mut out),
+            Event::LinkUp {
+                link,
+                dialed,
+                profile,
+                incarnation,
+            } => {
+                let node = profile.node.clone();
+                self.on_hello(now, profile);
+                self.on_link(now, link, Link { node, dialed }, incarnation, &mut out);
+            }
+            Event::LinkDown { link, end } => self.on_link_down(now, link, end, &mut out),
+            Event::DialFailed { address, end } => self.on_dial_failed(now, address, end, &mut out),
+            Event::Heard { link, beat } => self.on_beat(now, link, beat, &mut out),
+            Event::Goodbye { link, incarnation } => {
+                self.on_goodbye(now, link, incarnation, &mut out);
+            }
+            Event::Full { link } => self.on_full(now, link, &mut out),
+            Event::Draining(draining) => self.on_draining(now, draining),
+            Event::Tick => {}
+        }
+        self.advance(now, &mut out);
+        out.push(Action::WakeAt(self.wake));
+        out
+    }
+
+    /// Applies `change` to a member and reports a change of its state.
+    fn update(&mut self, node: &NodeId, out: &mut Vec<Action>, change: impl FnOnce(&mut Member)) {
+        let Some(member) = self.members.get_mut(node) else {
+            return;
+        };
+        let from = member.state();
+        change(member);
+        let to = member.state();
+        self.wake = Time::ZERO;
+        if from != to {
+            self.changed = true;
+            out.push(Action::StateChanged {
+                node: node.clone(),
+                from,
+                to,
+            });
+        }
+    }
+
+    fn on_list(&mut self, now: Time, listed: Vec<Listed>, out: &mut Vec<Action>) {
+        let named: BTreeSet<NodeId> = listed.iter().map(|l| l.profile.node.clone()).collect();
+        let unnamed: Vec<NodeId> = self
+            .members
+            .keys()
+            .filter(|n| !named.contains(*n))
+            .cloned()
+            .collect();
+        for node in unnamed {
+            self.update(&node, out, |m| {
+                m.listed = false;
+                m.leaving = false;
+                m.detector.listed(now, false);
+            });
+        }
+        let me = self.me.host.clone();
+        let leaving = listed.iter().any(|l| l.profile.host == me && l.leaving);
+        for hint in listed {
+            self.on_hint(now, hint, out);
+        }
+        if leaving != self.leaving {
+            self.leaving = leaving;
+            out.push(Action::HostLeaving(leaving));
+        }
+        self.changed = true;
+    }
+
+    fn on_hint(&mut self, now: Time, hint: Listed, out: &mut Vec<Action>) {
+        let node = hint.profile.node.clone();
+        if node == self.me.node {
+            return;
+        }
+        let timing = self.settings.timing;
+        let profile = hint.profile.clone();
+        self.members
+            .entry(node.clone())
+            .or_insert_with(|| Member::new(profile, timing));
+        self.update(&node, out, |m| m.hint(now, hint));
+    }
+
+    fn on_hello(&mut self, now: Time, profile: Profile) {
+        let timing = self.settings.timing;
+        let node = profile.node.clone();
+        let fresh = || Member::new(profile.clone(), timing);
+        let member = self.members.entry(node).or_insert_with(fresh);
+        if member.profile != profile {
+            member.profile = profile;
+            self.changed = true;
+        }
+        member.probed = now;
+    }
+
+    fn on_link(
+        &mut self,
+        now: Time,
+        id: LinkId,
+        link: Link,
+        incarnation: Incarnation,
+        out: &mut Vec<Action>,
+    ) {
+        if let Some(address) = link.dialed {
+            self.dials.linked(address);
+        }
+        let node = link.node.clone();
+        if node == self.me.node {
+            // A seed may name this very node, or a second process has its name.
+            out.push(Action::Disconnect {
+                link: id,
+                reason: Refusal::SecondLink,
+            });
+            return;
+        }
+        if link.dialed.is_none() && self.links.len() >= self.settings.links_max {
+            out.push(Action::Disconnect {
+                link: id,
+                reason: Refusal::Full,
+            });
+            return;
+        }
+        let Some(member) = self.members.get(&node) else {
+            return;
+        };
+        let known = member.incarnation();
+        let same = member.link.filter(|_link| known == Some(incarnation));
+        if same.is_some_and(|old| !self.prefers(&link, old)) {
+            out.push(Action::Disconnect {
+                link: id,
+                reason: Refusal::SecondLink,
+            });
+            return;
+        }
+        let mut heard = Heard::Superseded;
+        self.update(&node, out, |m| heard = m.detector.link_up(now, incarnation));
+        if heard == Heard::Superseded {
+            out.push(Action::Disconnect {
+                link: id,
+                reason: Refusal::Superseded,
+            });
+            return;
+        }
+        self.replace_link(now, id, link, heard, out);
+    }
+
+    /// Tells whether a new link to a life should replace the old one.
+    ///
+    /// Two nodes that dial each other at once would otherwise both keep, or
+    /// both end, a different link. The one dialed by the lesser name stays; of
+    /// two by the same dialer the newer, as the older one may be half open.
+    fn prefers(&self, new: &Link, old: LinkId) -> bool {
+        let ours = |dialed: bool| dialed == (self.me.node < new.node);
+        let Some(old) = self.links.get(&old) else {
+            return true;
+        };
+        ours(new.dialed.is_some()) || !ours(old.dialed.is_some())
+    }
+
+    fn replace_link(
+        &mut self,
+        now: Time,
+        id: LinkId,
+        link: Link,
+        heard: Heard,
+        out: &mut Vec<Action>,
+    ) {
+        let node = link.node.clone();
+        self.links.insert(id, link);
+        let mut old = None;
+        self.update(&node, out, |m| {
+            old = m.link.replace(id);
+            m.seq = 0;
+            m.told = None;
+            m.due = now;
+            m.draining = false;
+        });
+        let Some(old) = old else {
+            return;
+        };
+        self.links.remove(&old);
+        let restarted = matches!(heard, Heard::Restarted { .. });
+        let reason = if restarted {
+            Refusal::Superseded
+        } else {
+            Refusal::SecondLink
+        };
+        out.push(Action::Disconnect { link: old, reason });
+    }
+
+    fn on_link_down(&mut self, now: Time, id: LinkId, end: LinkEnd, out: &mut Vec<Action>) {
+        let Some(link) = self.links.remove(&id) else {
+            return;
+        };
+        self.update(&link.node, out, |m| {
+            if m.link == Some(id) {
+                m.link = None;
+                m.detector.link_down(now, end);
+            }
+        });
+        self.changed = true;
+    }
+
+    fn on_dial_failed(
+        &mut self,
+        now: Time,
+        address: SocketAddr,
+        end: LinkEnd,
+        out: &mut Vec<Action>,
+    ) {
+        self.dials.failed(now, address);
+        self.wake = Time::ZERO;
+        let unlinked = |m: &&Member| m.profile.address == address && m.link.is_none();
+        let nodes: Vec<NodeId> = self
+            .members
+            .values()
+            .filter(unlinked)
+            .map(|m| m.profile.node.clone())
+            .collect();
+        for node in nodes {
+            self.update(&node, out, |m| m.detector.link_down(now, end));
+        }
+    }
+
+    fn on_beat(&mut self, now: Time, id: LinkId, beat: Beat, out: &mut Vec<Action>) {
+        let Some(node) = self.links.get(&id).map(|l| l.node.clone()) else {
+            return;
+        };
+        let mut heard = Heard::Repeated;
+        let mut drained = false;
+        self.update(&node, out, |m| {
+            heard = m.detector.heard(now, beat);
+            if heard == Heard::Fresh {
+                drained = m.draining != beat.draining;
+                m.draining = beat.draining;
+            }
+        });
+        self.changed |= drained;
+        if heard == Heard::Superseded {
+            out.push(Action::Disconnect {
+                link: id,
+                reason: Refusal::Superseded,
+            });
+        }
+    }
+
+    fn on_goodbye(
+        &mut self,
+        now: Time,
+        id: LinkId,
+        incarnation: Incarnation,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(node) = self.links.get(&id).map(|l| l.node.clone()) else {
+            return;
+        };
+        self.update(&node, out, |m| m.detector.goodbye(now, incarnation));
+    }
+
+    fn on_full(&mut self, now: Time, id: LinkId, out: &mut Vec<Action>) {
+        let Some(link) = self.links.remove(&id) else {
+            return;
+        };
+        let until = now + self.settings.full_pause;
+        self.update(&link.node, out, |m| {
+            m.link = None;
+            m.full_until = until;
+            m.detector.unwatch(now);
+        });
+        self.changed = true;
+    }
+
+    fn on_draining(&mut self, now: Time, draining: bool) {
+        self.draining = draining;
+        // Peers must know at once, not at the next beat, or they would send
+        // work that only comes back as not run.
+        for member in self.members.values_mut() {
+            member.due = now;
+            member.told = None;
+        }
+        self.wake = Time::ZERO;
+    }
+
+    fn is_router(&self) -> bool {
+        self.me.kind == NodeKind::Router
+    }
+}
--- /dev/null
+++ b/lib/src/membership/view/plan.rs
@@ -0,0 +1,274 @@
+//! What the view does as time passes: heartbeats, timeouts, links, dials.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::Group;
+use super::View;
+use crate::ids::NodeId;
+use crate::membership::Action;
+use crate::membership::Beat;
+use crate::membership::Candidate;
+use crate::membership::Change;
+use crate::membership::LinkId;
+use crate::membership::Member;
+use crate::membership::NodeKind;
+use crate::membership::PeerState;
+use crate::membership::Place;
+use crate::membership::Refusal;
+use crate::membership::degree;
+use crate::time::Time;
+
+/// The longest that the view sleeps, so that a lost wake-up heals.
+const SLEEP_MAX: Duration = Duration::from_secs(1);
+
+impl View {
+    pub(super) fn advance(&mut self, now: Time, out: &mut Vec<Action>) {
+        if now < self.wake && !self.changed {
+            return;
+        }
+        self.judge(now, out);
+        if self.changed || now >= self.plan_due {
+            self.changed = false;
+            self.plan_due = now + self.settings.shift_period;
+            self.plan(now, out);
+            self.forget();
+        }
+        self.dial(now, out);
+        self.beat(now, out);
+        self.wake = self.next_wake(now);
+    }
+
+    fn judge(&mut self, now: Time, out: &mut Vec<Action>) {
+        let due = |m: &&Member| m.detector.next_check() <= now || m.link.is_some();
+        let nodes: Vec<NodeId> = self
+            .members
+            .values()
+            .filter(due)
+            .map(|m| m.profile.node.clone())
+            .collect();
+        for node in nodes {
+            self.update(&node, out, |m| {
+                m.detector.tick(now);
+            });
+        }
+    }
+
+    fn beat(&mut self, now: Time, out: &mut Vec<Action>) {
+        let interval = self.interval();
+        for (id, link) in &self.links {
+            let Some(member) = self.members.get_mut(&link.node) else {
+                continue;
+            };
+            if member.due > now {
+                continue;
+            }
+            member.due = now + interval;
+            member.seq += 1;
+            member.detector.sent(now, member.seq);
+            if self.draining {
+                member.told.get_or_insert(member.seq);
+            }
+            let beat = Beat {
+                incarnation: self.incarnation,
+                seq: member.seq,
+                seen: member.detector.seen(),
+                draining: self.draining,
+            };
+            out.push(Action::SendHeartbeat { link: *id, beat });
+        }
+    }
+
+    fn plan(&mut self, now: Time, out: &mut Vec<Action>) {
+        if !self.is_router() {
+            return;
+        }
+        let mut groups = self.groups(now);
+        // A group whose members all left still has links to give up.
+        for group in self.subsets.keys() {
+            groups.entry(group.clone()).or_default();
+        }
+        let routers = self.routers_known();
+        let me = self.place();
+        let period = self.settings.shift_period;
+        let mut dropped = Vec::new();
+        for (group, candidates) in groups {
+            let count = match group {
+                Group::Routers => self.settings.routers,
+                Group::Agents(_) => degree(candidates.len(), routers),
+            };
+            let subset = self.subsets.entry(group).or_default();
+            let changes = subset.plan(now, &me, &candidates, count, period);
+            dropped.extend(changes.into_iter().filter_map(|c| match c {
+                Change::Drop(node) => Some(node),
+                Change::Add(_) => None,
+            }));
+        }
+        self.subsets.retain(|_, s| !s.links().is_empty());
+        self.give_up(now, &dropped, out);
+        self.give_up_probes(now, out);
+    }
+
+    fn groups(&self, now: Time) -> BTreeMap<Group, Vec<Candidate>> {
+        let mut groups: BTreeMap<Group, Vec<Candidate>> = BTreeMap::new();
+        for member in self.members.values() {
+            let group = match member.profile.kind {
+                NodeKind::Router => Group::Routers,
+                NodeKind::Agent => Group::Agents(member.profile.pool.clone()),
+            };
+            // An agent of unknown pool is probed for its hello, not chosen.
+            if group == Group::Agents(None) {
+                continue;
+            }
+            let usable = member.may_link(now);
+            let place = member.place();
+            groups
+                .entry(group)
+                .or_default()
+                .push(Candidate { place, usable });
+        }
+        groups
+    }
+
+    fn routers_known(&self) -> usize {
+        let router = |m: &&Member| m.profile.kind == NodeKind::Router && !m.is_gone();
+        1 + self.members.values().filter(router).count()
+    }
+
+    fn place(&self) -> Place {
+        Place {
+            node: self.me.node.clone(),
+            domain: self.me.domain.clone(),
+            region: self.me.region.clone(),
+        }
+    }
+
+    /// Ends links to nodes that are well but no longer chosen.
+    fn give_up(&mut self, now: Time, nodes: &[NodeId], out: &mut Vec<Action>) {
+        for node in nodes {
+            let Some(member) = self.members.get(node) else {
+                continue;
+            };
+            // Work may still run at a node that drains or is slow; it ends the
+            // link itself when it is done, and timeouts end it otherwise.
+            if !member.may_link(now) {
+                continue;
+            }
+            let Some(id) = member.link.filter(|id| self.is_ours(*id)) else {
+                continue;
+            };
+            self.links.remove(&id);
+            self.update(node, out, |m| {
+                m.link = None;
+                m.detector.unwatch(now);
+            });
+            out.push(Action::Disconnect {
+                link: id,
+                reason: Refusal::NotChosen,
+            });
+        }
+    }
+
+    /// Ends links that were dialed only to learn who is there.
+    fn give_up_probes(&mut self, now: Time, out: &mut Vec<Action>) {
+        let chosen = self.chosen();
+        let idle: Vec<NodeId> = self
+            .links
+            .values()
+            .filter(|l| l.dialed.is_some() && !chosen.contains(&l.node))
+            .map(|l| l.node.clone())
+            .collect();
+        self.give_up(now, &idle, out);
+    }
+
+    fn is_ours(&self, id: LinkId) -> bool {
+        self.links.get(&id).is_some_and(|l| l.dialed.is_some())
+    }
+
+    fn chosen(&self) -> BTreeSet<NodeId> {
+        self.subsets
+            .values()
+            .flat_map(|s| s.links().iter().cloned())
+            .collect()
+    }
+
+    fn dial(&mut self, now: Time, out: &mut Vec<Action>) {
+        let mut wanted = self.wanted_seeds();
+        if self.is_router() {
+            wanted.extend(self.wanted_members());
+        }
+        if self.is_router() && now >= self.probe_due {
+            self.probe_due = now + self.settings.probe_period;
+            wanted.extend(self.probe(now));
+        }
+        self.dials.retain(|a| wanted.contains(a));
+        for address in wanted {
+            if self.dials.start(now, address) {
+                out.push(Action::Connect { address });
+            }
+        }
+    }
+
+    fn wanted_seeds(&self) -> BTreeSet<SocketAddr> {
+        let mut seeds = self.seeds.clone();
+        seeds.remove(&self.me.address);
+        for member in self.members.values() {
+            // A router chooses among those it has met; an agent stays with its
+            // seeds, so that routers that no list names to it can meet it.
+            let known =
+                member.link.is_some() || (self.is_router() && member.incarnation().is_some());
+            if known {
+                seeds.remove(&member.profile.address);
+            }
+        }
+        seeds
+    }
+
+    fn wanted_members(&self) -> BTreeSet<SocketAddr> {
+        let chosen = self.chosen();
+        let wanted = |m: &&Member| m.link.is_none() && chosen.contains(&m.profile.node);
+        self.members
+            .values()
+            .filter(wanted)
+            .map(|m| m.profile.address)
+            .collect()
+    }
+
+    /// Picks the node whose state was not looked at for longest.
+    ///
+    /// It is one that is gone, which may be back, or one of unknown pool. One
+    /// at a time, so that a partition of hundreds costs no more than of one.
+    fn probe(&mut self, now: Time) -> Option<SocketAddr> {
+        let unknown = |m: &Member| m.profile.kind == NodeKind::Agent && m.profile.pool.is_none();
+        let open = |m: &&mut Member| m.link.is_none() && (m.is_gone() || unknown(m));
+        let oldest = self
+            .members
+            .values_mut()
+            .filter(open)
+            .min_by_key(|m| m.probed)?;
+        oldest.probed = now;
+        Some(oldest.profile.address)
+    }
+
+    /// Drops members that no hint names and that are gone.
+    fn forget(&mut self) {
+        let seeds = &self.seeds;
+        self.members.retain(|_, m| {
+            let ended = !matches!(m.state(), PeerState::Alive | PeerState::Slow);
+            m.listed || m.link.is_some() || !ended || seeds.contains(&m.profile.address)
+        });
+    }
+
+    fn next_wake(&self, now: Time) -> Time {
+        let linked = self.members.values().filter(|m| m.link.is_some());
+        let beats = linked.map(|m| m.due.min(m.detector.next_check())).min();
+        let checks = self.members.values().map(|m| m.detector.next_check()).min();
+        let soonest = beats
+            .unwrap_or(Time::NEVER)
+            .min(checks.unwrap_or(Time::NEVER));
+        let next = soonest.min(self.dials.next()).min(now + SLEEP_MAX);
+        next.max(now + Duration::from_millis(1))
+    }
+}
