--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod membership;
 pub mod outcome;
 pub mod placement;
+pub mod prefix;
 pub mod time;
 pub mod units;
