--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -9,12 +9,15 @@
 pub mod chain;
 pub mod config;
 pub mod deadline;
+pub mod drain;
 pub mod hedge;
 pub mod ids;
 pub mod lease;
 pub mod log;
+pub mod membership;
 pub mod once;
 pub mod outcome;
+pub mod placement;
 pub mod prefix;
 pub mod record;
 pub mod retry;
