--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,3 +2,4 @@
 
 mod test_config_model;
 mod test_once_schedules;
+mod test_query;
