--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -1,1 +1,5 @@
-//! placeholder
+//! Open-loop load, experiments and reports for snipeyoke, for tests only.
+
+pub mod drive;
+pub mod plan;
+pub mod sample;
