--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -3,3 +3,4 @@
 pub mod drive;
 pub mod plan;
 pub mod sample;
+pub mod scene;
--- /dev/null
+++ b/load/src/scene/bed.rs
@@ -0,0 +1,320 @@
+//! A whole deployment in this process: stand-ins, agents and routers.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use async_io::Timer;
+use derive_more::Display;
+use derive_more::Error;
+use derive_more::From;
+use http_body_util::Full;
+use hyper::Request;
+use serde_json::json;
+use snipeyoke_agent::Agent;
+use snipeyoke_lib::ids::FailureDomain;
+use snipeyoke_lib::ids::IdError;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_router::Router;
+use snipeyoke_runtime::http::Client;
+use snipeyoke_runtime::http::ClientError;
+use snipeyoke_runtime::scope::Scope;
+use snipeyoke_runtime::settings;
+use snipeyoke_runtime::settings::SettingsError;
+use snipeyoke_runtime::threads::Execs;
+use snipeyoke_runtime::threads::Threads;
+use snipeyoke_standin::Running;
+use snipeyoke_standin::Settings;
+use snipeyoke_standin::Standin;
+
+use super::Deployment;
+use super::PoolScene;
+use super::ports;
+use super::publish;
+
+/// The longest time until every router is ready.
+const READY_LIMIT: Duration = Duration::from_secs(15);
+
+/// The pause between two looks whether a router is ready.
+const READY_LOOK: Duration = Duration::from_millis(20);
+
+/// The time for routers to hear the first reports of all agents.
+const SETTLE: Duration = Duration::from_millis(1_200);
+
+/// How a deployment is run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Options {
+    /// The routers' policy.
+    pub policy: String,
+    /// The seed of all stand-ins.
+    pub seed: u64,
+    /// Threads for the stand-ins, and as many for agents and for routers.
+    pub threads: usize,
+}
+
+/// The reason why a deployment does not run.
+#[derive(Debug)]
+#[derive(Display, Error, From)]
+pub enum BedError {
+    /// The system refused a port or a thread.
+    #[display("{_0}; close what holds ports or threads")]
+    System(io::Error),
+    /// A name is malformed.
+    #[display("{_0}")]
+    Name(IdError),
+    /// Settings were refused.
+    #[display("{_0}")]
+    Settings(SettingsError),
+    /// An agent did not start.
+    #[display("{_0}")]
+    Agent(snipeyoke_agent::StartError),
+    /// A router did not start.
+    #[display("{_0}")]
+    Router(snipeyoke_router::StartError),
+    /// The platform did not take the configuration.
+    #[display("the configuration was not published: {_0}")]
+    Publish(ClientError),
+    /// A router did not become ready.
+    #[display("router {address} is not ready after {READY_LIMIT:?}: look at its log")]
+    #[from(ignore)]
+    NotReady {
+        /// The router.
+        address: SocketAddr,
+    },
+}
+
+/// An endpoint with the agent beside it.
+#[derive(Debug)]
+pub struct Seat {
+    /// The pool.
+    pub pool: PoolName,
+    /// The failure domain.
+    pub domain: FailureDomain,
+    /// The stand-in's address.
+    pub endpoint: SocketAddr,
+    settings: serde_json::Value,
+    agent: Option<Agent>,
+}
+
+/// A running deployment.
+#[derive(Debug)]
+pub struct Bed {
+    standins: Vec<Running>,
+    platform: SocketAddr,
+    seats: Vec<Seat>,
+    routers: Vec<Router>,
+    agent_execs: Execs,
+    threads: Vec<Threads>,
+    client: Client,
+}
+
+impl Bed {
+    /// Starts everything and waits until the routers are ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BedError`], whose message names the remedy.
+    pub async fn start(
+        deployment: &Deployment,
+        options: &Options,
+        scope: &Scope,
+    ) -> Result<Self, BedError> {
+        let outside = Threads::start(options.threads)?;
+        let beside = Threads::start(options.threads)?;
+        let entry = Threads::start(options.threads)?;
+        let scene = deployment.scene();
+        let mut platform = scene.platform.clone();
+        platform.seed = options.seed;
+        let exec = outside.execs().traffic;
+        let platform = Standin::start(&exec, Settings::Platform(platform))?;
+        let mut bed = Self {
+            platform: platform.address(),
+            standins: vec![platform],
+            seats: Vec::new(),
+            routers: Vec::new(),
+            agent_execs: beside.execs(),
+            client: Client::new(scope.clone(), Duration::from_secs(1)),
+            threads: Vec::new(),
+        };
+        bed.publish(deployment).await?;
+        for pool in &scene.pools {
+            for index in 0..pool.count {
+                bed.seat(deployment, pool, index, options, &outside.execs())?;
+            }
+        }
+        for index in 0..scene.routers {
+            bed.router(deployment, index, options, &entry.execs())?;
+        }
+        bed.threads = vec![entry, beside, outside];
+        bed.ready().await?;
+        Ok(bed)
+    }
+
+    /// Returns the routers' addresses for callers.
+    #[must_use]
+    pub fn routers(&self) -> Vec<SocketAddr> {
+        self.routers.iter().map(Router::callers).collect()
+    }
+
+    /// Returns the endpoints with their agents.
+    #[must_use]
+    pub fn seats(&self) -> &[Seat] {
+        &self.seats
+    }
+
+    /// Returns the platform's address.
+    #[must_use]
+    pub const fn platform(&self) -> SocketAddr {
+        self.platform
+    }
+
+    /// Cuts off every agent of a failure domain, as its loss would.
+    pub async fn lose(&mut self, domain: &FailureDomain) {
+        for seat in self.seats.iter_mut().filter(|s| s.domain == *domain) {
+            if let Some(agent) = seat.agent.take() {
+                agent.stop().await;
+            }
+        }
+    }
+
+    /// Starts the agents of a lost failure domain again.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BedError`] if one can't start.
+    pub fn regain(&mut self, domain: &FailureDomain) -> Result<(), BedError> {
+        let execs = &self.agent_execs;
+        for seat in self.seats.iter_mut().filter(|s| s.domain == *domain) {
+            if seat.agent.is_none() {
+                seat.agent = Some(agent(&seat.settings, execs)?);
+            }
+        }
+        Ok(())
+    }
+
+    /// Drains routers and agents, stops the stand-ins and joins all threads.
+    pub async fn stop(self) {
+        for router in &self.routers {
+            router.stop().await;
+        }
+        for agent in self.seats.iter().filter_map(|s| s.agent.as_ref()) {
+            agent.stop().await;
+        }
+        for standin in self.standins {
+            standin.stop().await;
+        }
+        for threads in self.threads {
+            threads.join();
+        }
+    }
+
+    async fn publish(&self, deployment: &Deployment) -> Result<(), BedError> {
+        let records = publish::records(&deployment.scene().config)?;
+        let mut request = Request::new(Full::new(records));
+        *request.method_mut() = hyper::Method::POST;
+        *request.uri_mut() = hyper::Uri::from_static("/log/config/append");
+        self.client.send(self.platform, request).await?;
+        Ok(())
+    }
+
+    fn seat(
+        &mut self,
+        deployment: &Deployment,
+        pool: &PoolScene,
+        index: usize,
+        options: &Options,
+        execs: &Execs,
+    ) -> Result<(), BedError> {
+        let scene = deployment.scene();
+        let domain = &scene.domains[index % scene.domains.len()];
+        let id = format!("{}-{}", pool.name, index + 1);
+        let mut settings = pool.endpoint.clone();
+        let serial = self.standins.len() as u64;
+        settings.set_seed(options.seed.wrapping_mul(1_000) + serial);
+        let kind = match &settings {
+            Settings::Plain(_) => "plain",
+            _ => "engine",
+        };
+        let standin = Standin::start(&execs.traffic, settings)?;
+        let endpoint = standin.address();
+        self.standins.push(standin);
+        let settings = json!({
+            "node": format!("agent-{id}"), "host": format!("host-{id}"),
+            "domain": domain, "region": scene.region, "listen": ports::free()?,
+            "endpoint": {
+                "id": id, "pool": pool.name, "address": endpoint, "kind": kind,
+                "slots": pool.slots, "queue": pool.queue,
+            },
+            "platform": self.platform,
+        });
+        let agent = agent(&settings, &self.agent_execs)?;
+        self.seats.push(Seat {
+            pool: pool.name.clone(),
+            domain: domain.clone(),
+            endpoint,
+            settings,
+            agent: Some(agent),
+        });
+        Ok(())
+    }
+
+    fn router(
+        &mut self,
+        deployment: &Deployment,
+        index: usize,
+        options: &Options,
+        execs: &Execs,
+    ) -> Result<(), BedError> {
+        let scene = deployment.scene();
+        let agents = self.seats.iter().filter_map(|s| s.agent.as_ref());
+        let agents: Vec<SocketAddr> = agents.map(Agent::address).collect();
+        let settings = json!({
+            "node": format!("router-{}", index + 1), "host": format!("entry-{}", index + 1),
+            "domain": scene.domains[index % scene.domains.len()], "region": scene.region,
+            "listen": {
+                "callers": ports::free()?, "control": ports::free()?, "peers": ports::free()?,
+            },
+            "agents": agents, "platform": self.platform, "policy": options.policy,
+        });
+        let path = Path::new("router settings");
+        let settings = settings::parse(path, &settings.to_string())?;
+        self.routers.push(Router::start(settings, execs)?);
+        Ok(())
+    }
+
+    async fn ready(&self) -> Result<(), BedError> {
+        let limit = Instant::now() + READY_LIMIT;
+        for address in self.routers() {
+            while !self.is_ready(address).await {
+                if Instant::now() > limit {
+                    return Err(BedError::NotReady { address });
+                }
+                Timer::after(READY_LOOK).await;
+            }
+        }
+        Timer::after(SETTLE).await;
+        Ok(())
+    }
+
+    async fn is_ready(&self, address: SocketAddr) -> bool {
+        let mut request = Request::new(Full::default());
+        *request.uri_mut() = hyper::Uri::from_static("/readyz");
+        let sent = self.client.send(address, request).await;
+        sent.is_ok_and(|(response, _)| response.status().is_success())
+    }
+}
+
+fn agent(settings: &serde_json::Value, execs: &Execs) -> Result<Agent, BedError> {
+    let path = Path::new("agent settings");
+    let settings = settings::parse(path, &settings.to_string())?;
+    Ok(Agent::start(
+        settings,
+        &Execs {
+            control: Arc::clone(&execs.control),
+            traffic: Arc::clone(&execs.traffic),
+        },
+    )?)
+}
--- a/standin/src/settings.rs
+++ b/standin/src/settings.rs
@@ -80,6 +80,15 @@
         }
     }
 
+    /// Replaces the seed.
+    pub const fn set_seed(&mut self, seed: u64) {
+        match self {
+            Self::Platform(platform) => platform.seed = seed,
+            Self::Engine(engine) => engine.seed = seed,
+            Self::Plain(plain) => plain.seed = seed,
+        }
+    }
+
     /// Checks the ranges of all numbers.
     ///
     /// # Errors
