--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,3 +4,5 @@
 mod test_chain;
 mod test_chain_random;
 mod test_config_model;
+mod test_once_schedules;
+mod test_query;
