limits, admission: share limits between routers and refuse what can't be done

Cause: limits per client account hold over all routers, and a request that would be late has to be refused before it costs a generation. Change: limits/ (buckets filled at a share that follows gossiped demand, a conservative start, debt for tokens, fairness between accounts), admission by the best endpoints' predicted times. Times learned from answers go stale after 10 s, so that a stage condemned in an outage is tried again. Figures: tests bound, at a limit of 100/s over 4 routers: 10 s with even demand admit at most 1,150; a minute of a partition in two at most 12,100 of 12,000; the second after the join at most 400; the 10 s after it at most 1,050. One busy router of four gets at least 900 of 1,000. Conclusion: the overshoot of a partition is one limit for each side.

--- /dev/null
+++ b/lib/src/admission.rs
@@ -0,0 +1,69 @@
+//! Whether a request can still make its deadline.
+
+use std::time::Duration;
+
+use crate::chain::Shared;
+use crate::chain::Spec;
+use crate::chain::stage_need;
+use crate::outcome::Reason;
+use crate::time::Time;
+
+/// The part of the deadline that a plan may fill.
+///
+/// Predictions err to both sides; without room for it, every second request
+/// that just fits on paper would be late after it has cost a generation.
+const FILL: f64 = 0.9;
+
+/// The least time that a refused caller is asked to stay away.
+const AFTER_MIN: Duration = Duration::from_millis(500);
+
+/// The longest time that a refused caller is asked to stay away.
+const AFTER_MAX: Duration = Duration::from_secs(10);
+
+/// A refusal before anything ran.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refusal {
+    /// Why the request is refused.
+    pub reason: Reason,
+    /// When asking again may help.
+    pub retry_after: Duration,
+}
+
+/// Admits a request if all its stages can still be done in time.
+///
+/// Returns the predicted time to the whole answer. The prediction takes the
+/// best endpoint of each stage's pool as it is now, from load reports and the
+/// work sent since, never from the time that past requests took: those would
+/// keep a recovered pool shut, because nothing new would be measured.
+///
+/// # Errors
+///
+/// Returns [`Refusal`] if a pool has no endpoint or the time is too short.
+pub fn admit(now: Time, spec: &Spec, shared: &mut Shared) -> Result<Duration, Refusal> {
+    let mut total = 0.0;
+    for index in 0..spec.pipeline.stages.len() {
+        let best = best(now, spec, index, shared).ok_or(Refusal {
+            reason: Reason::NoEndpoint,
+            retry_after: AFTER_MIN * 2,
+        })?;
+        total += f64::from(best);
+    }
+    let left = spec.deadline.since(now).as_secs_f64();
+    let allowed = left * FILL * shared.fair.part(now, &spec.account);
+    if total > allowed {
+        let missing = Duration::try_from_secs_f64(total - allowed).unwrap_or(AFTER_MAX);
+        return Err(Refusal {
+            reason: Reason::Overload,
+            retry_after: missing.clamp(AFTER_MIN, AFTER_MAX),
+        });
+    }
+    let share = shared.share(&spec.account);
+    shared.fair.note(now, &spec.account, share, total);
+    Ok(Duration::try_from_secs_f64(total).unwrap_or_default())
+}
+
+fn best(now: Time, spec: &Spec, index: usize, shared: &mut Shared) -> Option<f32> {
+    let pool = shared.fleet.pool_mut(&spec.pipeline.stages[index].pool)?;
+    let need = stage_need(spec, index, 0, &shared.times, pool)?;
+    pool.best(now, &need)
+}
--- a/lib/src/chain/ending.rs
+++ b/lib/src/chain/ending.rs
@@ -48,7 +48,7 @@
     // A pause that ends too late for an answer would only hold the refusal back.
     fn pause(&mut self, pause: Duration, turn: &mut Turn<'_>) {
         let again = turn.now + pause;
-        if again >= timing::latest(self, turn.shared) {
+        if again >= timing::latest(turn.now, self, turn.shared) {
             self.refuse(Reason::Overload, Some(pause), turn);
             return;
         }
--- a/lib/src/chain/machine.rs
+++ b/lib/src/chain/machine.rs
@@ -160,7 +160,7 @@
 
     /// Sends a new attempt at the current stage, or gives the request up.
     pub(super) fn send(&mut self, turn: &mut Turn<'_>) {
-        if turn.now >= timing::latest(self, turn.shared) {
+        if turn.now >= timing::latest(turn.now, self, turn.shared) {
             self.give_up(Reason::Deadline, None, turn);
             return;
         }
@@ -200,7 +200,7 @@
             attempt: id,
             stage: self.stage,
             endpoint: picked.endpoint.clone(),
-            left: timing::latest(self, turn.shared).since(now),
+            left: timing::latest(turn.now, self, turn.shared).since(now),
             priority: timing::priority(now, self, turn.shared),
             resume_from: self.tokens,
         });
@@ -223,7 +223,7 @@
     }
 
     fn ask_wake(&mut self, turn: &mut Turn<'_>) {
-        let at = timing::next_wake(self, turn.shared);
+        let at = timing::next_wake(turn.now, self, turn.shared);
         if self.wake != Some(at) {
             self.wake = Some(at);
             turn.out.push(Action::WakeAt(at));
--- a/lib/src/chain/mod.rs
+++ b/lib/src/chain/mod.rs
@@ -23,4 +23,5 @@
 pub use model::Prompt;
 pub use model::Spec;
 pub use model::Usage;
+pub(crate) use select::stage_need;
 pub use shared::Shared;
--- a/lib/src/chain/select.rs
+++ b/lib/src/chain/select.rs
@@ -5,11 +5,14 @@
 use super::Alternative;
 use super::Chain;
 use super::Shared;
+use super::Spec;
 use super::Usage;
 use super::attempt::Attempt;
 use super::timing;
 use crate::config::Stage;
 use crate::config::StageRole;
+use crate::deadline::StageTime;
+use crate::deadline::StageTimes;
 use crate::ids::EndpointId;
 use crate::outcome::Reason;
 use crate::routing;
@@ -37,41 +40,59 @@
     stage.role == StageRole::Generate
 }
 
+/// Describes what a stage needs, or `None` if no endpoint has its model.
+///
+/// `held` is the number of tokens of the answer that are there already. The
+/// time, and what to avoid, are left open.
+pub(crate) fn stage_need<'a>(
+    spec: &'a Spec,
+    index: usize,
+    held: u32,
+    times: &StageTimes,
+    pool: &Pool,
+) -> Option<Need<'a>> {
+    let stage = &spec.pipeline.stages[index];
+    let model = match &stage.model {
+        Some(name) if pool.has_models() => pool.model(name)?,
+        _ => 0,
+    };
+    let mut need = Need {
+        model,
+        weights: spec.pipeline.weights,
+        ..Need::default()
+    };
+    if generates(stage) {
+        need.prompt = spec.prompt.tokens.0 + held;
+        need.prefix = &spec.prompt.prefix;
+        need.output = expected_output(spec, index, held, times);
+    }
+    Some(need)
+}
+
+fn expected_output(spec: &Spec, index: usize, held: u32, times: &StageTimes) -> f32 {
+    let max = (spec.prompt.max.0 as f32).max(1.0);
+    let usual = times.get(&spec.name, index).and_then(StageTime::output);
+    let whole = usual.unwrap_or(max * OUTPUT_FIRST).min(max);
+    (whole - held as f32).max(1.0)
+}
+
 /// Picks an endpoint for the next attempt at the chain's stage.
 pub(super) fn pick(now: Time, chain: &Chain, shared: &mut Shared) -> Result<Picked, Reason> {
     let stage = chain.current();
-    let tried: Vec<usize> = here(chain).map(|a| a.slot).collect();
-    let domain = here(chain).last().map(|a| a.domain);
-    let output = expected_output(chain, shared);
+    let tried: Vec<usize> = chain.here().map(|a| a.slot).collect();
+    let domain = chain.here().last().map(|a| a.domain);
     let budget = budget(now, chain, shared);
-    let Some(pool) = shared.fleet.pool_mut(&stage.pool) else {
-        return Err(Reason::NoEndpoint);
-    };
+    let pool = shared.fleet.pool_mut(&stage.pool);
+    let pool = pool.ok_or(Reason::NoEndpoint)?;
     if !stage.idempotent {
         return pick_owner(now, chain, pool);
     }
-    let model = match &stage.model {
-        Some(name) if pool.has_models() => pool.model(name).ok_or(Reason::NoEndpoint)?,
-        _ => 0,
-    };
-    let with_prompt = generates(stage);
+    let need = stage_need(&chain.spec, chain.stage, chain.tokens, &shared.times, pool);
     let need = Need {
-        model,
-        prompt: if with_prompt {
-            chain.spec.prompt.tokens.0 + chain.tokens
-        } else {
-            0
-        },
-        output,
-        prefix: if with_prompt {
-            &chain.spec.prompt.prefix
-        } else {
-            &[]
-        },
         budget,
-        weights: chain.spec.pipeline.weights,
         avoid: &tried,
         domain,
+        ..need.ok_or(Reason::NoEndpoint)?
     };
     let policy = shared.policy.as_mut();
     let choice = routing::choose(policy, now, pool, &need, &mut shared.rng);
@@ -113,23 +134,8 @@
     })
 }
 
-fn here(chain: &Chain) -> impl Iterator<Item = &Attempt> {
-    chain.attempts.iter().filter(|a| a.stage == chain.stage)
-}
-
-fn expected_output(chain: &Chain, shared: &Shared) -> f32 {
-    if !generates(chain.current()) {
-        return 0.0;
-    }
-    let max = chain.spec.prompt.max.0 as f32;
-    let known = shared.times.get(&chain.spec.name, chain.stage);
-    let usual = known.and_then(crate::deadline::StageTime::output);
-    let whole = usual.unwrap_or(max * OUTPUT_FIRST).min(max.max(1.0));
-    (whole - chain.tokens as f32).max(1.0)
-}
-
 fn budget(now: Time, chain: &Chain, shared: &Shared) -> Duration {
-    let rest = timing::rest(chain, shared, chain.stage + 1, timing::USUAL);
+    let rest = timing::rest(now, chain, shared, chain.stage + 1, timing::USUAL);
     (chain.spec.deadline - rest).since(now)
 }
 
@@ -152,6 +158,7 @@
     }
     shared.fleet.worked(pool, attempt.slot, usage.work);
     let entry = shared.times.entry(&chain.spec.name, chain.stage);
+    entry.seen(now);
     entry.took.observe(now.since(chain.entered));
     if attempt.first.is_none() {
         entry.first.observe(took);
--- a/lib/src/chain/shared.rs
+++ b/lib/src/chain/shared.rs
@@ -1,5 +1,6 @@
 //! The state that all chains of a router share.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 use rand::SeedableRng;
@@ -7,6 +8,8 @@
 
 use crate::deadline::StageTimes;
 use crate::hedge::HedgeBudget;
+use crate::ids::ClientAccount;
+use crate::limits::Fairness;
 use crate::retry::RetryBudget;
 use crate::routing::Fleet;
 use crate::routing::Home;
@@ -22,6 +25,10 @@
     pub retry: RetryBudget,
     /// The budget for hedges.
     pub hedge: HedgeBudget,
+    /// The fairness between client accounts.
+    pub fair: Fairness,
+    /// The shares of client accounts under contention.
+    pub shares: BTreeMap<ClientAccount, f64>,
     /// The generator for ties and jitter.
     pub rng: Pcg32,
     /// The choice of endpoints.
@@ -37,10 +44,18 @@
             times: StageTimes::default(),
             retry: RetryBudget::default(),
             hedge: HedgeBudget::default(),
+            fair: Fairness::default(),
+            shares: BTreeMap::new(),
             rng: Pcg32::seed_from_u64(seed),
             policy,
         }
     }
+
+    /// Returns an account's share under contention.
+    #[must_use]
+    pub fn share(&self, account: &ClientAccount) -> f64 {
+        self.shares.get(account).copied().unwrap_or(1.0)
+    }
 }
 
 impl fmt::Debug for Shared {
--- a/lib/src/chain/timing.rs
+++ b/lib/src/chain/timing.rs
@@ -47,19 +47,19 @@
 }
 
 /// Returns when the current stage must be done for the rest to have a hope.
-pub(super) fn latest(chain: &Chain, shared: &Shared) -> Time {
-    chain.spec.deadline - rest(chain, shared, chain.stage + 1, HOPE)
+pub(super) fn latest(now: Time, chain: &Chain, shared: &Shared) -> Time {
+    chain.spec.deadline - rest(now, chain, shared, chain.stage + 1, HOPE)
 }
 
 /// Returns the time that stages from `from` on take.
-pub(super) fn rest(chain: &Chain, shared: &Shared, from: usize, part: f32) -> Duration {
+pub(super) fn rest(now: Time, chain: &Chain, shared: &Shared, from: usize, part: f32) -> Duration {
     let count = chain.spec.pipeline.stages.len();
-    shared.times.rest(&chain.spec.name, from, count, part)
+    shared.times.rest(now, &chain.spec.name, from..count, part)
 }
 
 pub(super) fn priority(now: Time, chain: &Chain, shared: &Shared) -> u8 {
     let left = chain.spec.deadline.since(now).as_secs_f32();
-    let needed = rest(chain, shared, chain.stage, USUAL).as_secs_f32();
+    let needed = rest(now, chain, shared, chain.stage, USUAL).as_secs_f32();
     let whole = chain.spec.pipeline.deadline().as_secs_f32();
     let slack = (left - needed).max(0.0) / whole;
     (slack * PRIORITIES).min(PRIORITIES - 1.0) as u8
@@ -107,8 +107,8 @@
     (alone && only.hedge != Time::NEVER).then_some(only.hedge)
 }
 
-pub(super) fn next_wake(chain: &Chain, shared: &Shared) -> Time {
-    let mut at = latest(chain, shared);
+pub(super) fn next_wake(now: Time, chain: &Chain, shared: &Shared) -> Time {
+    let mut at = latest(now, chain, shared);
     if let Some(again) = chain.again {
         at = at.min(again);
     }
--- a/lib/src/chain/watch.rs
+++ b/lib/src/chain/watch.rs
@@ -11,7 +11,7 @@
 
 impl Chain {
     pub(super) fn check_time(&mut self, turn: &mut Turn<'_>) {
-        if turn.now >= timing::latest(self, turn.shared) {
+        if turn.now >= timing::latest(turn.now, self, turn.shared) {
             let after = timing::come_back(turn.shared);
             self.give_up(Reason::Timeout, Some(after), turn);
             return;
--- a/lib/src/deadline.rs
+++ b/lib/src/deadline.rs
@@ -1,9 +1,11 @@
 //! How much of a deadline each stage needs, learned from answers.
 
 use std::collections::BTreeMap;
+use std::ops::Range;
 use std::time::Duration;
 
 use crate::ids::PipelineName;
+use crate::time::Time;
 
 /// The buckets of a histogram.
 const BUCKETS: usize = 128;
@@ -17,6 +19,9 @@
 /// The observations after which old ones weigh half as much.
 const MEMORY: f32 = 500.0;
 
+/// The age after which the times of a stage say nothing any more.
+const STALE: Duration = Duration::from_secs(10);
+
 /// The observations below which a histogram says nothing.
 const TRUSTED: f32 = 8.0;
 
@@ -86,9 +91,15 @@
     /// The time to the first token, or to the answer where there are none.
     pub first: Quantiles,
     output: Option<f32>,
+    seen: Time,
 }
 
 impl StageTime {
+    /// Notes that a stage was done now.
+    pub const fn seen(&mut self, now: Time) {
+        self.seen = now;
+    }
+
     /// Returns the usual number of output tokens, if any were seen.
     #[must_use]
     pub const fn output(&self) -> Option<f32> {
@@ -131,12 +142,26 @@
         &mut stages[stage]
     }
 
-    /// Sums a quantile over the stages from `from` on, up to `count`.
+    /// Sums a quantile over stages.
     ///
-    /// A stage of which too little is known counts as zero.
+    /// A stage counts as zero while too little is known of it, or nothing new.
+    /// After an outage the times learned in it would condemn every request, so
+    /// that no newer ones could be learned.
     #[must_use]
-    pub fn rest(&self, pipeline: &PipelineName, from: usize, count: usize, part: f32) -> Duration {
-        let known = |stage| self.get(pipeline, stage)?.took.at(part);
-        (from..count).filter_map(known).sum()
+    pub fn rest(
+        &self,
+        now: Time,
+        pipeline: &PipelineName,
+        stages: Range<usize>,
+        part: f32,
+    ) -> Duration {
+        let known = |stage| {
+            let known = self.get(pipeline, stage)?;
+            if now.since(known.seen) > STALE {
+                return None;
+            }
+            known.took.at(part)
+        };
+        stages.filter_map(known).sum()
     }
 }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,7 @@
 //! driven by tests, by fuzzers, by the processes of snipeyoke and by programs
 //! that embed it with their own transport.
 
+pub mod admission;
 pub mod chain;
 pub mod config;
 pub mod deadline;
@@ -14,6 +15,7 @@
 pub mod ids;
 pub mod journal;
 pub mod lease;
+pub mod limits;
 pub mod log;
 pub mod membership;
 pub mod once;
--- /dev/null
+++ b/lib/src/limits/bucket.rs
@@ -0,0 +1,59 @@
+//! A token bucket whose rate changes.
+
+use std::time::Duration;
+
+use crate::time::Time;
+
+/// A token bucket that may go into debt.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Bucket {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    seen: Time,
+}
+
+impl Bucket {
+    /// Builds a full bucket.
+    #[must_use]
+    pub const fn new(now: Time, rate: f64, burst: f64) -> Self {
+        Self {
+            rate,
+            burst,
+            level: burst,
+            seen: now,
+        }
+    }
+
+    /// Changes rate and burst; what was saved above the new burst is lost.
+    pub fn set(&mut self, now: Time, rate: f64, burst: f64) {
+        self.fill(now);
+        self.rate = rate;
+        self.burst = burst;
+        self.level = self.level.min(burst);
+    }
+
+    /// Tells how long until `amount` can be taken; zero if it can be now.
+    pub fn wait(&mut self, now: Time, amount: f64) -> Duration {
+        self.fill(now);
+        // More than the bucket holds is let through once it is full, and paid
+        // for afterwards; else a request of that size would never pass.
+        let missing = amount.min(self.burst) - self.level;
+        if missing <= 0.0 {
+            return Duration::ZERO;
+        }
+        Duration::try_from_secs_f64(missing / self.rate).unwrap_or(Duration::MAX)
+    }
+
+    /// Takes an amount, into debt if need be; a negative one is given back.
+    pub fn take(&mut self, now: Time, amount: f64) {
+        self.fill(now);
+        self.level = (self.level - amount).min(self.burst);
+    }
+
+    fn fill(&mut self, now: Time) {
+        let passed = now.since(self.seen).as_secs_f64();
+        self.level = (self.level + passed * self.rate).min(self.burst);
+        self.seen = now;
+    }
+}
--- /dev/null
+++ b/lib/src/limits/fair.rs
@@ -0,0 +1,68 @@
+//! Fairness between client accounts where endpoints are short.
+
+use std::collections::BTreeMap;
+
+use crate::ids::ClientAccount;
+use crate::time::Time;
+
+/// The seconds over which use is averaged.
+const AVERAGE: f64 = 5.0;
+
+/// The use below which an account is forgotten.
+const FORGET: f64 = 1e-3;
+
+/// The part of its budget that an account far above its share may plan with.
+const STRICTEST: f64 = 0.6;
+
+/// The recent use of endpoints by each account.
+#[derive(Debug, Clone, Default)]
+pub struct Fairness {
+    uses: BTreeMap<ClientAccount, Use>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Use {
+    share: f64,
+    work: f64,
+    seen: Time,
+}
+
+impl Use {
+    fn work(&self, now: Time) -> f64 {
+        let passed = now.since(self.seen).as_secs_f64();
+        self.work * (-passed / AVERAGE).exp()
+    }
+}
+
+impl Fairness {
+    /// Notes work admitted for an account that has a share under contention.
+    pub fn note(&mut self, now: Time, account: &ClientAccount, share: f64, work: f64) {
+        self.uses.retain(|_, u| u.work(now) > FORGET);
+        let known = self.uses.get(account).map_or(0.0, |u| u.work(now));
+        let entry = Use {
+            share,
+            work: known + work,
+            seen: now,
+        };
+        self.uses.insert(account.clone(), entry);
+    }
+
+    /// Returns the part of its deadline that an account may plan with.
+    ///
+    /// An account above its share is refused while the queue is still short, so
+    /// that it can't fill the queue up to where those below theirs are refused.
+    #[must_use]
+    pub fn part(&self, now: Time, account: &ClientAccount) -> f64 {
+        let Some(own) = self.uses.get(account) else {
+            return 1.0;
+        };
+        let shares: f64 = self.uses.values().map(|u| u.share).sum();
+        let works: f64 = self.uses.values().map(|u| u.work(now)).sum();
+        if works <= 0.0 || shares <= 0.0 {
+            return 1.0;
+        }
+        let fair = own.share / shares;
+        let excess = own.work(now) / works / fair - 1.0;
+        1.0 - (1.0 - STRICTEST) * excess.clamp(0.0, 1.0)
+    }
+}
--- a/lib/src/routing/pool.rs
+++ b/lib/src/routing/pool.rs
@@ -64,6 +64,15 @@
         self.forecast_with(now, slot, &need, 0).total
     }
 
+    /// Predicts the seconds to an answer at the best endpoint, if there is one.
+    pub fn best(&mut self, now: Time, need: &Need<'_>) -> Option<f32> {
+        self.holders.measure(need.prefix, self.endpoints.len());
+        (0..self.endpoints.len())
+            .filter(|&slot| self.allows(now, slot, need))
+            .map(|slot| self.forecast(now, slot, need).total)
+            .reduce(f32::min)
+    }
+
     /// Tells whether any endpoint may get new work.
     #[must_use]
     pub fn is_usable(&self, now: Time) -> bool {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,8 +1,10 @@
 //! Runs every test of the library.
 
 mod chain_world;
+mod test_admission;
 mod test_chain;
 mod test_chain_random;
 mod test_config_model;
+mod test_limits;
 mod test_once_schedules;
 mod test_query;
--- /dev/null
+++ b/lib/tests/test_admission.rs
@@ -0,0 +1,104 @@
+//! Admission by what the stages can still make.
+
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use snipeyoke_lib::admission::Refusal;
+use snipeyoke_lib::admission::admit;
+use snipeyoke_lib::chain::Spec;
+use snipeyoke_lib::outcome::Reason;
+use snipeyoke_lib::routing::LoadReport;
+use snipeyoke_lib::routing::PolicyKind;
+
+use crate::chain_world::World;
+use crate::chain_world::spec;
+
+fn world(queued: u32) -> (World, Spec) {
+    let mut world = World::new(PolicyKind::Predicted, 1);
+    let report = LoadReport {
+        slots: 4,
+        active: 4,
+        queued,
+        prefill: 8_000.0,
+        decode: 100.0,
+        ..LoadReport::default()
+    };
+    world.add("e1", "enc", "a", LoadReport::default());
+    world.add("g1", "gen", "a", report);
+    let pool = "gen".parse().expect("a name");
+    for _ in 0..200 {
+        let work = Duration::from_millis(500);
+        world.shared.fleet.worked(&pool, 0, work);
+    }
+    let stages = ["encode.enc".to_owned(), "generate.gen".to_owned()];
+    let spec = spec(world.now, &stages, 3_000);
+    (world, spec)
+}
+
+#[test]
+fn admits_while_the_queue_leaves_time() {
+    let (mut world, spec) = world(0);
+    let predicted = admit(world.now, &spec, &mut world.shared).expect("it fits");
+    assert!(predicted < Duration::from_secs(1), "{predicted:?}");
+}
+
+#[test]
+fn refuses_at_once_what_would_be_late_and_says_when_to_come_back() {
+    // The caller would wait three seconds for nothing, and its generation
+    // would be paid for. The queue already takes longer than the deadline, so
+    // the refusal comes before anything runs, with the time that is missing.
+    let (mut world, spec) = world(30);
+    let refused = admit(world.now, &spec, &mut world.shared);
+    assert_matches!(
+        refused,
+        Err(Refusal { reason: Reason::Overload, retry_after })
+            if retry_after > Duration::from_secs(1)
+    );
+    assert!(
+        world
+            .shared
+            .fleet
+            .pools()
+            .values()
+            .all(|p| { p.endpoints().iter().all(|e| e.outstanding() == 0) })
+    );
+}
+
+#[test]
+fn refuses_a_pool_without_endpoints() {
+    let (mut world, spec) = world(0);
+    world.shared.fleet.gone(&"e1".parse().expect("a name"));
+    let refused = admit(world.now, &spec, &mut world.shared);
+    assert_matches!(
+        refused,
+        Err(Refusal {
+            reason: Reason::NoEndpoint,
+            ..
+        })
+    );
+}
+
+#[test]
+fn a_flood_of_one_account_does_not_shut_out_the_others() {
+    // One account sends ten times what the others send, and the queue grows.
+    // Its callers are refused while the queue is still short enough for the
+    // rest, so that the small account goes on getting its answers.
+    let (mut world, mut flood) = world(13);
+    let mut small = flood.clone();
+    small.account = "small".parse().expect("a name");
+    flood.account = "flood".parse().expect("a name");
+    let now = world.now;
+    for _ in 0..10 {
+        world.shared.fair.note(now, &flood.account, 1.0, 1.0);
+    }
+    world.shared.fair.note(now, &small.account, 1.0, 1.0);
+    let refused = admit(now, &flood, &mut world.shared);
+    assert_matches!(
+        refused,
+        Err(Refusal {
+            reason: Reason::Overload,
+            ..
+        })
+    );
+    assert_matches!(admit(now, &small, &mut world.shared), Ok(_));
+}
--- /dev/null
+++ b/lib/tests/test_limits.rs
@@ -0,0 +1,189 @@
+//! Limits of client accounts over several routers.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use assert_matches::assert_matches;
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use snipeyoke_lib::config::Account;
+use snipeyoke_lib::config::Limits;
+use snipeyoke_lib::ids::ClientAccount;
+use snipeyoke_lib::ids::NodeId;
+use snipeyoke_lib::limits::LimitError;
+use snipeyoke_lib::limits::Limiter;
+use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::RequestRate;
+use snipeyoke_lib::units::TokenRate;
+use snipeyoke_lib::units::Tokens;
+
+const STEP: Duration = Duration::from_millis(10);
+const GOSSIP: u64 = 50; // steps
+const LIMIT: f64 = 100.0;
+
+/// Routers that gossip, each with its own demand on one account.
+struct Site {
+    routers: Vec<Limiter>,
+    sides: Vec<usize>,
+    now: Time,
+    steps: u64,
+    admitted: Vec<u64>,
+    credit: Vec<f64>,
+}
+
+fn account() -> ClientAccount {
+    "acme".parse().expect("a name")
+}
+
+fn limits(concurrency: u32) -> BTreeMap<ClientAccount, Account> {
+    let limits = Limits {
+        requests: RequestRate(LIMIT),
+        tokens: TokenRate(1e6),
+        concurrency,
+    };
+    let account = Account {
+        keys: Vec::new(),
+        limits,
+        share: 1.0,
+    };
+    BTreeMap::from([(self::account(), account)])
+}
+
+impl Site {
+    fn new(count: usize) -> Self {
+        let mut router = Limiter::begin(Time::ZERO, count);
+        router.set(Time::ZERO, &limits(1_000_000));
+        Self {
+            routers: vec![router; count],
+            sides: vec![0; count],
+            now: Time::ZERO,
+            steps: 0,
+            admitted: vec![0; count],
+            credit: vec![0.0; count],
+        }
+    }
+
+    fn run(&mut self, time: Duration, demand: &[f64]) -> u64 {
+        let before: u64 = self.admitted.iter().sum();
+        for _ in 0..time.as_millis() / STEP.as_millis() {
+            self.now = self.now + STEP;
+            self.steps += 1;
+            if self.steps.is_multiple_of(GOSSIP) {
+                self.gossip();
+            }
+            for (index, &rate) in demand.iter().enumerate() {
+                self.ask(index, rate);
+            }
+        }
+        self.admitted.iter().sum::<u64>() - before
+    }
+
+    fn ask(&mut self, index: usize, rate: f64) {
+        self.credit[index] += rate * STEP.as_secs_f64();
+        while self.credit[index] >= 1.0 {
+            self.credit[index] -= 1.0;
+            let router = &mut self.routers[index];
+            if router.admit(self.now, &account(), Tokens(10)).is_ok() {
+                self.admitted[index] += 1;
+                router.done(self.now, &account(), Tokens(10), Tokens(10));
+            }
+        }
+    }
+
+    fn gossip(&mut self) {
+        for from in 0..self.routers.len() {
+            let uses = self.routers[from].tick(self.now);
+            let name: NodeId = format!("router-{from}").parse().expect("a name");
+            for to in 0..self.routers.len() {
+                if to != from && self.sides[to] == self.sides[from] {
+                    self.routers[to].on_peer(self.now, &name, self.steps, uses.clone());
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn one_busy_router_gets_nearly_the_whole_limit() {
+    let mut site = Site::new(4);
+    let demand = [300.0, 1.0, 1.0, 1.0];
+    site.run(Duration::from_secs(5), &demand);
+    let admitted = site.run(Duration::from_secs(10), &demand);
+    assert!((900..=1_030).contains(&admitted), "{admitted} of 1,000");
+}
+
+#[test]
+fn a_partition_admits_a_limit_on_each_side_and_no_more_afterwards() {
+    // Callers of one account reach routers on both sides of a partition.
+    // The sides lose each other for a minute and take over each other's share.
+    // They then admit at most one limit each; after they join, one together.
+    let mut site = Site::new(4);
+    let demand = [100.0; 4];
+    let joined = site.run(Duration::from_secs(10), &demand);
+    assert!(joined <= 1_150, "{joined} of 1,000 and the bursts");
+    site.sides = vec![0, 0, 1, 1];
+    let apart = site.run(Duration::from_mins(1), &demand);
+    assert!((10_500..=12_100).contains(&apart), "{apart} of 12,000");
+    site.sides = vec![0; 4];
+    let after = site.run(Duration::from_secs(1), &demand);
+    assert!(
+        after <= 400,
+        "{after}: two limits for a gossip interval, and bursts"
+    );
+    let settled = site.run(Duration::from_secs(10), &demand);
+    assert!(settled <= 1_050, "{settled} of 1,000");
+}
+
+#[test]
+fn concurrency_counts_what_is_in_flight() {
+    let mut router = Limiter::default();
+    router.set(Time::ZERO, &limits(2));
+    let ask = |router: &mut Limiter| router.admit(Time::ZERO, &account(), Tokens(1));
+    assert_matches!(ask(&mut router), Ok(()));
+    assert_matches!(ask(&mut router), Ok(()));
+    assert_matches!(ask(&mut router), Err(LimitError::Concurrency { active: 2 }));
+    router.done(Time::ZERO, &account(), Tokens(1), Tokens(1));
+    assert_matches!(ask(&mut router), Ok(()));
+}
+
+#[test]
+fn tokens_beyond_the_expected_are_paid_for_afterwards() {
+    let mut router = Limiter::default();
+    router.set(Time::ZERO, &limits(100));
+    router
+        .admit(Time::ZERO, &account(), Tokens(10))
+        .expect("room");
+    router.done(Time::ZERO, &account(), Tokens(10), Tokens(3_000_000));
+    let refused = router.admit(Time::ZERO, &account(), Tokens(10));
+    let error = refused.expect_err("the account is two seconds in debt");
+    assert!(error.retry_after() >= Duration::from_secs(2));
+    let later = Time::from_millis(2_100);
+    router.admit(later, &account(), Tokens(10)).expect("paid");
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 60,
+        rng_seed: RngSeed::Fixed(0x11a17),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // An account's callers choose routers as they like and change their mind.
+    // Whatever the split, all routers together stay at the limit and its
+    // bursts, and an account that asks enough gets most of what it may.
+    #[test]
+    fn keeps_the_limit_for_any_split(
+        splits in prop::collection::vec(prop::collection::vec(0.0_f64..200.0, 3), 1..4),
+    ) {
+        let mut site = Site::new(3);
+        let mut allowed = LIMIT;
+        let mut admitted = 0;
+        for split in &splits {
+            admitted += site.run(Duration::from_secs(10), split);
+            // Each change of demand may spend another burst before it is told.
+            allowed += LIMIT * 10.0 + 2.0 * LIMIT;
+        }
+        prop_assert!(admitted as f64 <= allowed, "{admitted} of {allowed}");
+    }
+}
