--- a/lib/src/lease/fold.rs
+++ b/lib/src/lease/fold.rs
@@ -42,6 +42,7 @@
     start: Offset,
     next: Offset,
     leases: BTreeMap<LeaseName, LeaseState>,
+    swept: Time,
 }
 
 impl LeaseFold {
@@ -52,6 +53,7 @@
             start,
             next: start,
             leases: BTreeMap::new(),
+            swept: Time::ZERO,
         }
     }
 
@@ -169,6 +171,9 @@
     }
 
     fn forget(&mut self, now: Time) {
-        self.leases.retain(|_, state| state.free_at + MEMORY > now);
+        if now.since(self.swept) > MEMORY {
+            self.swept = now;
+            self.leases.retain(|_, state| state.free_at + MEMORY > now);
+        }
     }
 }
--- a/lib/src/lease/holder.rs
+++ b/lib/src/lease/holder.rs
@@ -267,7 +267,9 @@
         due.max(self.resume)
     }
 
-    fn claim_at(&self, lease: &LeaseName) -> Time {
+    /// Returns when a lease can be claimed, on this process's clock.
+    #[must_use]
+    pub fn claim_at(&self, lease: &LeaseName) -> Time {
         if self.guards.wait_out {
             self.fold.free_at(lease)
         } else {
--- a/lib/src/once/share.rs
+++ b/lib/src/once/share.rs
@@ -9,7 +9,6 @@
 use crate::lease::LeaseHolder;
 use crate::lease::LeaseName;
 use crate::once::KeySlot;
-use crate::once::SLOTS;
 use crate::time::Time;
 
 /// The share of a pool's slots that falls to one agent.
@@ -30,9 +29,15 @@
     /// Describes the share of an agent in a pool.
     #[must_use]
     pub fn new(pool: &PoolName, me: &LeaseHolder) -> Self {
+        Self::among(KeySlot::all(), pool, me)
+    }
+
+    /// Describes the share of an agent in some slots of a pool.
+    #[must_use]
+    pub fn among(slots: impl Iterator<Item = KeySlot>, pool: &PoolName, me: &LeaseHolder) -> Self {
         // Each agent looks for free slots in an order of its own, so that
         // agents that start together seldom claim the same.
-        let mut order: Vec<_> = KeySlot::all().collect();
+        let mut order: Vec<_> = slots.collect();
         order.sort_by_key(|slot| rapidhash_v3(format!("{me}/{slot}").as_bytes()));
         Self {
             pool: pool.clone(),
@@ -68,13 +73,13 @@
             return wanted;
         }
         let members = holder.fold().taken(&self.seats, now).count().max(1);
-        let target = usize::from(SLOTS).div_ceil(members);
+        let target = self.order.len().div_ceil(members);
         let own = self.order.iter().filter(|l| holder.has(l));
         let mut slots: Vec<_> = own.take(target).collect();
         let free = self
             .order
             .iter()
-            .filter(|l| !holder.has(l) && holder.fold().free_at(l) <= now);
+            .filter(|l| !holder.has(l) && holder.claim_at(l) <= now);
         slots.extend(free.take(target - slots.len()));
         wanted.extend(slots.into_iter().cloned());
         wanted
--- a/lib/testutils/src/world/agent.rs
+++ b/lib/testutils/src/world/agent.rs
@@ -9,6 +9,7 @@
 use snipeyoke_lib::lease::Holder;
 use snipeyoke_lib::lease::LeaseHolder;
 use snipeyoke_lib::lease::LeaseTerm;
+use snipeyoke_lib::once::KeySlot;
 use snipeyoke_lib::once::OnceGate;
 use snipeyoke_lib::once::OnceKey;
 use snipeyoke_lib::once::SlotShare;
@@ -25,6 +26,9 @@
 /// The keys that a simulated agent remembers.
 pub const KEYS: usize = 3;
 
+/// The slots in use.
+const SLOTS: usize = 4;
+
 /// One agent, over all its incarnations.
 #[derive(Debug)]
 pub struct Agent {
@@ -69,7 +73,7 @@
             paused: 0,
             cut: 0,
             reading: false,
-            share: SlotShare::new(&pool(), &me),
+            share: SlotShare::among(slots(), &pool(), &me),
             holder: Holder::with_guards(me, term, from, index, guards.lease),
             gate: OnceGate::with_guards(limits, guards.once),
             index,
@@ -118,3 +122,8 @@
     const EPOCH_MS: u64 = 1_764_700_000_000;
     WallTime::from_millis((EPOCH_MS + real / 1_000).saturating_add_signed(skew_ms))
 }
+
+/// Returns the slots that the simulated keys fall into: a few, for speed.
+pub fn slots() -> impl Iterator<Item = KeySlot> {
+    KeySlot::all().take(SLOTS)
+}
