--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,5 +1,7 @@
 //! Runs every test of the library.
 
+mod test_config_fold;
 mod test_config_model;
+mod test_once_scenarios;
 mod test_once_schedules;
 mod test_query;
--- /dev/null
+++ b/lib/tests/test_config_fold.rs
@@ -0,0 +1,341 @@
+//! The configuration under crossing changes, lost answers, outages and retention.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::Config as Runs;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use snipeyoke_lib::config::Applied;
+use snipeyoke_lib::config::Change;
+use snipeyoke_lib::config::Fold;
+use snipeyoke_lib::config::FoldGuards;
+use snipeyoke_lib::config::Pool;
+use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::ids::Revision;
+use snipeyoke_lib::log::AppendEnd;
+use snipeyoke_lib::log::Followed;
+use snipeyoke_lib::log::Follower;
+use snipeyoke_lib::log::Publisher;
+use snipeyoke_lib::log::ReadEnd;
+use snipeyoke_lib::log::Topic;
+use snipeyoke_lib::record::Author;
+use snipeyoke_lib::record::Body;
+use snipeyoke_lib::record::Record;
+use snipeyoke_lib::record::RecordId;
+use snipeyoke_lib::time::Time;
+use uuid::Uuid;
+
+const READERS: usize = 3;
+
+/// A second: longer than every pause of a publisher or follower.
+const LONG: Duration = Duration::from_secs(3);
+
+#[derive(Debug, Clone, Copy)]
+enum Op {
+    /// The operator at a reader changes what the reader shows.
+    Submit { reader: usize, price: u8 },
+    /// An append is tried: it takes effect or not, and is answered or not.
+    Publish {
+        reader: usize,
+        effect: bool,
+        answer: bool,
+    },
+    /// A reader reads at most so many records, or fails to.
+    Read { reader: usize, most: usize },
+    /// A reader offers its snapshot to another.
+    Offer { from: usize, to: usize },
+    /// A reader publishes a snapshot, then retention takes what it covers.
+    Snapshot { reader: usize },
+    /// A reader starts anew, without memory.
+    Restart { reader: usize },
+}
+
+fn op() -> impl Strategy<Value = Op> {
+    let reader = 0..READERS;
+    prop_oneof![
+        4 => (reader.clone(), 1..4_u8).prop_map(|(reader, price)| Op::Submit { reader, price }),
+        6 => (reader.clone(), any::<bool>(), any::<bool>())
+            .prop_map(|(reader, effect, answer)| Op::Publish { reader, effect, answer }),
+        6 => (reader.clone(), 0..6_usize).prop_map(|(reader, most)| Op::Read { reader, most }),
+        2 => (reader.clone(), reader.clone()).prop_map(|(from, to)| Op::Offer { from, to }),
+        1 => reader.clone().prop_map(|reader| Op::Snapshot { reader }),
+        1 => reader.prop_map(|reader| Op::Restart { reader }),
+    ]
+}
+
+struct Reader {
+    fold: Fold,
+    follower: Follower,
+    publisher: Publisher,
+    /// Restarted without memory: behind is where it began.
+    seen: (Offset, Revision),
+}
+
+struct Bench {
+    guards: FoldGuards,
+    now: Time,
+    first: usize,
+    log: Vec<Vec<u8>>,
+    truth: Fold,
+    ids: u128,
+    verdicts: BTreeMap<RecordId, Revision>,
+    readers: Vec<Reader>,
+}
+
+fn reader(guards: FoldGuards, index: usize) -> Reader {
+    Reader {
+        fold: Fold::with_guards(guards),
+        follower: Follower::new(Topic::config(), Offset(0), index as u64),
+        publisher: Publisher::new(Topic::config(), index as u64),
+        seen: (Offset(0), Revision(0)),
+    }
+}
+
+impl Bench {
+    fn new(guards: FoldGuards) -> Self {
+        Self {
+            guards,
+            now: Time::ZERO,
+            first: 0,
+            log: Vec::new(),
+            truth: Fold::with_guards(guards),
+            ids: 0,
+            verdicts: BTreeMap::new(),
+            readers: (0..READERS).map(|i| reader(guards, i)).collect(),
+        }
+    }
+
+    fn record(&mut self, reader: usize, body: Body) -> Record {
+        self.ids += 1;
+        Record {
+            id: RecordId(Uuid::from_u128(self.ids)),
+            author: Author::Operator(format!("operator{reader}").parse().expect("a name")),
+            body,
+        }
+    }
+
+    /// Appends, and judges the record as the log's order has it.
+    fn append(&mut self, bytes: Vec<u8>) -> Result<(), String> {
+        let record = Record::try_from(bytes.as_slice()).expect("own records are well-formed");
+        let applied = self.truth.apply(Offset(self.log.len() as u64), &record);
+        self.log.push(bytes);
+        let Body::ConfigChange { base, .. } = record.body else {
+            return Ok(());
+        };
+        match applied {
+            Applied::Accepted { revision } if revision != base.next() => {
+                return Err(format!("a change on {base} was accepted as {revision}"));
+            }
+            Applied::Accepted { revision } => {
+                if let Some(first) = self.verdicts.insert(record.id, revision) {
+                    return Err(format!("accepted twice: {first} and {revision}"));
+                }
+            }
+            Applied::Lost { .. } | Applied::Invalid(_)
+                if self.verdicts.contains_key(&record.id) =>
+            {
+                return Err("the author of an accepted change is told that it lost".to_owned());
+            }
+            _ => {}
+        }
+        Ok(())
+    }
+
+    fn run(&mut self, op: Op) -> Result<(), String> {
+        self.now = self.now + LONG;
+        match op {
+            Op::Submit { reader, price } => self.submit(reader, price),
+            Op::Publish {
+                reader,
+                effect,
+                answer,
+            } => self.publish(reader, effect, answer)?,
+            Op::Read { reader, most } => self.read(reader, most),
+            Op::Offer { from, to } => {
+                let snapshot = self.readers[from].fold.snapshot();
+                let reader = &mut self.readers[to];
+                if reader.fold.adopt(&snapshot) {
+                    reader.follower.seek(reader.fold.next());
+                }
+            }
+            Op::Snapshot { reader } => {
+                let snapshot = self.readers[reader].fold.snapshot();
+                let covered = usize::try_from(snapshot.next.0).expect("small");
+                let record = self.record(reader, Body::Snapshot(snapshot));
+                self.append(record.encode())?;
+                self.first = self.first.max(covered);
+            }
+            Op::Restart { reader: index } => self.readers[index] = reader(self.guards, index),
+        }
+        self.check()
+    }
+
+    fn submit(&mut self, reader: usize, price: u8) {
+        let base = self.readers[reader].fold.revision();
+        let change = Change::SetPool {
+            name: "desk".parse().expect("a name"),
+            pool: Pool {
+                price: f64::from(price),
+                path: None,
+            },
+        };
+        let record = self.record(reader, Body::ConfigChange { base, change });
+        self.readers[reader].publisher.submit(&record);
+    }
+
+    fn publish(&mut self, reader: usize, effect: bool, answer: bool) -> Result<(), String> {
+        let now = self.now;
+        let Some(append) = self.readers[reader].publisher.poll(now) else {
+            return Ok(());
+        };
+        let offset = Offset(self.log.len() as u64);
+        if effect {
+            for bytes in append.records {
+                self.append(bytes)?;
+            }
+        }
+        let end = match (answer, effect) {
+            (true, true) => AppendEnd::Done { offset },
+            (true, false) => AppendEnd::NotDone { retry_after: None },
+            (false, _) => AppendEnd::Unanswered,
+        };
+        self.readers[reader].publisher.answered(now, &end);
+        Ok(())
+    }
+
+    fn read(&mut self, reader: usize, most: usize) {
+        let (now, first, log) = (self.now, self.first, &self.log);
+        let reader = &mut self.readers[reader];
+        let Some(read) = reader.follower.poll(now) else {
+            return;
+        };
+        let from = usize::try_from(read.from.0).expect("small");
+        let end = if most == 0 {
+            ReadEnd::Failed
+        } else if from < first {
+            ReadEnd::Gone {
+                first: Offset(first as u64),
+            }
+        } else {
+            ReadEnd::Records {
+                first: Offset(first as u64),
+                end: Offset(log.len() as u64),
+                records: log.iter().skip(from).take(most).cloned().collect(),
+            }
+        };
+        let Followed::Records { records, .. } = reader.follower.answered(now, end) else {
+            return;
+        };
+        for (offset, bytes) in records {
+            if let Applied::Restored { next } = reader.fold.apply_bytes(offset, &bytes) {
+                reader.follower.seek(next);
+                break;
+            }
+            if let Ok(record) = Record::try_from(bytes.as_slice()) {
+                reader.publisher.settled(record.id);
+            }
+        }
+    }
+
+    fn check(&mut self) -> Result<(), String> {
+        for reader in &mut self.readers {
+            let at = (reader.fold.next(), reader.fold.revision());
+            if at.0 < reader.seen.0 || at.1 < reader.seen.1 {
+                return Err(format!(
+                    "a reader went back from {:?} to {at:?}",
+                    reader.seen
+                ));
+            }
+            reader.seen = at;
+            if at.0 == self.truth.next() && reader.fold.config() != self.truth.config() {
+                return Err(format!("two readers at {} differ", at.0));
+            }
+        }
+        Ok(())
+    }
+
+    /// Lets every reader read to the end: all must agree.
+    fn settle(&mut self) -> Result<(), String> {
+        for index in 0..READERS {
+            for _ in 0..8 {
+                self.now = self.now + LONG;
+                self.read(index, 1_000);
+            }
+        }
+        let behind = |r: &Reader| r.fold.next() != self.truth.next();
+        if self.readers.iter().any(behind) {
+            return Err("a reader did not catch up with the log".to_owned());
+        }
+        self.check()
+    }
+}
+
+fn run(ops: &[Op], guards: FoldGuards) -> Result<(), String> {
+    let mut bench = Bench::new(guards);
+    for op in ops {
+        bench.run(*op)?;
+    }
+    bench.settle()
+}
+
+fn runner(cases: u32) -> TestRunner {
+    let config = Runs {
+        cases,
+        failure_persistence: None,
+        ..Runs::default()
+    };
+    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
+}
+
+#[test]
+fn readers_agree_and_never_go_back() {
+    // Operators at three routers change the configuration at once, appends are
+    // lost or answered late, routers restart, read from snapshots and from each
+    // other. No accepted change is reverted, and all end with the same state.
+    let verdict = runner(3_000).run(&vec(op(), 1..80), |ops| {
+        prop_assert_eq!(run(&ops, FoldGuards::ON), Ok(()));
+        Ok(())
+    });
+    verdict.expect("readers agree");
+}
+
+fn caught(name: &str, guards: FoldGuards) {
+    let verdict = runner(3_000).run(&vec(op(), 1..80), |ops| {
+        prop_assert_eq!(run(&ops, guards), Ok(()));
+        Ok(())
+    });
+    let fault = verdict.expect_err("the mutation breaks a promise");
+    println!("without {name}: {fault}");
+}
+
+#[test]
+fn needs_each_safeguard_of_the_fold() {
+    // Without its base check two crossing changes both stand; without ids an
+    // author hears that its accepted change lost; without the order of offsets
+    // a peer that was cut off takes everybody back.
+    caught(
+        "base",
+        FoldGuards {
+            base: false,
+            ..FoldGuards::ON
+        },
+    );
+    caught(
+        "repeat",
+        FoldGuards {
+            repeat: false,
+            ..FoldGuards::ON
+        },
+    );
+    caught(
+        "order",
+        FoldGuards {
+            order: false,
+            ..FoldGuards::ON
+        },
+    );
+}
--- a/lib/testutils/src/world/mod.rs
+++ b/lib/testutils/src/world/mod.rs
@@ -231,6 +231,18 @@
         holding.collect()
     }
 
+    /// Returns the agent that holds the slot of a key, if one does.
+    #[must_use]
+    pub fn owner(&self, caller: usize) -> Option<usize> {
+        let slot = self.callers[caller].key.slot().lease(&pool());
+        self.holders(&slot).first().copied()
+    }
+
+    /// Changes the body that a caller sends with its key from now on.
+    pub fn change_body(&mut self, caller: usize) {
+        self.callers[caller].key.digest[0] += 1;
+    }
+
     fn call(&mut self, skew: i64, target: Target) {
         let mut key = self.issue(skew);
         while slots().all(|slot| slot != key.slot()) {
@@ -255,9 +267,8 @@
     }
 
     fn retry(&mut self, caller: usize, target: Target) {
-        let slot = self.callers[caller].key.slot().lease(&pool());
         let index = match target {
-            Target::Owner => self.holders(&slot).first().copied().unwrap_or(0),
+            Target::Owner => self.owner(caller).unwrap_or(0),
             Target::Agent(index) => index,
         };
         let tries = &mut self.callers[caller].tries;
