--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,5 +6,7 @@
 mod test_chain_random;
 mod test_config_model;
 mod test_limits;
+mod test_config_fold;
+mod test_once_scenarios;
 mod test_once_schedules;
 mod test_query;
