--- /dev/null
+++ b/lib/examples/slopes.rs
@@ -0,0 +1,176 @@
+//! Prints what membership costs a node, against the number of nodes.
+//!
+//! `cargo run --release -p snipeyoke-lib --example slopes`. The transport is in
+//! the process; heartbeats are encoded and decoded as they go on a link.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use prost::Message;
+use snipeyoke_lib::membership::NodeKind;
+use snipeyoke_lib::membership::Profile;
+use snipeyoke_lib::membership::ViewSettings;
+use snipeyoke_testutils::mesh::Mesh;
+use snipeyoke_testutils::mesh::listed;
+use snipeyoke_testutils::mesh::profile;
+use snipeyoke_wire::Frame;
+use snipeyoke_wire::Heartbeat;
+use snipeyoke_wire::Load;
+use snipeyoke_wire::frame::Body;
+
+/// The length prefix of a frame.
+const PREFIX: usize = 4;
+
+/// IP and TCP headers with timestamps, of the frame's packet and of a bare ack.
+const HEADERS: usize = 2 * 52;
+
+/// Pools at the size to design for.
+const POOLS: usize = 17;
+
+/// Routers and agents, one to two as at the size to design for.
+const SIZES: [(usize, usize); 5] = [(7, 13), (27, 53), (107, 213), (214, 426), (340, 680)];
+
+/// The time given to meet and settle.
+const SETTLE: Duration = Duration::from_secs(60);
+
+/// The time measured.
+const MEASURED: Duration = Duration::from_secs(60);
+
+/// Turns of the codec's measurement.
+const TURNS: u32 = 200_000;
+
+fn heartbeat(kind: NodeKind) -> Frame {
+    let load = Load {
+        seq: 7_200_000,
+        slots: 32,
+        active: 30,
+        queued: 12,
+        pending_tokens: 48_000,
+        prefill_rate: 8_123.4,
+        decode_rate: 41.7,
+        age_us: 180_000,
+        draining: false,
+        healthy: true,
+        kv_used: 410_000,
+        kv_total: 524_288,
+        models: vec!["copywriting-34b@7".to_owned(), "headline-8b@12".to_owned()],
+    };
+    let beat = Heartbeat {
+        incarnation: 1_796_000_000_000,
+        seq: 7_200_000,
+        config_offset: 90_000,
+        config_revision: 13_000,
+        draining: false,
+        seen_seq: 7_199_999,
+        load: (kind == NodeKind::Agent).then_some(load),
+    };
+    Frame {
+        body: Some(Body::Heartbeat(beat)),
+    }
+}
+
+fn codec_time(kind: NodeKind) -> Duration {
+    let frame = heartbeat(kind);
+    let started = Instant::now();
+    for _ in 0..TURNS {
+        let bytes = std::hint::black_box(&frame).encode_to_vec();
+        let back = Frame::decode(bytes.as_slice());
+        assert!(std::hint::black_box(back).is_ok(), "a heartbeat decodes");
+    }
+    started.elapsed() / TURNS
+}
+
+#[derive(Default)]
+struct Row {
+    nodes: usize,
+    links: usize,
+    most: usize,
+    sent: u64,
+    received: u64,
+}
+
+impl Row {
+    fn add(&mut self, mesh: &Mesh, at: SocketAddr, received: u64) {
+        let links = mesh
+            .view(at)
+            .map_or(0, snipeyoke_lib::membership::View::link_count);
+        self.nodes += 1;
+        self.links += links;
+        self.most = self.most.max(links);
+        self.sent += mesh.sent.get(&at).copied().unwrap_or_default();
+        self.received += received;
+    }
+}
+
+/// Heartbeats a second that a node gets, from its peers' intervals.
+fn received(mesh: &Mesh, at: SocketAddr) -> u64 {
+    let Some(view) = mesh.view(at) else {
+        return 0;
+    };
+    let peers = view.members().values().filter(|m| m.link().is_some());
+    let rate = |address| {
+        let sent = mesh.sent.get(&address).copied().unwrap_or_default();
+        let links = mesh
+            .view(address)
+            .map_or(1, snipeyoke_lib::membership::View::link_count);
+        sent / links.max(1) as u64
+    };
+    peers.map(|m| rate(m.profile.address)).sum()
+}
+
+fn measure(routers: usize, agents: usize) {
+    let names = (0..routers).map(|i| format!("r{i}"));
+    let names = names.chain((0..agents).map(|i| format!("a{i}")));
+    let profiles: Vec<Profile> = names.map(|n| profile(&n, POOLS)).collect();
+    let mut mesh = Mesh::new(1, ViewSettings::default());
+    for profile in &profiles {
+        mesh.start(profile.clone(), 1);
+    }
+    mesh.list(&listed(&profiles));
+    mesh.run(SETTLE);
+    mesh.sent.clear();
+    let started = Instant::now();
+    mesh.run(MEASURED);
+    let busy = started.elapsed();
+
+    let core = 100.0 * busy.as_secs_f64() / MEASURED.as_secs_f64() / profiles.len() as f64;
+    for kind in [NodeKind::Router, NodeKind::Agent] {
+        let mut row = Row::default();
+        for profile in profiles.iter().filter(|p| p.kind == kind) {
+            row.add(&mesh, profile.address, received(&mesh, profile.address));
+        }
+        print_row(kind, &row, profiles.len(), core);
+    }
+}
+
+fn print_row(kind: NodeKind, row: &Row, all: usize, core: f64) {
+    let seconds = MEASURED.as_secs_f64() * row.nodes as f64;
+    let out = row.sent as f64 / seconds;
+    let inn = row.received as f64 / seconds;
+    // A router hears agents, an agent hears routers; the few links between
+    // routers are counted as if they carried the longer heartbeat.
+    let (own, other) = match kind {
+        NodeKind::Router => (NodeKind::Router, NodeKind::Agent),
+        NodeKind::Agent => (NodeKind::Agent, NodeKind::Router),
+    };
+    let size = |kind| (heartbeat(kind).encoded_len() + PREFIX) as f64;
+    let frames = out * size(own) + inn * size(other);
+    let wire = frames + (out + inn) * HEADERS as f64;
+    let codec = inn * codec_time(other).as_secs_f64() + out * codec_time(own).as_secs_f64();
+    println!(
+        "{all:>5} {kind:<7} {:>6.1} {:>5} {out:>7.1} {inn:>7.1} {:>8.2} {:>8.2} {core:>8.3} {:>8.4}",
+        row.links as f64 / row.nodes as f64,
+        row.most,
+        frames / 1_000.0,
+        wire / 1_000.0,
+        100.0 * codec,
+    );
+}
+
+fn main() {
+    println!("nodes kind     links  most   out/s    in/s  KB/s(f)  KB/s(w)    core%   codec%");
+    for (routers, agents) in SIZES {
+        measure(routers, agents);
+    }
+}
