--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,5 +8,8 @@
 mod test_limits;
 mod test_config_fold;
 mod test_once_scenarios;
+mod test_drain;
+mod test_membership;
 mod test_once_schedules;
+mod test_placement;
 mod test_query;
