load: run experiments and report them with plots

Cause: policies can only be compared on the same arrivals, side by side. Change: cells with attainment, cost by pool and broken promises; trials with faults; a ramp for capacity; tables, charts and one self-contained page.

--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -1,6 +1,10 @@
 //! Open-loop load, experiments and reports for snipeyoke, for tests only.
 
+pub mod cell;
 pub mod drive;
+pub mod experiment;
+pub mod file;
 pub mod plan;
+pub mod report;
 pub mod sample;
 pub mod scene;
