load: stop beds at once and run trials side by side

Cause: stopping agents one after the other took 0.3 s each, and a failure domain was lost over seconds rather than at once.

--- a/load/src/args.rs
+++ b/load/src/args.rs
@@ -89,6 +89,9 @@
     /// seed of everything drawn
     #[argh(option, default = "1")]
     pub seed: u64,
+    /// runs at the same time, each with a deployment of its own
+    #[argh(option, default = "1")]
+    pub parallel: usize,
     /// threads for each of stand-ins, agents and routers
     #[argh(option, default = "2")]
     pub threads: usize,
--- a/load/src/commands.rs
+++ b/load/src/commands.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use futures_lite::future;
+use futures_util::future::join_all;
 use snipeyoke_load::cell::Cell;
 use snipeyoke_load::cell::Setup;
 use snipeyoke_load::cell::audit;
@@ -101,13 +102,18 @@
     let mut cells = Lines::append(&args.out)?;
     let mut samples = args.samples.as_deref().map(Lines::append).transpose()?;
     let mut kept = true;
-    for trial in trials(args, &base, capacity)? {
-        let (cell, taken) = future::block_on(experiment::trial(&deployment, &trial, &scope))?;
-        println!("{}", line(&cell));
-        kept &= cell.violations.is_empty();
-        cells.write([&cell])?;
-        if let Some(samples) = &mut samples {
-            samples.write(&taken)?;
+    for group in trials(args, &base, capacity)?.chunks(args.parallel.max(1)) {
+        let together = group
+            .iter()
+            .map(|trial| experiment::trial(&deployment, trial, &scope));
+        for result in future::block_on(join_all(together)) {
+            let (cell, taken) = result?;
+            println!("{}", line(&cell));
+            kept &= cell.violations.is_empty();
+            cells.write([&cell])?;
+            if let Some(samples) = &mut samples {
+                samples.write(&taken)?;
+            }
         }
     }
     Ok(kept)
--- a/load/src/scene/bed.rs
+++ b/load/src/scene/bed.rs
@@ -11,6 +11,7 @@
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
+use futures_util::future::join_all;
 use http_body_util::Full;
 use hyper::Request;
 use serde_json::json;
@@ -173,11 +174,9 @@
 
     /// Cuts off every agent of a failure domain, as its loss would.
     pub async fn lose(&mut self, domain: &FailureDomain) {
-        for seat in self.seats.iter_mut().filter(|s| s.domain == *domain) {
-            if let Some(agent) = seat.agent.take() {
-                agent.stop().await;
-            }
-        }
+        let lost = self.seats.iter_mut().filter(|s| s.domain == *domain);
+        let agents: Vec<Agent> = lost.filter_map(|s| s.agent.take()).collect();
+        join_all(agents.iter().map(Agent::stop)).await;
     }
 
     /// Starts the agents of a lost failure domain again.
@@ -197,15 +196,10 @@
 
     /// Drains routers and agents, stops the stand-ins and joins all threads.
     pub async fn stop(self) {
-        for router in &self.routers {
-            router.stop().await;
-        }
-        for agent in self.seats.iter().filter_map(|s| s.agent.as_ref()) {
-            agent.stop().await;
-        }
-        for standin in self.standins {
-            standin.stop().await;
-        }
+        join_all(self.routers.iter().map(Router::stop)).await;
+        let agents = self.seats.iter().filter_map(|s| s.agent.as_ref());
+        join_all(agents.map(Agent::stop)).await;
+        join_all(self.standins.into_iter().map(Running::stop)).await;
         for threads in self.threads {
             threads.join();
         }
