--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,16 +6,21 @@
 //! driven by tests, by fuzzers, by the processes of snipeyoke and by programs
 //! that embed it with their own transport.
 
+pub mod admission;
 pub mod chain;
 pub mod config;
 pub mod deadline;
+pub mod drain;
 pub mod hedge;
 pub mod ids;
 pub mod journal;
 pub mod lease;
+pub mod limits;
 pub mod log;
+pub mod membership;
 pub mod once;
 pub mod outcome;
+pub mod placement;
 pub mod prefix;
 pub mod query;
 pub mod record;
