--- a/lib/src/query/parse.rs
+++ b/lib/src/query/parse.rs
@@ -93,21 +93,29 @@
         let problem = format!("the text has over {TEXT_MAX} bytes: send it in parts");
         return Err(whole("", QueryProblem::Value(problem)));
     }
-    let mut depth = 0_usize;
-    for word in text.split_inclusive(|c: char| c.is_whitespace() || "()".contains(c)) {
-        if word.ends_with('(') || word.trim().eq_ignore_ascii_case("not") {
-            depth += 1;
-        } else if word.ends_with(')') {
-            depth = depth.saturating_sub(1);
-        }
-        if depth > DEPTH_MAX {
-            let problem = format!("over {DEPTH_MAX} brackets or 'not' are open: use fewer");
-            return Err(whole("", QueryProblem::Value(problem)));
-        }
+    if text.split(';').any(|statement| depth(statement) > DEPTH_MAX) {
+        let problem = format!("over {DEPTH_MAX} brackets or 'not' in one statement: use fewer");
+        return Err(whole("", QueryProblem::Value(problem)));
     }
     Ok(())
 }
 
+/// Bounds from above how deep the parser descends into a statement.
+fn depth(statement: &str) -> usize {
+    let mut open = 0_usize;
+    let mut deepest = 0;
+    for char in statement.chars() {
+        match char {
+            '(' => open += 1,
+            ')' => open = open.saturating_sub(1),
+            _ => {}
+        }
+        deepest = deepest.max(open);
+    }
+    let words = statement.split(|c: char| !words::is_word(c));
+    deepest + words.filter(|w| w.eq_ignore_ascii_case("not")).count()
+}
+
 fn whole(text: &str, problem: QueryProblem) -> QueryError {
     let text = text.lines().next().unwrap_or_default().to_owned();
     let place = Place {
--- a/lib/src/query/words.rs
+++ b/lib/src/query/words.rs
@@ -57,9 +57,13 @@
     "where",
 ];
 
+/// Tells whether a character may stand in a word.
+pub(super) fn is_word(char: char) -> bool {
+    char.is_ascii_alphanumeric() || "-_.:/".contains(char)
+}
+
 /// Returns the first word of a text, or its first character if that is no word.
 pub(super) fn first(text: &str) -> &str {
-    let is_word = |c: char| c.is_ascii_alphanumeric() || "-_.:/".contains(c);
     let end = text.find(|c: char| !is_word(c)).unwrap_or(text.len());
     if end > 0 {
         return &text[..end];
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -2,11 +2,13 @@
 
 mod chain_world;
 mod test_admission;
+mod test_boundaries;
 mod test_chain;
 mod test_chain_random;
 mod test_config_fold;
 mod test_config_model;
 mod test_drain;
+mod test_journal;
 mod test_limits;
 mod test_membership;
 mod test_once_scenarios;
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -12,6 +12,7 @@
 use rand::RngExt;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::FailureDomain;
+use snipeyoke_lib::ids::HostId;
 use snipeyoke_lib::ids::IdError;
 use snipeyoke_lib::ids::Incarnation;
 use snipeyoke_lib::ids::PoolName;
@@ -29,6 +30,7 @@
 use snipeyoke_wire::frame::Body;
 
 use crate::agents::AgentLink;
+use crate::control::drains;
 use crate::node::Node;
 
 /// The longest time to connect, and to hear the first frame.
@@ -68,6 +70,7 @@
 struct Peer {
     endpoint: EndpointId,
     pool: PoolName,
+    host: HostId,
     domain: FailureDomain,
     region: Region,
     incarnation: Incarnation,
@@ -81,6 +84,7 @@
         Ok(Self {
             endpoint: hello.endpoint.parse()?,
             pool: hello.pool.parse()?,
+            host: hello.host.parse()?,
             domain: hello.domain.parse()?,
             region: hello.region.parse()?,
             incarnation: Incarnation(hello.incarnation),
@@ -209,7 +213,12 @@
         Body::Chunk(chunk) => link.on_chunk(chunk),
         Body::Reply(reply) => link.on_reply(reply),
         Body::Heartbeat(heartbeat) => {
-            let load = heartbeat.load.as_ref().map(load_report);
+            let mut load = heartbeat.load.as_ref().map(load_report);
+            // The agent knows nothing of an operator's drain, and each of its
+            // reports would put it back into service.
+            if let Some(load) = &mut load {
+                load.draining |= drained(node, peer);
+            }
             let mut shared = node.shared();
             if let Some(load) = &load {
                 shared.fleet.on_load(now, &peer.endpoint, load);
@@ -237,6 +246,11 @@
     }
 }
 
+fn drained(node: &Node, peer: &Peer) -> bool {
+    let config = &node.board.config.get().config;
+    drains::covers(config, &peer.endpoint, &peer.host, &peer.domain)
+}
+
 fn load_report(load: &Load) -> LoadReport {
     LoadReport {
         seq: load.seq,
--- a/router/src/control/drains.rs
+++ b/router/src/control/drains.rs
@@ -1,8 +1,43 @@
-//! Whether the target of a drain is known.
+//! What the operators' drains cover.
 
+use snipeyoke_lib::config::Config;
 use snipeyoke_lib::config::DrainTarget;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::FailureDomain;
+use snipeyoke_lib::ids::HostId;
 use snipeyoke_lib::query::Facts;
 
+use crate::settings::Raw;
+
+/// Tells whether an operator drains an endpoint, its host or its domain.
+pub(crate) fn covers(
+    config: &Config,
+    endpoint: &EndpointId,
+    host: &HostId,
+    domain: &FailureDomain,
+) -> bool {
+    // Most of the time nothing is drained, and every report asks.
+    if config.drains.is_empty() {
+        return false;
+    }
+    let targets = [
+        DrainTarget::Endpoint(endpoint.clone()),
+        DrainTarget::Host(host.clone()),
+        DrainTarget::Domain(domain.clone()),
+    ];
+    targets.iter().any(|t| config.drains.contains(t))
+}
+
+/// Tells whether an operator drains this router, its host or its domain.
+pub(crate) fn covers_self(config: &Config, own: &Raw) -> bool {
+    let targets = [
+        DrainTarget::Router(own.node.clone()),
+        DrainTarget::Host(own.host.clone()),
+        DrainTarget::Domain(own.domain.clone()),
+    ];
+    targets.iter().any(|t| config.drains.contains(t))
+}
+
 /// Tells whether this router sees what a drain names.
 pub(crate) fn is_seen(facts: &dyn Facts, target: &DrainTarget) -> bool {
     let endpoints = facts.endpoints();
--- a/router/src/control/mod.rs
+++ b/router/src/control/mod.rs
@@ -2,7 +2,7 @@
 
 mod auth;
 mod changes;
-mod drains;
+pub(crate) mod drains;
 mod facts;
 mod port;
 mod records;
--- a/router/src/control/sight.rs
+++ b/router/src/control/sight.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use snipeyoke_lib::config::Config;
-use snipeyoke_lib::config::DrainTarget;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::query::EndpointFact;
 use snipeyoke_lib::query::NodeFact;
@@ -15,6 +14,8 @@
 use snipeyoke_lib::time::Time;
 use snipeyoke_wire::Hello;
 
+use super::drains;
+
 /// The age up to which a report counts as fresh, as in the choice of endpoints.
 const FRESH: Duration = Duration::from_secs(3);
 
@@ -114,12 +115,7 @@
             draining: self.load.draining,
             models: self.load.models.clone(),
         };
-        let targets = [
-            DrainTarget::Endpoint(id.clone()),
-            DrainTarget::Host(fact.host.clone()),
-            DrainTarget::Domain(fact.domain.clone()),
-        ];
-        fact.draining |= targets.iter().any(|t| config.drains.contains(t));
+        fact.draining |= drains::covers(config, id, &fact.host, &fact.domain);
         Some(fact)
     }
 
--- a/router/src/door/mod.rs
+++ b/router/src/door/mod.rs
@@ -25,6 +25,7 @@
 pub(crate) use self::auth::digest;
 use self::error::DoorError;
 use self::reply::Head;
+use crate::control::drains;
 use crate::node::Node;
 
 /// The path prefix of plain requests and of questions about requests.
@@ -66,7 +67,11 @@
 
     fn readiness(&self) -> StatusCode {
         let board = &self.node.board;
-        if board.drain.is_set() || !board.config.get().is_known() {
+        let fact = board.config.get();
+        // The balancer stops sending callers here, and may start again when the
+        // drain ends; what comes meanwhile is served.
+        let drained = drains::covers_self(&fact.config, &self.node.settings);
+        if board.drain.is_set() || drained || !fact.is_known() {
             return StatusCode::SERVICE_UNAVAILABLE;
         }
         StatusCode::OK
