--- a/lib/src/query/parse.rs
+++ b/lib/src/query/parse.rs
@@ -93,7 +93,10 @@
         let problem = format!("the text has over {TEXT_MAX} bytes: send it in parts");
         return Err(whole("", QueryProblem::Value(problem)));
     }
-    if text.split(';').any(|statement| depth(statement) > DEPTH_MAX) {
+    if text
+        .split(';')
+        .any(|statement| depth(statement) > DEPTH_MAX)
+    {
         let problem = format!("over {DEPTH_MAX} brackets or 'not' in one statement: use fewer");
         return Err(whole("", QueryProblem::Value(problem)));
     }
