--- /dev/null
+++ b/lib/examples/capacity.rs
@@ -0,0 +1,345 @@
+//! Prints slopes of a node's state and work, each at three sizes.
+//!
+//! `cargo run --release -p snipeyoke-lib --example capacity`. Memory is the
+//! growth of the resident set, read from `/proc/self/statm`; time is that of
+//! the code alone, without sockets.
+
+use std::collections::BTreeMap;
+use std::fs;
+use std::hint::black_box;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use rand_pcg::Pcg32;
+use snipeyoke_lib::config::Account;
+use snipeyoke_lib::config::Change;
+use snipeyoke_lib::config::Config;
+use snipeyoke_lib::config::Fold;
+use snipeyoke_lib::config::Limits;
+use snipeyoke_lib::config::Snapshot;
+use snipeyoke_lib::ids::AttemptId;
+use snipeyoke_lib::ids::ClientAccount;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::FailureDomain;
+use snipeyoke_lib::ids::FencingNumber;
+use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::ids::NodeId;
+use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::ids::Operator;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::ids::Region;
+use snipeyoke_lib::ids::RequestId;
+use snipeyoke_lib::ids::Revision;
+use snipeyoke_lib::journal::Accepted;
+use snipeyoke_lib::journal::Choice;
+use snipeyoke_lib::journal::Decision;
+use snipeyoke_lib::journal::Journal;
+use snipeyoke_lib::lease::Held;
+use snipeyoke_lib::limits::AccountUse;
+use snipeyoke_lib::limits::Limiter;
+use snipeyoke_lib::once::Answer;
+use snipeyoke_lib::once::OnceEnd;
+use snipeyoke_lib::once::OnceGate;
+use snipeyoke_lib::once::OnceKey;
+use snipeyoke_lib::once::TableLimits;
+use snipeyoke_lib::outcome::AttemptEnd;
+use snipeyoke_lib::outcome::Outcome;
+use snipeyoke_lib::query::Field;
+use snipeyoke_lib::query::Filter;
+use snipeyoke_lib::query::Value;
+use snipeyoke_lib::query::matches;
+use snipeyoke_lib::record::Author;
+use snipeyoke_lib::record::Body;
+use snipeyoke_lib::record::Record;
+use snipeyoke_lib::record::RecordId;
+use snipeyoke_lib::routing::Fleet;
+use snipeyoke_lib::routing::Home;
+use snipeyoke_lib::routing::LoadReport;
+use snipeyoke_lib::routing::Need;
+use snipeyoke_lib::routing::PolicyKind;
+use snipeyoke_lib::time::Time;
+use snipeyoke_lib::time::WallTime;
+use snipeyoke_lib::units::Bytes;
+use snipeyoke_lib::units::RequestRate;
+use snipeyoke_lib::units::TokenRate;
+use uuid::Builder;
+use uuid::Uuid;
+
+/// Stages of a request in the journal.
+const STAGES: u64 = 4;
+
+/// Bytes of a plain service's answer.
+const ANSWER: usize = 128;
+
+/// Turns of a measurement of time.
+const TURNS: u32 = 2_000;
+
+fn resident() -> f64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split_whitespace().nth(1).and_then(|p| p.parse().ok());
+    pages.unwrap_or(0.0) * 4_096.0
+}
+
+// Memory that is given back would be used again, and the next growth of the
+// resident set would come out too small.
+fn keep<T>(value: T) {
+    std::mem::forget(value);
+}
+
+fn name<T: std::str::FromStr<Err: std::fmt::Debug>>(text: &str) -> T {
+    text.parse().expect("the example's names are well-formed")
+}
+
+fn print(what: &str, size: usize, value: f64, unit: &str) {
+    println!("{what:<34} {size:>9} {value:>12.3} {unit}");
+}
+
+fn micros(time: Duration) -> f64 {
+    time.as_secs_f64() * 1e6
+}
+
+fn accounts(count: usize) -> BTreeMap<ClientAccount, Account> {
+    let account = |n: usize| Account {
+        keys: vec![name(&format!("{n:064x}"))],
+        limits: Limits {
+            requests: RequestRate(10.0),
+            tokens: TokenRate(1_000.0),
+            concurrency: 8,
+        },
+        share: 1.0,
+    };
+    let entry = |n| (name(&format!("account-{n:06}")), account(n));
+    (0..count).map(entry).collect()
+}
+
+fn journal(count: usize) {
+    let before = resident();
+    let mut journal = Journal::new(Bytes(1 << 34));
+    let started = Instant::now();
+    for n in 0..count as u64 {
+        note(&mut journal, n);
+    }
+    let time = started.elapsed() / count as u32;
+    let real = (resident() - before) / count as f64;
+    print("journal: resident / request", count, real, "B");
+    let said = journal.used().0 as f64 / count as f64;
+    print("journal: accounted / request", count, said, "B");
+    print("journal: time / request", count, micros(time), "us");
+    let filter = Filter::Flag(Field::Late);
+    let started = Instant::now();
+    let late = journal.requests().filter(|r| {
+        let late = Value::Flag(r.is_late(Time::from_millis(9)));
+        matches(&filter, &|_| late.clone())
+    });
+    black_box(late.count());
+    let time = started.elapsed() / count as u32;
+    print("journal: question / request", count, micros(time), "us");
+    keep(journal);
+}
+
+fn note(journal: &mut Journal, n: u64) {
+    let id = RequestId(Uuid::from_u128(u128::from(n)));
+    let now = Time::from_millis(n);
+    let accepted = Accepted {
+        id,
+        account: name("account-000001"),
+        kind: name("patrol-brief"),
+        pipeline: name("patrol-brief"),
+        deadline: Duration::from_secs(3),
+        predicted: None,
+    };
+    journal.on_accept(now, accepted);
+    let choice = |index: u64| Choice {
+        endpoint: name(&format!("ranger-llm-{index:03}")),
+        predicted: Duration::from_millis(300),
+        cost: None,
+    };
+    for stage in 0..STAGES {
+        let decision = Decision {
+            stage: name("generate"),
+            attempt: AttemptId(stage),
+            chosen: choice(n % 100),
+            others: vec![choice(1), choice(2)],
+            hedge: false,
+            why: "predicted".to_owned(),
+        };
+        journal.on_decision(now, id, decision);
+        journal.on_attempt_end(now, id, AttemptId(stage), &AttemptEnd::Completed);
+    }
+    journal.on_finish(now, id, Outcome::Completed, None);
+}
+
+fn config(count: usize) {
+    let before = resident();
+    let config = Config {
+        accounts: accounts(count),
+        ..Config::default()
+    };
+    let real = (resident() - before) / count as f64;
+    print("config: resident / account", count, real, "B");
+    let snapshot = Snapshot {
+        next: Offset(1),
+        revision: Revision(1),
+        config: Arc::new(config),
+        recent: Vec::new(),
+    };
+    let bytes = serde_json::to_vec(&snapshot).expect("a snapshot has a JSON form");
+    let each = bytes.len() as f64 / count as f64;
+    print("config: snapshot / account", count, each, "B");
+    let mut fold = Fold::new();
+    fold.adopt(&snapshot);
+    let record = change(1);
+    let started = Instant::now();
+    black_box(fold.apply(Offset(1), &record));
+    print(
+        "config: apply one record",
+        count,
+        micros(started.elapsed()),
+        "us",
+    );
+    print("config: record", count, record.encode().len() as f64, "B");
+    keep((fold, snapshot, bytes));
+}
+
+fn change(base: u64) -> Record {
+    let account = accounts(1).into_iter().next().expect("there is one");
+    Record {
+        id: RecordId(Uuid::from_u128(7)),
+        author: Author::Operator(name::<Operator>("kari")),
+        body: Body::ConfigChange {
+            base: Revision(base),
+            change: Change::SetAccount {
+                name: account.0,
+                account: account.1,
+            },
+        },
+    }
+}
+
+fn fleet(count: usize) {
+    let before = resident();
+    let domain: FailureDomain = name("hall-a");
+    let region: Region = name("bergen");
+    let pool: PoolName = name("ranger-llm");
+    let mut fleet = Fleet::new(Home {
+        domain: domain.clone(),
+        region: region.clone(),
+    });
+    let now = Time::from_millis(10);
+    let started = Instant::now();
+    for n in 0..count {
+        let id: EndpointId = name(&format!("ranger-llm-{n:04}"));
+        fleet.upsert(id.clone(), pool.clone(), &domain, &region, Incarnation(1));
+        let report = LoadReport {
+            seq: 1,
+            slots: 16,
+            prefill: 8_000.0,
+            decode: 40.0,
+            ..LoadReport::default()
+        };
+        fleet.on_load(now, &id, &report);
+    }
+    print("fleet: fill", count, micros(started.elapsed()), "us");
+    let real = (resident() - before) / count as f64;
+    print("fleet: resident / endpoint", count, real, "B");
+    let mut policy = PolicyKind::Predicted.build();
+    let mut rng = Pcg32::new(7, 11);
+    let prefix: Vec<u64> = (0..8).collect();
+    let need = Need {
+        prompt: 512,
+        output: 200.0,
+        prefix: &prefix,
+        budget: Duration::from_secs(2),
+        ..Need::default()
+    };
+    let pool = fleet.pool_mut(&pool).expect("the pool is filled");
+    let started = Instant::now();
+    for _turn in 0..TURNS {
+        black_box(policy.choose(now, pool, &need, &mut rng));
+    }
+    let time = started.elapsed() / TURNS;
+    print("fleet: one decision", count, micros(time), "us");
+    keep(fleet);
+}
+
+fn limiter(peers: usize, count: usize) {
+    let before = resident();
+    let now = Time::from_millis(10);
+    let all = accounts(count);
+    let mut limiter = Limiter::begin(now, peers + 1);
+    limiter.set(now, &all);
+    for n in 0..peers {
+        let uses = all.keys().map(|name| AccountUse {
+            account: name.clone(),
+            requests: 1.0,
+            tokens: 100.0,
+            active: 1,
+        });
+        let peer: NodeId = name(&format!("router-{n:03}"));
+        limiter.on_peer(now, &peer, 1, uses.collect());
+    }
+    let pairs = peers * count;
+    let real = (resident() - before) / pairs as f64;
+    print("limits: resident / (peer, account)", pairs, real, "B");
+    let started = Instant::now();
+    black_box(limiter.tick(now));
+    let time = micros(started.elapsed()) / pairs as f64;
+    print("limits: tick / (peer, account)", pairs, time, "us");
+    keep((limiter, all));
+}
+
+fn once(count: usize) {
+    let before = resident();
+    let limits = TableLimits {
+        keys: count,
+        bytes: Bytes(1 << 34),
+    };
+    let mut gate = OnceGate::new(limits);
+    let held = Held {
+        fence: FencingNumber(1),
+        since: WallTime::from_millis(1),
+        until: Time::NEVER,
+    };
+    let started = Instant::now();
+    for n in 0..count as u64 {
+        let issued = 1_000 + n;
+        let mut random = [0; 10];
+        random[2..].copy_from_slice(&n.to_be_bytes());
+        let key = OnceKey {
+            account: name("account-000001"),
+            key: Builder::from_unix_timestamp_millis(issued, &random).into_uuid(),
+            digest: [7; 32],
+        };
+        black_box(gate.admit(WallTime::from_millis(issued), &key, Some(held)));
+        let answer = Answer {
+            status: 200,
+            body: vec![b'x'; ANSWER],
+        };
+        gate.end(&key, OnceEnd::Answered(answer));
+    }
+    let time = micros(started.elapsed()) / count as f64;
+    let real = (resident() - before) / gate.keys() as f64;
+    print("once: resident / key", gate.keys(), real, "B");
+    print("once: time / key", gate.keys(), time, "us");
+    keep(gate);
+}
+
+fn main() {
+    println!("{:<34} {:>9} {:>12} unit", "what", "size", "value");
+    for count in [1_900, 3_800, 7_600, 30_400] {
+        config(count);
+    }
+    for count in [170, 340, 680] {
+        fleet(count);
+    }
+    for count in [12_500, 25_000, 50_000] {
+        once(count);
+    }
+    for (peers, count) in [(10, 760), (40, 1_900), (40, 7_600)] {
+        limiter(peers, count);
+    }
+    for count in [4_000, 16_000, 64_000] {
+        journal(count);
+    }
+}
