routing: measure a choice over 680 candidates

Cause: the aim is under 5 us without allocation. Change: criterion benchmark with a counting allocator.

--- /dev/null
+++ b/lib/benches/choose.rs
@@ -0,0 +1,127 @@
+//! One choice over as many candidates as letter 1 plans for.
+
+use std::alloc::GlobalAlloc;
+use std::alloc::Layout;
+use std::alloc::System;
+use std::hint::black_box;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use rand::SeedableRng;
+use rand_pcg::Pcg32;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::routing::CacheUpdate;
+use snipeyoke_lib::routing::Fleet;
+use snipeyoke_lib::routing::Home;
+use snipeyoke_lib::routing::LoadReport;
+use snipeyoke_lib::routing::Need;
+use snipeyoke_lib::routing::PolicyKind;
+use snipeyoke_lib::routing::choose;
+use snipeyoke_lib::time::Time;
+
+/// The workers that letter 1 plans for.
+const CANDIDATES: u64 = 680;
+
+/// The choices over which allocations are counted.
+const COUNTED: u64 = 10_000;
+
+static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
+
+struct Counting;
+
+// SAFETY: every call goes to the system's allocator unchanged; the counter has
+// no part in it.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static COUNTING: Counting = Counting;
+
+fn fleet(now: Time, pool: &PoolName) -> Fleet {
+    let region = "r0".parse().expect("a name");
+    let mut fleet = Fleet::new(Home {
+        domain: "d0".parse().expect("a name"),
+        region: "r0".parse().expect("a name"),
+    });
+    for index in 0..CANDIDATES {
+        let id: EndpointId = format!("gen-{index}").parse().expect("a name");
+        let domain = format!("d{}", index % 12).parse().expect("a name");
+        fleet.upsert(id.clone(), pool.clone(), &domain, &region, Incarnation(1));
+        let report = LoadReport {
+            slots: 16,
+            active: (index % 17) as u32,
+            queued: (index % 5) as u32,
+            prefill: 8_000.0,
+            decode: 40.0 + (index % 7) as f64,
+            ..LoadReport::default()
+        };
+        fleet.on_load(now, &id, &report);
+        // Every engine holds the shared start of the prompts, a third of them
+        // half of it, a tenth all of it.
+        let blocks = match index % 10 {
+            0 => 24,
+            1..=3 => 12,
+            _ => 4,
+        };
+        let update = CacheUpdate {
+            epoch: 1,
+            added: (0..blocks).collect(),
+            ..CacheUpdate::default()
+        };
+        fleet.on_cache(&id, &update);
+    }
+    fleet
+}
+
+fn bench(criterion: &mut Criterion) {
+    let now = Time::from_millis(1_000);
+    let name: PoolName = "gen".parse().expect("a name");
+    let mut fleet = fleet(now, &name);
+    let pool = fleet.pool_mut(&name).expect("it was made");
+    let prefix: Vec<u64> = (0..24).collect();
+    let need = Need {
+        prompt: 1_600,
+        output: 120.0,
+        prefix: &prefix,
+        budget: Duration::from_secs(2),
+        ..Need::default()
+    };
+    let mut rng = Pcg32::seed_from_u64(1);
+    for kind in [
+        PolicyKind::Predicted,
+        PolicyKind::LeastOutstanding,
+        PolicyKind::RoundRobin,
+    ] {
+        let mut policy = kind.build();
+        let mut once = || choose(policy.as_mut(), now, pool, black_box(&need), &mut rng);
+        black_box(once());
+        let before = ALLOCATIONS.load(Ordering::Relaxed);
+        for _ in 0..COUNTED {
+            black_box(once());
+        }
+        let made = ALLOCATIONS.load(Ordering::Relaxed) - before;
+        println!("{kind}: {made} allocations in {COUNTED} choices");
+        criterion.bench_function(&format!("choose/{kind}/{CANDIDATES}"), |b| {
+            b.iter(&mut once)
+        });
+    }
+}
+
+criterion_group!(benches, bench);
+criterion_main!(benches);
