router: take requests on within limits and deadlines

Cause: the door accepted everything; limits and admission were only in the library. Change: Admission checks the account's limits, then whether all stages can still be done in time; a refusal is answered at once with Retry-After. Accounts, shares and prices follow the configuration in force. Shares are recomputed twice a second; telling other routers waits for links between routers.

--- /dev/null
+++ b/router/src/admission.rs
@@ -0,0 +1,89 @@
+//! Whether the router takes a request on: limits first, then the deadline.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use snipeyoke_lib::admission;
+use snipeyoke_lib::admission::Refusal;
+use snipeyoke_lib::chain::Shared;
+use snipeyoke_lib::chain::Spec;
+use snipeyoke_lib::config::Config;
+use snipeyoke_lib::limits::Limiter;
+use snipeyoke_lib::outcome::Reason;
+use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::Tokens;
+
+use crate::node::Node;
+
+/// How often the shares are recomputed and told to the other routers.
+const TICK: Duration = Duration::from_millis(500);
+
+/// Takes requests on, or refuses them before anything runs.
+#[derive(Debug)]
+pub(crate) struct Admission {
+    limiter: Mutex<Limiter>,
+}
+
+impl Admission {
+    /// Begins at a router among `routers` in all.
+    pub(crate) const fn new(now: Time, routers: usize) -> Self {
+        Self {
+            limiter: Mutex::new(Limiter::begin(now, routers)),
+        }
+    }
+
+    /// Takes over the accounts of the configuration in force.
+    pub(crate) fn set(&self, now: Time, config: &Config) {
+        self.limiter().set(now, &config.accounts);
+    }
+
+    /// Takes a request on, or says why not and when to come back.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Refusal`] over a limit or past all hope for the deadline.
+    pub(crate) fn admit(&self, now: Time, spec: &Spec, shared: &mut Shared) -> Result<(), Refusal> {
+        let expected = expected(spec);
+        let mut limiter = self.limiter();
+        limiter
+            .admit(now, &spec.account, expected)
+            .map_err(|error| Refusal {
+                reason: Reason::Limit,
+                retry_after: error.retry_after(),
+            })?;
+        admission::admit(now, spec, shared)
+            .map(drop)
+            .inspect_err(|_refusal| limiter.done(now, &spec.account, expected, Tokens(0)))
+    }
+
+    /// Notes the end of a request that was taken on.
+    pub(crate) fn done(&self, now: Time, spec: &Spec, used: Tokens) {
+        self.limiter()
+            .done(now, &spec.account, expected(spec), used);
+    }
+
+    pub(crate) fn limiter(&self) -> MutexGuard<'_, Limiter> {
+        self.limiter.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn expected(spec: &Spec) -> Tokens {
+    spec.prompt.tokens + spec.prompt.max
+}
+
+/// Keeps the shares up to date until the router stops.
+pub(crate) async fn run(node: Arc<Node>) {
+    while !node.board.stop.is_set() {
+        let pause = async {
+            Timer::after(TICK).await;
+        };
+        pause.or(node.board.stop.wait()).await;
+        let now = node.clock.now();
+        let _report = node.admission.limiter().tick(now);
+    }
+}
--- a/router/src/door/intake.rs
+++ b/router/src/door/intake.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use async_channel::Sender;
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use hyper::HeaderMap;
 use sha2::Digest;
 use sha2::Sha256;
+use snipeyoke_lib::admission::Refusal;
 use snipeyoke_lib::chain::Prompt;
 use snipeyoke_lib::chain::Spec;
 use snipeyoke_lib::config::Pipeline;
@@ -17,6 +19,7 @@
 use snipeyoke_lib::ids::PipelineName;
 use snipeyoke_lib::ids::RequestId;
 use snipeyoke_lib::ids::RequestKind;
+use snipeyoke_lib::outcome::Outcome;
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::http::Request;
 use snipeyoke_runtime::http::collect;
@@ -26,6 +29,7 @@
 use super::auth;
 use super::error::DoorError;
 use crate::board::ConfigFact;
+use crate::drive::Finish;
 use crate::drive::Job;
 use crate::drive::Once;
 use crate::drive::Up;
@@ -193,6 +197,13 @@
         };
         let (send, up) = async_channel::unbounded();
         let gone = Flag::default();
+        let guard = Guard(gone.clone());
+        let now = node.clock.now();
+        let taken = node.admission.admit(now, &spec, &mut node.shared());
+        if let Err(refusal) = taken {
+            refuse(node, &spec, refusal, &send);
+            return Ticket { up, guard };
+        }
         let job = Job {
             spec,
             config: Arc::clone(&self.fact.config),
@@ -204,9 +215,23 @@
         };
         node.outcomes.begin(self.id);
         node.requests.spawn(drive(Arc::clone(node), job));
-        Ticket {
-            up,
-            guard: Guard(gone),
-        }
+        Ticket { up, guard }
     }
 }
+
+/// Answers a request that was not taken on, at once.
+fn refuse(node: &Node, spec: &Spec, refusal: Refusal, up: &Sender<Up>) {
+    let finish = Finish {
+        outcome: Outcome::NotRun,
+        reason: Some(refusal.reason),
+        retry: Some(refusal.retry_after),
+        text: String::new(),
+        output: None,
+        prompt_tokens: 0,
+        output_tokens: 0,
+    };
+    node.outcomes.begin(spec.request);
+    node.settled(spec, &finish);
+    // The receiver is held by the caller of this function.
+    let _told = up.try_send(Up::Done(Box::new(finish)));
+}
--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -327,7 +327,7 @@
             prompt_tokens: self.job.spec.prompt.tokens.0,
             output_tokens: self.output_tokens,
         };
-        self.node.settled(&self.job.spec, &finish);
+        self.node.ended(&self.job.spec, &finish);
         let told = self.job.up.try_send(Up::Done(Box::new(finish)));
         if told.is_err() {
             log::debug!(event = "caller-left", request = self.job.spec.request.to_string().as_str(); "");
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -80,7 +80,10 @@
         for (name, pool) in &config.pools {
             shared.fleet.set_price(name, pool.price);
         }
+        let accounts = config.accounts.iter();
+        shared.shares = accounts.map(|(n, a)| (n.clone(), a.share)).collect();
     };
+    node.admission.set(node.clock.now(), &config);
     let fact = ConfigFact::new(config, fold.revision());
     node.board.config.set(fact);
 }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -1,5 +1,6 @@
 //! The entry process: owns each request until its one outcome.
 
+mod admission;
 mod agents;
 mod board;
 mod connect;
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -18,6 +18,8 @@
 use snipeyoke_lib::routing::Policy;
 use snipeyoke_lib::routing::Predicted;
 use snipeyoke_lib::routing::RoundRobin;
+use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::Tokens;
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Bounds;
@@ -28,6 +30,8 @@
 use snipeyoke_wire::Hello;
 use snipeyoke_wire::NodeKind;
 
+use crate::admission;
+use crate::admission::Admission;
 use crate::agents::Agents;
 use crate::board::Board;
 use crate::connect;
@@ -67,6 +71,7 @@
     pub(crate) clock: Clock,
     pub(crate) board: Board,
     pub(crate) agents: Agents,
+    pub(crate) admission: Admission,
     pub(crate) outcomes: Outcomes,
     /// Requests in flight; the parent of their tasks.
     pub(crate) requests: Scope,
@@ -97,7 +102,14 @@
         }
     }
 
-    /// Notes the end of a request.
+    /// Notes the end of a request that was taken on.
+    pub(crate) fn ended(&self, spec: &Spec, finish: &Finish) {
+        let used = Tokens(finish.prompt_tokens + finish.output_tokens);
+        self.admission.done(self.clock.now(), spec, used);
+        self.settled(spec, finish);
+    }
+
+    /// Notes the outcome of a request.
     pub(crate) fn settled(&self, spec: &Spec, finish: &Finish) {
         let reason = finish
             .reason
@@ -142,6 +154,7 @@
         let log = Arc::new(HttpLog::new(client, node.settings.platform));
         let control = Scope::new(Arc::clone(&execs.control));
         control.spawn(follow::run(Arc::clone(&node), log));
+        control.spawn(admission::run(Arc::clone(&node)));
         let door = Arc::new(Door::new(Arc::clone(&node)));
         let conns = Scope::new(Arc::clone(&execs.traffic));
         let drain = node.board.drain.clone();
@@ -201,6 +214,7 @@
         clock: Clock::start(),
         board: Board::new(),
         agents: Agents::default(),
+        admission: Admission::new(Time::ZERO, raw.routers.len() + 1),
         outcomes: Outcomes::default(),
         requests: Scope::new(Arc::clone(&execs.traffic)),
         scope: Scope::new(Arc::clone(&execs.traffic)),
