agent, router: run non-idempotent calls through the slot's owner

Cause: approvals were refused, since no process owned a key slot. Change: agents of plain services claim their share of slots through the log, gate calls by the key table and check the lease right before the effect; routers send to the owner that agents report, and resolve a missing answer by sending the same key again and asking former owners.

--- a/agent/src/calls.rs
+++ b/agent/src/calls.rs
@@ -1,5 +1,6 @@
 //! The life of one call at the agent, from frame to reply.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -16,10 +17,12 @@
 
 use crate::endpoint::Answer;
 use crate::endpoint::Piece;
+use crate::gate::Permit;
 use crate::node::Node;
+use crate::once;
 
 /// Runs a call and sends its one reply.
-pub(crate) async fn run(node: &Node, link: &LinkSender, call: Call, cancel: Flag) {
+pub(crate) async fn run(node: &Arc<Node>, link: &LinkSender, call: Call, cancel: Flag) {
     let started = node.clock.now();
     let number = call.call;
     let answer = match node.gate.enter(&call) {
@@ -27,7 +30,7 @@
             reason: refusal.reason,
             retry: refusal.retry,
         },
-        Ok(_permit) => admitted(node, link, &call, cancel).await,
+        Ok(permit) => admitted(node, link, &call, cancel, permit).await,
     };
     let work = node.clock.now().since(started);
     let mut reply = reply_of(number, answer, work);
@@ -41,7 +44,18 @@
     }
 }
 
-async fn admitted(node: &Node, link: &LinkSender, call: &Call, cancel: Flag) -> Answer {
+async fn admitted(
+    node: &Arc<Node>,
+    link: &LinkSender,
+    call: &Call,
+    cancel: Flag,
+    permit: Permit,
+) -> Answer {
+    if call.once.is_some() {
+        // The effect keeps its room however long it runs; here only the wait
+        // for it ends.
+        return once::run(node, call, permit).or(late(call)).await;
+    }
     let number = call.call;
     let deliver = |piece: Piece| {
         let chunk = Chunk {
@@ -63,18 +77,21 @@
             status: 0,
         }
     };
-    let late = async {
-        Timer::after(Duration::from_micros(call.left_us)).await;
-        Answer::Unknown {
-            reason: Reason::Timeout,
-            status: 0,
-        }
-    };
     // Dropping `work` closes its connection, at which the endpoint stops.
-    work.or(cancelled).or(late).await
+    let answer = work.or(cancelled).or(late(call)).await;
+    drop(permit);
+    answer
+}
+
+async fn late(call: &Call) -> Answer {
+    Timer::after(Duration::from_micros(call.left_us)).await;
+    Answer::Unknown {
+        reason: Reason::Timeout,
+        status: 0,
+    }
 }
 
-fn reply_of(call: u64, answer: Answer, work: Duration) -> Reply {
+pub(crate) fn reply_of(call: u64, answer: Answer, work: Duration) -> Reply {
     let work_us = u64::try_from(work.as_micros()).unwrap_or(u64::MAX);
     let base = Reply {
         call,
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -7,6 +7,8 @@
 mod endpoint;
 mod gate;
 mod node;
+mod once;
+mod owner;
 mod peers;
 mod report;
 pub mod settings;
--- a/agent/src/node.rs
+++ b/agent/src/node.rs
@@ -11,12 +11,14 @@
 use derive_more::Display;
 use derive_more::Error;
 use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::lease::LeaseHolder;
 use snipeyoke_runtime::board::Fact;
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Client;
 use snipeyoke_runtime::link::LinkSender;
+use snipeyoke_runtime::platform::HttpLog;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::threads::Execs;
 use snipeyoke_wire::Goodbye;
@@ -27,9 +29,11 @@
 
 use crate::endpoint::Endpoint;
 use crate::gate::Gate;
+use crate::owner::Owner;
 use crate::peers;
 use crate::report;
 use crate::report::Seen;
+use crate::settings::EndpointKind;
 use crate::settings::Raw;
 use crate::settings::Settings;
 
@@ -64,6 +68,8 @@
     pub(crate) clock: Clock,
     pub(crate) gate: Gate,
     pub(crate) endpoint: Endpoint,
+    /// The owner of key slots, beside a plain service and with a platform.
+    pub(crate) owner: Option<Arc<Owner>>,
     pub(crate) seen: Fact<Seen>,
     pub(crate) drain: Flag,
     pub(crate) stop: Flag,
@@ -139,6 +145,7 @@
     /// Returns [`StartError`] if the address can't be bound.
     pub fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
         let raw = settings.raw;
+        let term = settings.term;
         let listen = raw.listen;
         let wrap = |source| StartError::Listen {
             address: listen,
@@ -150,9 +157,19 @@
         let client = Client::new(scope.clone(), CONNECT_LIMIT);
         let drain = Flag::default();
         let room = raw.endpoint.slots + raw.endpoint.queue;
+        let incarnation = Incarnation(Clock::wall().as_millis());
+        let clock = Clock::start();
+        let me = LeaseHolder {
+            node: raw.node.clone(),
+            incarnation,
+        };
+        let owns = raw.endpoint.kind == EndpointKind::Plain && raw.platform.is_some();
+        let owner = owns.then(|| Arc::new(Owner::new(&raw, me, term, clock)));
+        let log = raw.platform.map(|p| HttpLog::new(client.clone(), p));
         let node = Arc::new(Node {
-            incarnation: Incarnation(Clock::wall().as_millis()),
-            clock: Clock::start(),
+            incarnation,
+            clock,
+            owner,
             gate: Gate::new(room, drain.clone()),
             endpoint: Endpoint::new(client, raw.endpoint.address),
             seen: Fact::new(Seen::default()),
@@ -165,6 +182,10 @@
         });
         node.scope.spawn(peers::accept(Arc::clone(&node), listener));
         node.scope.spawn(report::run(Arc::clone(&node)));
+        if let (Some(owner), Some(log)) = (node.owner.clone(), log) {
+            node.scope
+                .spawn(owner.run(Arc::new(log), node.stop.clone()));
+        }
         log::info!(event = "agent-up", node = node.settings.node.as_str(), address = address.to_string().as_str(), incarnation = node.incarnation.0; "");
         Ok(Self { node })
     }
@@ -178,6 +199,9 @@
     /// Drains: takes nothing new, finishes what runs, says goodbye, and ends.
     pub async fn leave(&self) {
         self.node.drain.set();
+        if let Some(owner) = &self.node.owner {
+            owner.drain();
+        }
         let goodbye = Goodbye {
             incarnation: self.node.incarnation.0,
             reason: "drain".to_owned(),
@@ -186,6 +210,10 @@
         while self.node.gate.admitted().active > 0 {
             async_io::Timer::after(DRAIN_LOOK).await;
         }
+        // Only now: a successor may run a key at once after the release.
+        if let Some(owner) = &self.node.owner {
+            owner.release().await;
+        }
         // The last replies are queued by now; the writers end once the links
         // are closed and their queues are empty.
         self.stop().await;
--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -15,11 +15,14 @@
 use snipeyoke_runtime::link;
 use snipeyoke_runtime::link::LinkReader;
 use snipeyoke_runtime::link::LinkSender;
+use snipeyoke_wire::Ask;
 use snipeyoke_wire::Call;
+use snipeyoke_wire::Told;
 use snipeyoke_wire::frame::Body;
 
 use crate::calls;
 use crate::node::Node;
+use crate::once;
 
 /// The pause after a failed accept, so that a lack of descriptors can't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -103,6 +106,7 @@
                 running.cancel.set();
             }
         }
+        Body::Ask(ask) => start_ask(node, sender, &ask),
         Body::Hello(hello) => {
             log::info!(event = "link-up", peer = hello.node.as_str(), incarnation = hello.incarnation; "");
         }
@@ -133,6 +137,25 @@
     });
 }
 
+fn start_ask(node: &Arc<Node>, sender: &LinkSender, ask: &Ask) {
+    let key = ask.key.as_ref().and_then(once::key_of);
+    let (Some(owner), Some(key)) = (node.owner.clone(), key) else {
+        return;
+    };
+    let number = ask.ask;
+    let sender = sender.clone();
+    node.scope.spawn(async move {
+        let answer = once::ask(&owner, &key).await;
+        let told = Told {
+            ask: number,
+            reply: Some(calls::reply_of(0, answer, Duration::ZERO)),
+        };
+        if sender.send(Body::Told(told)).is_err() {
+            log::debug!(event = "told-lost", ask = number; "");
+        }
+    });
+}
+
 /// Cancels what nobody waits for any more.
 ///
 /// A non-idempotent call goes on: its router may ask for the result on another
--- a/agent/src/report.rs
+++ b/agent/src/report.rs
@@ -10,6 +10,7 @@
 use snipeyoke_wire::CacheEvents;
 use snipeyoke_wire::Heartbeat;
 use snipeyoke_wire::Load;
+use snipeyoke_wire::OwnedSlot;
 use snipeyoke_wire::frame::Body;
 
 use crate::node::Node;
@@ -113,6 +114,7 @@
             seq,
             draining: node.drain.is_set(),
             load: Some(Load { seq, ..node.load() }),
+            slots: slots(&node),
             ..Heartbeat::default()
         };
         node.broadcast(&Body::Heartbeat(heartbeat));
@@ -126,6 +128,15 @@
     }
 }
 
+fn slots(node: &Node) -> Vec<OwnedSlot> {
+    let owned = node.owner.as_ref().map(|o| o.slots()).unwrap_or_default();
+    let slots = owned.into_iter().map(|(slot, fence)| OwnedSlot {
+        slot: u32::from(slot.number()),
+        fence: fence.0,
+    });
+    slots.collect()
+}
+
 async fn poll(node: &Node) {
     let path = match node.settings.endpoint.kind {
         EndpointKind::Engine => "/load",
--- a/agent/src/settings.rs
+++ b/agent/src/settings.rs
@@ -1,6 +1,7 @@
 //! The settings of an agent.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use derive_more::Display;
 use derive_more::Error;
@@ -11,6 +12,7 @@
 use snipeyoke_lib::ids::NodeId;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::ids::Region;
+use snipeyoke_lib::lease::LeaseTerm;
 use snipeyoke_runtime::settings::Checked;
 
 /// The most slots an endpoint may be said to have.
@@ -38,6 +40,12 @@
     pub endpoint: Endpoint,
     /// The platform's address.
     pub platform: Option<SocketAddr>,
+    /// How long a lease of key slots lasts, in seconds.
+    ///
+    /// Longer: non-idempotent calls go on for longer while the log is away.
+    /// Shorter: the slots of an agent that died are taken over sooner.
+    #[serde(default = "lease")]
+    pub lease_s: u64,
     /// The number of traffic threads.
     #[serde(default = "one")]
     pub threads: usize,
@@ -46,6 +54,10 @@
     pub log: String,
 }
 
+const fn lease() -> u64 {
+    600
+}
+
 const fn one() -> usize {
     1
 }
@@ -89,6 +101,8 @@
 pub struct Settings {
     /// The values, within their ranges.
     pub raw: Raw,
+    /// The term of the leases of key slots.
+    pub term: LeaseTerm,
 }
 
 /// The reason why a value is refused.
@@ -101,6 +115,12 @@
         /// The number found.
         found: u32,
     },
+    /// The lease's term is out of range.
+    #[display("`lease_s` is {found}: give 1 to 3600")]
+    Lease {
+        /// The number found.
+        found: u64,
+    },
     /// The threads are out of range.
     #[display("`threads` is {found}: give 1 to {THREADS_MAX}")]
     Threads {
@@ -129,7 +149,10 @@
         if found == 0 || found > THREADS_MAX {
             return Err(ValueError::Threads { found });
         }
-        Ok(Self { raw })
+        let found = raw.lease_s;
+        let term = LeaseTerm::try_from(Duration::from_secs(found));
+        let term = term.map_err(|_out_of_range| ValueError::Lease { found })?;
+        Ok(Self { raw, term })
     }
 }
 
--- a/lib/src/chain/machine.rs
+++ b/lib/src/chain/machine.rs
@@ -11,6 +11,7 @@
 use super::timing;
 use crate::config::Stage;
 use crate::ids::AttemptId;
+use crate::ids::EndpointId;
 use crate::outcome::Reason;
 use crate::time::Time;
 
@@ -63,6 +64,11 @@
         &self.spec
     }
 
+    /// Names the endpoint that owns the key's slot now.
+    pub fn own(&mut self, slot: Option<EndpointId>) {
+        self.spec.slot = slot;
+    }
+
     /// Returns the index of the stage that it is at.
     #[must_use]
     pub const fn stage(&self) -> usize {
--- a/lib/src/lease/fold.rs
+++ b/lib/src/lease/fold.rs
@@ -43,6 +43,7 @@
     next: Offset,
     leases: BTreeMap<LeaseName, LeaseState>,
     swept: Time,
+    forgot: bool,
 }
 
 impl LeaseFold {
@@ -54,6 +55,7 @@
             next: start,
             leases: BTreeMap::new(),
             swept: Time::ZERO,
+            forgot: false,
         }
     }
 
@@ -78,6 +80,14 @@
         self.leases.get(lease).map_or(Time::ZERO, |s| s.free_at)
     }
 
+    /// Tells whether no record has ever named a lease.
+    ///
+    /// Known only to a reader who has seen the log from its first record on.
+    #[must_use]
+    pub fn is_new(&self, lease: &LeaseName) -> bool {
+        self.start == Offset(0) && !self.forgot && !self.leases.contains_key(lease)
+    }
+
     /// Returns the leases under a prefix that are not free.
     pub fn taken<'a>(
         &'a self,
@@ -173,6 +183,7 @@
     fn forget(&mut self, now: Time) {
         if now.since(self.swept) > MEMORY {
             self.swept = now;
+            self.forgot = true;
             self.leases.retain(|_, state| state.free_at + MEMORY > now);
         }
     }
--- a/lib/src/lease/holder.rs
+++ b/lib/src/lease/holder.rs
@@ -66,6 +66,8 @@
     record: LeaseRecord,
     at: Time,
     wall: WallTime,
+    /// The leases of a claim that no record had named before.
+    new: BTreeSet<LeaseName>,
 }
 
 /// The leases of one incarnation of a process.
@@ -239,9 +241,16 @@
         let tenure = self.fold.tenure(lease);
         let won = tenure.is_some_and(|t| t.fence == fence && t.holder == self.me);
         if won || !self.guards.read_back {
+            // Nobody can have run a key under a lease that never was: the first
+            // owner vouches for keys of any age.
+            let since = if sent.new.contains(lease) {
+                WallTime::default()
+            } else {
+                sent.wall
+            };
             let held = Held {
                 fence,
-                since: sent.wall,
+                since,
                 until,
             };
             self.held.insert(lease.clone(), held);
@@ -292,6 +301,7 @@
             record: step.clone(),
             at: now,
             wall,
+            new: self.never_named(&step),
         };
         self.sent.insert(id, sent);
         if self.sent.len() > SENT_MAX {
@@ -305,6 +315,28 @@
         })
     }
 
+    fn never_named(&self, step: &LeaseRecord) -> BTreeSet<LeaseName> {
+        let LeaseRecord::Claim { leases, .. } = step else {
+            return BTreeSet::new();
+        };
+        let names = leases.iter().map(|claimed| &claimed.lease);
+        names.filter(|l| self.fold.is_new(l)).cloned().collect()
+    }
+
+    /// Tells whether an append was sent and its record not read back yet.
+    #[must_use]
+    pub const fn is_waiting(&self) -> bool {
+        self.flying.is_some()
+    }
+
+    /// Tells whether every wanted lease is held at this moment.
+    #[must_use]
+    pub fn is_complete(&self, now: Time) -> bool {
+        self.wanted
+            .iter()
+            .all(|lease| self.held(now, lease).is_some())
+    }
+
     fn forget_oldest(&mut self) {
         let oldest = self.sent.iter().min_by_key(|(_, s)| s.at);
         if let Some(id) = oldest.map(|(id, _)| *id) {
--- a/lib/src/once/gate.rs
+++ b/lib/src/once/gate.rs
@@ -3,6 +3,7 @@
 use derive_more::Display;
 
 use crate::lease::Held;
+use crate::once::KeyError;
 use crate::once::OnceEnd;
 use crate::once::OnceKey;
 use crate::once::key::after_skew;
@@ -130,7 +131,7 @@
         }
         // The caller's clock may run ahead. Taken in now, the key would look
         // issued after the next owner began, which would run it again.
-        if self.guards.future && key.check_issue(wall).is_err() {
+        if self.guards.future && key.check_issue(wall) == Err(KeyError::Future) {
             return Verdict::NotRun(NotRun::FutureKey);
         }
         if let Err(refused) = self.vouch(key, held) {
--- a/lib/src/once/key.rs
+++ b/lib/src/once/key.rs
@@ -25,6 +25,12 @@
 /// own. Hosts that follow any time source stay well within this.
 pub const SKEW: Duration = Duration::from_secs(2);
 
+/// The age at which a key is refused unseen.
+///
+/// Callers repeat within minutes; agents are replaced within days, and their
+/// tables with them.
+const AGE_MAX: Duration = Duration::from_hours(24);
+
 /// The version of UUID that carries its time of issue.
 const UUID_VERSION: usize = 7;
 
@@ -41,6 +47,9 @@
     /// The UUID carries no time of issue.
     #[display("the idempotency key is no UUIDv7: send one, its time of issue is needed")]
     Version,
+    /// The key was issued so long ago that its outcome isn't kept.
+    #[display("the idempotency key is over a day old, it may have run: look at the effect itself")]
+    Old,
     /// The key was issued later than the clocks' skew explains.
     #[display("the idempotency key is issued in the future: correct the caller's clock")]
     Future,
@@ -85,15 +94,19 @@
         KeySlot(u16::try_from(hash).unwrap_or(0))
     }
 
-    /// Checks that the key isn't issued later than the clocks' skew explains.
+    /// Checks that the key is neither issued in the future nor too old.
     ///
     /// # Errors
     ///
-    /// Returns [`KeyError::Future`] if it is.
+    /// Returns [`KeyError::Future`] or [`KeyError::Old`].
     pub fn check_issue(&self, wall: WallTime) -> Result<(), KeyError> {
         if self.issued() > after_skew(wall) {
             return Err(KeyError::Future);
         }
+        let age = wall.as_millis().saturating_sub(self.issued().as_millis());
+        if Duration::from_millis(age) > AGE_MAX {
+            return Err(KeyError::Old);
+        }
         Ok(())
     }
 }
--- a/lib/src/once/share.rs
+++ b/lib/src/once/share.rs
@@ -1,9 +1,12 @@
 //! Which slots an agent tries to own.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Duration;
 
 use rapidhash::v3::rapidhash_v3;
 
+use crate::ids::FencingNumber;
 use crate::ids::PoolName;
 use crate::lease::Holder;
 use crate::lease::LeaseHolder;
@@ -11,6 +14,12 @@
 use crate::once::KeySlot;
 use crate::time::Time;
 
+/// The time between the seat and the first slots.
+///
+/// Agents that start together see each other's seats in it, so that the first
+/// one doesn't take all slots only to give most of them up again.
+const SETTLE: Duration = Duration::from_secs(1);
+
 /// The share of a pool's slots that falls to one agent.
 ///
 /// Every incarnation holds a seat of its own, a lease that nobody else claims,
@@ -22,6 +31,9 @@
     pool: PoolName,
     seat: LeaseName,
     seats: String,
+    seated: Option<Time>,
+    short: bool,
+    slots: BTreeMap<KeySlot, LeaseName>,
     order: Vec<LeaseName>,
 }
 
@@ -48,6 +60,9 @@
                 &me.incarnation.to_string(),
             ]),
             seats: format!("seat/{pool}/"),
+            seated: None,
+            short: true,
+            slots: order.iter().map(|s| (*s, s.lease(pool))).collect(),
             order: order.into_iter().map(|slot| slot.lease(pool)).collect(),
         }
     }
@@ -60,28 +75,45 @@
 
     /// Returns the leases to hold now.
     ///
-    /// Until the agent holds its seat it wants no more than that: others see it
-    /// and make room first.
+    /// Until the agent has held its seat for a moment it wants no more than
+    /// that: others see the seat and make room first.
     #[must_use]
-    pub fn wanted(&self, holder: &Holder, now: Time) -> BTreeSet<LeaseName> {
+    pub fn wanted(&mut self, holder: &Holder, now: Time) -> BTreeSet<LeaseName> {
+        let own: Vec<_> = self.order.iter().filter(|l| holder.has(l)).collect();
         let mut wanted = BTreeSet::from([self.seat.clone()]);
         if holder.held(now, &self.seat).is_none() {
             // A lapsed seat means that the log is away. What was held stays
             // wanted, so that it is renewed rather than claimed anew.
-            let lapsed = self.order.iter().filter(|l| holder.has(l));
-            wanted.extend(lapsed.cloned());
+            wanted.extend(own.into_iter().cloned());
             return wanted;
         }
+        let seated = *self.seated.get_or_insert(now);
         let members = holder.fold().taken(&self.seats, now).count().max(1);
         let target = self.order.len().div_ceil(members);
-        let own = self.order.iter().filter(|l| holder.has(l));
-        let mut slots: Vec<_> = own.take(target).collect();
-        let free = self
-            .order
-            .iter()
-            .filter(|l| !holder.has(l) && holder.claim_at(l) <= now);
-        slots.extend(free.take(target - slots.len()));
+        let mut slots: Vec<_> = own.into_iter().take(target).collect();
+        if now.since(seated) >= SETTLE {
+            let free = self.order.iter().filter(|l| !holder.has(l));
+            let free = free.filter(|l| holder.claim_at(l) <= now);
+            slots.extend(free.take(target - slots.len()));
+        }
+        self.short = slots.len() < self.order.len() / members;
         wanted.extend(slots.into_iter().cloned());
         wanted
     }
+
+    /// Tells whether the agent still waits for slots that are its due.
+    #[must_use]
+    pub const fn is_short(&self) -> bool {
+        self.short
+    }
+
+    /// Returns the slots that are held at this moment, with their claims.
+    #[must_use]
+    pub fn owned(&self, holder: &Holder, now: Time) -> BTreeMap<KeySlot, FencingNumber> {
+        let held = self.slots.iter().filter_map(|(slot, lease)| {
+            let held = holder.held(now, lease)?;
+            Some((*slot, held.fence))
+        });
+        held.collect()
+    }
 }
--- a/router/src/agents.rs
+++ b/router/src/agents.rs
@@ -9,15 +9,19 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use async_channel::Receiver;
 use async_channel::Sender;
 use snipeyoke_lib::ids::AttemptId;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_runtime::link::LinkSender;
 use snipeyoke_runtime::link::Written;
+use snipeyoke_wire::Ask;
 use snipeyoke_wire::Call;
 use snipeyoke_wire::Cancel;
 use snipeyoke_wire::Chunk;
+use snipeyoke_wire::OnceKey;
 use snipeyoke_wire::Reply;
+use snipeyoke_wire::Told;
 use snipeyoke_wire::frame::Body;
 
 /// Something about one attempt, for its driver.
@@ -34,6 +38,8 @@
     Chunk(Chunk),
     /// The agent answered.
     Reply(Reply),
+    /// It was found out how a call without an answer ended.
+    Resolved(Reply),
     /// The link failed; `written` tells whether the call may have been read.
     Lost { written: bool },
 }
@@ -45,6 +51,7 @@
     sender: LinkSender,
     next: AtomicU64,
     calls: Mutex<BTreeMap<u64, Pending>>,
+    asks: Mutex<BTreeMap<u64, Sender<Reply>>>,
 }
 
 #[derive(Debug)]
@@ -97,6 +104,12 @@
         link.call(attempt, call, feed)
     }
 
+    /// Asks an agent what became of a key; `None` if there is no link to it.
+    pub(crate) fn ask(&self, endpoint: &EndpointId, key: OnceKey) -> Option<Receiver<Reply>> {
+        let link = self.links().get(endpoint).cloned()?;
+        link.ask(key)
+    }
+
     /// Returns the number of open links.
     pub(crate) fn count(&self) -> usize {
         self.links().len()
@@ -114,6 +127,7 @@
             sender,
             next: AtomicU64::new(1),
             calls: Mutex::default(),
+            asks: Mutex::default(),
         }
     }
 
@@ -140,6 +154,35 @@
         Some(CallHandle { link: self, number })
     }
 
+    fn ask(&self, key: OnceKey) -> Option<Receiver<Reply>> {
+        let ask = self.next.fetch_add(1, Ordering::Relaxed);
+        let (send, receive) = async_channel::bounded(1);
+        self.asks().insert(ask, send);
+        let frame = Ask {
+            ask,
+            key: Some(key),
+        };
+        if self.sender.send(Body::Ask(frame)).is_err() {
+            self.asks().remove(&ask);
+            return None;
+        }
+        Some(receive)
+    }
+
+    /// Passes the answer to a question on to who asked.
+    pub(crate) fn on_told(&self, told: Told) {
+        let asker = self.asks().remove(&told.ask);
+        if let (Some(asker), Some(reply)) = (asker, told.reply)
+            && asker.try_send(reply).is_err()
+        {
+            log::debug!(event = "asker-gone", ask = told.ask; "");
+        }
+    }
+
+    fn asks(&self) -> MutexGuard<'_, BTreeMap<u64, Sender<Reply>>> {
+        self.asks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Passes a chunk on to its driver.
     pub(crate) fn on_chunk(&self, chunk: Chunk) {
         let calls = self.calls();
@@ -162,6 +205,7 @@
     /// Call it after the writer has ended: only then is it settled which calls
     /// were never written.
     pub(crate) fn on_lost(&self) {
+        self.asks().clear();
         let calls = std::mem::take(&mut *self.calls());
         for pending in calls.into_values() {
             let written = pending.written.as_ref().is_none_or(Written::is_set);
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -1,5 +1,6 @@
 //! Keeps a link to each known agent, and the fleet view up to date.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,10 +13,12 @@
 use rand::RngExt;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::FailureDomain;
+use snipeyoke_lib::ids::FencingNumber;
 use snipeyoke_lib::ids::IdError;
 use snipeyoke_lib::ids::Incarnation;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::ids::Region;
+use snipeyoke_lib::once::KeySlot;
 use snipeyoke_lib::routing::CacheUpdate;
 use snipeyoke_lib::routing::LoadReport;
 use snipeyoke_runtime::link;
@@ -23,6 +26,7 @@
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_wire::CacheEvents;
 use snipeyoke_wire::FrameError;
+use snipeyoke_wire::Heartbeat;
 use snipeyoke_wire::Hello;
 use snipeyoke_wire::Load;
 use snipeyoke_wire::NodeKind;
@@ -175,6 +179,7 @@
 fn part(node: &Node, peer: &Peer, link: &Arc<AgentLink>) {
     if node.agents.close(&peer.endpoint, link) {
         node.shared().fleet.gone(&peer.endpoint);
+        node.slots().forget(&peer.endpoint);
     }
 }
 
@@ -203,7 +208,10 @@
     match body {
         Body::Chunk(chunk) => link.on_chunk(chunk),
         Body::Reply(reply) => link.on_reply(reply),
+        Body::Told(told) => link.on_told(told),
         Body::Heartbeat(heartbeat) => {
+            node.slots()
+                .report(&peer.pool, &peer.endpoint, &slots(&heartbeat));
             let mut shared = node.shared();
             if let Some(load) = heartbeat.load {
                 shared
@@ -229,6 +237,14 @@
     }
 }
 
+fn slots(heartbeat: &Heartbeat) -> BTreeMap<KeySlot, FencingNumber> {
+    let owned = heartbeat.slots.iter().filter_map(|owned| {
+        let slot = KeySlot::try_from(owned.slot).ok()?;
+        Some((slot, FencingNumber(owned.fence)))
+    });
+    owned.collect()
+}
+
 fn load_report(load: &Load) -> LoadReport {
     LoadReport {
         seq: load.seq,
--- a/router/src/door/error.rs
+++ b/router/src/door/error.rs
@@ -6,6 +6,7 @@
 use derive_more::Error;
 use hyper::StatusCode;
 use snipeyoke_lib::ids::RequestId;
+use snipeyoke_lib::once::KeyError;
 use snipeyoke_lib::outcome::Outcome;
 use snipeyoke_lib::outcome::Reason;
 
@@ -32,8 +33,10 @@
     SlowBody,
     #[display("this kind may run only once: send `Idempotency-Key` with a UUIDv7")]
     KeyMissing,
-    #[display("the idempotency key is no UUIDv7: make one for each new request")]
+    #[display("the idempotency key is no text: make a UUIDv7 for each new request")]
     KeyMalformed,
+    #[display("{_0}")]
+    Key(KeyError),
     #[display("no request {id} is known here: it may be at another router, or too old")]
     NoRequest { id: String },
     #[display("no configuration has arrived yet: try again shortly")]
@@ -49,7 +52,10 @@
             Self::NoPath { .. } | Self::NoKind { .. } | Self::NoRequest { .. } => {
                 StatusCode::NOT_FOUND
             }
-            Self::BadBody { .. } | Self::KeyMissing | Self::KeyMalformed => StatusCode::BAD_REQUEST,
+            Self::Key(KeyError::Old) => StatusCode::CONFLICT,
+            Self::BadBody { .. } | Self::KeyMissing | Self::KeyMalformed | Self::Key(_) => {
+                StatusCode::BAD_REQUEST
+            }
             Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
             Self::NoConfig | Self::Draining => StatusCode::SERVICE_UNAVAILABLE,
@@ -64,6 +70,14 @@
         }
     }
 
+    /// Returns the outcome: a key that is too old may have run long ago.
+    const fn outcome(&self) -> Outcome {
+        match self {
+            Self::Key(KeyError::Old) => Outcome::Unknown,
+            _ => Outcome::NotRun,
+        }
+    }
+
     const fn retry(&self) -> Option<Duration> {
         match self {
             Self::NoConfig | Self::Draining => Some(Duration::from_millis(500)),
@@ -76,7 +90,7 @@
         let head = Head {
             id,
             status: self.status(),
-            outcome: Some(Outcome::NotRun),
+            outcome: Some(self.outcome()),
             retry: self.retry(),
         };
         json(&head, &object(self.kind(), &self.to_string(), None))
@@ -95,6 +109,11 @@
             Reason::KeyConflict => StatusCode::CONFLICT,
             _ => StatusCode::GATEWAY_TIMEOUT,
         };
+        if reason == Reason::KeyConflict {
+            let text = "the idempotency key was used with another body, which may have run: make \
+                        a new key for a new request";
+            return (status, text.to_owned());
+        }
         let message = format!(
             "outcome unknown ({reason}): it may have run; ask GET /v1/requests/ID, or repeat it \
              with the same idempotency key"
--- a/router/src/door/intake.rs
+++ b/router/src/door/intake.rs
@@ -17,11 +17,12 @@
 use snipeyoke_lib::ids::PipelineName;
 use snipeyoke_lib::ids::RequestId;
 use snipeyoke_lib::ids::RequestKind;
+use snipeyoke_lib::once as lib;
+use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::http::Request;
 use snipeyoke_runtime::http::collect;
 use snipeyoke_wire::OnceKey;
-use uuid::Uuid;
 
 use super::auth;
 use super::error::DoorError;
@@ -33,9 +34,6 @@
 use crate::drive::drive;
 use crate::node::Node;
 
-/// The version number of the UUIDs that keys have to be.
-const KEY_VERSION: usize = 7;
-
 /// A request whose caller is known.
 #[derive(Debug)]
 pub(crate) struct Intake {
@@ -154,19 +152,21 @@
         let text = value.to_str().map_err(|_binary| DoorError::KeyMalformed)?;
         // The draft writes the key as a quoted string; many clients leave the
         // quotes out.
-        let key = Uuid::parse_str(text.trim().trim_matches('"'));
-        let key = key.map_err(|_malformed| DoorError::KeyMalformed)?;
-        if key.get_version_num() != KEY_VERSION {
-            return Err(DoorError::KeyMalformed);
-        }
+        let key = lib::OnceKey {
+            account: self.account.clone(),
+            key: lib::OnceKey::parse(text.trim().trim_matches('"')).map_err(DoorError::Key)?,
+            digest: Sha256::digest(body).into(),
+        };
+        key.check_issue(Clock::wall()).map_err(DoorError::Key)?;
+        let slot = key.slot();
         let key = OnceKey {
-            key: Bytes::copy_from_slice(key.as_bytes()),
-            digest: Bytes::copy_from_slice(&Sha256::digest(body)),
+            key: Bytes::copy_from_slice(key.key.as_bytes()),
+            digest: Bytes::copy_from_slice(&key.digest),
             account: self.account.to_string(),
-            slot: 0,
+            slot: u32::from(slot.number()),
             fence: 0,
         };
-        Ok(Some(Once { key }))
+        Ok(Some(Once { key, slot }))
     }
 
     /// Starts driving a request.
@@ -180,6 +180,9 @@
         stream: bool,
     ) -> Ticket {
         let deadline = node.clock.now() + bound.pipeline.deadline();
+        let last = bound.pipeline.stages.last();
+        let slot = once.as_ref().zip(last);
+        let slot = slot.and_then(|(once, stage)| node.owner(&stage.pool, once.slot));
         let spec = Spec {
             request: self.id,
             account: self.account,
@@ -189,7 +192,7 @@
             deadline,
             prompt,
             stream,
-            slot: None,
+            slot,
         };
         let (send, up) = async_channel::unbounded();
         let gone = Flag::default();
--- a/router/src/drive/mod.rs
+++ b/router/src/drive/mod.rs
@@ -1,6 +1,7 @@
 //! Drives a request's chain: carries out its actions, feeds it events.
 
 mod answer;
+mod resolve;
 mod run;
 mod work;
 
--- /dev/null
+++ b/router/src/drive/resolve.rs
@@ -0,0 +1,124 @@
+//! Finds out what became of a non-idempotent call whose answer is missing.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_io::Timer;
+use futures_lite::FutureExt;
+use snipeyoke_lib::ids::AttemptId;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::once::KeySlot;
+use snipeyoke_lib::outcome::Reason;
+use snipeyoke_lib::time::Time;
+use snipeyoke_wire::Call;
+use snipeyoke_wire::End;
+use snipeyoke_wire::Reply;
+
+use crate::agents::Input;
+use crate::agents::Signal;
+use crate::node::Node;
+
+/// The pause between two tries, for a link or an owner to come back.
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// The longest wait for one agent's answer to a question.
+const ASK_LIMIT: Duration = Duration::from_millis(300);
+
+/// The time left before the deadline in which the answer still gets out.
+const MARGIN: Duration = Duration::from_millis(20);
+
+/// A call to be resolved.
+#[derive(Debug)]
+pub(crate) struct Resolve {
+    pub(crate) attempt: AttemptId,
+    pub(crate) call: Call,
+    pub(crate) pool: PoolName,
+    pub(crate) slot: KeySlot,
+    pub(crate) deadline: Time,
+    /// What was seen, in case nothing better is found.
+    pub(crate) reason: Reason,
+    pub(crate) feed: Sender<Input>,
+}
+
+impl Resolve {
+    /// Reports the call's end to its driver, before the deadline.
+    pub(crate) async fn run(self, node: Arc<Node>) {
+        let limit = (self.deadline - MARGIN).since(node.clock.now());
+        let late = async {
+            Timer::after(limit).await;
+            None
+        };
+        let found = self.find(&node).or(late).await;
+        let missing = || Reply {
+            end: End::Unknown.into(),
+            reason: self.reason.to_string(),
+            ..Reply::default()
+        };
+        let signal = Signal::Resolved(found.unwrap_or_else(missing));
+        let attempt = self.attempt;
+        if self.feed.try_send(Input { attempt, signal }).is_err() {
+            log::debug!(event = "driver-gone", attempt = attempt.0; "");
+        }
+    }
+
+    /// Sends the call again until its owner tells how it ended.
+    ///
+    /// This is safe: the owner runs a key once, however often it is sent, and a
+    /// new owner refuses a key that is older than its claim. No refusal counts
+    /// as a proof here, since it says nothing of the first try.
+    async fn find(&self, node: &Node) -> Option<Reply> {
+        loop {
+            if let Some(reply) = self.send(node).await {
+                match reply.end() {
+                    End::Completed => return Some(reply),
+                    End::Unknown | End::Unspecified => {
+                        return self.ask_others(node).await.or(Some(reply));
+                    }
+                    End::NotRun => {}
+                }
+            }
+            Timer::after(PAUSE).await;
+        }
+    }
+
+    async fn send(&self, node: &Node) -> Option<Reply> {
+        let owner = node.owner(&self.pool, self.slot)?;
+        let mut call = self.call.clone();
+        let left = self.deadline.since(node.clock.now());
+        call.left_us = u64::try_from(left.as_micros()).unwrap_or(u64::MAX);
+        let (send, receive) = async_channel::unbounded();
+        let _handle = node.agents.call(&owner, self.attempt, call, send)?;
+        match receive.recv().await.ok()?.signal {
+            Signal::Reply(reply) => Some(reply),
+            Signal::Chunk(_) | Signal::Lost { .. } | Signal::Resolved(_) => None,
+        }
+    }
+
+    /// Asks every agent of the pool: a former owner may have the answer.
+    async fn ask_others(&self, node: &Node) -> Option<Reply> {
+        let key = self.call.once.as_ref()?;
+        let others: Vec<EndpointId> = {
+            let shared = node.shared();
+            let pool = shared.fleet.pool(&self.pool)?;
+            let ids = pool.endpoints().iter().map(|e| e.id().clone());
+            ids.collect()
+        };
+        for endpoint in others {
+            let Some(answer) = node.agents.ask(&endpoint, key.clone()) else {
+                continue;
+            };
+            let told = async { answer.recv().await.ok() };
+            let late = async {
+                Timer::after(ASK_LIMIT).await;
+                None
+            };
+            let reply = told.or(late).await;
+            if let Some(reply) = reply.filter(|r| r.end() == End::Completed) {
+                return Some(reply);
+            }
+        }
+        None
+    }
+}
--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -19,6 +19,7 @@
 use snipeyoke_lib::config::StageRole;
 use snipeyoke_lib::ids::AttemptId;
 use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::once::KeySlot;
 use snipeyoke_lib::outcome::AttemptEnd;
 use snipeyoke_lib::outcome::Outcome;
 use snipeyoke_lib::outcome::Reason;
@@ -33,6 +34,7 @@
 
 use super::answer::Finish;
 use super::answer::Up;
+use super::resolve::Resolve;
 use super::work::Taken;
 use super::work::Work;
 use crate::agents::CallHandle;
@@ -44,6 +46,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Once {
     pub(crate) key: OnceKey,
+    pub(crate) slot: KeySlot,
 }
 
 /// A request as the door hands it over.
@@ -69,6 +72,8 @@
     call: Option<CallHandle>,
     taken: Option<Taken>,
     output_tokens: u32,
+    /// The call, kept while a missing answer could be resolved by it.
+    once: Option<Call>,
 }
 
 struct Driver {
@@ -214,6 +219,7 @@
         let stage = &self.job.spec.pipeline.stages[send.stage];
         let role = stage.role;
         let call = self.call(send);
+        let once = call.once.is_some().then(|| call.clone());
         let handle = self
             .node
             .agents
@@ -224,6 +230,7 @@
             call: handle,
             taken: None,
             output_tokens: 0,
+            once,
         };
         let event = if record.call.is_some() {
             Event::Sent { attempt }
@@ -336,6 +343,15 @@
 
     fn event_of(&mut self, input: Input) -> Option<Event> {
         let attempt = input.attempt;
+        let missing = missing_end(&input.signal);
+        if let Some(reason) = missing
+            && self.resolve(attempt, reason)
+        {
+            return None;
+        }
+        if moved(&input.signal) {
+            self.follow_owner();
+        }
         let record = self.attempts.get_mut(&attempt)?;
         match input.signal {
             Signal::Chunk(chunk) => {
@@ -347,7 +363,7 @@
                     tokens,
                 })
             }
-            Signal::Reply(reply) => {
+            Signal::Reply(reply) | Signal::Resolved(reply) => {
                 record.call = None;
                 let usage = usage_of(&reply);
                 record.output_tokens = reply.output_tokens;
@@ -386,6 +402,39 @@
         }
     }
 
+    /// Starts to find out how a non-idempotent attempt ended.
+    ///
+    /// Returns whether the end will be reported later.
+    fn resolve(&mut self, attempt: AttemptId, reason: Reason) -> bool {
+        let call = self.attempts.get_mut(&attempt).and_then(|a| a.once.take());
+        let (Some(call), Some(once)) = (call, &self.job.once) else {
+            return false;
+        };
+        let Some(stage) = self.job.spec.pipeline.stages.last() else {
+            return false;
+        };
+        let resolve = Resolve {
+            attempt,
+            call,
+            pool: stage.pool.clone(),
+            slot: once.slot,
+            deadline: self.job.spec.deadline,
+            reason,
+            feed: self.feed.clone(),
+        };
+        log::info!(event = "attempt-unresolved", request = self.job.spec.request.to_string().as_str(), reason = reason.to_string().as_str(); "");
+        let node = Arc::clone(&self.node);
+        self.node.requests.spawn(resolve.run(node));
+        true
+    }
+
+    /// Names the slot's present owner to the chain, for its next attempt.
+    fn follow_owner(&mut self) {
+        if let (Some(once), Some(stage)) = (&self.job.once, self.job.spec.pipeline.stages.last()) {
+            self.chain.own(self.node.owner(&stage.pool, once.slot));
+        }
+    }
+
     fn log(&self, decision: &Decision) {
         let spec = &self.job.spec;
         log::info!(target: "decision", account = spec.account.as_str(), pipeline = spec.name.as_str(); "{decision}");
@@ -403,6 +452,24 @@
     }
 }
 
+/// Tells why the end of a call is not known, if it isn't.
+fn missing_end(signal: &Signal) -> Option<Reason> {
+    match signal {
+        Signal::Lost { written: true } => Some(Reason::Connection),
+        Signal::Reply(reply) if reply.end() == End::Unknown => {
+            let reason = reply.reason.parse().unwrap_or(Reason::EndpointFailure);
+            // A conflict is an answer: the key stands for another body.
+            (reason != Reason::KeyConflict).then_some(reason)
+        }
+        _ => None,
+    }
+}
+
+/// Tells whether an agent refused a call because it does not own its slot.
+fn moved(signal: &Signal) -> bool {
+    matches!(signal, Signal::Reply(reply) if reply.end() == End::NotRun)
+}
+
 struct Sending {
     attempt: AttemptId,
     stage: usize,
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -12,7 +12,11 @@
 use derive_more::Error;
 use snipeyoke_lib::chain::Shared;
 use snipeyoke_lib::chain::Spec;
+use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::once::KeySlot;
+use snipeyoke_lib::once::SlotMap;
 use snipeyoke_lib::routing::Home;
 use snipeyoke_lib::routing::LeastOutstanding;
 use snipeyoke_lib::routing::Policy;
@@ -73,6 +77,7 @@
     /// Everything else on the traffic threads.
     pub(crate) scope: Scope,
     shared: Mutex<Shared>,
+    slots: Mutex<SlotMap>,
 }
 
 impl Node {
@@ -81,6 +86,17 @@
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the map of key slots, for one short step.
+    pub(crate) fn slots(&self) -> MutexGuard<'_, SlotMap> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the endpoint whose agent owns a key slot, as far as known.
+    pub(crate) fn owner(&self, pool: &PoolName, slot: KeySlot) -> Option<EndpointId> {
+        let slots = self.slots();
+        slots.owner(pool, slot).map(|owner| owner.endpoint.clone())
+    }
+
     pub(crate) fn hello(&self) -> Hello {
         let own = &self.settings;
         Hello {
@@ -205,6 +221,7 @@
         requests: Scope::new(Arc::clone(&execs.traffic)),
         scope: Scope::new(Arc::clone(&execs.traffic)),
         shared: Mutex::new(Shared::new(home, policy, incarnation.0)),
+        slots: Mutex::default(),
         settings: raw,
     }
 }
