load: kill and pause real processes and count effects by key

Cause: at most once has to hold for processes, not only for state machines. Change: snipeyoke-load chaos starts a platform, services, agents and routers, kills -9 and stops and continues them under load, takes the log away and loses answers, and compares what callers saw with the services' effects.

--- a/agent/src/settings.rs
+++ b/agent/src/settings.rs
@@ -54,8 +54,14 @@
     pub log: String,
 }
 
+/// The usual term of leases of key slots, in seconds.
+///
+/// Ten minutes: most outages of a log pass unnoticed within it, and a dead
+/// agent's share of keys is refused for no longer.
+pub const LEASE_S: u64 = 600;
+
 const fn lease() -> u64 {
-    600
+    LEASE_S
 }
 
 const fn one() -> usize {
--- a/lib/examples/slopes.rs
+++ b/lib/examples/slopes.rs
@@ -64,6 +64,7 @@
         draining: false,
         seen_seq: 7_199_999,
         load: (kind == NodeKind::Agent).then_some(load),
+        slots: Vec::new(),
     };
     Frame {
         body: Some(Body::Heartbeat(beat)),
--- a/load/src/args.rs
+++ b/load/src/args.rs
@@ -23,6 +23,7 @@
     Experiment(Experiment),
     Report(Report),
     Check(Check),
+    Chaos(Chaos),
 }
 
 /// Send the load of a deployment's mix to running routers.
@@ -139,3 +140,28 @@
     #[argh(option)]
     pub standin: Vec<SocketAddr>,
 }
+
+/// Kill and pause real processes under load, and count effects by key.
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "chaos")]
+pub struct Chaos {
+    /// seconds with faults
+    #[argh(option, default = "60")]
+    pub seconds: u64,
+    /// keys a second
+    #[argh(option, default = "40.0")]
+    pub rate: f64,
+    /// routers
+    #[argh(option, default = "3")]
+    pub routers: usize,
+    /// agents, each beside a service
+    #[argh(option, default = "3")]
+    pub agents: usize,
+    /// the term of leases, in seconds
+    #[argh(option, default = "2")]
+    pub lease: u64,
+    /// seed of faults and callers
+    #[argh(option, default = "1")]
+    pub seed: u64,
+}
--- a/load/src/commands.rs
+++ b/load/src/commands.rs
@@ -11,6 +11,8 @@
 use snipeyoke_load::cell::Cell;
 use snipeyoke_load::cell::Setup;
 use snipeyoke_load::cell::audit;
+use snipeyoke_load::chaos::Chaos;
+use snipeyoke_load::chaos::Size;
 use snipeyoke_load::drive;
 use snipeyoke_load::drive::Caller;
 use snipeyoke_load::drive::FaultPlan;
@@ -223,3 +225,21 @@
     );
     Ok(violations.is_empty())
 }
+
+/// Kills and pauses real processes under load.
+pub fn chaos(args: &args::Chaos, exec: Exec) -> Outcome {
+    let chaos = Chaos {
+        size: Size {
+            routers: args.routers,
+            agents: args.agents,
+            lease: args.lease,
+        },
+        rate: args.rate,
+        length: Duration::from_secs(args.seconds),
+        seed: args.seed,
+    };
+    let scope = Scope::new(exec);
+    let verdict = future::block_on(chaos.run(&scope))?;
+    println!("{verdict}");
+    Ok(verdict.is_kept())
+}
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -1,6 +1,7 @@
 //! Open-loop load, experiments and reports for snipeyoke, for tests only.
 
 pub mod cell;
+pub mod chaos;
 pub mod drive;
 pub mod experiment;
 pub mod file;
--- a/load/src/scene/mod.rs
+++ b/load/src/scene/mod.rs
@@ -12,5 +12,6 @@
 pub use deployment::PoolScene;
 pub use deployment::Scene;
 pub use deployment::SceneError;
+pub use ports::free as free_port;
 pub use publish::changes;
 pub use publish::records;
--- a/load/src/scene/ports.rs
+++ b/load/src/scene/ports.rs
@@ -21,7 +21,7 @@
 /// # Errors
 ///
 /// Returns the system's last error when every port is taken.
-pub(super) fn free() -> io::Result<SocketAddr> {
+pub fn free() -> io::Result<SocketAddr> {
     // Two runs on one host start at different places.
     let offset = u16::try_from(std::process::id() % u32::from(COUNT)).unwrap_or_default();
     let mut last = io::Error::from(io::ErrorKind::AddrInUse);
--- a/site/src/run.rs
+++ b/site/src/run.rs
@@ -130,6 +130,7 @@
             listen: loopback(),
             endpoint,
             platform: Some(self.platform),
+            lease_s: snipeyoke_agent::settings::LEASE_S,
             threads: 1,
             log: "info".to_owned(),
         };
