runtime, agent: keep the configuration for routers that lack it

Cause: a router that starts while the log is away has no configuration. Change: a book of the fold that is offered and taken between processes, higher offset wins; agents keep one and report its offset.

--- a/agent/src/node.rs
+++ b/agent/src/node.rs
@@ -13,6 +13,7 @@
 use snipeyoke_lib::ids::Incarnation;
 use snipeyoke_lib::lease::LeaseHolder;
 use snipeyoke_runtime::board::Fact;
+use snipeyoke_runtime::book::Book;
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::http;
@@ -71,6 +72,8 @@
     /// The owner of key slots, beside a plain service and with a platform.
     pub(crate) owner: Option<Arc<Owner>>,
     pub(crate) seen: Fact<Seen>,
+    /// The configuration, kept for routers that lack it.
+    pub(crate) book: Book,
     pub(crate) drain: Flag,
     pub(crate) stop: Flag,
     pub(crate) scope: Scope,
@@ -173,6 +176,7 @@
             gate: Gate::new(room, drain.clone()),
             endpoint: Endpoint::new(client, raw.endpoint.address),
             seen: Fact::new(Seen::default()),
+            book: Book::default(),
             settings: raw,
             drain,
             stop: Flag::default(),
--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -11,6 +11,7 @@
 use async_io::Async;
 use async_io::Timer;
 use futures_lite::FutureExt;
+use snipeyoke_lib::ids::Offset;
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::link;
 use snipeyoke_runtime::link::LinkReader;
@@ -106,6 +107,16 @@
                 running.cancel.set();
             }
         }
+        Body::ConfigAsk(ask) => {
+            if let Some(offer) = node.book.offer(Offset(ask.have)) {
+                pass_on(sender, Body::ConfigOffer(offer));
+            }
+        }
+        Body::ConfigOffer(offer) => {
+            if node.book.take(&offer).gap {
+                pass_on(sender, Body::ConfigAsk(node.book.ask()));
+            }
+        }
         Body::Ask(ask) => start_ask(node, sender, &ask),
         Body::Hello(hello) => {
             log::info!(event = "link-up", peer = hello.node.as_str(), incarnation = hello.incarnation; "");
@@ -137,6 +148,12 @@
     });
 }
 
+fn pass_on(sender: &LinkSender, body: Body) {
+    if let Err(error) = sender.send(body) {
+        log::debug!(event = "config-unsent", error = error.to_string().as_str(); "");
+    }
+}
+
 fn start_ask(node: &Arc<Node>, sender: &LinkSender, ask: &Ask) {
     let key = ask.key.as_ref().and_then(once::key_of);
     let (Some(owner), Some(key)) = (node.owner.clone(), key) else {
--- a/agent/src/report.rs
+++ b/agent/src/report.rs
@@ -109,10 +109,16 @@
     while !node.stop.is_set() {
         seq += 1;
         poll(&node).await;
+        let config = {
+            let fold = node.book.fold();
+            (fold.next(), fold.revision())
+        };
         let heartbeat = Heartbeat {
             incarnation: node.incarnation.0,
             seq,
             draining: node.drain.is_set(),
+            config_offset: config.0.0,
+            config_revision: config.1.0,
             load: Some(Load { seq, ..node.load() }),
             slots: slots(&node),
             ..Heartbeat::default()
--- a/lib/src/record.rs
+++ b/lib/src/record.rs
@@ -20,7 +20,7 @@
 pub const RECORD_VERSION: u32 = 1;
 
 /// Identifies one record, however often it is appended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default)]
 #[derive(Display, Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct RecordId(pub Uuid);
@@ -47,6 +47,9 @@
     /// A process of the system.
     #[display("node {_0}")]
     Node(NodeId),
+    /// A peer that passes on what it knows; not found in the log.
+    #[display("peer")]
+    Peer,
 }
 
 /// What a record says.
--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -3,6 +3,7 @@
 //! Adapters only: each decision lives in `snipeyoke_lib`.
 
 pub mod board;
+pub mod book;
 pub mod clock;
 pub mod flag;
 pub mod http;
