--- a/cli/src/session.rs
+++ b/cli/src/session.rs
@@ -11,9 +11,12 @@
 use snipeyoke_lib::query::ChangeCommand;
 use snipeyoke_lib::query::Command;
 use snipeyoke_lib::query::Line;
+use snipeyoke_lib::query::Merge;
+use snipeyoke_lib::query::Query;
 use snipeyoke_lib::query::Row;
 use snipeyoke_lib::query::Sourced;
 use snipeyoke_lib::query::Statement;
+use snipeyoke_lib::query::Subject;
 use snipeyoke_lib::query::Table;
 use uuid::Uuid;
 
@@ -72,8 +75,8 @@
     pub async fn run(&mut self, statement: &Statement) -> Report {
         match statement {
             Statement::Help => Report::help(),
-            Statement::Query(query) => self.question(&query.to_string()).await,
-            Statement::Watch { show, .. } => self.question(&show.to_string()).await,
+            Statement::Query(query) => self.question(query).await,
+            Statement::Watch { show, .. } => self.question(&Query::Show(show.clone())).await,
             Statement::Command(Command::Stop(_)) => self.stop(&statement.to_string()).await,
             Statement::Command(Command::Change(change)) => self.change(change).await,
         }
@@ -93,8 +96,8 @@
         stream::iter(asked).buffered(WIDTH).collect().await
     }
 
-    async fn question(&mut self, text: &str) -> Report {
-        let heard = self.all(Some(text)).await;
+    async fn question(&mut self, query: &Query) -> Report {
+        let heard = self.all(Some(&query.to_string())).await;
         let mut report = Report::default();
         let mut tables = Vec::new();
         for one in heard {
@@ -109,7 +112,8 @@
                 .extend(errors.into_iter().map(|e| (router.clone(), e)));
             tables.extend(table.map(|table| Sourced { router, table }));
         }
-        report.table = (!tables.is_empty()).then(|| Table::merge(&tables));
+        let (merge, limit) = merging(query);
+        report.table = (!tables.is_empty()).then(|| Table::merge(&tables, merge, limit));
         // One router alone knows a request; the others' not knowing it is no
         // error once it has been told.
         if report.table.is_some() {
@@ -227,6 +231,15 @@
     }
 }
 
+/// Tells how the answers to a question belong together.
+fn merging(query: &Query) -> (Merge, Option<usize>) {
+    match query {
+        Query::Show(show) if show.subject == Subject::Requests => (Merge::Own, show.limit),
+        Query::Show(show) => (Merge::Shared, show.limit),
+        Query::Explain(_) | Query::Config(_) => (Merge::Shared, None),
+    }
+}
+
 fn sort(lines: Vec<Line>) -> (Option<Table>, Vec<String>) {
     let mut table: Option<Table> = None;
     let mut errors = Vec::new();
--- a/lib/src/query/mod.rs
+++ b/lib/src/query/mod.rs
@@ -62,6 +62,7 @@
 pub use parse::TEXT_MAX;
 pub use parse::parse;
 pub use parse::parse_one;
+pub use table::Merge;
 pub use table::Row;
 pub use table::Sourced;
 pub use table::Table;
--- a/router/src/door/intake.rs
+++ b/router/src/door/intake.rs
@@ -179,10 +179,11 @@
         once: Option<Once>,
         stream: bool,
     ) -> Ticket {
-        let deadline = node.clock.now() + bound.pipeline.deadline();
         let last = bound.pipeline.stages.last();
         let slot = once.as_ref().zip(last);
         let slot = slot.and_then(|(once, stage)| node.owner(&stage.pool, once.slot));
+        let now = node.clock.now();
+        let deadline = now + bound.pipeline.deadline();
         let spec = Spec {
             request: self.id,
             account: self.account,
@@ -196,6 +197,8 @@
         };
         let (send, up) = async_channel::unbounded();
         let gone = Flag::default();
+        let stop = Flag::default();
+        node.control.records.begin(now, &spec, stop.clone());
         let job = Job {
             spec,
             config: Arc::clone(&self.fact.config),
@@ -203,7 +206,7 @@
             once,
             up: send,
             gone: gone.clone(),
-            stop: Flag::default(),
+            stop,
         };
         node.outcomes.begin(self.id);
         node.requests.spawn(drive(Arc::clone(node), job));
--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -174,6 +174,7 @@
     fn step(&mut self, event: Event) {
         let mut actions = Vec::new();
         let now = self.node.clock.now();
+        self.record_end(now, &event);
         self.chain
             .on_event(now, event, &mut self.node.shared(), &mut actions);
         for action in actions {
@@ -435,8 +436,18 @@
         }
     }
 
+    /// Tells the journal how an attempt ended, for those who ask why.
+    fn record_end(&self, now: Time, event: &Event) {
+        if let Event::Ended { attempt, end, .. } = event {
+            let id = self.job.spec.request;
+            self.node.control.records.ended(now, id, *attempt, end);
+        }
+    }
+
     fn log(&self, decision: &Decision) {
         let spec = &self.job.spec;
+        let now = self.node.clock.now();
+        self.node.control.records.route(now, spec, decision);
         log::info!(target: "decision", account = spec.account.as_str(), pipeline = spec.name.as_str(); "{decision}");
     }
 }
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -3,6 +3,7 @@
 mod agents;
 mod board;
 mod connect;
+mod control;
 mod door;
 mod drive;
 mod follow;
