--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -11,15 +11,19 @@
 use async_io::Async;
 use async_io::Timer;
 use futures_lite::FutureExt;
+use snipeyoke_lib::ids::Offset;
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::link;
 use snipeyoke_runtime::link::LinkReader;
 use snipeyoke_runtime::link::LinkSender;
+use snipeyoke_wire::Ask;
 use snipeyoke_wire::Call;
+use snipeyoke_wire::Told;
 use snipeyoke_wire::frame::Body;
 
 use crate::calls;
 use crate::node::Node;
+use crate::once;
 use crate::report;
 
 /// The pause after a failed accept, so that a lack of descriptors can't spin.
@@ -107,6 +111,17 @@
                 running.cancel.set();
             }
         }
+        Body::ConfigAsk(ask) => {
+            if let Some(offer) = node.book.offer(Offset(ask.have)) {
+                pass_on(sender, Body::ConfigOffer(offer));
+            }
+        }
+        Body::ConfigOffer(offer) => {
+            if node.book.take(&offer).gap {
+                pass_on(sender, Body::ConfigAsk(node.book.ask()));
+            }
+        }
+        Body::Ask(ask) => start_ask(node, sender, &ask),
         Body::Hello(hello) => {
             log::info!(event = "link-up", peer = hello.node.as_str(), incarnation = hello.incarnation; "");
         }
@@ -137,6 +152,31 @@
     });
 }
 
+fn pass_on(sender: &LinkSender, body: Body) {
+    if let Err(error) = sender.send(body) {
+        log::debug!(event = "config-unsent", error = error.to_string().as_str(); "");
+    }
+}
+
+fn start_ask(node: &Arc<Node>, sender: &LinkSender, ask: &Ask) {
+    let key = ask.key.as_ref().and_then(once::key_of);
+    let (Some(owner), Some(key)) = (node.owner.clone(), key) else {
+        return;
+    };
+    let number = ask.ask;
+    let sender = sender.clone();
+    node.scope.spawn(async move {
+        let answer = once::ask(&owner, &key).await;
+        let told = Told {
+            ask: number,
+            reply: Some(calls::reply_of(0, answer, Duration::ZERO)),
+        };
+        if sender.send(Body::Told(told)).is_err() {
+            log::debug!(event = "told-lost", ask = number; "");
+        }
+    });
+}
+
 /// Cancels what nobody waits for any more.
 ///
 /// A non-idempotent call goes on: its router may ask for the result on another
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -1,5 +1,6 @@
 //! Keeps a link to each known agent, and the fleet view up to date.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,10 +13,13 @@
 use rand::RngExt;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::FailureDomain;
+use snipeyoke_lib::ids::FencingNumber;
+use snipeyoke_lib::ids::HostId;
 use snipeyoke_lib::ids::IdError;
 use snipeyoke_lib::ids::Incarnation;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::ids::Region;
+use snipeyoke_lib::once::KeySlot;
 use snipeyoke_lib::routing::CacheUpdate;
 use snipeyoke_lib::routing::LoadReport;
 use snipeyoke_runtime::link;
@@ -23,12 +27,14 @@
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_wire::CacheEvents;
 use snipeyoke_wire::FrameError;
+use snipeyoke_wire::Heartbeat;
 use snipeyoke_wire::Hello;
 use snipeyoke_wire::Load;
 use snipeyoke_wire::NodeKind;
 use snipeyoke_wire::frame::Body;
 
 use crate::agents::AgentLink;
+use crate::control::drains;
 use crate::node::Node;
 
 /// The longest time to connect, and to hear the first frame.
@@ -68,9 +74,11 @@
 struct Peer {
     endpoint: EndpointId,
     pool: PoolName,
+    host: HostId,
     domain: FailureDomain,
     region: Region,
     incarnation: Incarnation,
+    hello: Hello,
 }
 
 impl TryFrom<Hello> for Peer {
@@ -80,9 +88,11 @@
         Ok(Self {
             endpoint: hello.endpoint.parse()?,
             pool: hello.pool.parse()?,
+            host: hello.host.parse()?,
             domain: hello.domain.parse()?,
             region: hello.region.parse()?,
             incarnation: Incarnation(hello.incarnation),
+            hello,
         })
     }
 }
@@ -161,6 +171,8 @@
 
 fn join(node: &Node, peer: &Peer, link: &Arc<AgentLink>) {
     node.agents.open(peer.endpoint.clone(), Arc::clone(link));
+    let (now, hello) = (node.clock.now(), peer.hello.clone());
+    node.control.sight.join(now, peer.endpoint.clone(), hello);
     let mut shared = node.shared();
     shared.fleet.upsert(
         peer.endpoint.clone(),
@@ -175,6 +187,8 @@
 fn part(node: &Node, peer: &Peer, link: &Arc<AgentLink>) {
     if node.agents.close(&peer.endpoint, link) {
         node.shared().fleet.gone(&peer.endpoint);
+        node.slots().forget(&peer.endpoint);
+        node.control.sight.part(&peer.endpoint);
     }
 }
 
@@ -204,22 +218,34 @@
         Body::Chunk(chunk) => link.on_chunk(chunk),
         Body::Reply(reply) => {
             if let Some(load) = &reply.load {
-                let report = load_report(load);
+                let mut report = load_report(load);
+                report.draining |= drained(node, peer);
                 node.shared().fleet.on_load(now, &peer.endpoint, &report);
             }
             link.on_reply(reply);
         }
+        Body::Told(told) => link.on_told(told),
         Body::Heartbeat(heartbeat) => {
+            node.slots()
+                .report(&peer.pool, &peer.endpoint, &slots(&heartbeat));
+            let mut load = heartbeat.load.as_ref().map(load_report);
+            // The agent knows nothing of an operator's drain, and each of its
+            // reports would put it back into service.
+            if let Some(load) = &mut load {
+                load.draining |= drained(node, peer);
+            }
             let mut shared = node.shared();
-            if let Some(load) = heartbeat.load {
-                shared
-                    .fleet
-                    .on_load(now, &peer.endpoint, &load_report(&load));
+            if let Some(load) = &load {
+                shared.fleet.on_load(now, &peer.endpoint, load);
                 link.reported.set();
             }
             if heartbeat.draining {
                 shared.fleet.drain(&peer.endpoint);
             }
+            drop(shared);
+            let revision = heartbeat.config_revision;
+            let sight = &node.control.sight;
+            sight.report(now, &peer.endpoint, load, revision);
         }
         Body::Cache(events) => {
             node.shared()
@@ -236,6 +262,19 @@
     }
 }
 
+fn slots(heartbeat: &Heartbeat) -> BTreeMap<KeySlot, FencingNumber> {
+    let owned = heartbeat.slots.iter().filter_map(|owned| {
+        let slot = KeySlot::try_from(owned.slot).ok()?;
+        Some((slot, FencingNumber(owned.fence)))
+    });
+    owned.collect()
+}
+
+fn drained(node: &Node, peer: &Peer) -> bool {
+    let config = &node.board.config.get().config;
+    drains::covers(config, &peer.endpoint, &peer.host, &peer.domain)
+}
+
 fn load_report(load: &Load) -> LoadReport {
     LoadReport {
         seq: load.seq,
--- a/router/src/control/mod.rs
+++ b/router/src/control/mod.rs
@@ -2,7 +2,7 @@
 
 mod auth;
 mod changes;
-mod drains;
+pub(crate) mod drains;
 mod facts;
 mod port;
 mod records;
@@ -13,6 +13,8 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use snipeyoke_lib::config::Applied;
+use snipeyoke_lib::config::Fold;
 use snipeyoke_lib::query::History;
 
 pub(crate) use self::port::Port;
@@ -33,6 +35,20 @@
 }
 
 impl Control {
+    /// Remembers what a record did to the configuration.
+    pub(crate) fn on_applied(&self, applied: &Applied, fold: &Fold) {
+        let mut history = self.history();
+        match applied {
+            Applied::Accepted { .. } => {
+                if let Some(winner) = fold.winners().last() {
+                    history.on_change(winner.clone());
+                }
+            }
+            Applied::Restored { .. } => *history = History::new(fold.revision(), fold.config()),
+            _ => {}
+        }
+    }
+
     /// Locks the earlier configurations.
     pub(crate) fn history(&self) -> MutexGuard<'_, History> {
         self.history.lock().unwrap_or_else(PoisonError::into_inner)
--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -19,6 +19,7 @@
 use snipeyoke_lib::config::StageRole;
 use snipeyoke_lib::ids::AttemptId;
 use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::once::KeySlot;
 use snipeyoke_lib::outcome::AttemptEnd;
 use snipeyoke_lib::outcome::Outcome;
 use snipeyoke_lib::outcome::Reason;
@@ -34,6 +35,7 @@
 
 use super::answer::Finish;
 use super::answer::Up;
+use super::resolve::Resolve;
 use super::work::Taken;
 use super::work::Work;
 use crate::agents::CallHandle;
@@ -45,6 +47,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Once {
     pub(crate) key: OnceKey,
+    pub(crate) slot: KeySlot,
 }
 
 /// A request as the door hands it over.
@@ -70,6 +73,8 @@
     call: Option<CallHandle>,
     taken: Option<Taken>,
     output_tokens: u32,
+    /// The call, kept while a missing answer could be resolved by it.
+    once: Option<Call>,
 }
 
 struct Driver {
@@ -196,6 +201,7 @@
     fn step(&mut self, event: Event) {
         let mut actions = Vec::new();
         let now = self.node.clock.now();
+        self.record_end(now, &event);
         self.chain
             .on_event(now, event, &mut self.node.shared(), &mut actions);
         for action in actions {
@@ -241,6 +247,7 @@
         let stage = &self.job.spec.pipeline.stages[send.stage];
         let role = stage.role;
         let call = self.call(send);
+        let once = call.once.is_some().then(|| call.clone());
         let handle = self
             .node
             .agents
@@ -251,6 +258,7 @@
             call: handle,
             taken: None,
             output_tokens: 0,
+            once,
         };
         let event = if record.call.is_some() {
             Event::Sent { attempt }
@@ -363,6 +371,15 @@
 
     fn event_of(&mut self, input: Input) -> Option<Event> {
         let attempt = input.attempt;
+        let missing = missing_end(&input.signal);
+        if let Some(reason) = missing
+            && self.resolve(attempt, reason)
+        {
+            return None;
+        }
+        if moved(&input.signal) {
+            self.follow_owner();
+        }
         let record = self.attempts.get_mut(&attempt)?;
         match input.signal {
             Signal::Chunk(chunk) => {
@@ -374,7 +391,7 @@
                     tokens,
                 })
             }
-            Signal::Reply(reply) => {
+            Signal::Reply(reply) | Signal::Resolved(reply) => {
                 record.call = None;
                 let usage = usage_of(&reply);
                 record.output_tokens = reply.output_tokens;
@@ -413,8 +430,51 @@
         }
     }
 
+    /// Starts to find out how a non-idempotent attempt ended.
+    ///
+    /// Returns whether the end will be reported later.
+    fn resolve(&mut self, attempt: AttemptId, reason: Reason) -> bool {
+        let call = self.attempts.get_mut(&attempt).and_then(|a| a.once.take());
+        let (Some(call), Some(once)) = (call, &self.job.once) else {
+            return false;
+        };
+        let Some(stage) = self.job.spec.pipeline.stages.last() else {
+            return false;
+        };
+        let resolve = Resolve {
+            attempt,
+            call,
+            pool: stage.pool.clone(),
+            slot: once.slot,
+            deadline: self.job.spec.deadline,
+            reason,
+            feed: self.feed.clone(),
+        };
+        log::info!(event = "attempt-unresolved", request = self.job.spec.request.to_string().as_str(), reason = reason.to_string().as_str(); "");
+        let node = Arc::clone(&self.node);
+        self.node.requests.spawn(resolve.run(node));
+        true
+    }
+
+    /// Names the slot's present owner to the chain, for its next attempt.
+    fn follow_owner(&mut self) {
+        if let (Some(once), Some(stage)) = (&self.job.once, self.job.spec.pipeline.stages.last()) {
+            self.chain.own(self.node.owner(&stage.pool, once.slot));
+        }
+    }
+
+    /// Tells the journal how an attempt ended, for those who ask why.
+    fn record_end(&self, now: Time, event: &Event) {
+        if let Event::Ended { attempt, end, .. } = event {
+            let id = self.job.spec.request;
+            self.node.control.records.ended(now, id, *attempt, end);
+        }
+    }
+
     fn log(&self, decision: &Decision) {
         let spec = &self.job.spec;
+        let now = self.node.clock.now();
+        self.node.control.records.route(now, spec, decision);
         let mut pairs = decision.pairs();
         pairs.push(("account", spec.account.to_string()));
         pairs.push(("pipeline", spec.name.to_string()));
@@ -433,6 +493,24 @@
     }
 }
 
+/// Tells why the end of a call is not known, if it isn't.
+fn missing_end(signal: &Signal) -> Option<Reason> {
+    match signal {
+        Signal::Lost { written: true } => Some(Reason::Connection),
+        Signal::Reply(reply) if reply.end() == End::Unknown => {
+            let reason = reply.reason.parse().unwrap_or(Reason::EndpointFailure);
+            // A conflict is an answer: the key stands for another body.
+            (reason != Reason::KeyConflict).then_some(reason)
+        }
+        _ => None,
+    }
+}
+
+/// Tells whether an agent refused a call because it does not own its slot.
+fn moved(signal: &Signal) -> bool {
+    matches!(signal, Signal::Reply(reply) if reply.end() == End::NotRun)
+}
+
 struct Sending {
     attempt: AttemptId,
     stage: usize,
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -40,10 +40,15 @@
         let now = node.clock.now();
         let news = follower.answered(now, end);
         let before = fold.revision();
-        take(&mut fold, news);
+        let read = take(&node, &mut fold, news);
         if fold.revision() != before {
             put_in_force(&node, &fold);
         }
+        // An operator who is told "accepted" may ask this router at once, so
+        // the change is in force here before they are told.
+        for (bytes, applied) in &read {
+            node.control.waiters.tell(bytes, applied);
+        }
     }
 }
 
@@ -54,15 +59,18 @@
     pause.or(node.board.stop.wait()).await;
 }
 
-fn take(fold: &mut Fold, news: Followed) {
+fn take(node: &Node, fold: &mut Fold, news: Followed) -> Vec<(Vec<u8>, Applied)> {
     let Followed::Records { records, .. } = news else {
         if let Followed::Behind { first } = news {
             log::warn!(event = "config-behind", first = first.0, remedy = "wait for a snapshot"; "");
         }
-        return;
+        return Vec::new();
     };
+    let mut read = Vec::new();
     for (offset, bytes) in records {
-        match fold.apply_bytes(offset, &bytes) {
+        let applied = fold.apply_bytes(offset, &bytes);
+        node.control.on_applied(&applied, fold);
+        match &applied {
             Applied::Accepted { revision } => {
                 log::info!(event = "config-accepted", offset = offset.0, revision = revision.0; "");
             }
@@ -70,7 +78,9 @@
                 log::info!(event = "config-record", offset = offset.0, applied = format!("{other:?}").as_str(); "");
             }
         }
+        read.push((bytes, applied));
     }
+    read
 }
 
 fn put_in_force(node: &Node, fold: &Fold) {
--- a/site/src/lib.rs
+++ b/site/src/lib.rs
@@ -14,4 +14,5 @@
 pub use plan::sentiercoop;
 pub use plan::vestlandsprint;
 pub use run::EndpointAt;
+pub use run::OPERATOR_KEY;
 pub use run::Site;
