--- a/router/src/agents.rs
+++ b/router/src/agents.rs
@@ -9,15 +9,20 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use async_channel::Receiver;
 use async_channel::Sender;
 use snipeyoke_lib::ids::AttemptId;
 use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::link::LinkSender;
 use snipeyoke_runtime::link::Written;
+use snipeyoke_wire::Ask;
 use snipeyoke_wire::Call;
 use snipeyoke_wire::Cancel;
 use snipeyoke_wire::Chunk;
+use snipeyoke_wire::OnceKey;
 use snipeyoke_wire::Reply;
+use snipeyoke_wire::Told;
 use snipeyoke_wire::frame::Body;
 
 /// Something about one attempt, for its driver.
@@ -34,6 +39,8 @@
     Chunk(Chunk),
     /// The agent answered.
     Reply(Reply),
+    /// It was found out how a call without an answer ended.
+    Resolved(Reply),
     /// The link failed; `written` tells whether the call may have been read.
     Lost { written: bool },
 }
@@ -44,7 +51,10 @@
     pub(crate) address: SocketAddr,
     sender: LinkSender,
     next: AtomicU64,
+    /// Set once the agent has reported its load on this link.
+    pub(crate) reported: Flag,
     calls: Mutex<BTreeMap<u64, Pending>>,
+    asks: Mutex<BTreeMap<u64, Sender<Reply>>>,
 }
 
 #[derive(Debug)]
@@ -97,9 +107,16 @@
         link.call(attempt, call, feed)
     }
 
-    /// Returns the number of open links.
-    pub(crate) fn count(&self) -> usize {
-        self.links().len()
+    /// Asks an agent what became of a key; `None` if there is no link to it.
+    pub(crate) fn ask(&self, endpoint: &EndpointId, key: OnceKey) -> Option<Receiver<Reply>> {
+        let link = self.links().get(endpoint).cloned()?;
+        link.ask(key)
+    }
+
+    /// Returns the number of links whose agent has reported its load.
+    pub(crate) fn reported(&self) -> usize {
+        let links = self.links();
+        links.values().filter(|l| l.reported.is_set()).count()
     }
 
     fn links(&self) -> MutexGuard<'_, BTreeMap<EndpointId, Arc<AgentLink>>> {
@@ -113,7 +130,9 @@
             address,
             sender,
             next: AtomicU64::new(1),
+            reported: Flag::default(),
             calls: Mutex::default(),
+            asks: Mutex::default(),
         }
     }
 
@@ -140,6 +159,35 @@
         Some(CallHandle { link: self, number })
     }
 
+    fn ask(&self, key: OnceKey) -> Option<Receiver<Reply>> {
+        let ask = self.next.fetch_add(1, Ordering::Relaxed);
+        let (send, receive) = async_channel::bounded(1);
+        self.asks().insert(ask, send);
+        let frame = Ask {
+            ask,
+            key: Some(key),
+        };
+        if self.sender.send(Body::Ask(frame)).is_err() {
+            self.asks().remove(&ask);
+            return None;
+        }
+        Some(receive)
+    }
+
+    /// Passes the answer to a question on to who asked.
+    pub(crate) fn on_told(&self, told: Told) {
+        let asker = self.asks().remove(&told.ask);
+        if let (Some(asker), Some(reply)) = (asker, told.reply)
+            && asker.try_send(reply).is_err()
+        {
+            log::debug!(event = "asker-gone", ask = told.ask; "");
+        }
+    }
+
+    fn asks(&self) -> MutexGuard<'_, BTreeMap<u64, Sender<Reply>>> {
+        self.asks.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
     /// Passes a chunk on to its driver.
     pub(crate) fn on_chunk(&self, chunk: Chunk) {
         let calls = self.calls();
@@ -162,6 +210,7 @@
     /// Call it after the writer has ended: only then is it settled which calls
     /// were never written.
     pub(crate) fn on_lost(&self) {
+        self.asks().clear();
         let calls = std::mem::take(&mut *self.calls());
         for pending in calls.into_values() {
             let written = pending.written.as_ref().is_none_or(Written::is_set);
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -1,5 +1,6 @@
 //! Keeps a link to each known agent, and the fleet view up to date.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,11 +13,13 @@
 use rand::RngExt;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::FailureDomain;
+use snipeyoke_lib::ids::FencingNumber;
 use snipeyoke_lib::ids::HostId;
 use snipeyoke_lib::ids::IdError;
 use snipeyoke_lib::ids::Incarnation;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::ids::Region;
+use snipeyoke_lib::once::KeySlot;
 use snipeyoke_lib::routing::CacheUpdate;
 use snipeyoke_lib::routing::LoadReport;
 use snipeyoke_runtime::link;
@@ -24,6 +27,7 @@
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_wire::CacheEvents;
 use snipeyoke_wire::FrameError;
+use snipeyoke_wire::Heartbeat;
 use snipeyoke_wire::Hello;
 use snipeyoke_wire::Load;
 use snipeyoke_wire::NodeKind;
@@ -183,6 +187,7 @@
 fn part(node: &Node, peer: &Peer, link: &Arc<AgentLink>) {
     if node.agents.close(&peer.endpoint, link) {
         node.shared().fleet.gone(&peer.endpoint);
+        node.slots().forget(&peer.endpoint);
         node.control.sight.part(&peer.endpoint);
     }
 }
@@ -211,8 +216,18 @@
     let now = node.clock.now();
     match body {
         Body::Chunk(chunk) => link.on_chunk(chunk),
-        Body::Reply(reply) => link.on_reply(reply),
+        Body::Reply(reply) => {
+            if let Some(load) = &reply.load {
+                let mut report = load_report(load);
+                report.draining |= drained(node, peer);
+                node.shared().fleet.on_load(now, &peer.endpoint, &report);
+            }
+            link.on_reply(reply);
+        }
+        Body::Told(told) => link.on_told(told),
         Body::Heartbeat(heartbeat) => {
+            node.slots()
+                .report(&peer.pool, &peer.endpoint, &slots(&heartbeat));
             let mut load = heartbeat.load.as_ref().map(load_report);
             // The agent knows nothing of an operator's drain, and each of its
             // reports would put it back into service.
@@ -222,6 +237,7 @@
             let mut shared = node.shared();
             if let Some(load) = &load {
                 shared.fleet.on_load(now, &peer.endpoint, load);
+                link.reported.set();
             }
             if heartbeat.draining {
                 shared.fleet.drain(&peer.endpoint);
@@ -246,6 +262,14 @@
     }
 }
 
+fn slots(heartbeat: &Heartbeat) -> BTreeMap<KeySlot, FencingNumber> {
+    let owned = heartbeat.slots.iter().filter_map(|owned| {
+        let slot = KeySlot::try_from(owned.slot).ok()?;
+        Some((slot, FencingNumber(owned.fence)))
+    });
+    owned.collect()
+}
+
 fn drained(node: &Node, peer: &Peer) -> bool {
     let config = &node.board.config.get().config;
     drains::covers(config, &peer.endpoint, &peer.host, &peer.domain)
--- a/router/src/door/intake.rs
+++ b/router/src/door/intake.rs
@@ -4,12 +4,14 @@
 use std::time::Duration;
 
 use async_channel::Receiver;
+use async_channel::Sender;
 use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::FutureExt;
 use hyper::HeaderMap;
 use sha2::Digest;
 use sha2::Sha256;
+use snipeyoke_lib::admission::Refusal;
 use snipeyoke_lib::chain::Prompt;
 use snipeyoke_lib::chain::Spec;
 use snipeyoke_lib::config::Pipeline;
@@ -17,15 +19,18 @@
 use snipeyoke_lib::ids::PipelineName;
 use snipeyoke_lib::ids::RequestId;
 use snipeyoke_lib::ids::RequestKind;
+use snipeyoke_lib::once as lib;
+use snipeyoke_lib::outcome::Outcome;
+use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::http::Request;
 use snipeyoke_runtime::http::collect;
 use snipeyoke_wire::OnceKey;
-use uuid::Uuid;
 
 use super::auth;
 use super::error::DoorError;
 use crate::board::ConfigFact;
+use crate::drive::Finish;
 use crate::drive::Job;
 use crate::drive::Once;
 use crate::drive::Up;
@@ -33,9 +38,6 @@
 use crate::drive::drive;
 use crate::node::Node;
 
-/// The version number of the UUIDs that keys have to be.
-const KEY_VERSION: usize = 7;
-
 /// A request whose caller is known.
 #[derive(Debug)]
 pub(crate) struct Intake {
@@ -154,19 +156,21 @@
         let text = value.to_str().map_err(|_binary| DoorError::KeyMalformed)?;
         // The draft writes the key as a quoted string; many clients leave the
         // quotes out.
-        let key = Uuid::parse_str(text.trim().trim_matches('"'));
-        let key = key.map_err(|_malformed| DoorError::KeyMalformed)?;
-        if key.get_version_num() != KEY_VERSION {
-            return Err(DoorError::KeyMalformed);
-        }
+        let key = lib::OnceKey {
+            account: self.account.clone(),
+            key: lib::OnceKey::parse(text.trim().trim_matches('"')).map_err(DoorError::Key)?,
+            digest: Sha256::digest(body).into(),
+        };
+        key.check_issue(Clock::wall()).map_err(DoorError::Key)?;
+        let slot = key.slot();
         let key = OnceKey {
-            key: Bytes::copy_from_slice(key.as_bytes()),
-            digest: Bytes::copy_from_slice(&Sha256::digest(body)),
+            key: Bytes::copy_from_slice(key.key.as_bytes()),
+            digest: Bytes::copy_from_slice(&key.digest),
             account: self.account.to_string(),
-            slot: 0,
+            slot: u32::from(slot.number()),
             fence: 0,
         };
-        Ok(Some(Once { key }))
+        Ok(Some(Once { key, slot }))
     }
 
     /// Starts driving a request.
@@ -179,6 +183,9 @@
         once: Option<Once>,
         stream: bool,
     ) -> Ticket {
+        let last = bound.pipeline.stages.last();
+        let slot = once.as_ref().zip(last);
+        let slot = slot.and_then(|(once, stage)| node.owner(&stage.pool, once.slot));
         let now = node.clock.now();
         let deadline = now + bound.pipeline.deadline();
         let spec = Spec {
@@ -190,12 +197,18 @@
             deadline,
             prompt,
             stream,
-            slot: None,
+            slot,
         };
         let (send, up) = async_channel::unbounded();
         let gone = Flag::default();
         let stop = Flag::default();
         node.control.records.begin(now, &spec, stop.clone());
+        let guard = Guard(gone.clone());
+        let taken = node.admission.admit(now, &spec, &mut node.shared());
+        if let Err(refusal) = taken {
+            refuse(node, &spec, refusal, &send);
+            return Ticket { up, guard };
+        }
         let job = Job {
             spec,
             config: Arc::clone(&self.fact.config),
@@ -207,9 +220,23 @@
         };
         node.outcomes.begin(self.id);
         node.requests.spawn(drive(Arc::clone(node), job));
-        Ticket {
-            up,
-            guard: Guard(gone),
-        }
+        Ticket { up, guard }
     }
 }
+
+/// Answers a request that was not taken on, at once.
+fn refuse(node: &Node, spec: &Spec, refusal: Refusal, up: &Sender<Up>) {
+    let finish = Finish {
+        outcome: Outcome::NotRun,
+        reason: Some(refusal.reason),
+        retry: Some(refusal.retry_after),
+        text: String::new(),
+        output: None,
+        prompt_tokens: 0,
+        output_tokens: 0,
+    };
+    node.outcomes.begin(spec.request);
+    node.settled(spec, &finish);
+    // The receiver is held by the caller of this function.
+    let _told = up.try_send(Up::Done(Box::new(finish)));
+}
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -14,13 +14,19 @@
 use derive_more::Error;
 use snipeyoke_lib::chain::Shared;
 use snipeyoke_lib::chain::Spec;
+use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::log::LogStore;
+use snipeyoke_lib::once::KeySlot;
+use snipeyoke_lib::once::SlotMap;
 use snipeyoke_lib::routing::Home;
 use snipeyoke_lib::routing::LeastOutstanding;
 use snipeyoke_lib::routing::Policy;
 use snipeyoke_lib::routing::Predicted;
 use snipeyoke_lib::routing::RoundRobin;
+use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::Tokens;
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Bounds;
@@ -31,6 +37,8 @@
 use snipeyoke_wire::Hello;
 use snipeyoke_wire::NodeKind;
 
+use crate::admission;
+use crate::admission::Admission;
 use crate::agents::Agents;
 use crate::board::Board;
 use crate::connect;
@@ -72,6 +80,7 @@
     pub(crate) clock: Clock,
     pub(crate) board: Board,
     pub(crate) agents: Agents,
+    pub(crate) admission: Admission,
     pub(crate) outcomes: Outcomes,
     pub(crate) control: Control,
     /// Requests in flight; the parent of their tasks.
@@ -79,6 +88,7 @@
     /// Everything else on the traffic threads.
     pub(crate) scope: Scope,
     shared: Mutex<Shared>,
+    slots: Mutex<SlotMap>,
 }
 
 impl Node {
@@ -87,6 +97,17 @@
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the map of key slots, for one short step.
+    pub(crate) fn slots(&self) -> MutexGuard<'_, SlotMap> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the endpoint whose agent owns a key slot, as far as known.
+    pub(crate) fn owner(&self, pool: &PoolName, slot: KeySlot) -> Option<EndpointId> {
+        let slots = self.slots();
+        slots.owner(pool, slot).map(|owner| owner.endpoint.clone())
+    }
+
     pub(crate) fn hello(&self) -> Hello {
         let own = &self.settings;
         Hello {
@@ -103,7 +124,14 @@
         }
     }
 
-    /// Notes the end of a request.
+    /// Notes the end of a request that was taken on.
+    pub(crate) fn ended(&self, spec: &Spec, finish: &Finish) {
+        let used = Tokens(finish.prompt_tokens + finish.output_tokens);
+        self.admission.done(self.clock.now(), spec, used);
+        self.settled(spec, finish);
+    }
+
+    /// Notes the outcome of a request.
     pub(crate) fn settled(&self, spec: &Spec, finish: &Finish) {
         let reason = finish
             .reason
@@ -150,6 +178,7 @@
         let client = Client::new(node.scope.clone(), CONNECT_LIMIT);
         let log: Arc<dyn LogStore> = Arc::new(HttpLog::new(client, node.settings.platform));
         let control = Scope::new(Arc::clone(&execs.control));
+        control.spawn(admission::run(Arc::clone(&node)));
         control.spawn(follow::run(Arc::clone(&node), Arc::clone(&log)));
         let port = Arc::new(Port::new(Arc::clone(&node), log));
         // Operators look most of all while a router drains, so their port stays
@@ -183,10 +212,10 @@
         self.operators
     }
 
-    /// Returns the number of agents that this router has a link to.
+    /// Returns the number of agents that have reported to this router.
     #[must_use]
     pub fn linked(&self) -> usize {
-        self.node.agents.count()
+        self.node.agents.reported()
     }
 
     /// Drains: takes nothing new, finishes what runs, and ends.
@@ -230,11 +259,13 @@
         clock: Clock::start(),
         board: Board::new(),
         agents: Agents::default(),
+        admission: Admission::new(Time::ZERO, raw.routers.len() + 1),
         outcomes: Outcomes::default(),
         control: Control::default(),
         requests: Scope::new(Arc::clone(&execs.traffic)),
         scope: Scope::new(Arc::clone(&execs.traffic)),
         shared: Mutex::new(Shared::new(home, policy, incarnation.0)),
+        slots: Mutex::default(),
         settings: raw,
     }
 }
