--- a/load/src/cell.rs
+++ b/load/src/cell.rs
@@ -265,7 +265,8 @@
     /// Returns the cost of all pools.
     #[must_use]
     pub fn cost(&self) -> f64 {
-        self.pools.values().map(|p| p.cost).sum()
+        // An empty sum of floats is -0, which tables would show.
+        self.pools.values().fold(0.0, |sum, p| sum + p.cost)
     }
 
     /// Returns the cost of one whole answer, late ones included.
--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -122,6 +122,7 @@
 
 impl Batch {
     /// Builds an empty batch.
+    #[must_use]
     pub fn new(settings: EngineSettings) -> Self {
         Self {
             settings,
@@ -175,7 +176,7 @@
             }
         }
         for run in &self.active {
-            if run.ask.request == request {
+            if run.ask.request == request && !run.ask.sink.is_closed() {
                 found = true;
                 let _gone = run.ask.sink.try_send(Emit::Cancelled { fresh: false });
                 // The step under way still computes it; the next one does not.
@@ -186,8 +187,10 @@
     }
 
     /// Returns the tokens that a running generation has made, and its blocks.
+    #[must_use]
     pub fn find(&self, request: &str) -> Option<(u32, &[u64])> {
-        let run = self.active.iter().find(|r| r.ask.request == request)?;
+        let alive = |r: &&Run| r.ask.request == request && !r.ask.sink.is_closed();
+        let run = self.active.iter().find(alive)?;
         Some((run.next, &run.ask.blocks))
     }
 
@@ -255,11 +258,13 @@
     }
 
     /// Returns the totals since the start.
+    #[must_use]
     pub const fn totals(&self) -> Totals {
         self.totals
     }
 
     /// Returns what is waiting and at work.
+    #[must_use]
     pub fn level(&self) -> Level {
         let runs = self.active.iter().chain(self.waiting.values());
         let pending = runs.map(|run| {
--- a/standin/src/engine/cache.rs
+++ b/standin/src/engine/cache.rs
@@ -37,6 +37,7 @@
 
 impl Page {
     /// Tells whether there is anything new in it.
+    #[must_use]
     pub const fn is_empty(&self) -> bool {
         self.events.is_empty() && !self.gap
     }
@@ -59,6 +60,7 @@
 
 impl Cache {
     /// Builds an empty cache.
+    #[must_use]
     pub fn new(capacity: usize, lag: Duration, loss: f64, seed: u64) -> Self {
         Self {
             capacity,
@@ -75,7 +77,8 @@
     }
 
     /// Returns the number of blocks held.
-    pub fn len(&self) -> usize {
+    #[must_use]
+    pub fn held(&self) -> usize {
         self.used.len()
     }
 
@@ -115,6 +118,7 @@
     }
 
     /// Returns the events from a number on that are old enough to be seen.
+    #[must_use]
     pub fn page(&self, since: u64, now: Instant) -> Page {
         let start = since.max(self.first);
         let skip = usize::try_from(start - self.first).unwrap_or(usize::MAX);
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -1,7 +1,7 @@
 //! A model engine; encoders, retrievers and rerankers are the same program.
 
-mod batch;
-mod cache;
+pub mod batch;
+pub mod cache;
 mod calls;
 mod chat;
 mod orders;
@@ -139,7 +139,7 @@
         loop {
             let (level, blocks) = {
                 let work = lock(&self.work);
-                (work.batch.level(), work.cache.len())
+                (work.batch.level(), work.cache.held())
             };
             let now = Instant::now();
             {
