load: measure what the system adds, and time at each stage

Cause: added latency, requests a second of one core and latency by stage were unmeasured. Change: snipeyoke-load overhead against endpoints that take next to no time; stand-ins count how long calls spent at them, reports show it by pool. Conclusion: stages can be compared without a measure of the router's own.

--- a/load/src/args.rs
+++ b/load/src/args.rs
@@ -23,6 +23,7 @@
     Experiment(Experiment),
     Report(Report),
     Check(Check),
+    Overhead(Overhead),
 }
 
 /// Send the load of a deployment's mix to running routers.
@@ -92,7 +93,7 @@
     /// runs at the same time, each with a deployment of its own
     #[argh(option, default = "1")]
     pub parallel: usize,
-    /// threads for each of stand-ins, agents and routers
+    /// threads for the stand-ins, and as many for the agents
     #[argh(option, default = "2")]
     pub threads: usize,
     /// where the cells go, one JSON line each
@@ -139,3 +140,26 @@
     #[argh(option)]
     pub standin: Vec<SocketAddr>,
 }
+
+/// Measure what the system itself adds: latency over loopback and requests a
+/// second of one router core. Use a release build.
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "overhead")]
+pub struct Overhead {
+    /// the deployment's file, with endpoints that take next to no time
+    #[argh(option, default = "PathBuf::from(\"examples/overhead.jsonc\")")]
+    pub deployment: PathBuf,
+    /// requests of each kind sent one after the other
+    #[argh(option, default = "2000")]
+    pub requests: u64,
+    /// requests in flight while the rate is measured
+    #[argh(option, default = "64")]
+    pub flight: usize,
+    /// seconds in which the rate is measured
+    #[argh(option, default = "8.0")]
+    pub seconds: f64,
+    /// threads for the stand-ins, and as many for the agents
+    #[argh(option, default = "3")]
+    pub threads: usize,
+}
--- a/load/src/cell.rs
+++ b/load/src/cell.rs
@@ -70,16 +70,22 @@
 
 impl Latency {
     /// Reads percentiles from microseconds.
+    #[must_use]
+    pub fn of(micros: impl Iterator<Item = u64>) -> Self {
+        Self::of_counts(micros.map(|value| (value, 1)))
+    }
+
+    /// Reads percentiles from microseconds with their counts.
     ///
     /// # Panics
     ///
     /// Panics if the histogram's constant bounds are refused, which is a bug.
     #[must_use]
-    pub fn of(micros: impl Iterator<Item = u64>) -> Self {
+    pub fn of_counts(micros: impl Iterator<Item = (u64, u64)>) -> Self {
         let histogram = Histogram::<u64>::new_with_bounds(1, LATENCY_MAX_US, 3);
         let mut histogram = histogram.expect("the bounds are constant and in order");
-        for value in micros {
-            histogram.saturating_record(value.max(1));
+        for (value, count) in micros {
+            histogram.saturating_record_n(value.max(1), count);
         }
         let at = |q| histogram.value_at_quantile(q) as f64 / 1_000.0;
         Self {
@@ -103,7 +109,7 @@
 }
 
 /// One pool of a run.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, PartialEq, Default)]
 #[derive(Serialize, Deserialize)]
 pub struct PoolStats {
     /// Seconds in which endpoints were at work, together.
@@ -118,6 +124,8 @@
     pub prompt: u64,
     /// Those of them found cached.
     pub cached: u64,
+    /// Counts of times at the endpoints, by microseconds.
+    pub times: BTreeMap<u64, u64>,
 }
 
 impl PoolStats {
@@ -131,6 +139,12 @@
         self.cancelled += number("cancelled");
         self.prompt += number("prompt_tokens");
         self.cached += number("cached_tokens");
+        for (micros, count) in effects["times_us"].as_object().into_iter().flatten() {
+            let Ok(micros) = micros.parse() else {
+                continue;
+            };
+            *self.times.entry(micros).or_default() += count.as_u64().unwrap_or_default();
+        }
     }
 
     /// Returns what was added since an earlier reading.
@@ -143,8 +157,24 @@
             cancelled: self.cancelled - before.cancelled,
             prompt: self.prompt - before.prompt,
             cached: self.cached - before.cached,
+            times: self.times_since(&before.times),
         }
     }
+
+    fn times_since(&self, before: &BTreeMap<u64, u64>) -> BTreeMap<u64, u64> {
+        let times = self.times.iter().map(|(micros, count)| {
+            let earlier = before.get(micros).copied().unwrap_or_default();
+            (*micros, count - earlier)
+        });
+        times.filter(|(_, count)| *count > 0).collect()
+    }
+
+    /// Returns percentiles of the time at the endpoints, waiting included.
+    #[must_use]
+    pub fn latency(&self) -> Latency {
+        let times = self.times.iter();
+        Latency::of_counts(times.map(|(micros, count)| (*micros, *count)))
+    }
 }
 
 /// One second of a run.
@@ -207,8 +237,6 @@
     pub pools: BTreeMap<PoolName, PoolStats>,
     /// Each second.
     pub ticks: Vec<Tick>,
-    /// Time in each stage as the routers saw it, by stage.
-    pub stages: BTreeMap<String, Latency>,
     /// Promises broken; empty in a good run.
     pub violations: Vec<String>,
 }
--- a/load/src/commands.rs
+++ b/load/src/commands.rs
@@ -20,6 +20,7 @@
 use snipeyoke_load::experiment::Trial;
 use snipeyoke_load::file;
 use snipeyoke_load::file::Lines;
+use snipeyoke_load::overhead;
 use snipeyoke_load::plan::Plan;
 use snipeyoke_load::report;
 use snipeyoke_load::sample::Sample;
@@ -200,6 +201,21 @@
     Ok(cells.iter().all(|c| c.violations.is_empty()))
 }
 
+/// Measures what the system itself adds.
+pub fn overhead(args: &args::Overhead, exec: Exec) -> Outcome {
+    let deployment = Deployment::parse(&file::read_text(&args.deployment)?)?;
+    let asked = overhead::Asked {
+        requests: args.requests,
+        flight: args.flight,
+        length: Duration::from_secs_f64(args.seconds),
+        threads: args.threads,
+    };
+    let scope = Scope::new(exec);
+    let found = future::block_on(overhead::measure(&deployment, &asked, &scope))?;
+    println!("{found}");
+    Ok(found.is_whole())
+}
+
 /// Compares samples with effects.
 pub fn check(args: &args::Check, exec: Exec) -> Outcome {
     let samples: Vec<Sample> = file::read(&args.samples)?;
--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod drive;
 pub mod experiment;
 pub mod file;
+pub mod overhead;
 pub mod plan;
 pub mod report;
 pub mod sample;
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -1,4 +1,4 @@
-//! The load's program: `snipeyoke-load run|experiment|report|check`.
+//! The load's program: `snipeyoke-load run|experiment|report|check|overhead`.
 
 mod args;
 mod commands;
@@ -34,6 +34,7 @@
         Command::Experiment(experiment) => commands::experiment(&experiment, exec),
         Command::Report(report) => commands::report(&report),
         Command::Check(check) => commands::check(&check, exec),
+        Command::Overhead(overhead) => commands::overhead(&overhead, exec),
     };
     threads.join();
     kept
--- a/load/src/report/plots.rs
+++ b/load/src/report/plots.rs
@@ -4,7 +4,6 @@
 use std::collections::BTreeSet;
 
 use crate::cell::Cell;
-use crate::cell::Latency;
 
 use super::chart;
 use super::chart::Bars;
@@ -163,8 +162,13 @@
     };
     let caption = "Busy seconds of each pool's endpoints at its price, for one whole answer.";
     add("cost by stage", "cost", caption, &costs(cells))?;
-    let caption = "As the routers saw it: queue and work of completed attempts, 95 in 100.";
-    let stages = columns(cells, |c| latencies(&c.stages));
+    let caption = "At the endpoints of each pool, waiting there included, 95 in 100.";
+    let stages = columns(cells, |c| {
+        let pools = c.pools.iter();
+        pools
+            .map(|(pool, stats)| (pool.to_string(), stats.latency().p95))
+            .collect()
+    });
     add("latency by stage", "ms, p95", caption, &stages)?;
     let caption = "From intended send time to the last byte of whole answers, 99 in 100.";
     let kinds = columns(cells, |c| {
@@ -223,11 +227,6 @@
     })
 }
 
-fn latencies(stages: &BTreeMap<String, Latency>) -> BTreeMap<String, f64> {
-    let stages = stages.iter();
-    stages.map(|(name, l)| (name.clone(), l.p95)).collect()
-}
-
 fn reasons(cell: &Cell) -> BTreeMap<String, f64> {
     let offered = cell.counts.offered.max(1) as f64;
     let mut shares: BTreeMap<String, f64> = cell
--- a/load/src/report/text.rs
+++ b/load/src/report/text.rs
@@ -4,6 +4,8 @@
 use std::fmt::Write;
 
 use crate::cell::Cell;
+use crate::cell::Latency;
+use crate::cell::PoolStats;
 
 use super::distinct;
 use super::policies;
@@ -142,6 +144,31 @@
             writeln!(out, " {:.4} |", cell.cost_each())?;
         }
     }
+    writeln!(out)?;
+    writeln!(
+        out,
+        "Without faults: time at the endpoints in ms, p50 / p95 / p99.\n"
+    )?;
+    write!(out, "| load | policy |")?;
+    for name in &names {
+        write!(out, " {name} |")?;
+    }
+    writeln!(out)?;
+    writeln!(out, "| ---: | --- |{}", " ---: |".repeat(names.len()))?;
+    for load in distinct(cells, |c| c.setup.load) {
+        for policy in policies {
+            let Some(cell) = find(cells, policy, load, "plain") else {
+                continue;
+            };
+            write!(out, "| {load:.0}% | {policy} |")?;
+            for name in &names {
+                let latency = cell.pools.get(*name).map(PoolStats::latency);
+                let Latency { p50, p95, p99 } = latency.unwrap_or_default();
+                write!(out, " {p50:.0} / {p95:.0} / {p99:.0} |")?;
+            }
+            writeln!(out)?;
+        }
+    }
     writeln!(out)
 }
 
--- a/load/src/scene/bed.rs
+++ b/load/src/scene/bed.rs
@@ -52,7 +52,7 @@
     pub policy: String,
     /// The seed of all stand-ins.
     pub seed: u64,
-    /// Threads for the stand-ins, and as many for agents and for routers.
+    /// Threads for the stand-ins, and as many for the agents.
     pub threads: usize,
 }
 
@@ -125,8 +125,8 @@
     ) -> Result<Self, BedError> {
         let outside = Threads::start(options.threads)?;
         let beside = Threads::start(options.threads)?;
-        let entry = Threads::start(options.threads)?;
         let scene = deployment.scene();
+        let entry = Threads::start(scene.router_threads)?;
         let mut platform = scene.platform.clone();
         platform.seed = options.seed;
         let exec = outside.execs().traffic;
--- a/load/src/scene/deployment.rs
+++ b/load/src/scene/deployment.rs
@@ -63,6 +63,9 @@
     pub client_ms: f64,
     /// Entry hosts.
     pub routers: usize,
+    /// Traffic threads that all routers share.
+    #[serde(default = "two")]
+    pub router_threads: usize,
     /// The platform.
     pub platform: PlatformSettings,
     /// The endpoints.
@@ -73,6 +76,10 @@
     pub mix: Mix,
 }
 
+const fn two() -> usize {
+    2
+}
+
 /// A deployment that can be built.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Deployment {
--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -8,6 +8,7 @@
 use snipeyoke_lib::prefix::BLOCK_TOKENS;
 
 use crate::settings::EngineSettings;
+use crate::times::Times;
 
 use super::cache::Cache;
 
@@ -118,6 +119,7 @@
     reading: Vec<u32>,
     step: Duration,
     totals: Totals,
+    times: Times,
 }
 
 impl Batch {
@@ -133,6 +135,7 @@
             reading: Vec::new(),
             step: Duration::ZERO,
             totals: Totals::default(),
+            times: Times::default(),
         }
     }
 
@@ -247,6 +250,7 @@
             let run = self.active.remove(place);
             self.memory -= run.memory();
             self.totals.completed += 1;
+            self.times.add(now - run.queued);
         }
     }
 
@@ -263,6 +267,12 @@
         self.totals
     }
 
+    /// Returns how long finished generations took, their wait included.
+    #[must_use]
+    pub const fn times(&self) -> &Times {
+        &self.times
+    }
+
     /// Returns what is waiting and at work.
     #[must_use]
     pub fn level(&self) -> Level {
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -236,7 +236,12 @@
     }
 
     fn effects(&self) -> Value {
-        let totals = lock(&self.work).batch.totals();
+        let mut times = self.slots.times();
+        let totals = {
+            let work = lock(&self.work);
+            times.merge(work.batch.times());
+            work.batch.totals()
+        };
         let steps_us = u64::try_from(totals.busy.as_micros()).unwrap_or(u64::MAX);
         json!({
             "completed": totals.completed + self.slots.finished(),
@@ -245,6 +250,7 @@
             "cached_tokens": totals.cached,
             "output_tokens": totals.output,
             "busy_us": steps_us + self.slots.busy_us(),
+            "times_us": times.counts(),
             "orders": lock(&self.orders).taken(),
         })
     }
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod slots;
 pub mod standin;
 mod sync;
+pub mod times;
 
 pub use fault::Fault;
 pub use settings::EngineSettings;
--- a/standin/src/plain.rs
+++ b/standin/src/plain.rs
@@ -144,6 +144,7 @@
         json!({
             "effects": effects.keyed, "unkeyed": effects.unkeyed,
             "completed": self.slots.finished(), "busy_us": self.slots.busy_us(),
+            "times_us": self.slots.times().counts(),
         })
     }
 
--- a/standin/src/slots.rs
+++ b/standin/src/slots.rs
@@ -2,6 +2,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
@@ -15,6 +16,8 @@
 use futures_lite::future::Boxed;
 
 use crate::fault::Faults;
+use crate::sync::lock;
+use crate::times::Times;
 
 /// How long one piece of work waited and took.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -45,6 +48,7 @@
     active: AtomicUsize,
     busy_us: AtomicU64,
     finished: AtomicU64,
+    times: Mutex<Times>,
 }
 
 impl fmt::Debug for Slots {
@@ -69,6 +73,7 @@
             active: AtomicUsize::new(0),
             busy_us: AtomicU64::new(0),
             finished: AtomicU64::new(0),
+            times: Mutex::default(),
         }
     }
 
@@ -102,6 +107,12 @@
         self.finished.load(Ordering::Relaxed)
     }
 
+    /// Returns how long finished jobs took, their wait included.
+    #[must_use]
+    pub fn times(&self) -> Times {
+        lock(&self.times).clone()
+    }
+
     /// Queues work, or returns nothing when the queue is full.
     ///
     /// With `keep` the work is done although its caller has gone.
@@ -167,6 +178,7 @@
             (job.effect)();
             self.finished.fetch_add(1, Ordering::Relaxed);
             let queue = started - job.queued;
+            lock(&self.times).add(queue + work);
             let _caller_gone = job.done.try_send(Timing { queue, work });
         }
     }
