standin, load: put distance and partitions between failure domains

Cause: over bare loopback every endpoint is equally near and never cut off. Change: wires delay and hold TCP between processes of different domains; beds use the distances of their file; the partition fault cuts one domain off. Conclusion: choice by distance and the sides of a partition can be tried.

--- a/load/src/args.rs
+++ b/load/src/args.rs
@@ -72,7 +72,7 @@
     #[argh(option, default = "\"50,80,100,150\".to_owned()")]
     pub loads: String,
     /// faults, separated by commas: plain, straggler, dead, fail-fast, domain,
-    /// burst, platform
+    /// burst, partition, platform
     #[argh(option, default = "standard_faults()")]
     pub faults: String,
     /// requests a second that count as 100%; without it a ramp finds it
--- a/load/src/experiment/fault.rs
+++ b/load/src/experiment/fault.rs
@@ -44,6 +44,8 @@
     Domain,
     /// Five times as many requests come for a tenth of the run.
     Burst,
+    /// One failure domain and the others see nothing of each other.
+    Partition,
     /// The platform is away.
     Platform,
 }
@@ -102,6 +104,12 @@
         (self == Self::Domain).then(|| deployment.scene().domains[0].clone())
     }
 
+    /// Returns the failure domain that is cut off, if one is.
+    #[must_use]
+    pub fn cut(self, deployment: &Deployment) -> Option<FailureDomain> {
+        (self == Self::Partition).then(|| deployment.scene().domains[0].clone())
+    }
+
     /// Returns the faults to set on stand-ins.
     #[must_use]
     pub fn plans(self, bed: &Bed, deployment: &Deployment, seconds: f64) -> Vec<FaultPlan> {
@@ -122,7 +130,7 @@
             ..Fault::default()
         };
         let (at, fault) = match self {
-            Self::Plain | Self::Burst => return Vec::new(),
+            Self::Plain | Self::Burst | Self::Partition => return Vec::new(),
             Self::Straggler => (
                 engine.into_iter().collect(),
                 Fault {
--- a/load/src/experiment/trial.rs
+++ b/load/src/experiment/trial.rs
@@ -103,7 +103,7 @@
         faults: trial.fault.plans(bed, deployment, trial.seconds),
     };
     let start = Instant::now();
-    let lost = lose(deployment, trial, bed, start);
+    let lost = break_down(deployment, trial, bed, start);
     let (samples, lost) = future::zip(drive::run(measured, &caller, scope), lost).await;
     lost?;
     Timer::after(SETTLE).await;
@@ -134,21 +134,30 @@
     Plan::new(deployment.mixture().clone(), trial.rate, bursts, seed)
 }
 
-async fn lose(
+async fn break_down(
     deployment: &Deployment,
     trial: &Trial,
     bed: &mut Bed,
     start: Instant,
 ) -> Result<(), BedError> {
-    let lost = trial.fault.lost(deployment);
-    let window = trial.fault.window(trial.seconds);
-    let (Some(domain), Some((from, until))) = (lost, window) else {
+    let Some((from, until)) = trial.fault.window(trial.seconds) else {
         return Ok(());
     };
-    Timer::at(start + Duration::from_secs_f64(from)).await;
-    bed.lose(&domain).await;
-    Timer::at(start + Duration::from_secs_f64(until)).await;
-    bed.regain(&domain)
+    let from = start + Duration::from_secs_f64(from);
+    let until = start + Duration::from_secs_f64(until);
+    if let Some(domain) = trial.fault.lost(deployment) {
+        Timer::at(from).await;
+        bed.lose(&domain).await;
+        Timer::at(until).await;
+        bed.regain(&domain)?;
+    }
+    if let Some(domain) = trial.fault.cut(deployment) {
+        Timer::at(from).await;
+        bed.cut(&domain, true);
+        Timer::at(until).await;
+        bed.cut(&domain, false);
+    }
+    Ok(())
 }
 
 type Pools = BTreeMap<snipeyoke_lib::ids::PoolName, PoolStats>;
--- a/load/src/report/text.rs
+++ b/load/src/report/text.rs
@@ -50,8 +50,10 @@
         row(out, cells, &policies, load, fault)?;
     }
     writeln!(out)?;
-    goodput(out, cells, &policies)?;
-    pools(out, cells, &policies)?;
+    if cells.iter().any(|c| c.setup.fault == "plain") {
+        goodput(out, cells, &policies)?;
+        pools(out, cells, &policies)?;
+    }
     troubles(out, cells)
 }
 
--- a/load/src/scene/bed.rs
+++ b/load/src/scene/bed.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use async_executor::Executor;
 use async_io::Timer;
 use derive_more::Display;
 use derive_more::Error;
@@ -33,6 +34,7 @@
 
 use super::Deployment;
 use super::PoolScene;
+use super::network::Network;
 use super::ports;
 use super::publish;
 
@@ -107,6 +109,7 @@
     platform: SocketAddr,
     seats: Vec<Seat>,
     routers: Vec<Router>,
+    network: Network,
     agent_execs: Execs,
     threads: Vec<Threads>,
     client: Client,
@@ -136,6 +139,7 @@
             standins: vec![platform],
             seats: Vec::new(),
             routers: Vec::new(),
+            network: Network::new(Duration::from_secs_f64(scene.distance_ms / 1e3)),
             agent_execs: beside.execs(),
             client: Client::new(scope.clone(), Duration::from_secs(1)),
             threads: Vec::new(),
@@ -146,8 +150,11 @@
                 bed.seat(deployment, pool, index, options, &outside.execs())?;
             }
         }
+        let peers = (0..scene.routers).map(|_| ports::free());
+        let peers = peers.collect::<io::Result<Vec<SocketAddr>>>()?;
         for index in 0..scene.routers {
-            bed.router(deployment, index, options, &entry.execs())?;
+            let settings = bed.router(deployment, index, &peers, options, &exec)?;
+            bed.routers.push(Router::start(settings, &entry.execs())?);
         }
         bed.threads = vec![entry, beside, outside];
         bed.ready().await?;
@@ -179,6 +186,13 @@
         join_all(agents.iter().map(Agent::stop)).await;
     }
 
+    /// Begins or ends a partition of one failure domain from the others.
+    ///
+    /// Callers and the platform still reach both sides.
+    pub fn cut(&self, domain: &FailureDomain, cut: bool) {
+        self.network.cut(domain, cut);
+    }
+
     /// Starts the agents of a lost failure domain again.
     ///
     /// # Errors
@@ -199,6 +213,7 @@
         join_all(self.routers.iter().map(Router::stop)).await;
         let agents = self.seats.iter().filter_map(|s| s.agent.as_ref());
         join_all(agents.map(Agent::stop)).await;
+        self.network.stop().await;
         join_all(self.standins.into_iter().map(Running::stop)).await;
         for threads in self.threads {
             threads.join();
@@ -259,24 +274,37 @@
         &mut self,
         deployment: &Deployment,
         index: usize,
+        peers: &[SocketAddr],
         options: &Options,
-        execs: &Execs,
-    ) -> Result<(), BedError> {
+        exec: &Executor<'_>,
+    ) -> Result<snipeyoke_router::settings::Settings, BedError> {
         let scene = deployment.scene();
-        let agents = self.seats.iter().filter_map(|s| s.agent.as_ref());
-        let agents: Vec<SocketAddr> = agents.map(Agent::address).collect();
+        let domains = &scene.domains;
+        let domain = &domains[index % domains.len()];
+        let mut agents = Vec::new();
+        for seat in &self.seats {
+            let Some(agent) = &seat.agent else {
+                continue;
+            };
+            let address = agent.address();
+            agents.push(self.network.link(exec, domain, &seat.domain, address)?);
+        }
+        let mut routers = Vec::new();
+        for (other, &address) in peers.iter().enumerate().filter(|(o, _)| *o != index) {
+            let to = &domains[other % domains.len()];
+            routers.push(self.network.link(exec, domain, to, address)?);
+        }
         let settings = json!({
             "node": format!("router-{}", index + 1), "host": format!("entry-{}", index + 1),
-            "domain": scene.domains[index % scene.domains.len()], "region": scene.region,
+            "domain": domain, "region": scene.region,
             "listen": {
-                "callers": ports::free()?, "control": ports::free()?, "peers": ports::free()?,
+                "callers": ports::free()?, "control": ports::free()?, "peers": peers[index],
             },
-            "agents": agents, "platform": self.platform, "policy": options.policy,
+            "agents": agents, "routers": routers, "platform": self.platform,
+            "policy": options.policy,
         });
         let path = Path::new("router settings");
-        let settings = settings::parse(path, &settings.to_string())?;
-        self.routers.push(Router::start(settings, execs)?);
-        Ok(())
+        Ok(settings::parse(path, &settings.to_string())?)
     }
 
     async fn ready(&self) -> Result<(), BedError> {
--- a/load/src/scene/mod.rs
+++ b/load/src/scene/mod.rs
@@ -2,6 +2,7 @@
 
 mod bed;
 mod deployment;
+mod network;
 mod ports;
 mod publish;
 
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod standin;
 mod sync;
 pub mod times;
+pub mod wire;
 
 pub use fault::Fault;
 pub use settings::EngineSettings;
@@ -23,3 +24,4 @@
 pub use settings::SettingsError;
 pub use standin::Running;
 pub use standin::Standin;
+pub use wire::Wire;
--- a/standin/tests/runner.rs
+++ b/standin/tests/runner.rs
@@ -5,3 +5,4 @@
 mod test_plain;
 mod test_platform;
 mod test_simulation;
+mod test_wire;
