--- a/load/src/args.rs
+++ b/load/src/args.rs
@@ -24,6 +24,8 @@
     Report(Report),
     Check(Check),
     Overhead(Overhead),
+    Publish(Publish),
+    Settings(Settings),
 }
 
 /// Send the load of a deployment's mix to running routers.
@@ -163,3 +165,32 @@
     #[argh(option, default = "3")]
     pub threads: usize,
 }
+
+/// Publish the configuration of a deployment on a platform's empty log.
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "publish")]
+pub struct Publish {
+    /// the deployment's file
+    #[argh(option)]
+    pub deployment: PathBuf,
+    /// the platform's address
+    #[argh(option)]
+    pub platform: SocketAddr,
+}
+
+/// Write the settings file of every process of a deployment.
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "settings")]
+pub struct Settings {
+    /// the deployment's file
+    #[argh(option)]
+    pub deployment: PathBuf,
+    /// the folder to write to
+    #[argh(option)]
+    pub out: PathBuf,
+    /// the first port
+    #[argh(option, default = "7000")]
+    pub port: u16,
+}
--- a/load/src/commands.rs
+++ b/load/src/commands.rs
@@ -24,6 +24,7 @@
 use snipeyoke_load::plan::Plan;
 use snipeyoke_load::report;
 use snipeyoke_load::sample::Sample;
+use snipeyoke_load::scene;
 use snipeyoke_load::scene::Deployment;
 use snipeyoke_load::scene::Options;
 use snipeyoke_runtime::http::Client;
@@ -216,6 +217,25 @@
     Ok(found.is_whole())
 }
 
+/// Publishes a deployment's configuration.
+pub fn publish(args: &args::Publish, exec: Exec) -> Outcome {
+    let deployment = Deployment::parse(&file::read_text(&args.deployment)?)?;
+    let records = scene::records(&deployment.scene().config)?;
+    let hand = Hand::new(Client::new(Scope::new(exec), CONNECT_LIMIT));
+    let appended = hand.append(args.platform, "config", records);
+    println!("{}", future::block_on(appended)?);
+    Ok(true)
+}
+
+/// Writes the settings of every process.
+pub fn settings(args: &args::Settings) -> Outcome {
+    let deployment = Deployment::parse(&file::read_text(&args.deployment)?)?;
+    for (name, text) in scene::files(&deployment, args.port) {
+        file::write_text(&args.out.join(name), &text)?;
+    }
+    Ok(true)
+}
+
 /// Compares samples with effects.
 pub fn check(args: &args::Check, exec: Exec) -> Outcome {
     let samples: Vec<Sample> = file::read(&args.samples)?;
--- a/load/src/drive/faults.rs
+++ b/load/src/drive/faults.rs
@@ -136,6 +136,21 @@
         self.call(Method::POST, address, path, body).await
     }
 
+    /// Appends records to a topic of the platform's log.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`HandError`] if the platform does not take them.
+    pub async fn append(
+        &self,
+        platform: SocketAddr,
+        topic: &str,
+        records: Bytes,
+    ) -> Result<Value, HandError> {
+        let path = format!("/log/{topic}/append");
+        self.call(Method::POST, platform, &path, records).await
+    }
+
     async fn call(
         &self,
         method: Method,
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -35,6 +35,8 @@
         Command::Report(report) => commands::report(&report),
         Command::Check(check) => commands::check(&check, exec),
         Command::Overhead(overhead) => commands::overhead(&overhead, exec),
+        Command::Publish(publish) => commands::publish(&publish, exec),
+        Command::Settings(settings) => commands::settings(&settings),
     };
     threads.join();
     kept
--- a/load/src/scene/bed.rs
+++ b/load/src/scene/bed.rs
@@ -15,14 +15,12 @@
 use futures_util::future::join_all;
 use http_body_util::Full;
 use hyper::Request;
-use serde_json::json;
 use snipeyoke_agent::Agent;
 use snipeyoke_lib::ids::FailureDomain;
 use snipeyoke_lib::ids::IdError;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_router::Router;
 use snipeyoke_runtime::http::Client;
-use snipeyoke_runtime::http::ClientError;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::settings;
 use snipeyoke_runtime::settings::SettingsError;
@@ -32,10 +30,16 @@
 use snipeyoke_standin::Settings;
 use snipeyoke_standin::Standin;
 
+use crate::drive::Hand;
+use crate::drive::HandError;
+
 use super::Deployment;
-use super::PoolScene;
+use super::Scene;
 use super::network::Network;
 use super::ports;
+use super::process;
+use super::process::Place;
+use super::process::RouterAddresses;
 use super::publish;
 
 /// The longest time until every router is ready.
@@ -79,7 +83,7 @@
     Router(snipeyoke_router::StartError),
     /// The platform did not take the configuration.
     #[display("the configuration was not published: {_0}")]
-    Publish(ClientError),
+    Publish(HandError),
     /// A router did not become ready.
     #[display("router {address} is not ready after {READY_LIMIT:?}: look at its log")]
     #[from(ignore)]
@@ -145,15 +149,13 @@
             threads: Vec::new(),
         };
         bed.publish(deployment).await?;
-        for pool in &scene.pools {
-            for index in 0..pool.count {
-                bed.seat(deployment, pool, index, options, &outside.execs())?;
-            }
+        for place in Place::all(deployment) {
+            bed.seat(&place, options, &outside.execs())?;
         }
         let peers = (0..scene.routers).map(|_| ports::free());
         let peers = peers.collect::<io::Result<Vec<SocketAddr>>>()?;
         for index in 0..scene.routers {
-            let settings = bed.router(deployment, index, &peers, options, &exec)?;
+            let settings = bed.router(scene, index, &peers, options, &exec)?;
             bed.routers.push(Router::start(settings, &entry.execs())?);
         }
         bed.threads = vec![entry, beside, outside];
@@ -222,47 +224,28 @@
 
     async fn publish(&self, deployment: &Deployment) -> Result<(), BedError> {
         let records = publish::records(&deployment.scene().config)?;
-        let mut request = Request::new(Full::new(records));
-        *request.method_mut() = hyper::Method::POST;
-        *request.uri_mut() = hyper::Uri::from_static("/log/config/append");
-        self.client.send(self.platform, request).await?;
+        let hand = Hand::new(self.client.clone());
+        hand.append(self.platform, "config", records).await?;
         Ok(())
     }
 
     fn seat(
         &mut self,
-        deployment: &Deployment,
-        pool: &PoolScene,
-        index: usize,
+        place: &Place<'_>,
         options: &Options,
         execs: &Execs,
     ) -> Result<(), BedError> {
-        let scene = deployment.scene();
-        let domain = &scene.domains[index % scene.domains.len()];
-        let id = format!("{}-{}", pool.name, index + 1);
-        let mut settings = pool.endpoint.clone();
+        let mut settings = place.pool.endpoint.clone();
         let serial = self.standins.len() as u64;
         settings.set_seed(options.seed.wrapping_mul(1_000) + serial);
-        let kind = match &settings {
-            Settings::Plain(_) => "plain",
-            _ => "engine",
-        };
         let standin = Standin::start(&execs.traffic, settings)?;
         let endpoint = standin.address();
         self.standins.push(standin);
-        let settings = json!({
-            "node": format!("agent-{id}"), "host": format!("host-{id}"),
-            "domain": domain, "region": scene.region, "listen": ports::free()?,
-            "endpoint": {
-                "id": id, "pool": pool.name, "address": endpoint, "kind": kind,
-                "slots": pool.slots, "queue": pool.queue,
-            },
-            "platform": self.platform,
-        });
+        let settings = place.agent(ports::free()?, endpoint, self.platform);
         let agent = agent(&settings, &self.agent_execs)?;
         self.seats.push(Seat {
-            pool: pool.name.clone(),
-            domain: domain.clone(),
+            pool: place.pool.name.clone(),
+            domain: place.domain().clone(),
             endpoint,
             settings,
             agent: Some(agent),
@@ -272,15 +255,13 @@
 
     fn router(
         &mut self,
-        deployment: &Deployment,
+        scene: &Scene,
         index: usize,
         peers: &[SocketAddr],
         options: &Options,
         exec: &Executor<'_>,
     ) -> Result<snipeyoke_router::settings::Settings, BedError> {
-        let scene = deployment.scene();
-        let domains = &scene.domains;
-        let domain = &domains[index % domains.len()];
+        let domain = process::domain(scene, index);
         let mut agents = Vec::new();
         for seat in &self.seats {
             let Some(agent) = &seat.agent else {
@@ -291,18 +272,18 @@
         }
         let mut routers = Vec::new();
         for (other, &address) in peers.iter().enumerate().filter(|(o, _)| *o != index) {
-            let to = &domains[other % domains.len()];
+            let to = process::domain(scene, other);
             routers.push(self.network.link(exec, domain, to, address)?);
         }
-        let settings = json!({
-            "node": format!("router-{}", index + 1), "host": format!("entry-{}", index + 1),
-            "domain": domain, "region": scene.region,
-            "listen": {
-                "callers": ports::free()?, "control": ports::free()?, "peers": peers[index],
-            },
-            "agents": agents, "routers": routers, "platform": self.platform,
-            "policy": options.policy,
-        });
+        let at = RouterAddresses {
+            callers: ports::free()?,
+            control: ports::free()?,
+            peers: peers[index],
+            agents,
+            routers,
+            platform: self.platform,
+        };
+        let settings = process::router(scene, index, &options.policy, &at);
         let path = Path::new("router settings");
         Ok(settings::parse(path, &settings.to_string())?)
     }
--- a/load/src/scene/mod.rs
+++ b/load/src/scene/mod.rs
@@ -2,8 +2,10 @@
 
 mod bed;
 mod deployment;
+mod files;
 mod network;
 mod ports;
+mod process;
 mod publish;
 
 pub use bed::Bed;
@@ -13,5 +15,6 @@
 pub use deployment::PoolScene;
 pub use deployment::Scene;
 pub use deployment::SceneError;
+pub use files::files;
 pub use publish::changes;
 pub use publish::records;
--- a/standin/src/settings.rs
+++ b/standin/src/settings.rs
@@ -89,6 +89,15 @@
         }
     }
 
+    /// Replaces the address to listen on.
+    pub const fn set_listen(&mut self, listen: SocketAddr) {
+        match self {
+            Self::Platform(platform) => platform.listen = listen,
+            Self::Engine(engine) => engine.listen = listen,
+            Self::Plain(plain) => plain.listen = listen,
+        }
+    }
+
     /// Checks the ranges of all numbers.
     ///
     /// # Errors
