--- a/load/src/lib.rs
+++ b/load/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod drive;
 pub mod experiment;
 pub mod file;
+pub mod overhead;
 pub mod plan;
 pub mod report;
 pub mod sample;
--- a/load/src/scene/mod.rs
+++ b/load/src/scene/mod.rs
@@ -2,7 +2,10 @@
 
 mod bed;
 mod deployment;
+mod files;
+mod network;
 mod ports;
+mod process;
 mod publish;
 
 pub use bed::Bed;
@@ -12,6 +15,7 @@
 pub use deployment::PoolScene;
 pub use deployment::Scene;
 pub use deployment::SceneError;
+pub use files::files;
 pub use ports::free as free_port;
 pub use publish::changes;
 pub use publish::records;
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -1,7 +1,7 @@
 //! A model engine; encoders, retrievers and rerankers are the same program.
 
-mod batch;
-mod cache;
+pub mod batch;
+pub mod cache;
 mod calls;
 mod chat;
 mod orders;
@@ -139,7 +139,7 @@
         loop {
             let (level, blocks) = {
                 let work = lock(&self.work);
-                (work.batch.level(), work.cache.len())
+                (work.batch.level(), work.cache.held())
             };
             let now = Instant::now();
             {
@@ -236,7 +236,12 @@
     }
 
     fn effects(&self) -> Value {
-        let totals = lock(&self.work).batch.totals();
+        let mut times = self.slots.times();
+        let totals = {
+            let work = lock(&self.work);
+            times.merge(work.batch.times());
+            work.batch.totals()
+        };
         let steps_us = u64::try_from(totals.busy.as_micros()).unwrap_or(u64::MAX);
         json!({
             "completed": totals.completed + self.slots.finished(),
@@ -245,6 +250,7 @@
             "cached_tokens": totals.cached,
             "output_tokens": totals.output,
             "busy_us": steps_us + self.slots.busy_us(),
+            "times_us": times.counts(),
             "orders": lock(&self.orders).taken(),
         })
     }
