routing: predict the drag of a batch and judge endpoints by their promise

A verdict was measured against a prediction that already held it, so that a straggler seemed healthy once it was expected to be slow; and calls were packed onto one engine, as only a full batch cost time. Change: verdicts compare with the time promised; a fit learns how much a batch slows its calls; the cost of a call is what it adds to a batch that runs anyway.

--- a/lib/src/chain/attempt.rs
+++ b/lib/src/chain/attempt.rs
@@ -31,6 +31,10 @@
     pub(super) booking: Option<Booking>,
     pub(super) began: Time,
     pub(super) predicted: Duration,
+    /// The time predicted for an endpoint that keeps its promises.
+    pub(super) plain: Duration,
+    /// How full the endpoint was.
+    pub(super) crowd: f32,
     pub(super) state: State,
     /// Whether its frame was written.
     pub(super) sent: bool,
@@ -49,9 +53,12 @@
         self.state == State::Open
     }
 
-    /// Returns how many times its predicted time the attempt has taken.
+    /// Returns how many times its promised time the attempt has taken.
+    ///
+    /// The promise is without the endpoint's own verdict: measured against a
+    /// prediction that expects a straggler to be slow, it would seem healthy.
     pub(super) fn ratio(&self, now: Time) -> f32 {
-        let predicted = self.predicted.as_secs_f32().max(0.001);
-        now.since(self.began).as_secs_f32() / predicted
+        let plain = self.plain.as_secs_f32().max(0.001);
+        now.since(self.began).as_secs_f32() / plain
     }
 }
--- a/lib/src/chain/machine.rs
+++ b/lib/src/chain/machine.rs
@@ -213,6 +213,8 @@
             booking,
             began: now,
             predicted: picked.predicted,
+            plain: picked.plain,
+            crowd: picked.crowd,
             state: State::Open,
             sent: false,
             first: None,
--- a/lib/src/chain/select.rs
+++ b/lib/src/chain/select.rs
@@ -14,6 +14,7 @@
 use crate::deadline::StageTime;
 use crate::deadline::StageTimes;
 use crate::ids::EndpointId;
+use crate::ids::PoolName;
 use crate::outcome::Reason;
 use crate::routing;
 use crate::routing::Need;
@@ -32,6 +33,8 @@
     pub(super) endpoint: EndpointId,
     pub(super) why: Why,
     pub(super) predicted: Duration,
+    pub(super) plain: Duration,
+    pub(super) crowd: f32,
     pub(super) others: [Option<Alternative>; 2],
 }
 
@@ -108,6 +111,8 @@
         endpoint: endpoint.id().clone(),
         why: choice.why,
         predicted: seconds(choice.predicted),
+        plain: seconds(choice.plain),
+        crowd: pool.crowd(choice.slot),
         others: choice.others.map(|other| other.map(named)),
     })
 }
@@ -130,6 +135,8 @@
         endpoint: owner.clone(),
         why: Why::KeySlot,
         predicted: seconds(pool.predict(now, slot)),
+        plain: seconds(pool.predict(now, slot)),
+        crowd: pool.crowd(slot),
         others: [None, None],
     })
 }
@@ -157,6 +164,9 @@
         endpoint.health_mut().answered(now, attempt.ratio(now));
     }
     shared.fleet.worked(pool, attempt.slot, usage.work);
+    if generates(chain.current()) {
+        note_drag(now, attempt, pool, shared);
+    }
     let entry = shared.times.entry(&chain.spec.name, chain.stage);
     entry.seen(now);
     entry.took.observe(now.since(chain.entered));
@@ -168,6 +178,12 @@
     }
 }
 
+fn note_drag(now: Time, attempt: &Attempt, pool: &PoolName, shared: &mut Shared) {
+    let slope = shared.fleet.pool(pool).map_or(0.0, Pool::drag);
+    let idle = attempt.ratio(now) * (1.0 + slope * attempt.crowd.min(1.0));
+    shared.fleet.dragged(pool, attempt.crowd, idle);
+}
+
 /// Learns from an attempt that ended without an answer.
 pub(super) fn note_failure(now: Time, attempt: &Attempt, chain: &Chain, shared: &mut Shared) {
     let pool = &chain.current().pool;
--- a/lib/src/routing/baseline.rs
+++ b/lib/src/routing/baseline.rs
@@ -67,10 +67,12 @@
 }
 
 fn plain(now: Time, pool: &Pool, need: &Need<'_>, slot: usize, why: Why) -> Choice {
+    let forecast = pool.forecast(now, slot, need);
     Choice {
         slot,
         why,
-        predicted: pool.forecast(now, slot, need).total,
+        predicted: forecast.total,
+        plain: forecast.plain,
         others: [None; 2],
     }
 }
--- a/lib/src/routing/endpoint.rs
+++ b/lib/src/routing/endpoint.rs
@@ -22,14 +22,25 @@
 /// What is expected of a call; times in seconds.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub(super) struct Forecast {
-    /// The time at work, which costs.
+    /// The time at work that the call adds, which costs.
     pub(super) work: f32,
+    /// The time to the answer of an endpoint that keeps its promises.
+    pub(super) plain: f32,
     /// The time to the answer.
     pub(super) total: f32,
     /// The share of calls that fail.
     pub(super) failing: f32,
 }
 
+/// What is usual in a pool.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(super) struct Usual {
+    /// The seconds that a call works.
+    pub(super) work: f32,
+    /// How much a full batch slows down each of its calls.
+    pub(super) drag: f32,
+}
+
 /// One endpoint as a router sees it.
 #[derive(Debug, Clone)]
 pub struct Endpoint {
@@ -201,21 +212,44 @@
         self.work = Some(known + WORK_WEIGHT * (seconds - known));
     }
 
-    pub(super) fn forecast(&self, now: Time, need: &Need<'_>, cached: u32, usual: f32) -> Forecast {
-        let mean = self.work.unwrap_or(usual);
-        let work = if self.per_output > 0.0 && need.output > 0.0 {
+    /// Returns how full the endpoint is; above one, calls wait.
+    pub(super) fn crowd(&self) -> f32 {
+        self.busy() as f32 / self.slots
+    }
+
+    pub(super) fn forecast(
+        &self,
+        now: Time,
+        need: &Need<'_>,
+        cached: u32,
+        usual: Usual,
+    ) -> Forecast {
+        let mean = self.work.unwrap_or(usual.work);
+        let busy = self.busy() as f32;
+        let generates = self.per_output > 0.0 && need.output > 0.0;
+        let (read, write) = if generates {
             let unread = need.prompt.saturating_sub(cached) as f32;
-            unread * self.per_prompt + need.output * self.per_output
+            (unread * self.per_prompt, need.output * self.per_output)
+        } else {
+            (0.0, mean)
+        };
+        let wait = (busy + 1.0 - self.slots).max(0.0) / self.slots * mean;
+        // Calls of one batch are in each other's way well before it is full.
+        let crowd = (busy / self.slots).min(1.0);
+        let drag = if generates {
+            1.0 + usual.drag * crowd
         } else {
-            mean
+            1.0
         };
-        let excess = (self.busy() + 1) as f32 - self.slots;
-        let wait = excess.max(0.0) / self.slots * mean;
+        let plain = wait + (read + write) * drag;
         let (slow, failing) = self.health.verdict(now);
+        // A batch that runs anyway takes one more call at little cost.
+        let share = if generates { busy + 1.0 } else { 1.0 };
         Forecast {
             failing,
-            work: work * slow,
-            total: (wait + work) * slow + self.overhead,
+            work: (read + write / share) * slow,
+            plain: plain + self.overhead,
+            total: plain * slow + self.overhead,
         }
     }
 }
--- a/lib/src/routing/fleet.rs
+++ b/lib/src/routing/fleet.rs
@@ -191,6 +191,14 @@
         (endpoint.id == *id).then_some(endpoint)
     }
 
+    /// Notes how long a generation took, in multiples of the time predicted
+    /// for an idle endpoint, and how full its batch was.
+    pub fn dragged(&mut self, pool: &PoolName, crowd: f32, ratio: f32) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.dragged(crowd, ratio);
+        }
+    }
+
     /// Notes the work time of a completed call.
     pub fn worked(&mut self, pool: &PoolName, slot: usize, work: Duration) {
         if let Some(pool) = self.pools.get_mut(pool)
--- a/lib/src/routing/mod.rs
+++ b/lib/src/routing/mod.rs
@@ -1,6 +1,7 @@
 //! Where a stage goes: the router's view of endpoints and the choice among them.
 
 mod baseline;
+mod drag;
 mod endpoint;
 mod fleet;
 mod health;
--- a/lib/src/routing/policy.rs
+++ b/lib/src/routing/policy.rs
@@ -67,6 +67,8 @@
     pub why: Why,
     /// The predicted seconds to the answer.
     pub predicted: f32,
+    /// The predicted seconds if the endpoint keeps its promises.
+    pub plain: f32,
     /// The two next best, with their predicted seconds.
     pub others: [Option<(usize, f32)>; 2],
 }
--- a/lib/src/routing/pool.rs
+++ b/lib/src/routing/pool.rs
@@ -4,7 +4,9 @@
 use super::Endpoint;
 use super::Holders;
 use super::Need;
+use super::drag::Drag;
 use super::endpoint::Forecast;
+use super::endpoint::Usual;
 use super::endpoint::first_work;
 use crate::ids::EndpointId;
 use crate::ids::Incarnation;
@@ -29,6 +31,7 @@
     pub(super) mean: f32,
     models: Vec<ModelName>,
     work: f32,
+    drag: Drag,
 }
 
 impl Default for Pool {
@@ -40,6 +43,7 @@
             mean: 0.0,
             models: Vec::new(),
             work: first_work(),
+            drag: Drag::default(),
         }
     }
 }
@@ -57,6 +61,18 @@
         self.endpoints.iter().position(|e| e.id == *id)
     }
 
+    /// Returns how full a slot's endpoint is; above one, calls wait.
+    #[must_use]
+    pub fn crowd(&self, slot: usize) -> f32 {
+        self.endpoints[slot].crowd()
+    }
+
+    /// Returns how much a full batch slows down each of its calls.
+    #[must_use]
+    pub const fn drag(&self) -> f32 {
+        self.drag.slope()
+    }
+
     /// Predicts the seconds to an answer of usual work at a slot.
     #[must_use]
     pub fn predict(&self, now: Time, slot: usize) -> f32 {
@@ -168,6 +184,20 @@
         self.endpoints[slot].worked(seconds);
     }
 
+    /// Learns how much a batch slows its calls down.
+    ///
+    /// `ratio` is the time taken over the time predicted without drag.
+    pub(super) const fn dragged(&mut self, crowd: f32, ratio: f32) {
+        self.drag.observe(crowd, ratio);
+    }
+
+    fn usual(&self) -> Usual {
+        Usual {
+            work: self.work,
+            drag: self.drag.slope(),
+        }
+    }
+
     /// Tells whether a slot may get the work.
     pub(super) fn allows(&self, now: Time, slot: usize, need: &Need<'_>) -> bool {
         let endpoint = &self.endpoints[slot];
@@ -192,6 +222,6 @@
         need: &Need<'_>,
         cached: u32,
     ) -> Forecast {
-        self.endpoints[slot].forecast(now, need, cached, self.work)
+        self.endpoints[slot].forecast(now, need, cached, self.usual())
     }
 }
--- a/lib/src/routing/predicted.rs
+++ b/lib/src/routing/predicted.rs
@@ -47,6 +47,7 @@
     slot: usize,
     score: f32,
     total: f32,
+    plain: f32,
 }
 
 impl Policy for Predicted {
@@ -161,6 +162,7 @@
         slot,
         score: scale.lateness * lateness + scale.cost * work,
         total: forecast.total,
+        plain: forecast.plain,
     }
 }
 
@@ -223,6 +225,7 @@
         slot: chosen.slot,
         why,
         predicted: chosen.total,
+        plain: chosen.plain,
         others,
     })
 }
