--- a/lib/src/query/table.rs
+++ b/lib/src/query/table.rs
@@ -1,5 +1,6 @@
 //! Answers as rows of typed cells.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
@@ -35,46 +36,97 @@
     pub table: Table,
 }
 
+/// Columns that each router measures by itself.
+///
+/// Rows that differ in these only are the same thing seen by two routers.
+const MEASURED: [Field; 5] = [
+    Field::Report,
+    Field::Active,
+    Field::Queued,
+    Field::Pending,
+    Field::Left,
+];
+
+/// How the answers of several routers belong together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Merge {
+    /// Each router has rows of its own, such as its requests.
+    Own,
+    /// All routers tell of the same things, such as endpoints.
+    Shared,
+}
+
 impl Table {
     /// Merges the answers of several routers.
     ///
-    /// Counts by value are added up. Rows that are equal everywhere appear once,
-    /// with all routers that gave them.
+    /// Counts of routers' own rows are added up. A row that several routers give
+    /// appears once, as the one with the freshest report tells it, with the
+    /// routers that gave it; where they disagree, each view has its row.
     #[must_use]
-    pub fn merge(answers: &[Sourced]) -> Self {
+    pub fn merge(answers: &[Sourced], merge: Merge, limit: Option<usize>) -> Self {
         let columns = answers.first().map(|a| a.table.columns.clone());
         let Some(columns) = columns else {
             return Self::default();
         };
-        if columns.contains(&Field::Count) && columns.len() == 2 {
+        if merge == Merge::Own && columns.len() == 2 && columns[1] == Field::Count {
             return Self::add_counts(columns, answers);
         }
+        let mut table = Self::join(columns, answers);
+        let omitted = answers.iter().map(|a| a.table.omitted);
+        table.omitted = match merge {
+            Merge::Own => omitted.sum(),
+            Merge::Shared => omitted.max().unwrap_or_default(),
+        };
+        if merge == Merge::Own {
+            table.sort_by_age();
+        }
+        let limit = limit.unwrap_or(usize::MAX);
+        table.omitted += table.rows.len().saturating_sub(limit) as u64;
+        table.rows.truncate(limit);
+        table
+    }
+
+    fn join(columns: Vec<Field>, answers: &[Sourced]) -> Self {
         let mut rows: Vec<(Row, Vec<&str>)> = Vec::new();
         let mut seen: BTreeMap<String, usize> = BTreeMap::new();
         for answer in answers {
             for row in &answer.table.rows {
                 let next = rows.len();
-                let key = format!("{row:?}");
-                let index = *seen.entry(key).or_insert(next);
+                let index = *seen.entry(identity(&columns, row)).or_insert(next);
                 if index == next {
                     rows.push((row.clone(), Vec::new()));
                 }
-                rows[index].1.push(&answer.router);
+                let (kept, routers) = &mut rows[index];
+                routers.push(&answer.router);
+                if is_fresher(&columns, row, kept) {
+                    *kept = row.clone();
+                }
             }
         }
         let named = |(mut row, routers): (Row, Vec<&str>)| {
-            row.0.push(Value::Text(routers.join(",")));
+            row.0
+                .push(Value::Text(routers_text(&routers, answers.len())));
             row
         };
+        let rows = rows.into_iter().map(named).collect();
         let mut columns = columns;
         columns.push(Field::Router);
         Self {
             columns,
-            rows: rows.into_iter().map(named).collect(),
-            omitted: answers.iter().map(|a| a.table.omitted).sum(),
+            rows,
+            omitted: 0,
         }
     }
 
+    fn sort_by_age(&mut self) {
+        let Some(age) = self.columns.iter().position(|f| *f == Field::Age) else {
+            return;
+        };
+        let order = |a: &Row, b: &Row| a.0[age].compare(&b.0[age]);
+        self.rows
+            .sort_by(|a, b| order(a, b).unwrap_or(Ordering::Equal));
+    }
+
     fn add_counts(columns: Vec<Field>, answers: &[Sourced]) -> Self {
         let mut counts: Vec<(Value, f64)> = Vec::new();
         for row in answers.iter().flat_map(|a| &a.table.rows) {
@@ -96,6 +148,24 @@
     }
 }
 
+fn identity(columns: &[Field], row: &Row) -> String {
+    let fixed = columns.iter().zip(&row.0);
+    let fixed: Vec<_> = fixed.filter(|(f, _)| !MEASURED.contains(f)).collect();
+    format!("{fixed:?}")
+}
+
+fn is_fresher(columns: &[Field], row: &Row, kept: &Row) -> bool {
+    let report = columns.iter().position(|f| *f == Field::Report);
+    report.is_some_and(|at| row.0[at].compare(&kept.0[at]) == Some(Ordering::Less))
+}
+
+fn routers_text(routers: &[&str], asked: usize) -> String {
+    if asked > 1 && routers.len() == asked {
+        return format!("all {asked}");
+    }
+    routers.join(",")
+}
+
 /// Orders counts by value: the most frequent first, then by the value's text.
 pub(super) fn sort_counts(counts: &mut [(Value, f64)]) {
     counts.sort_by(|a, b| {
--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -19,12 +19,14 @@
 use snipeyoke_lib::config::StageRole;
 use snipeyoke_lib::ids::AttemptId;
 use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::once::KeySlot;
 use snipeyoke_lib::outcome::AttemptEnd;
 use snipeyoke_lib::outcome::Outcome;
 use snipeyoke_lib::outcome::Reason;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Tokens;
 use snipeyoke_runtime::flag::Flag;
+use snipeyoke_runtime::logs;
 use snipeyoke_wire::Call;
 use snipeyoke_wire::End;
 use snipeyoke_wire::OnceKey;
@@ -33,6 +35,7 @@
 
 use super::answer::Finish;
 use super::answer::Up;
+use super::resolve::Resolve;
 use super::work::Taken;
 use super::work::Work;
 use crate::agents::CallHandle;
@@ -44,6 +47,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Once {
     pub(crate) key: OnceKey,
+    pub(crate) slot: KeySlot,
 }
 
 /// A request as the door hands it over.
@@ -69,6 +73,8 @@
     call: Option<CallHandle>,
     taken: Option<Taken>,
     output_tokens: u32,
+    /// The call, kept while a missing answer could be resolved by it.
+    once: Option<Call>,
 }
 
 struct Driver {
@@ -83,9 +89,22 @@
     /// Events that arose while actions were carried out.
     pending: Vec<Event>,
     output_tokens: u32,
+    /// Whether the chain has heard that the caller left or an operator stops.
+    told: Told,
     done: bool,
 }
 
+/// What the chain has heard once and need not hear again.
+///
+/// The flags behind it stay set: without this a chain that goes on, because a
+/// non-idempotent call still runs, would be told without end and keep the
+/// thread busy.
+#[derive(Debug, Default)]
+struct Told {
+    gone: bool,
+    stopped: bool,
+}
+
 /// Drives a request to its one outcome.
 pub(crate) async fn drive(node: Arc<Node>, job: Job) {
     let (feed, inputs) = async_channel::unbounded();
@@ -100,6 +119,7 @@
         feed,
         pending: vec![Event::Start],
         output_tokens: 0,
+        told: Told::default(),
         done: false,
     };
     driver.run(inputs).await;
@@ -128,8 +148,14 @@
                     self.wake = Time::NEVER;
                     Some(Event::Wake)
                 }
-                Next::Gone => Some(Event::CallerGone),
-                Next::Stopped => Some(Event::Stop),
+                Next::Gone => {
+                    self.told.gone = true;
+                    Some(Event::CallerGone)
+                }
+                Next::Stopped => {
+                    self.told.stopped = true;
+                    Some(Event::Stop)
+                }
             };
             self.pending.extend(event);
         }
@@ -156,10 +182,16 @@
             Next::Wake
         };
         let gone = async {
+            if self.told.gone {
+                return std::future::pending().await;
+            }
             self.job.gone.wait().await;
             Next::Gone
         };
         let stopped = async {
+            if self.told.stopped {
+                return std::future::pending().await;
+            }
             self.job.stop.wait().await;
             Next::Stopped
         };
@@ -169,6 +201,7 @@
     fn step(&mut self, event: Event) {
         let mut actions = Vec::new();
         let now = self.node.clock.now();
+        self.record_end(now, &event);
         self.chain
             .on_event(now, event, &mut self.node.shared(), &mut actions);
         for action in actions {
@@ -214,6 +247,7 @@
         let stage = &self.job.spec.pipeline.stages[send.stage];
         let role = stage.role;
         let call = self.call(send);
+        let once = call.once.is_some().then(|| call.clone());
         let handle = self
             .node
             .agents
@@ -224,6 +258,7 @@
             call: handle,
             taken: None,
             output_tokens: 0,
+            once,
         };
         let event = if record.call.is_some() {
             Event::Sent { attempt }
@@ -336,6 +371,15 @@
 
     fn event_of(&mut self, input: Input) -> Option<Event> {
         let attempt = input.attempt;
+        let missing = missing_end(&input.signal);
+        if let Some(reason) = missing
+            && self.resolve(attempt, reason)
+        {
+            return None;
+        }
+        if moved(&input.signal) {
+            self.follow_owner();
+        }
         let record = self.attempts.get_mut(&attempt)?;
         match input.signal {
             Signal::Chunk(chunk) => {
@@ -347,7 +391,7 @@
                     tokens,
                 })
             }
-            Signal::Reply(reply) => {
+            Signal::Reply(reply) | Signal::Resolved(reply) => {
                 record.call = None;
                 let usage = usage_of(&reply);
                 record.output_tokens = reply.output_tokens;
@@ -386,9 +430,55 @@
         }
     }
 
+    /// Starts to find out how a non-idempotent attempt ended.
+    ///
+    /// Returns whether the end will be reported later.
+    fn resolve(&mut self, attempt: AttemptId, reason: Reason) -> bool {
+        let call = self.attempts.get_mut(&attempt).and_then(|a| a.once.take());
+        let (Some(call), Some(once)) = (call, &self.job.once) else {
+            return false;
+        };
+        let Some(stage) = self.job.spec.pipeline.stages.last() else {
+            return false;
+        };
+        let resolve = Resolve {
+            attempt,
+            call,
+            pool: stage.pool.clone(),
+            slot: once.slot,
+            deadline: self.job.spec.deadline,
+            reason,
+            feed: self.feed.clone(),
+        };
+        log::info!(event = "attempt-unresolved", request = self.job.spec.request.to_string().as_str(), reason = reason.to_string().as_str(); "");
+        let node = Arc::clone(&self.node);
+        self.node.requests.spawn(resolve.run(node));
+        true
+    }
+
+    /// Names the slot's present owner to the chain, for its next attempt.
+    fn follow_owner(&mut self) {
+        if let (Some(once), Some(stage)) = (&self.job.once, self.job.spec.pipeline.stages.last()) {
+            self.chain.own(self.node.owner(&stage.pool, once.slot));
+        }
+    }
+
+    /// Tells the journal how an attempt ended, for those who ask why.
+    fn record_end(&self, now: Time, event: &Event) {
+        if let Event::Ended { attempt, end, .. } = event {
+            let id = self.job.spec.request;
+            self.node.control.records.ended(now, id, *attempt, end);
+        }
+    }
+
     fn log(&self, decision: &Decision) {
         let spec = &self.job.spec;
-        log::info!(target: "decision", account = spec.account.as_str(), pipeline = spec.name.as_str(); "{decision}");
+        let now = self.node.clock.now();
+        self.node.control.records.route(now, spec, decision);
+        let mut pairs = decision.pairs();
+        pairs.push(("account", spec.account.to_string()));
+        pairs.push(("pipeline", spec.name.to_string()));
+        logs::event("decision", &pairs);
     }
 }
 
@@ -403,6 +493,24 @@
     }
 }
 
+/// Tells why the end of a call is not known, if it isn't.
+fn missing_end(signal: &Signal) -> Option<Reason> {
+    match signal {
+        Signal::Lost { written: true } => Some(Reason::Connection),
+        Signal::Reply(reply) if reply.end() == End::Unknown => {
+            let reason = reply.reason.parse().unwrap_or(Reason::EndpointFailure);
+            // A conflict is an answer: the key stands for another body.
+            (reason != Reason::KeyConflict).then_some(reason)
+        }
+        _ => None,
+    }
+}
+
+/// Tells whether an agent refused a call because it does not own its slot.
+fn moved(signal: &Signal) -> bool {
+    matches!(signal, Signal::Reply(reply) if reply.end() == End::NotRun)
+}
+
 struct Sending {
     attempt: AttemptId,
     stage: usize,
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -4,6 +4,7 @@
 mod agents;
 mod board;
 mod connect;
+mod control;
 mod door;
 mod drive;
 mod follow;
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -2,17 +2,24 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use async_io::Async;
 use derive_more::Display;
 use derive_more::Error;
 use snipeyoke_lib::chain::Shared;
 use snipeyoke_lib::chain::Spec;
+use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::log::LogStore;
+use snipeyoke_lib::once::KeySlot;
+use snipeyoke_lib::once::SlotMap;
 use snipeyoke_lib::routing::Home;
 use snipeyoke_lib::routing::LeastOutstanding;
 use snipeyoke_lib::routing::Policy;
@@ -35,6 +42,8 @@
 use crate::agents::Agents;
 use crate::board::Board;
 use crate::connect;
+use crate::control::Control;
+use crate::control::Port;
 use crate::door::Door;
 use crate::drive::Finish;
 use crate::follow;
@@ -73,11 +82,13 @@
     pub(crate) agents: Agents,
     pub(crate) admission: Admission,
     pub(crate) outcomes: Outcomes,
+    pub(crate) control: Control,
     /// Requests in flight; the parent of their tasks.
     pub(crate) requests: Scope,
     /// Everything else on the traffic threads.
     pub(crate) scope: Scope,
     shared: Mutex<Shared>,
+    slots: Mutex<SlotMap>,
 }
 
 impl Node {
@@ -86,6 +97,17 @@
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the map of key slots, for one short step.
+    pub(crate) fn slots(&self) -> MutexGuard<'_, SlotMap> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the endpoint whose agent owns a key slot, as far as known.
+    pub(crate) fn owner(&self, pool: &PoolName, slot: KeySlot) -> Option<EndpointId> {
+        let slots = self.slots();
+        slots.owner(pool, slot).map(|owner| owner.endpoint.clone())
+    }
+
     pub(crate) fn hello(&self) -> Hello {
         let own = &self.settings;
         Hello {
@@ -119,6 +141,10 @@
         log::info!(target: "request", event = "request-ended", request = spec.request.to_string().as_str(), account = spec.account.as_str(), pipeline = spec.name.as_str(), outcome = outcome.as_str(), reason = reason.as_str(); "");
         self.outcomes
             .note(spec.request, finish.outcome, finish.reason);
+        let now = self.clock.now();
+        self.control
+            .records
+            .finish(now, spec.request, finish.outcome, finish.reason);
     }
 }
 
@@ -127,6 +153,7 @@
 pub struct Router {
     node: Arc<Node>,
     callers: SocketAddr,
+    operators: SocketAddr,
     control: Scope,
 }
 
@@ -138,10 +165,8 @@
     /// Returns [`StartError`] if an address can't be bound.
     pub fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
         let raw = settings.raw;
-        let address = raw.listen.callers;
-        let wrap = |source| StartError::Listen { address, source };
-        let listener = http::bind(address).map_err(wrap)?;
-        let callers = listener.get_ref().local_addr().map_err(wrap)?;
+        let (listener, callers) = listen(raw.listen.callers)?;
+        let (operators, control_at) = listen(raw.listen.control)?;
         let bounds = Bounds {
             head_time: Duration::from_millis(raw.bounds.head_ms),
             conns: raw.bounds.conns,
@@ -151,10 +176,16 @@
             node.scope.spawn(connect::keep(Arc::clone(&node), agent));
         }
         let client = Client::new(node.scope.clone(), CONNECT_LIMIT);
-        let log = Arc::new(HttpLog::new(client, node.settings.platform));
+        let log: Arc<dyn LogStore> = Arc::new(HttpLog::new(client, node.settings.platform));
         let control = Scope::new(Arc::clone(&execs.control));
-        control.spawn(follow::run(Arc::clone(&node), log));
         control.spawn(admission::run(Arc::clone(&node)));
+        control.spawn(follow::run(Arc::clone(&node), Arc::clone(&log)));
+        let port = Arc::new(Port::new(Arc::clone(&node), log));
+        // Operators look most of all while a router drains, so their port stays
+        // open until it stops.
+        let stop = node.board.stop.clone();
+        let asked = Scope::new(Arc::clone(&execs.control));
+        control.spawn(http::serve(operators, port, bounds, asked, stop));
         let door = Arc::new(Door::new(Arc::clone(&node)));
         let conns = Scope::new(Arc::clone(&execs.traffic));
         let drain = node.board.drain.clone();
@@ -164,6 +195,7 @@
         Ok(Self {
             node,
             callers,
+            operators: control_at,
             control,
         })
     }
@@ -174,10 +206,16 @@
         self.callers
     }
 
-    /// Returns the number of agents that this router has a link to.
+    /// Returns the address that operators connect to.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Returns the number of agents that have reported to this router.
     #[must_use]
     pub fn linked(&self) -> usize {
-        self.node.agents.count()
+        self.node.agents.reported()
     }
 
     /// Drains: takes nothing new, finishes what runs, and ends.
@@ -198,6 +236,13 @@
     }
 }
 
+fn listen(address: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), StartError> {
+    let wrap = |source| StartError::Listen { address, source };
+    let listener = http::bind(address).map_err(wrap)?;
+    let bound = listener.get_ref().local_addr().map_err(wrap)?;
+    Ok((listener, bound))
+}
+
 fn node(raw: Raw, execs: &Execs) -> Node {
     let home = Home {
         domain: raw.domain.clone(),
@@ -216,9 +261,11 @@
         agents: Agents::default(),
         admission: Admission::new(Time::ZERO, raw.routers.len() + 1),
         outcomes: Outcomes::default(),
+        control: Control::default(),
         requests: Scope::new(Arc::clone(&execs.traffic)),
         scope: Scope::new(Arc::clone(&execs.traffic)),
         shared: Mutex::new(Shared::new(home, policy, incarnation.0)),
+        slots: Mutex::default(),
         settings: raw,
     }
 }
--- a/site/src/run.rs
+++ b/site/src/run.rs
@@ -16,6 +16,7 @@
 use snipeyoke_router::Router;
 use snipeyoke_router::settings::Bounds;
 use snipeyoke_router::settings::Listen;
+use snipeyoke_router::settings::OperatorKey;
 use snipeyoke_runtime::http::Client;
 use snipeyoke_runtime::platform::HttpLog;
 use snipeyoke_runtime::scope::Scope;
@@ -27,8 +28,12 @@
 use crate::error::SiteError;
 use crate::plan::Plan;
 use crate::plan::PoolPlan;
+use crate::plan::key_digest;
 use crate::publish::publish;
 
+/// The key of the one operator whom the routers know.
+pub const OPERATOR_KEY: &str = "operator-key-of-the-demo";
+
 /// The longest time until every router is ready.
 const READY_LIMIT: Duration = Duration::from_secs(10);
 
@@ -130,6 +135,7 @@
             listen: loopback(),
             endpoint,
             platform: Some(self.platform),
+            lease_s: snipeyoke_agent::settings::LEASE_S,
             threads: 1,
             log: "info".to_owned(),
         };
@@ -161,7 +167,10 @@
             routers: Vec::new(),
             platform: self.platform,
             policy: plan.policy,
-            operators: Vec::new(),
+            operators: vec![OperatorKey {
+                name: "site".parse()?,
+                digest: key_digest(OPERATOR_KEY),
+            }],
             bounds: Bounds::default(),
             threads: 1,
             log: "info".to_owned(),
@@ -187,6 +196,12 @@
         self.routers.iter().map(Router::callers).collect()
     }
 
+    /// Returns the addresses that operators connect to.
+    #[must_use]
+    pub fn operators(&self) -> Vec<SocketAddr> {
+        self.routers.iter().map(Router::operators).collect()
+    }
+
     async fn ready(&self) -> Result<(), SiteError> {
         let looks = READY_LIMIT.as_millis() / LOOK.as_millis();
         for _look in 0..looks {
