chain: hedge a generation by its missing first token

Cause: a generation was late only after its usual whole time, when no other engine could make the deadline any more; an engine that hangs took its calls with it. Change: generating stages are late once the first token is missing longer than in 95 of 100 answers; other stages as before.

--- a/lib/src/chain/timing.rs
+++ b/lib/src/chain/timing.rs
@@ -7,6 +7,8 @@
 use super::Chain;
 use super::Shared;
 use super::attempt::Attempt;
+use super::select;
+use crate::deadline::StageTime;
 use crate::time::Time;
 
 /// The quantile of later stages' times below which there is no hope.
@@ -21,6 +23,9 @@
 /// How far beyond its prediction an answer is late, at least.
 const LATE_RATIO: f32 = 1.5;
 
+/// How many times its prediction an answer is late while nothing is learned.
+const UNLEARNED: u32 = 3;
+
 /// How many times the time for a hedge has passed when an attempt is given up.
 const PATIENCE: u32 = 3;
 
@@ -67,18 +72,25 @@
 
 pub(super) fn limits(now: Time, chain: &Chain, predicted: Duration, shared: &Shared) -> Limits {
     let known = shared.times.get(&chain.spec.name, chain.stage);
-    let usual = known.and_then(|k| k.took.at(LATE)).unwrap_or_default();
-    let late = usual.max(predicted.mul_f32(LATE_RATIO));
-    let unlearned = known.is_none_or(|k| k.took.at(LATE).is_none());
-    let hedge = if unlearned {
-        predicted * PATIENCE
-    } else {
-        late
+    let late = match known.and_then(|k| usually_late(chain, predicted, k)) {
+        Some(late) => late,
+        None => predicted * UNLEARNED,
     };
     Limits {
-        hedge: now + hedge.max(PATIENCE_MIN / PATIENCE),
-        patience: now + (hedge * PATIENCE).max(PATIENCE_MIN),
+        hedge: now + late.max(PATIENCE_MIN / PATIENCE),
+        patience: now + (late * PATIENCE).max(PATIENCE_MIN),
+    }
+}
+
+// A generation takes seconds, but its first token comes early. An endpoint that
+// hangs is found by the missing first token while another can still make the
+// deadline; by the missing answer it would be found too late.
+fn usually_late(chain: &Chain, predicted: Duration, known: &StageTime) -> Option<Duration> {
+    if select::generates(chain.current()) {
+        return known.first.at(LATE);
     }
+    let usual = known.took.at(LATE)?;
+    Some(usual.max(predicted.mul_f32(LATE_RATIO)))
 }
 
 /// Returns when an attempt without further progress is given up.
