--- a/load/src/args.rs
+++ b/load/src/args.rs
@@ -24,6 +24,9 @@
     Report(Report),
     Check(Check),
     Chaos(Chaos),
+    Overhead(Overhead),
+    Publish(Publish),
+    Settings(Settings),
 }
 
 /// Send the load of a deployment's mix to running routers.
@@ -72,7 +75,7 @@
     #[argh(option, default = "\"50,80,100,150\".to_owned()")]
     pub loads: String,
     /// faults, separated by commas: plain, straggler, dead, fail-fast, domain,
-    /// burst, platform
+    /// burst, partition, platform
     #[argh(option, default = "standard_faults()")]
     pub faults: String,
     /// requests a second that count as 100%; without it a ramp finds it
@@ -93,7 +96,7 @@
     /// runs at the same time, each with a deployment of its own
     #[argh(option, default = "1")]
     pub parallel: usize,
-    /// threads for each of stand-ins, agents and routers
+    /// threads for the stand-ins, and as many for the agents
     #[argh(option, default = "2")]
     pub threads: usize,
     /// where the cells go, one JSON line each
@@ -165,3 +168,55 @@
     #[argh(option, default = "1")]
     pub seed: u64,
 }
+
+/// Measure what the system itself adds: latency over loopback and requests a
+/// second of one router core. Use a release build.
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "overhead")]
+pub struct Overhead {
+    /// the deployment's file, with endpoints that take next to no time
+    #[argh(option, default = "PathBuf::from(\"examples/overhead.jsonc\")")]
+    pub deployment: PathBuf,
+    /// requests of each kind sent one after the other
+    #[argh(option, default = "2000")]
+    pub requests: u64,
+    /// requests in flight while the rate is measured
+    #[argh(option, default = "64")]
+    pub flight: usize,
+    /// seconds in which the rate is measured
+    #[argh(option, default = "8.0")]
+    pub seconds: f64,
+    /// threads for the stand-ins, and as many for the agents
+    #[argh(option, default = "3")]
+    pub threads: usize,
+}
+
+/// Publish the configuration of a deployment on a platform's empty log.
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "publish")]
+pub struct Publish {
+    /// the deployment's file
+    #[argh(option)]
+    pub deployment: PathBuf,
+    /// the platform's address
+    #[argh(option)]
+    pub platform: SocketAddr,
+}
+
+/// Write the settings file of every process of a deployment.
+#[derive(Debug)]
+#[derive(FromArgs)]
+#[argh(subcommand, name = "settings")]
+pub struct Settings {
+    /// the deployment's file
+    #[argh(option)]
+    pub deployment: PathBuf,
+    /// the folder to write to
+    #[argh(option)]
+    pub out: PathBuf,
+    /// the first port
+    #[argh(option, default = "7000")]
+    pub port: u16,
+}
