--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -113,7 +113,7 @@
             }
         }
         Body::ConfigOffer(offer) => {
-            if node.book.take(&offer).gap {
+            if node.book.take(&offer, |_, _, _| {}).gap {
                 pass_on(sender, Body::ConfigAsk(node.book.ask()));
             }
         }
--- a/load/src/args.rs
+++ b/load/src/args.rs
@@ -149,6 +149,9 @@
     /// seconds with faults
     #[argh(option, default = "60")]
     pub seconds: u64,
+    /// the mean pause between two faults, in milliseconds
+    #[argh(option, default = "500")]
+    pub pause: u64,
     /// keys a second
     #[argh(option, default = "40.0")]
     pub rate: f64,
--- a/load/src/chaos/mod.rs
+++ b/load/src/chaos/mod.rs
@@ -52,6 +52,8 @@
     pub rate: f64,
     /// How long faults go on.
     pub length: Duration,
+    /// The mean pause between two faults.
+    pub pause: Duration,
     /// The seed of faults and callers.
     pub seed: u64,
 }
@@ -165,7 +167,7 @@
             work.spawn(Arc::clone(callers).operate(seed));
             stage.take_back(Instant::now()).await?;
             if Instant::now() >= next {
-                next = Instant::now() + Duration::from_millis(rng.random_range(100..900));
+                next = Instant::now() + self.pause.mul_f64(rng.random_range(0.2..1.8));
                 let trouble = Trouble::draw(self.size, &mut rng);
                 let until = Instant::now() + trouble.length(&mut rng);
                 stage.set(trouble, until).await?;
--- a/load/src/commands.rs
+++ b/load/src/commands.rs
@@ -236,6 +236,7 @@
         },
         rate: args.rate,
         length: Duration::from_secs(args.seconds),
+        pause: Duration::from_millis(args.pause),
         seed: args.seed,
     };
     let scope = Scope::new(exec);
--- a/router/src/agents.rs
+++ b/router/src/agents.rs
@@ -169,6 +169,13 @@
         Some(receive)
     }
 
+    /// Sends a frame that nobody waits for.
+    pub(crate) fn pass_on(&self, body: Body) {
+        if let Err(error) = self.sender.send(body) {
+            log::debug!(event = "frame-unsent", error = error.to_string().as_str(); "");
+        }
+    }
+
     /// Passes the answer to a question on to who asked.
     pub(crate) fn on_told(&self, told: Told) {
         let asker = self.asks().remove(&told.ask);
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -17,6 +17,7 @@
 use snipeyoke_lib::ids::HostId;
 use snipeyoke_lib::ids::IdError;
 use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::ids::Region;
 use snipeyoke_lib::once::KeySlot;
@@ -35,6 +36,7 @@
 
 use crate::agents::AgentLink;
 use crate::control::drains;
+use crate::follow;
 use crate::node::Node;
 
 /// The longest time to connect, and to hear the first frame.
@@ -218,7 +220,14 @@
         Body::Chunk(chunk) => link.on_chunk(chunk),
         Body::Reply(reply) => link.on_reply(reply),
         Body::Told(told) => link.on_told(told),
+        Body::ConfigAsk(ask) => {
+            if let Some(offer) = node.book.offer(Offset(ask.have)) {
+                link.pass_on(Body::ConfigOffer(offer));
+            }
+        }
+        Body::ConfigOffer(offer) => follow::offered(node, link, &offer),
         Body::Heartbeat(heartbeat) => {
+            follow::level(node, link, Offset(heartbeat.config_offset));
             node.slots()
                 .report(&peer.pool, &peer.endpoint, &slots(&heartbeat));
             let mut load = heartbeat.load.as_ref().map(load_report);
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -10,6 +10,7 @@
 mod node;
 mod outcomes;
 pub mod settings;
+mod snapshots;
 
 pub use node::Router;
 pub use node::StartError;
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -25,6 +25,8 @@
 use snipeyoke_lib::routing::Policy;
 use snipeyoke_lib::routing::Predicted;
 use snipeyoke_lib::routing::RoundRobin;
+use snipeyoke_runtime::board::Fact;
+use snipeyoke_runtime::book::Book;
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Bounds;
@@ -47,6 +49,8 @@
 use crate::settings::PolicyName;
 use crate::settings::Raw;
 use crate::settings::Settings;
+use crate::snapshots;
+use crate::snapshots::Seen;
 
 /// The version of the frames between processes.
 const PROTOCOL: u32 = 1;
@@ -75,6 +79,10 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: Clock,
     pub(crate) board: Board,
+    /// The configuration as it is read and passed on.
+    pub(crate) book: Book,
+    /// What was last read of the configuration's topic.
+    pub(crate) log_seen: Fact<Seen>,
     pub(crate) agents: Agents,
     pub(crate) outcomes: Outcomes,
     pub(crate) control: Control,
@@ -167,6 +175,7 @@
         let log: Arc<dyn LogStore> = Arc::new(HttpLog::new(client, node.settings.platform));
         let control = Scope::new(Arc::clone(&execs.control));
         control.spawn(follow::run(Arc::clone(&node), Arc::clone(&log)));
+        control.spawn(snapshots::run(Arc::clone(&node), Arc::clone(&log)));
         let port = Arc::new(Port::new(Arc::clone(&node), log));
         // Operators look most of all while a router drains, so their port stays
         // open until it stops.
@@ -245,6 +254,8 @@
         incarnation,
         clock: Clock::start(),
         board: Board::new(),
+        book: Book::default(),
+        log_seen: Fact::new(Seen::default()),
         agents: Agents::default(),
         outcomes: Outcomes::default(),
         control: Control::default(),
--- a/runtime/src/book.rs
+++ b/runtime/src/book.rs
@@ -72,13 +72,22 @@
 
     /// Takes an offer, if it lies higher than what is known.
     ///
-    /// A lower offer has no effect: see [`Fold::adopt`].
-    pub fn take(&self, offer: &ConfigOffer) -> Taken {
+    /// A lower offer has no effect: see [`Fold::adopt`]. `note` is shown each
+    /// record that was new, and the state after it.
+    pub fn take(
+        &self,
+        offer: &ConfigOffer,
+        mut note: impl FnMut(&Fold, Offset, &Applied),
+    ) -> Taken {
         let mut fold = self.fold();
         let before = fold.revision();
         let mut taken = Taken::default();
         if let Some(snapshot) = offered_snapshot(offer) {
             taken.changed = fold.adopt(&snapshot);
+            if taken.changed {
+                let next = fold.next();
+                note(&fold, next, &Applied::Restored { next });
+            }
             return taken;
         }
         let first = offer.next.saturating_sub(offer.records.len() as u64);
@@ -90,7 +99,10 @@
                     taken.gap = true;
                     break;
                 }
-                applied => taken.read.push((bytes.clone(), applied)),
+                applied => {
+                    note(&fold, offset, &applied);
+                    taken.read.push((bytes.clone(), applied));
+                }
             }
         }
         taken.changed = fold.revision() != before;
