--- a/router/src/agents.rs
+++ b/router/src/agents.rs
@@ -13,6 +13,7 @@
 use async_channel::Sender;
 use snipeyoke_lib::ids::AttemptId;
 use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::link::LinkSender;
 use snipeyoke_runtime::link::Written;
 use snipeyoke_wire::Ask;
@@ -50,6 +51,8 @@
     pub(crate) address: SocketAddr,
     sender: LinkSender,
     next: AtomicU64,
+    /// Set once the agent has reported its load on this link.
+    pub(crate) reported: Flag,
     calls: Mutex<BTreeMap<u64, Pending>>,
     asks: Mutex<BTreeMap<u64, Sender<Reply>>>,
 }
@@ -110,9 +113,10 @@
         link.ask(key)
     }
 
-    /// Returns the number of open links.
-    pub(crate) fn count(&self) -> usize {
-        self.links().len()
+    /// Returns the number of links whose agent has reported its load.
+    pub(crate) fn reported(&self) -> usize {
+        let links = self.links();
+        links.values().filter(|l| l.reported.is_set()).count()
     }
 
     fn links(&self) -> MutexGuard<'_, BTreeMap<EndpointId, Arc<AgentLink>>> {
@@ -126,6 +130,7 @@
             address,
             sender,
             next: AtomicU64::new(1),
+            reported: Flag::default(),
             calls: Mutex::default(),
             asks: Mutex::default(),
         }
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -218,7 +218,14 @@
     let now = node.clock.now();
     match body {
         Body::Chunk(chunk) => link.on_chunk(chunk),
-        Body::Reply(reply) => link.on_reply(reply),
+        Body::Reply(reply) => {
+            if let Some(load) = &reply.load {
+                let mut report = load_report(load);
+                report.draining |= drained(node, peer);
+                node.shared().fleet.on_load(now, &peer.endpoint, &report);
+            }
+            link.on_reply(reply);
+        }
         Body::Told(told) => link.on_told(told),
         Body::ConfigAsk(ask) => {
             if let Some(offer) = node.book.offer(Offset(ask.have)) {
@@ -239,6 +246,7 @@
             let mut shared = node.shared();
             if let Some(load) = &load {
                 shared.fleet.on_load(now, &peer.endpoint, load);
+                link.reported.set();
             }
             if heartbeat.draining {
                 shared.fleet.drain(&peer.endpoint);
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -25,6 +25,8 @@
 use snipeyoke_lib::routing::Policy;
 use snipeyoke_lib::routing::Predicted;
 use snipeyoke_lib::routing::RoundRobin;
+use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::Tokens;
 use snipeyoke_runtime::board::Fact;
 use snipeyoke_runtime::book::Book;
 use snipeyoke_runtime::clock::Clock;
@@ -37,6 +39,8 @@
 use snipeyoke_wire::Hello;
 use snipeyoke_wire::NodeKind;
 
+use crate::admission;
+use crate::admission::Admission;
 use crate::agents::Agents;
 use crate::board::Board;
 use crate::connect;
@@ -84,6 +88,7 @@
     /// What was last read of the configuration's topic.
     pub(crate) log_seen: Fact<Seen>,
     pub(crate) agents: Agents,
+    pub(crate) admission: Admission,
     pub(crate) outcomes: Outcomes,
     pub(crate) control: Control,
     /// Requests in flight; the parent of their tasks.
@@ -127,7 +132,14 @@
         }
     }
 
-    /// Notes the end of a request.
+    /// Notes the end of a request that was taken on.
+    pub(crate) fn ended(&self, spec: &Spec, finish: &Finish) {
+        let used = Tokens(finish.prompt_tokens + finish.output_tokens);
+        self.admission.done(self.clock.now(), spec, used);
+        self.settled(spec, finish);
+    }
+
+    /// Notes the outcome of a request.
     pub(crate) fn settled(&self, spec: &Spec, finish: &Finish) {
         let reason = finish
             .reason
@@ -174,6 +186,7 @@
         let client = Client::new(node.scope.clone(), CONNECT_LIMIT);
         let log: Arc<dyn LogStore> = Arc::new(HttpLog::new(client, node.settings.platform));
         let control = Scope::new(Arc::clone(&execs.control));
+        control.spawn(admission::run(Arc::clone(&node)));
         control.spawn(follow::run(Arc::clone(&node), Arc::clone(&log)));
         control.spawn(snapshots::run(Arc::clone(&node), Arc::clone(&log)));
         let port = Arc::new(Port::new(Arc::clone(&node), log));
@@ -208,10 +221,10 @@
         self.operators
     }
 
-    /// Returns the number of agents that this router has a link to.
+    /// Returns the number of agents that have reported to this router.
     #[must_use]
     pub fn linked(&self) -> usize {
-        self.node.agents.count()
+        self.node.agents.reported()
     }
 
     /// Drains: takes nothing new, finishes what runs, and ends.
@@ -257,6 +270,7 @@
         book: Book::default(),
         log_seen: Fact::new(Seen::default()),
         agents: Agents::default(),
+        admission: Admission::new(Time::ZERO, raw.routers.len() + 1),
         outcomes: Outcomes::default(),
         control: Control::default(),
         requests: Scope::new(Arc::clone(&execs.traffic)),
