lib: read the words for reasons that are written

Cause: a repeated key with another body was told 504 instead of 409, because "key-conflict", "no-lease" and four more never parsed: the derive reads the variants' names unless it is told their case. Change: the case is given; a test reads back every reason and outcome. Conclusion: agents' reasons reach callers.

--- a/lib/src/outcome.rs
+++ b/lib/src/outcome.rs
@@ -10,6 +10,7 @@
 /// The one outcome of an accepted request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Display, FromStr, Serialize, Deserialize)]
+#[from_str(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum Outcome {
     /// The caller got the whole answer.
@@ -26,6 +27,7 @@
 /// Why a request was refused or an attempt did not run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 #[derive(Display, FromStr, Serialize, Deserialize)]
+#[from_str(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum Reason {
     /// The remaining stages can't make the deadline.
--- a/lib/src/routing/policy.rs
+++ b/lib/src/routing/policy.rs
@@ -89,6 +89,7 @@
 /// The policies that settings can name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 #[derive(Display, FromStr, Serialize, Deserialize)]
+#[from_str(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum PolicyKind {
     /// The endpoint with the least predicted lateness and cost.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -13,5 +13,6 @@
 mod test_membership;
 mod test_once_scenarios;
 mod test_once_schedules;
+mod test_outcome;
 mod test_placement;
 mod test_query;
--- a/site/src/run.rs
+++ b/site/src/run.rs
@@ -151,7 +151,17 @@
         Ok(())
     }
 
-    fn add_router(&mut self, plan: &Plan, index: usize, execs: &Execs) -> Result<(), SiteError> {
+    /// Starts one more router, which need not be ready when this returns.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`SiteError`] if it can't start.
+    pub fn add_router(
+        &mut self,
+        plan: &Plan,
+        index: usize,
+        execs: &Execs,
+    ) -> Result<(), SiteError> {
         let domain = &plan.domains[index % plan.domains.len()];
         let raw = snipeyoke_router::settings::Raw {
             node: format!("{}-router-{index}", plan.name).parse()?,
