--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,8 +1,15 @@
 //! Runs every test of the library.
 
+mod chain_world;
+mod test_admission;
+mod test_chain;
+mod test_chain_random;
+mod test_config_fold;
 mod test_config_model;
 mod test_drain;
+mod test_limits;
 mod test_membership;
+mod test_once_scenarios;
 mod test_once_schedules;
 mod test_placement;
 mod test_query;
