router, agent: meet by the membership view, drain by the drain machine

Cause: routers kept to the addresses of their settings, and a leaving agent said goodbye without knowing who had heard it. Change: the router drives the view (host list, heartbeats with echo, links to other routers), steps aside before it refuses, answers new connections to its end; the agent waits for each router's echo, checks the fence of orders.

--- a/agent/src/endpoint.rs
+++ b/agent/src/endpoint.rs
@@ -145,6 +145,20 @@
         }
     }
 
+    /// Posts a small JSON document and returns the status, or nothing on failure.
+    pub(crate) async fn post(&self, path: &str, body: &serde_json::Value) -> Option<StatusCode> {
+        let request = hyper::Request::post(path)
+            .header(CONTENT_TYPE, "application/json")
+            .body(Full::from(body.to_string()))
+            .ok()?;
+        let (response, kept) = self.client.send(self.address, request).await.ok()?;
+        let status = response.status();
+        if collect(response.into_body(), ANSWER_MAX).await.is_ok() {
+            self.client.keep(kept);
+        }
+        Some(status)
+    }
+
     /// Fetches a small JSON document, or nothing on any failure.
     pub(crate) async fn get(&self, path: &str) -> Option<Bytes> {
         let request = hyper::Request::get(path).body(Full::default()).ok()?;
--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -6,7 +6,9 @@
 mod calls;
 mod endpoint;
 mod gate;
+mod hosts;
 mod node;
+mod orders;
 mod peers;
 mod report;
 pub mod settings;
--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -4,9 +4,11 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use futures_lite::FutureExt;
 use futures_lite::future;
 use snipeyoke_agent::Agent;
 use snipeyoke_agent::settings::Settings;
+use snipeyoke_lib::drain::Source;
 use snipeyoke_runtime::logs;
 use snipeyoke_runtime::measures;
 use snipeyoke_runtime::settings;
@@ -47,8 +49,17 @@
     let threads = Threads::start(settings.raw.threads)?;
     let agent = Agent::start(settings, &threads.execs())?;
     future::block_on(async {
-        leave.next().await;
-        agent.leave().await;
+        let signal = async {
+            leave.next().await;
+            Source::Signal
+        };
+        let list = async {
+            agent.told_to_leave().await;
+            Source::HostList
+        };
+        let source = signal.or(list).await;
+        // Another signal is only noted by the system: nothing is cut.
+        agent.drain(source).await;
     });
     threads.join();
     log::logger().flush();
--- a/agent/src/node.rs
+++ b/agent/src/node.rs
@@ -6,20 +6,33 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_io::Timer;
 use derive_more::Display;
 use derive_more::Error;
+use snipeyoke_lib::drain::Drain;
+use snipeyoke_lib::drain::DrainAction;
+use snipeyoke_lib::drain::DrainSettings;
+use snipeyoke_lib::drain::Held;
+use snipeyoke_lib::drain::Phase;
+use snipeyoke_lib::drain::Source;
 use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::placement;
+use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::board::Fact;
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Client;
 use snipeyoke_runtime::link::LinkSender;
+use snipeyoke_runtime::platform::HttpHosts;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::threads::Execs;
 use snipeyoke_wire::Goodbye;
+use snipeyoke_wire::Heartbeat;
 use snipeyoke_wire::Hello;
 use snipeyoke_wire::Load;
 use snipeyoke_wire::NodeKind;
@@ -27,6 +40,7 @@
 
 use crate::endpoint::Endpoint;
 use crate::gate::Gate;
+use crate::hosts;
 use crate::peers;
 use crate::report;
 use crate::report::Seen;
@@ -39,6 +53,9 @@
 /// The longest time to connect to the endpoint on the same host.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// The longest silence of a router that a drain still waits for.
+const SILENCE_MAX: Duration = Duration::from_secs(6);
+
 /// The pause between two looks at what a drain still waits for.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
 
@@ -67,6 +84,11 @@
     pub(crate) seen: Fact<Seen>,
     pub(crate) drain: Flag,
     pub(crate) stop: Flag,
+    /// Set once the platform's host list says that the host leaves.
+    pub(crate) leave: Flag,
+    /// Number of the last heartbeat to all routers.
+    pub(crate) seq: AtomicU64,
+    pub(crate) orders: Mutex<placement::Gate>,
     pub(crate) scope: Scope,
     address: SocketAddr,
     links: Mutex<Links>,
@@ -75,7 +97,21 @@
 #[derive(Debug, Default)]
 struct Links {
     next: u64,
-    open: BTreeMap<u64, LinkSender>,
+    open: BTreeMap<u64, OpenLink>,
+}
+
+/// One router's link and what it said about heartbeats.
+#[derive(Debug)]
+struct OpenLink {
+    sender: LinkSender,
+    /// The router's last heartbeat.
+    seen: u64,
+    /// Our last heartbeat that the router has seen.
+    echoed: u64,
+    /// The interval that the router asks for.
+    pace: Duration,
+    due: Time,
+    heard: Time,
 }
 
 impl Node {
@@ -103,7 +139,15 @@
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         let id = links.next;
         links.next += 1;
-        links.open.insert(id, sender);
+        let open = OpenLink {
+            sender,
+            seen: 0,
+            echoed: 0,
+            pace: Duration::ZERO,
+            due: Time::ZERO,
+            heard: self.clock.now(),
+        };
+        links.open.insert(id, open);
         id
     }
 
@@ -117,14 +161,56 @@
 
     pub(crate) fn broadcast(&self, body: &Body) {
         let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
-        for sender in links.open.values() {
-            if let Err(error) = sender.send(body.clone()) {
+        for link in links.open.values() {
+            if let Err(error) = link.sender.send(body.clone()) {
                 log::debug!(event = "report-dropped", error = error.to_string().as_str(); "");
             }
         }
     }
 }
 
+impl Node {
+    /// Sends a heartbeat on each link that is due one, or on all.
+    pub(crate) fn beat(&self, heartbeat: &Heartbeat, all: bool) {
+        let now = self.clock.now();
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        for link in links.open.values_mut().filter(|l| all || l.due <= now) {
+            // A router with many links asks for fewer heartbeats; a tick early
+            // is better than one late.
+            link.due = now + link.pace.saturating_sub(report::REPORT_EVERY / 2);
+            let frame = Heartbeat {
+                seen_seq: link.seen,
+                ..heartbeat.clone()
+            };
+            if let Err(error) = link.sender.send(Body::Heartbeat(frame)) {
+                log::debug!(event = "heartbeat-dropped", error = error.to_string().as_str(); "");
+            }
+        }
+    }
+
+    /// Takes in a router's heartbeat.
+    pub(crate) fn heard(&self, id: u64, heartbeat: &Heartbeat) {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(link) = links.open.get_mut(&id) {
+            link.heard = self.clock.now();
+            link.seen = link.seen.max(heartbeat.seq);
+            link.echoed = link.echoed.max(heartbeat.seen_seq);
+            link.pace = Duration::from_millis(heartbeat.interval_ms.into());
+        }
+    }
+
+    /// Counts the routers that may not have read our heartbeat `seq`.
+    ///
+    /// A router that is itself paused or cut off would hold the drain for as
+    /// long as that lasts, so after a while of silence it no longer counts.
+    fn unaware(&self, seq: u64) -> usize {
+        let now = self.clock.now();
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let unaware = |l: &&OpenLink| l.echoed < seq && now.since(l.heard) < SILENCE_MAX;
+        links.open.values().filter(unaware).count()
+    }
+}
+
 /// A running agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -159,12 +245,20 @@
             settings: raw,
             drain,
             stop: Flag::default(),
+            leave: Flag::default(),
+            seq: AtomicU64::new(1),
+            orders: Mutex::default(),
             scope,
             address,
             links: Mutex::default(),
         });
         node.scope.spawn(peers::accept(Arc::clone(&node), listener));
         node.scope.spawn(report::run(Arc::clone(&node)));
+        if let Some(platform) = node.settings.platform {
+            let client = Client::new(node.scope.clone(), CONNECT_LIMIT);
+            let hosts = HttpHosts::new(client, platform);
+            node.scope.spawn(hosts::follow(Arc::clone(&node), hosts));
+        }
         log::info!(event = "agent-up", node = node.settings.node.as_str(), address = address.to_string().as_str(), incarnation = node.incarnation.0; "");
         Ok(Self { node })
     }
@@ -175,22 +269,59 @@
         self.node.address
     }
 
-    /// Drains: takes nothing new, finishes what runs, says goodbye, and ends.
+    /// Waits until the platform's host list says that this host leaves.
+    pub async fn told_to_leave(&self) {
+        self.node.leave.wait().await;
+    }
+
+    /// Drains as at SIGTERM.
     pub async fn leave(&self) {
-        self.node.drain.set();
+        self.drain(Source::Signal).await;
+    }
+
+    /// Drains: takes nothing new, finishes what runs, says goodbye, and ends.
+    ///
+    /// It leaves only after every router has echoed a draining heartbeat: a
+    /// link keeps its order, so all that a router sent before is answered.
+    pub async fn drain(&self, source: Source) {
+        let node = &self.node;
+        let mut drain = Drain::new(DrainSettings::default());
+        let mut actions = drain.begin(node.clock.now(), source, true);
+        log::info!(event = "drain-begins", source = source.to_string().as_str(), calls = node.gate.admitted().active; "");
+        let mut told = 0;
+        while drain.phase() != Phase::Done {
+            if actions.contains(&DrainAction::Stop) {
+                node.drain.set();
+                told = node.seq.fetch_add(1, Ordering::SeqCst) + 1;
+                node.beat(&report::frame(node, told), true);
+            }
+            self.report(&actions);
+            Timer::after(DRAIN_LOOK).await;
+            let held = Held {
+                calls: node.gate.admitted().active as usize,
+                unaware: node.unaware(told),
+                ..Held::default()
+            };
+            actions = drain.update(node.clock.now(), held);
+        }
         let goodbye = Goodbye {
-            incarnation: self.node.incarnation.0,
+            incarnation: node.incarnation.0,
             reason: "drain".to_owned(),
         };
-        self.node.broadcast(&Body::Goodbye(goodbye));
-        while self.node.gate.admitted().active > 0 {
-            async_io::Timer::after(DRAIN_LOOK).await;
-        }
+        node.broadcast(&Body::Goodbye(goodbye));
         // The last replies are queued by now; the writers end once the links
         // are closed and their queues are empty.
         self.stop().await;
     }
 
+    fn report(&self, actions: &[DrainAction]) {
+        for action in actions {
+            if let DrainAction::Report { held, overdue } = action {
+                log::warn!(event = "drain-held", node = self.node.settings.node.as_str(), held = held.to_string().as_str(), overdue = overdue; "");
+            }
+        }
+    }
+
     /// Stops at once, cutting off what runs.
     pub async fn stop(&self) {
         self.node.stop.set();
--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -20,6 +20,7 @@
 
 use crate::calls;
 use crate::node::Node;
+use crate::orders;
 
 /// The pause after a failed accept, so that a lack of descriptors can't spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -81,6 +82,7 @@
     let mut stopped = Box::pin(stopped);
     loop {
         match reader.next().or(&mut stopped).await {
+            Ok(Some(Body::Heartbeat(heartbeat))) => node.heard(id, &heartbeat),
             Ok(Some(body)) => receive(&node, &sender, &calls, body),
             Ok(None) => break,
             Err(error) => {
@@ -103,6 +105,12 @@
                 running.cancel.set();
             }
         }
+        Body::Order(order) => {
+            let owner = Arc::clone(node);
+            let link = sender.clone();
+            node.scope
+                .spawn(async move { orders::run(owner, link, order).await });
+        }
         Body::Hello(hello) => {
             log::info!(event = "link-up", peer = hello.node.as_str(), incarnation = hello.incarnation; "");
         }
--- a/agent/src/report.rs
+++ b/agent/src/report.rs
@@ -1,6 +1,7 @@
 //! Reports of the endpoint's load and cache to the routers.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -19,7 +20,7 @@
 ///
 /// At 8 routers an agent and some 120 bytes a report this is 2 KB/s, well
 /// below the 30 KB/s that a node may spend on control.
-const REPORT_EVERY: Duration = Duration::from_millis(500);
+pub(crate) const REPORT_EVERY: Duration = Duration::from_millis(500);
 
 /// The longest wait for the endpoint's own report.
 const POLL_LIMIT: Duration = Duration::from_millis(400);
@@ -103,19 +104,11 @@
 
 /// Polls the endpoint and reports to every router until the agent stops.
 pub(crate) async fn run(node: Arc<Node>) {
-    let mut seq = 0;
     let mut cache = (0, 0);
     while !node.stop.is_set() {
-        seq += 1;
         poll(&node).await;
-        let heartbeat = Heartbeat {
-            incarnation: node.incarnation.0,
-            seq,
-            draining: node.drain.is_set(),
-            load: Some(Load { seq, ..node.load() }),
-            ..Heartbeat::default()
-        };
-        node.broadcast(&Body::Heartbeat(heartbeat));
+        let seq = node.seq.fetch_add(1, Ordering::SeqCst) + 1;
+        node.beat(&frame(&node, seq), false);
         if node.settings.endpoint.kind == EndpointKind::Engine {
             cache = report_cache(&node, cache).await;
         }
@@ -126,6 +119,17 @@
     }
 }
 
+/// Builds a heartbeat with the load at this moment.
+pub(crate) fn frame(node: &Node, seq: u64) -> Heartbeat {
+    Heartbeat {
+        incarnation: node.incarnation.0,
+        seq,
+        draining: node.drain.is_set(),
+        load: Some(Load { seq, ..node.load() }),
+        ..Heartbeat::default()
+    }
+}
+
 async fn poll(node: &Node) {
     let path = match node.settings.endpoint.kind {
         EndpointKind::Engine => "/load",
--- a/router/src/agents.rs
+++ b/router/src/agents.rs
@@ -157,6 +157,11 @@
         }
     }
 
+    /// Tells whether no call waits for an answer.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.calls().is_empty()
+    }
+
     /// Ends every call, because the link is gone.
     ///
     /// Call it after the writer has ended: only then is it settled which calls
--- a/router/src/board.rs
+++ b/router/src/board.rs
@@ -44,8 +44,14 @@
 #[derive(Debug)]
 pub(crate) struct Board {
     pub(crate) config: Fact<ConfigFact>,
+    /// Set once the router asks to be passed over, while it still serves.
+    pub(crate) aside: Flag,
     /// Set once the router takes nothing new.
     pub(crate) drain: Flag,
+    /// Set once callers are no longer answered.
+    pub(crate) end: Flag,
+    /// Set once the platform's host list says that the host leaves.
+    pub(crate) leave: Flag,
     /// Set once every task has to end.
     pub(crate) stop: Flag,
 }
@@ -54,7 +60,10 @@
     pub(crate) fn new() -> Self {
         Self {
             config: Fact::new(ConfigFact::default()),
+            aside: Flag::default(),
             drain: Flag::default(),
+            end: Flag::default(),
+            leave: Flag::default(),
             stop: Flag::default(),
         }
     }
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -1,52 +1,53 @@
-//! Keeps a link to each known agent, and the fleet view up to date.
+//! Serves the link to each peer, and keeps the fleet view up to date.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_io::Async;
 use async_io::Timer;
 use derive_more::Display;
 use derive_more::Error;
 use derive_more::From;
 use futures_lite::FutureExt;
-use rand::RngExt;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::FailureDomain;
 use snipeyoke_lib::ids::IdError;
 use snipeyoke_lib::ids::Incarnation;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::ids::Region;
+use snipeyoke_lib::membership;
+use snipeyoke_lib::membership::Beat;
+use snipeyoke_lib::membership::Event;
+use snipeyoke_lib::membership::LinkEnd;
+use snipeyoke_lib::membership::Profile;
 use snipeyoke_lib::routing::CacheUpdate;
 use snipeyoke_lib::routing::LoadReport;
 use snipeyoke_runtime::link;
 use snipeyoke_runtime::link::LinkReader;
+use snipeyoke_runtime::link::LinkSender;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_wire::CacheEvents;
 use snipeyoke_wire::FrameError;
+use snipeyoke_wire::Heartbeat;
 use snipeyoke_wire::Hello;
 use snipeyoke_wire::Load;
 use snipeyoke_wire::NodeKind;
 use snipeyoke_wire::frame::Body;
 
 use crate::agents::AgentLink;
+use crate::members::Entry;
 use crate::node::Node;
 
 /// The longest time to connect, and to hear the first frame.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
-/// The first pause between two tries.
-const PAUSE_MIN: Duration = Duration::from_millis(100);
+/// The pause between two looks whether a retired link has calls left.
+const RETIRE_LOOK: Duration = Duration::from_millis(50);
 
-/// The longest pause between two tries.
-///
-/// After hours of partition every router tries every agent again within this
-/// time, spread by the jitter.
-const PAUSE_MAX: Duration = Duration::from_secs(3);
-
-/// The longest silence of an agent that reports twice a second.
-const SILENCE_MAX: Duration = Duration::from_secs(2);
-
-/// The reason why a link to an agent ended.
+/// The reason why a link to a peer ended.
 #[derive(Debug)]
 #[derive(Display, Error, From)]
 pub(crate) enum LinkError {
@@ -54,17 +55,15 @@
     Io(std::io::Error),
     #[display("{_0}")]
     Frame(FrameError),
-    #[display("the agent's hello is malformed: {_0}")]
+    #[display("the peer's hello is malformed: {_0}")]
     Hello(IdError),
-    #[display("no hello within {CONNECT_LIMIT:?}: is this the address of an agent?")]
+    #[display("no hello within {CONNECT_LIMIT:?}: is this the address of a peer?")]
     NoHello,
-    #[display("no report within {SILENCE_MAX:?}")]
-    Silent,
-    #[display("the agent closed the link")]
+    #[display("the peer closed the link")]
     Closed,
 }
 
-/// An agent as it introduced itself.
+/// The endpoint beside an agent.
 struct Peer {
     endpoint: EndpointId,
     pool: PoolName,
@@ -73,49 +72,93 @@
     incarnation: Incarnation,
 }
 
-impl TryFrom<Hello> for Peer {
-    type Error = IdError;
+/// A node as it introduced itself.
+struct Met {
+    profile: Profile,
+    incarnation: Incarnation,
+}
 
-    fn try_from(hello: Hello) -> Result<Self, IdError> {
-        Ok(Self {
-            endpoint: hello.endpoint.parse()?,
-            pool: hello.pool.parse()?,
+impl Met {
+    /// Returns the endpoint, if the node is an agent.
+    fn peer(&self) -> Option<Peer> {
+        Some(Peer {
+            endpoint: self.profile.endpoint.clone()?,
+            pool: self.profile.pool.clone()?,
+            domain: self.profile.domain.clone(),
+            region: self.profile.region.clone(),
+            incarnation: self.incarnation,
+        })
+    }
+}
+
+impl TryFrom<Hello> for Met {
+    type Error = LinkError;
+
+    fn try_from(hello: Hello) -> Result<Self, LinkError> {
+        let kind = match hello.kind() {
+            NodeKind::Agent => membership::NodeKind::Agent,
+            NodeKind::Router => membership::NodeKind::Router,
+            _ => return Err(LinkError::NoHello),
+        };
+        let agent = kind == membership::NodeKind::Agent;
+        let endpoint = agent.then(|| hello.endpoint.parse()).transpose()?;
+        let pool = agent.then(|| hello.pool.parse()).transpose()?;
+        let profile = Profile {
+            node: hello.node.parse()?,
+            kind,
+            host: hello.host.parse()?,
             domain: hello.domain.parse()?,
             region: hello.region.parse()?,
-            incarnation: Incarnation(hello.incarnation),
+            address: hello
+                .address
+                .parse()
+                .map_err(|_malformed| LinkError::NoHello)?,
+            pool,
+            endpoint,
+        };
+        let incarnation = Incarnation(hello.incarnation);
+        Ok(Self {
+            profile,
+            incarnation,
         })
     }
 }
 
-/// Keeps a link to the agent at `address` until the router stops.
-pub(crate) async fn keep(node: Arc<Node>, address: SocketAddr) {
-    let mut pause = PAUSE_MIN;
-    while !node.board.stop.is_set() {
-        let started = node.clock.now();
-        let ended = once(&node, address).await;
-        if let Err(error) = &ended {
-            log::info!(event = "agent-link-down", address = address.to_string().as_str(), error = error.to_string().as_str(); "");
-        }
-        if node.clock.now().since(started) > PAUSE_MAX {
-            pause = PAUSE_MIN;
+/// Dials `address` and serves the link until it ends.
+pub(crate) async fn dial(node: Arc<Node>, address: SocketAddr) {
+    let stream = match link::connect(address, CONNECT_LIMIT).await {
+        Ok(stream) => stream,
+        Err(error) => {
+            log::debug!(event = "dial-failed", address = address.to_string().as_str(), error = error.to_string().as_str(); "");
+            let end = end_of(&error);
+            return node.members.tell(Event::DialFailed { address, end });
         }
-        // Half of the pause is random: routers that lost an agent together
-        // would otherwise come back together.
-        let share = rand_pcg_share(&node);
-        let wait = async {
-            Timer::after(pause.mul_f64(0.5 + 0.5 * share)).await;
-        };
-        wait.or(node.board.stop.wait()).await;
-        pause = (pause * 2).min(PAUSE_MAX);
+    };
+    if let Err(error) = serve(&node, stream, Some(address)).await {
+        log::info!(event = "link-down", address = address.to_string().as_str(), error = error.to_string().as_str(); "");
+    }
+}
+
+/// Serves a link that another router dialed.
+pub(crate) async fn accepted(node: Arc<Node>, stream: Async<TcpStream>) {
+    if let Err(error) = serve(&node, stream, None).await {
+        log::info!(event = "link-down", error = error.to_string().as_str(); "");
     }
 }
 
-fn rand_pcg_share(node: &Node) -> f64 {
-    node.shared().rng.random::<f64>()
+fn end_of(error: &std::io::Error) -> LinkEnd {
+    match error.kind() {
+        ErrorKind::ConnectionRefused => LinkEnd::Refused,
+        ErrorKind::ConnectionReset => LinkEnd::Reset,
+        _ => LinkEnd::Timeout,
+    }
 }
 
-async fn once(node: &Arc<Node>, address: SocketAddr) -> Result<(), LinkError> {
-    let stream = link::connect(address, CONNECT_LIMIT).await?;
+async fn serve(
+    node: &Arc<Node>,
+    stream: Async<TcpStream>,
+    dialed: Option<SocketAddr>,
+) -> Result<(), LinkError> {
     let (sender, writer, mut reader) = link::open(stream)?;
     let scope = Scope::new(node.scope.exec());
     scope.spawn(async move {
@@ -123,36 +166,111 @@
             log::debug!(event = "link-write-failed", error = error.to_string().as_str(); "");
         }
     });
-    let hello = Body::Hello(node.hello());
-    if sender.send(hello).is_err() {
-        return Err(LinkError::Closed);
-    }
-    let peer = first(&mut reader).await?;
-    let link = Arc::new(AgentLink::new(address, sender.clone()));
-    join(node, &peer, &link);
+    let met = greet(node, &sender, &mut reader).await;
+    let met = match met {
+        Ok(met) => met,
+        Err(error) => {
+            if let Some(address) = dialed {
+                let end = LinkEnd::Timeout;
+                node.members.tell(Event::DialFailed { address, end });
+            }
+            sender.close();
+            scope.cancel().await;
+            return Err(error);
+        }
+    };
+    let entry = node.members.open(sender.clone());
+    node.members.tell(Event::LinkUp {
+        link: entry.link,
+        dialed,
+        profile: met.profile.clone(),
+        incarnation: met.incarnation,
+    });
+    let ended = attend(node, &met, &entry, &mut reader, scope).await;
+    node.members.close(entry.link);
+    let end = match &ended {
+        Err(LinkError::Io(error)) => end_of(error),
+        _ => LinkEnd::Reset,
+    };
+    node.members.tell(Event::LinkDown {
+        link: entry.link,
+        end,
+    });
+    ended
+}
+
+/// Serves an admitted link: its calls, reports and heartbeats.
+async fn attend(
+    node: &Node,
+    met: &Met,
+    entry: &Entry,
+    reader: &mut LinkReader,
+    scope: Scope,
+) -> Result<(), LinkError> {
+    let peer = met.peer();
+    let link = Arc::new(AgentLink::new(met.profile.address, entry.sender.clone()));
     let stopped = async {
         node.board.stop.wait().await;
         Ok(())
     };
-    let ended = listen(node, &peer, &link, &mut reader).or(stopped).await;
-    part(node, &peer, &link);
+    let serving = async {
+        // An older process under a known name must not take the endpoint's
+        // place, so nothing is read before the view has admitted the link.
+        entry.admitted.wait().or(entry.retired.wait()).await;
+        if !entry.admitted.is_set() {
+            return Ok(());
+        }
+        if let Some(peer) = &peer {
+            join(node, peer, &link);
+        }
+        let listening = listen(node, peer.as_ref(), entry, &link, reader);
+        listening
+            .or(retire(node, peer.as_ref(), entry, &link))
+            .await
+    };
+    let ended = serving.or(stopped).await;
+    if let Some(peer) = &peer {
+        part(node, peer, &link);
+    }
     // The writer ends first, so that it is settled what was written.
-    sender.close();
+    entry.sender.close();
     scope.cancel().await;
     link.on_lost();
     ended
 }
 
-async fn first(reader: &mut LinkReader) -> Result<Peer, LinkError> {
+/// Ends once the view has given the link up and no call is left on it.
+async fn retire(
+    node: &Node,
+    peer: Option<&Peer>,
+    entry: &Entry,
+    link: &Arc<AgentLink>,
+) -> Result<(), LinkError> {
+    entry.retired.wait().await;
+    if let Some(peer) = peer {
+        part(node, peer, link);
+    }
+    while !link.is_idle() {
+        Timer::after(RETIRE_LOOK).await;
+    }
+    Ok(())
+}
+
+async fn greet(
+    node: &Node,
+    sender: &LinkSender,
+    reader: &mut LinkReader,
+) -> Result<Met, LinkError> {
+    if sender.send(Body::Hello(node.hello())).is_err() {
+        return Err(LinkError::Closed);
+    }
     let timeout = async {
         Timer::after(CONNECT_LIMIT).await;
         Err(LinkError::NoHello)
     };
     let hello = async {
         match reader.next().await? {
-            Some(Body::Hello(hello)) if hello.kind() == NodeKind::Agent => {
-                Ok(Peer::try_from(hello)?)
-            }
+            Some(Body::Hello(hello)) => Met::try_from(hello),
             _ => Err(LinkError::NoHello),
         }
     };
@@ -180,49 +298,76 @@
 
 async fn listen(
     node: &Node,
-    peer: &Peer,
+    peer: Option<&Peer>,
+    entry: &Entry,
     link: &AgentLink,
     reader: &mut LinkReader,
 ) -> Result<(), LinkError> {
     loop {
-        let silent = async {
-            Timer::after(SILENCE_MAX).await;
-            Err(LinkError::Silent)
-        };
-        let next = async { Ok(reader.next().await?) };
-        let body = next.or(silent).await?;
-        let Some(body) = body else {
-            return Err(LinkError::Closed);
-        };
-        receive(node, peer, link, body);
+        match reader.next().await? {
+            Some(Body::Heartbeat(heartbeat)) => {
+                let beat = beat(&heartbeat);
+                node.members.tell(Event::Heard {
+                    link: entry.link,
+                    beat,
+                });
+                if let Some(peer) = peer {
+                    report(node, peer, &heartbeat);
+                }
+            }
+            Some(Body::Goodbye(goodbye)) => {
+                let incarnation = Incarnation(goodbye.incarnation);
+                node.members.tell(Event::Goodbye {
+                    link: entry.link,
+                    incarnation,
+                });
+                if let Some(peer) = peer {
+                    node.shared().fleet.drain(&peer.endpoint);
+                }
+                log::info!(event = "peer-leaves", link = entry.link.0, reason = goodbye.reason.as_str(); "");
+            }
+            Some(body) => {
+                if let Some(peer) = peer {
+                    receive(node, peer, link, body);
+                }
+            }
+            None => return Err(LinkError::Closed),
+        }
     }
 }
 
-fn receive(node: &Node, peer: &Peer, link: &AgentLink, body: Body) {
+fn beat(heartbeat: &Heartbeat) -> Beat {
+    Beat {
+        incarnation: Incarnation(heartbeat.incarnation),
+        seq: heartbeat.seq,
+        seen: heartbeat.seen_seq,
+        draining: heartbeat.draining,
+        pace: Duration::from_millis(heartbeat.interval_ms.into()),
+    }
+}
+
+fn report(node: &Node, peer: &Peer, heartbeat: &Heartbeat) {
     let now = node.clock.now();
+    let mut shared = node.shared();
+    if let Some(load) = &heartbeat.load {
+        shared
+            .fleet
+            .on_load(now, &peer.endpoint, &load_report(load));
+    }
+    if heartbeat.draining {
+        shared.fleet.drain(&peer.endpoint);
+    }
+}
+
+fn receive(node: &Node, peer: &Peer, link: &AgentLink, body: Body) {
     match body {
         Body::Chunk(chunk) => link.on_chunk(chunk),
         Body::Reply(reply) => link.on_reply(reply),
-        Body::Heartbeat(heartbeat) => {
-            let mut shared = node.shared();
-            if let Some(load) = heartbeat.load {
-                shared
-                    .fleet
-                    .on_load(now, &peer.endpoint, &load_report(&load));
-            }
-            if heartbeat.draining {
-                shared.fleet.drain(&peer.endpoint);
-            }
-        }
         Body::Cache(events) => {
             node.shared()
                 .fleet
                 .on_cache(&peer.endpoint, &cache_update(events));
         }
-        Body::Goodbye(goodbye) => {
-            node.shared().fleet.drain(&peer.endpoint);
-            log::info!(event = "agent-leaves", endpoint = peer.endpoint.as_str(), reason = goodbye.reason.as_str(); "");
-        }
         other => {
             log::debug!(event = "frame-ignored", frame = format!("{other:?}").as_str(); "");
         }
--- a/router/src/door/mod.rs
+++ b/router/src/door/mod.rs
@@ -13,6 +13,8 @@
 
 use hyper::Method;
 use hyper::StatusCode;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use snipeyoke_lib::ids::RequestId;
 use snipeyoke_runtime::http::Handler;
 use snipeyoke_runtime::http::Reply;
@@ -39,6 +41,17 @@
         Self { node }
     }
 
+    async fn answer(&self, request: Request) -> Reply {
+        let mut reply = self.route(request).await;
+        // Closed after its answer, a connection can't meet the close with the
+        // next request half way, which its caller could not tell from a failure.
+        if self.node.board.aside.is_set() {
+            let close = HeaderValue::from_static("close");
+            reply.headers_mut().insert(CONNECTION, close);
+        }
+        reply
+    }
+
     async fn route(&self, request: Request) -> Reply {
         let id = RequestId(Uuid::now_v7());
         let path = request.uri().path().to_owned();
@@ -64,7 +77,7 @@
 
     fn readiness(&self) -> StatusCode {
         let board = &self.node.board;
-        if board.drain.is_set() || !board.config.get().is_known() {
+        if board.aside.is_set() || !board.config.get().is_known() {
             return StatusCode::SERVICE_UNAVAILABLE;
         }
         StatusCode::OK
@@ -73,7 +86,7 @@
 
 impl Handler for Door {
     fn handle(&self, request: Request) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>> {
-        Box::pin(self.route(request))
+        Box::pin(self.answer(request))
     }
 }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -6,6 +6,7 @@
 mod door;
 mod drive;
 mod follow;
+mod members;
 mod node;
 mod outcomes;
 pub mod settings;
--- a/router/src/main.rs
+++ b/router/src/main.rs
@@ -4,7 +4,9 @@
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use futures_lite::FutureExt;
 use futures_lite::future;
+use snipeyoke_lib::drain::Source;
 use snipeyoke_router::Router;
 use snipeyoke_router::settings::Settings;
 use snipeyoke_runtime::logs;
@@ -47,8 +49,17 @@
     let threads = Threads::start(settings.raw.threads)?;
     let router = Router::start(settings, &threads.execs())?;
     future::block_on(async {
-        leave.next().await;
-        router.leave().await;
+        let signal = async {
+            leave.next().await;
+            Source::Signal
+        };
+        let list = async {
+            router.told_to_leave().await;
+            Source::HostList
+        };
+        let source = signal.or(list).await;
+        // Another signal is only noted by the system: nothing is cut.
+        router.drain(source).await;
     });
     threads.join();
     log::logger().flush();
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -8,10 +8,17 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use async_io::Timer;
 use derive_more::Display;
 use derive_more::Error;
 use snipeyoke_lib::chain::Shared;
 use snipeyoke_lib::chain::Spec;
+use snipeyoke_lib::drain::Drain;
+use snipeyoke_lib::drain::DrainAction;
+use snipeyoke_lib::drain::DrainSettings;
+use snipeyoke_lib::drain::Held;
+use snipeyoke_lib::drain::Phase;
+use snipeyoke_lib::drain::Source;
 use snipeyoke_lib::ids::Incarnation;
 use snipeyoke_lib::routing::Home;
 use snipeyoke_lib::routing::LeastOutstanding;
@@ -22,18 +29,22 @@
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Bounds;
 use snipeyoke_runtime::http::Client;
+use snipeyoke_runtime::platform::HttpHosts;
 use snipeyoke_runtime::platform::HttpLog;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::threads::Execs;
+use snipeyoke_wire::Goodbye;
 use snipeyoke_wire::Hello;
 use snipeyoke_wire::NodeKind;
+use snipeyoke_wire::frame::Body;
 
 use crate::agents::Agents;
 use crate::board::Board;
-use crate::connect;
 use crate::door::Door;
 use crate::drive::Finish;
 use crate::follow;
+use crate::members;
+use crate::members::Members;
 use crate::outcomes::Outcomes;
 use crate::settings::PolicyName;
 use crate::settings::Raw;
@@ -45,6 +56,15 @@
 /// The longest time to connect to the platform.
 const CONNECT_LIMIT: Duration = Duration::from_secs(1);
 
+/// How long a leaving router still serves, for balancers to see it.
+///
+/// With the refusals after it, new work ends within the 3 s that operators are
+/// promised, and a balancer that looks once a second has looked twice.
+const ASIDE: Duration = Duration::from_secs(2);
+
+/// The pause between two looks at what a drain still waits for.
+const DRAIN_LOOK: Duration = Duration::from_millis(20);
+
 /// The reason why a router can't start.
 #[derive(Debug)]
 #[derive(Display, Error)]
@@ -67,6 +87,7 @@
     pub(crate) clock: Clock,
     pub(crate) board: Board,
     pub(crate) agents: Agents,
+    pub(crate) members: Members,
     pub(crate) outcomes: Outcomes,
     /// Requests in flight; the parent of their tasks.
     pub(crate) requests: Scope,
@@ -134,19 +155,25 @@
             head_time: Duration::from_millis(raw.bounds.head_ms),
             conns: raw.bounds.conns,
         };
-        let node = Arc::new(node(raw, execs));
-        for agent in node.settings.agents.clone() {
-            node.scope.spawn(connect::keep(Arc::clone(&node), agent));
-        }
+        let address = raw.listen.peers;
+        let wrap = |source| StartError::Listen { address, source };
+        let peers = http::bind(address).map_err(wrap)?;
+        let (members, events) = Members::new();
+        let node = Arc::new(node(raw, execs, members));
+        node.scope.spawn(members::accept(Arc::clone(&node), peers));
         let client = Client::new(node.scope.clone(), CONNECT_LIMIT);
-        let log = Arc::new(HttpLog::new(client, node.settings.platform));
+        let log = Arc::new(HttpLog::new(client.clone(), node.settings.platform));
+        let hosts = HttpHosts::new(client, node.settings.platform);
         let control = Scope::new(Arc::clone(&execs.control));
+        control.spawn(members::run(Arc::clone(&node), events));
+        control.spawn(members::follow_hosts(Arc::clone(&node), hosts));
         control.spawn(follow::run(Arc::clone(&node), log));
         let door = Arc::new(Door::new(Arc::clone(&node)));
         let conns = Scope::new(Arc::clone(&execs.traffic));
         let drain = node.board.drain.clone();
+        let end = node.board.end.clone();
         node.scope
-            .spawn(http::serve(listener, door, bounds, conns, drain));
+            .spawn(http::serve_until(listener, door, bounds, conns, drain, end));
         log::info!(event = "router-up", node = node.settings.node.as_str(), callers = callers.to_string().as_str(), incarnation = node.incarnation.0; "");
         Ok(Self {
             node,
@@ -167,16 +194,71 @@
         self.node.agents.count()
     }
 
-    /// Drains: takes nothing new, finishes what runs, and ends.
+    /// Waits until the platform's host list says that this host leaves.
+    pub async fn told_to_leave(&self) {
+        self.node.board.leave.wait().await;
+    }
+
+    /// Drains as at SIGTERM.
     pub async fn leave(&self) {
-        self.node.board.drain.set();
-        self.node.requests.join().await;
+        self.drain(Source::Signal).await;
+    }
+
+    /// Drains: steps aside, takes nothing new, finishes what runs, and ends.
+    ///
+    /// For [`ASIDE`] it still serves while `/readyz` says no, so that the
+    /// platform's balancer has gone elsewhere before the first refusal.
+    pub async fn drain(&self, source: Source) {
+        let board = &self.node.board;
+        board.aside.set();
+        log::info!(event = "drain-begins", source = source.to_string().as_str(), requests = self.node.requests.len(); "");
+        Timer::after(ASIDE).await;
+        let mut drain = Drain::new(DrainSettings::default());
+        let mut actions = drain.begin(self.node.clock.now(), source, true);
+        while drain.phase() != Phase::Done {
+            self.carry(&actions);
+            Timer::after(DRAIN_LOOK).await;
+            let held = Held {
+                calls: self.node.requests.len(),
+                ..Held::default()
+            };
+            actions = drain.update(self.node.clock.now(), held);
+        }
+        self.carry(&actions);
         self.stop().await;
     }
 
+    fn carry(&self, actions: &[DrainAction]) {
+        for action in actions {
+            match action {
+                DrainAction::Stop => self.node.board.drain.set(),
+                DrainAction::Goodbye => {
+                    let incarnation = self.node.incarnation.0;
+                    let reason = "drain".to_owned();
+                    let goodbye = Goodbye {
+                        incarnation,
+                        reason,
+                    };
+                    self.node.members.broadcast(&Body::Goodbye(goodbye));
+                }
+                DrainAction::Report { held, overdue } => {
+                    log::warn!(event = "drain-held", held = held.to_string().as_str(), overdue = overdue; "");
+                }
+                // A router holds no lease, and its requests end by their own
+                // deadlines; leaving is the caller's next step.
+                DrainAction::Move
+                | DrainAction::HandOver
+                | DrainAction::Resume
+                | DrainAction::Exit => {}
+            }
+        }
+    }
+
     /// Stops at once, cutting off what runs.
     pub async fn stop(&self) {
+        self.node.board.aside.set();
         self.node.board.drain.set();
+        self.node.board.end.set();
         self.node.board.stop.set();
         self.control.cancel_later().await;
         self.node.scope.cancel_later().await;
@@ -185,7 +267,7 @@
     }
 }
 
-fn node(raw: Raw, execs: &Execs) -> Node {
+fn node(raw: Raw, execs: &Execs, members: Members) -> Node {
     let home = Home {
         domain: raw.domain.clone(),
         region: raw.region.clone(),
@@ -201,6 +283,7 @@
         clock: Clock::start(),
         board: Board::new(),
         agents: Agents::default(),
+        members,
         outcomes: Outcomes::default(),
         requests: Scope::new(Arc::clone(&execs.traffic)),
         scope: Scope::new(Arc::clone(&execs.traffic)),
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -20,3 +20,4 @@
 pub use server::Request;
 pub use server::bind;
 pub use server::serve;
+pub use server::serve_until;
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -77,19 +77,37 @@
     bounds: Bounds,
     scope: Scope,
     drain: Flag,
+) {
+    let end = drain.clone();
+    serve_until(listener, handler, bounds, scope, drain, end).await;
+}
+
+/// Serves connections until `end` is set and each has finished its request.
+///
+/// Once `drain` is set, idle connections are closed. New ones are still
+/// accepted until `end`, for the handler to answer them: a listener that is
+/// closed at once resets those that the system had already connected, and their
+/// callers could not tell whether their request ran.
+pub async fn serve_until(
+    listener: Async<TcpListener>,
+    handler: Arc<dyn Handler>,
+    bounds: Bounds,
+    scope: Scope,
+    drain: Flag,
+    end: Flag,
 ) {
     loop {
         let accepted = async { Some(listener.accept().await) };
-        let drained = async {
-            drain.wait().await;
+        let ended = async {
+            end.wait().await;
             None
         };
-        match accepted.or(drained).await {
+        match accepted.or(ended).await {
             None => break,
             Some(Ok((stream, _peer))) if scope.len() < bounds.conns => {
                 let handler = Arc::clone(&handler);
-                let drain = drain.clone();
-                scope.spawn(connection(stream, handler, bounds, drain));
+                let close = if drain.is_set() { &end } else { &drain };
+                scope.spawn(connection(stream, handler, bounds, close.clone()));
             }
             // Beyond the bound the connection is closed unread: nothing ran.
             Some(Ok(_refused)) => metrics::counter!("snipeyoke_conns_refused_total").increment(1),
