load: restart real processes one by one under load

Cause: drains were proven in the library only. Change: rolling lays out settings for real processes and loads them through a balancer that looks at readiness; a script restarts every agent and router.

--- a/load/src/args.rs
+++ b/load/src/args.rs
@@ -6,6 +6,8 @@
 use argh::FromArgs;
 use snipeyoke_load::experiment::FaultKind;
 
+use crate::rolling::Rolling;
+
 /// Open-loop load, experiments and reports for snipeyoke. Exit code 0: all
 /// promises kept; 1: it could not run; 2: a promise was broken.
 #[derive(Debug)]
@@ -23,6 +25,7 @@
     Experiment(Experiment),
     Report(Report),
     Check(Check),
+    Rolling(Rolling),
 }
 
 /// Send the load of a deployment's mix to running routers.
--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -2,6 +2,7 @@
 
 mod args;
 mod commands;
+mod rolling;
 
 use std::process::ExitCode;
 
@@ -34,6 +35,7 @@
         Command::Experiment(experiment) => commands::experiment(&experiment, exec),
         Command::Report(report) => commands::report(&report),
         Command::Check(check) => commands::check(&check, exec),
+        Command::Rolling(args) => rolling::run(&args, exec),
     };
     threads.join();
     kept
