--- a/lib/src/membership/detector.rs
+++ b/lib/src/membership/detector.rs
@@ -342,7 +342,10 @@
 
     fn begin(&mut self, now: Time, incarnation: Incarnation) {
         let fresh = Self::new(self.timing);
-        let penalty = (self.penalty + 1).min(PENALTY_MAX);
+        // A restart after a goodbye was planned and tells nothing of the network.
+        let planned = self.state == PeerState::Left;
+        let penalty = (self.penalty + u32::from(!planned)).min(PENALTY_MAX);
+        let owed = if planned { 0 } else { penalty };
         *self = Self {
             state: self.state,
             since: self.since,
@@ -350,7 +353,7 @@
             heard: now,
             watch: Watch::Linked,
             unlisted: self.unlisted,
-            owed: penalty,
+            owed,
             penalty,
             ..fresh
         };
--- a/router/src/board.rs
+++ b/router/src/board.rs
@@ -44,6 +44,8 @@
 #[derive(Debug)]
 pub(crate) struct Board {
     pub(crate) config: Fact<ConfigFact>,
+    /// Set once the router has met its endpoints.
+    pub(crate) met: Flag,
     /// Set once the router asks to be passed over, while it still serves.
     pub(crate) aside: Flag,
     /// Set once the router takes nothing new.
@@ -60,6 +62,7 @@
     pub(crate) fn new() -> Self {
         Self {
             config: Fact::new(ConfigFact::default()),
+            met: Flag::default(),
             aside: Flag::default(),
             drain: Flag::default(),
             end: Flag::default(),
--- a/router/src/door/mod.rs
+++ b/router/src/door/mod.rs
@@ -10,12 +10,14 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::Method;
 use hyper::StatusCode;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use snipeyoke_lib::ids::RequestId;
+use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::http::Handler;
 use snipeyoke_runtime::http::Reply;
 use snipeyoke_runtime::http::Request;
@@ -27,6 +29,9 @@
 use self::reply::Head;
 use crate::node::Node;
 
+/// How long a new router waits to meet an endpoint of each pool.
+const MEET_MAX: Duration = Duration::from_secs(5);
+
 /// The path prefix of plain requests and of questions about requests.
 const REQUESTS: &str = "/v1/requests/";
 
@@ -75,11 +80,30 @@
         })
     }
 
+    /// Tells whether each pool has an endpoint that takes work.
+    ///
+    /// A balancer that came before would find a router that refuses all. A pool
+    /// without any endpoint must not keep the router out for good, though.
+    fn has_met(&self) -> bool {
+        let now = self.node.clock.now();
+        if now.since(Time::ZERO) > MEET_MAX {
+            return true;
+        }
+        let config = self.node.board.config.get();
+        let shared = self.node.shared();
+        let mut pools = config.config.pools.keys();
+        pools.all(|name| shared.fleet.pool(name).is_some_and(|p| p.is_usable(now)))
+    }
+
     fn readiness(&self) -> StatusCode {
         let board = &self.node.board;
         if board.aside.is_set() || !board.config.get().is_known() {
             return StatusCode::SERVICE_UNAVAILABLE;
         }
+        if !board.met.is_set() && !self.has_met() {
+            return StatusCode::SERVICE_UNAVAILABLE;
+        }
+        board.met.set();
         StatusCode::OK
     }
 }
