--- a/agent/src/node.rs
+++ b/agent/src/node.rs
@@ -20,15 +20,18 @@
 use snipeyoke_lib::drain::Phase;
 use snipeyoke_lib::drain::Source;
 use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::lease::LeaseHolder;
 use snipeyoke_lib::placement;
 use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::board::Fact;
+use snipeyoke_runtime::book::Book;
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Client;
 use snipeyoke_runtime::link::LinkSender;
 use snipeyoke_runtime::platform::HttpHosts;
+use snipeyoke_runtime::platform::HttpLog;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::threads::Execs;
 use snipeyoke_wire::Goodbye;
@@ -41,9 +44,11 @@
 use crate::endpoint::Endpoint;
 use crate::gate::Gate;
 use crate::hosts;
+use crate::owner::Owner;
 use crate::peers;
 use crate::report;
 use crate::report::Seen;
+use crate::settings::EndpointKind;
 use crate::settings::Raw;
 use crate::settings::Settings;
 
@@ -81,7 +86,11 @@
     pub(crate) clock: Clock,
     pub(crate) gate: Gate,
     pub(crate) endpoint: Endpoint,
+    /// The owner of key slots, beside a plain service and with a platform.
+    pub(crate) owner: Option<Arc<Owner>>,
     pub(crate) seen: Fact<Seen>,
+    /// The configuration, kept for routers that lack it.
+    pub(crate) book: Book,
     pub(crate) drain: Flag,
     pub(crate) stop: Flag,
     /// Set once the platform's host list says that the host leaves.
@@ -91,6 +100,8 @@
     pub(crate) orders: Mutex<placement::Gate>,
     pub(crate) scope: Scope,
     address: SocketAddr,
+    /// Number of the next load report; routers pass over older ones.
+    loads: AtomicU64,
     links: Mutex<Links>,
 }
 
@@ -131,8 +142,11 @@
         }
     }
 
+    /// Returns the load at this moment, numbered after all before it.
     pub(crate) fn load(&self) -> Load {
-        self.seen.get().frame(self)
+        let seq = self.loads.fetch_add(1, Ordering::Relaxed);
+        let load = self.seen.get().frame(self);
+        Load { seq, ..load }
     }
 
     pub(crate) fn add_link(&self, sender: LinkSender) -> u64 {
@@ -225,6 +239,7 @@
     /// Returns [`StartError`] if the address can't be bound.
     pub fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
         let raw = settings.raw;
+        let term = settings.term;
         let listen = raw.listen;
         let wrap = |source| StartError::Listen {
             address: listen,
@@ -236,12 +251,23 @@
         let client = Client::new(scope.clone(), CONNECT_LIMIT);
         let drain = Flag::default();
         let room = raw.endpoint.slots + raw.endpoint.queue;
+        let incarnation = Incarnation(Clock::wall().as_millis());
+        let clock = Clock::start();
+        let me = LeaseHolder {
+            node: raw.node.clone(),
+            incarnation,
+        };
+        let owns = raw.endpoint.kind == EndpointKind::Plain && raw.platform.is_some();
+        let owner = owns.then(|| Arc::new(Owner::new(&raw, me, term, clock)));
+        let log = raw.platform.map(|p| HttpLog::new(client.clone(), p));
         let node = Arc::new(Node {
-            incarnation: Incarnation(Clock::wall().as_millis()),
-            clock: Clock::start(),
+            incarnation,
+            clock,
+            owner,
             gate: Gate::new(room, drain.clone()),
             endpoint: Endpoint::new(client, raw.endpoint.address),
             seen: Fact::new(Seen::default()),
+            book: Book::default(),
             settings: raw,
             drain,
             stop: Flag::default(),
@@ -250,6 +276,7 @@
             orders: Mutex::default(),
             scope,
             address,
+            loads: AtomicU64::new(1),
             links: Mutex::default(),
         });
         node.scope.spawn(peers::accept(Arc::clone(&node), listener));
@@ -259,6 +286,10 @@
             let hosts = HttpHosts::new(client, platform);
             node.scope.spawn(hosts::follow(Arc::clone(&node), hosts));
         }
+        if let (Some(owner), Some(log)) = (node.owner.clone(), log) {
+            node.scope
+                .spawn(owner.run(Arc::new(log), node.stop.clone()));
+        }
         log::info!(event = "agent-up", node = node.settings.node.as_str(), address = address.to_string().as_str(), incarnation = node.incarnation.0; "");
         Ok(Self { node })
     }
@@ -290,16 +321,29 @@
         log::info!(event = "drain-begins", source = source.to_string().as_str(), calls = node.gate.admitted().active; "");
         let mut told = 0;
         while drain.phase() != Phase::Done {
-            if actions.contains(&DrainAction::Stop) {
-                node.drain.set();
-                told = node.seq.fetch_add(1, Ordering::SeqCst) + 1;
-                node.beat(&report::frame(node, told), true);
+            for action in &actions {
+                match action {
+                    DrainAction::Stop => told = self.refuse_new(),
+                    // Only now: a successor may run a key at once after the
+                    // release.
+                    DrainAction::HandOver => self.hand_over().await,
+                    DrainAction::Report { held, overdue } => {
+                        log::warn!(event = "drain-held", node = node.settings.node.as_str(), held = held.to_string().as_str(), overdue = overdue; "");
+                    }
+                    // Routers resume elsewhere by themselves; goodbye and exit
+                    // follow the loop; nothing here resumes service.
+                    DrainAction::Move
+                    | DrainAction::Goodbye
+                    | DrainAction::Exit
+                    | DrainAction::Resume => {}
+                }
             }
-            self.report(&actions);
             Timer::after(DRAIN_LOOK).await;
+            let owned = node.owner.as_ref().map(|o| o.slots().len());
             let held = Held {
                 calls: node.gate.admitted().active as usize,
                 unaware: node.unaware(told),
+                slots: owned.unwrap_or_default(),
                 ..Held::default()
             };
             actions = drain.update(node.clock.now(), held);
@@ -314,11 +358,21 @@
         self.stop().await;
     }
 
-    fn report(&self, actions: &[DrainAction]) {
-        for action in actions {
-            if let DrainAction::Report { held, overdue } = action {
-                log::warn!(event = "drain-held", node = self.node.settings.node.as_str(), held = held.to_string().as_str(), overdue = overdue; "");
-            }
+    /// Refuses new work and says so; returns the number of that heartbeat.
+    fn refuse_new(&self) -> u64 {
+        let node = &self.node;
+        node.drain.set();
+        if let Some(owner) = &node.owner {
+            owner.drain();
+        }
+        let told = node.seq.fetch_add(1, Ordering::SeqCst) + 1;
+        node.beat(&report::frame(node, told), true);
+        told
+    }
+
+    async fn hand_over(&self) {
+        if let Some(owner) = &self.node.owner {
+            owner.release().await;
         }
     }
 
--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -16,6 +16,7 @@
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::signals::Leave;
 use snipeyoke_runtime::threads::Threads;
+use snipeyoke_site::OPERATOR_KEY;
 use snipeyoke_site::Plan;
 use snipeyoke_site::Site;
 use snipeyoke_site::sentiercoop;
@@ -143,6 +144,18 @@
         "\nStaying up. Try:\n  curl -s http://{caller}/v1/chat/completions \
          -H 'Authorization: Bearer key-dagligvare' \
          -d '{{\"model\": \"campaign-draft\", \"messages\": [{{\"role\": \"user\", \
-         \"content\": \"Draft a leaflet\"}}]}}'\nEnd with Ctrl-C."
+         \"content\": \"Draft a leaflet\"}}]}}'"
+    );
+    let routers: Vec<_> = site
+        .operators()
+        .iter()
+        .map(|a| format!("\"{a}\""))
+        .collect();
+    println!(
+        "Ask as an operator, in another terminal:\n  \
+         echo '{{\"routers\": [{}], \"key\": \"{OPERATOR_KEY}\"}}' > snipeyoke.jsonc\n  \
+         cargo run --release -p snipeyoke -- -e 'show requests; show endpoints'\n\
+         End with Ctrl-C.",
+        routers.join(", ")
     );
 }
--- a/lib/examples/slopes.rs
+++ b/lib/examples/slopes.rs
@@ -64,6 +64,7 @@
         draining: false,
         seen_seq: 7_199_999,
         interval_ms: 1_200,
+        slots: Vec::new(),
         load: (kind == NodeKind::Agent).then_some(load),
     };
     Frame {
--- a/lib/src/query/apply.rs
+++ b/lib/src/query/apply.rs
@@ -20,6 +20,8 @@
 use crate::config::Pipeline;
 use crate::config::Pool;
 use crate::config::Weights;
+use crate::ids::PipelineName;
+use crate::ids::PoolName;
 use crate::units::RequestRate;
 use crate::units::TokenRate;
 
@@ -41,6 +43,15 @@
         /// What is missing.
         what: String,
     },
+    /// Something is in use.
+    #[display("{what} is in use by {user}: change or drop that first")]
+    #[from(ignore)]
+    InUse {
+        /// What is in use.
+        what: String,
+        /// What uses it.
+        user: String,
+    },
     /// A new account lacks a limit.
     #[display("the new account has no limit for {key}: add '{key} NUMBER'")]
     #[from(ignore)]
@@ -90,7 +101,11 @@
                 let pipeline = altered(found, &clauses);
                 Change::SetPipeline { name, pipeline }
             }
-            Self::DropPipeline(name) => Change::DropPipeline { name },
+            Self::DropPipeline(name) => {
+                let user = binding_of(config, &name);
+                unused("pipeline", &name, user)?;
+                Change::DropPipeline { name }
+            }
             Self::CreateAccount { name, keys, limits } => {
                 absent(config.accounts.contains_key(&name), "account", &name)?;
                 let mut account = Account {
@@ -107,7 +122,11 @@
                 let pool = Pool { price, path };
                 Change::SetPool { name, pool }
             }
-            Self::DropPool(name) => Change::DropPool { name },
+            Self::DropPool(name) => {
+                let user = pipeline_of(config, &name);
+                unused("pool", &name, user)?;
+                Change::DropPool { name }
+            }
             Self::Bind {
                 account,
                 kind,
@@ -141,6 +160,26 @@
     Ok(())
 }
 
+fn binding_of(config: &Config, name: &PipelineName) -> Option<String> {
+    let all = config.bindings.iter();
+    let mut all = all.flat_map(|(account, kinds)| kinds.iter().map(move |k| (account, k)));
+    let found = all.find(|(_, (_, bound))| *bound == name);
+    found.map(|(account, (kind, _))| format!("the binding of {account} {kind}"))
+}
+
+fn pipeline_of(config: &Config, name: &PoolName) -> Option<String> {
+    let mut pipelines = config.pipelines.iter();
+    let found = pipelines.find(|(_, p)| p.stages.iter().any(|s| s.pool == *name));
+    found.map(|(pipeline, _)| format!("pipeline {pipeline}"))
+}
+
+fn unused(what: &str, name: &impl ToString, user: Option<String>) -> Result<(), EditError> {
+    user.map_or(Ok(()), |user| {
+        let what = format!("{what} {}", name.to_string());
+        Err(EditError::InUse { what, user })
+    })
+}
+
 fn missing(what: &str, name: &impl ToString) -> EditError {
     let what = format!("{what} {}", name.to_string());
     EditError::Missing { what }
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -1,5 +1,6 @@
 //! Serves the link to each peer, and keeps the fleet view up to date.
 
+use std::collections::BTreeMap;
 use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::net::TcpStream;
@@ -14,6 +15,8 @@
 use futures_lite::FutureExt;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::FailureDomain;
+use snipeyoke_lib::ids::FencingNumber;
+use snipeyoke_lib::ids::HostId;
 use snipeyoke_lib::ids::IdError;
 use snipeyoke_lib::ids::Incarnation;
 use snipeyoke_lib::ids::PoolName;
@@ -23,6 +26,7 @@
 use snipeyoke_lib::membership::Event;
 use snipeyoke_lib::membership::LinkEnd;
 use snipeyoke_lib::membership::Profile;
+use snipeyoke_lib::once::KeySlot;
 use snipeyoke_lib::routing::CacheUpdate;
 use snipeyoke_lib::routing::LoadReport;
 use snipeyoke_runtime::link;
@@ -38,6 +42,7 @@
 use snipeyoke_wire::frame::Body;
 
 use crate::agents::AgentLink;
+use crate::control::drains;
 use crate::members::Entry;
 use crate::node::Node;
 
@@ -67,15 +72,18 @@
 struct Peer {
     endpoint: EndpointId,
     pool: PoolName,
+    host: HostId,
     domain: FailureDomain,
     region: Region,
     incarnation: Incarnation,
+    hello: Hello,
 }
 
 /// A node as it introduced itself.
 struct Met {
     profile: Profile,
     incarnation: Incarnation,
+    hello: Hello,
 }
 
 impl Met {
@@ -84,9 +92,11 @@
         Some(Peer {
             endpoint: self.profile.endpoint.clone()?,
             pool: self.profile.pool.clone()?,
+            host: self.profile.host.clone(),
             domain: self.profile.domain.clone(),
             region: self.profile.region.clone(),
             incarnation: self.incarnation,
+            hello: self.hello.clone(),
         })
     }
 }
@@ -120,6 +130,7 @@
         Ok(Self {
             profile,
             incarnation,
+            hello,
         })
     }
 }
@@ -279,6 +290,8 @@
 
 fn join(node: &Node, peer: &Peer, link: &Arc<AgentLink>) {
     node.agents.open(peer.endpoint.clone(), Arc::clone(link));
+    let (now, hello) = (node.clock.now(), peer.hello.clone());
+    node.control.sight.join(now, peer.endpoint.clone(), hello);
     let mut shared = node.shared();
     shared.fleet.upsert(
         peer.endpoint.clone(),
@@ -293,6 +306,8 @@
 fn part(node: &Node, peer: &Peer, link: &Arc<AgentLink>) {
     if node.agents.close(&peer.endpoint, link) {
         node.shared().fleet.gone(&peer.endpoint);
+        node.slots().forget(&peer.endpoint);
+        node.control.sight.part(&peer.endpoint);
     }
 }
 
@@ -312,7 +327,7 @@
                     beat,
                 });
                 if let Some(peer) = peer {
-                    report(node, peer, &heartbeat);
+                    report(node, peer, link, &heartbeat);
                 }
             }
             Some(Body::Goodbye(goodbye)) => {
@@ -346,23 +361,43 @@
     }
 }
 
-fn report(node: &Node, peer: &Peer, heartbeat: &Heartbeat) {
+fn report(node: &Node, peer: &Peer, link: &AgentLink, heartbeat: &Heartbeat) {
     let now = node.clock.now();
+    node.slots()
+        .report(&peer.pool, &peer.endpoint, &slots(heartbeat));
+    let mut load = heartbeat.load.as_ref().map(load_report);
+    // The agent knows nothing of an operator's drain, and each of its reports
+    // would put it back into service.
+    if let Some(load) = &mut load {
+        load.draining |= drained(node, peer);
+    }
     let mut shared = node.shared();
-    if let Some(load) = &heartbeat.load {
-        shared
-            .fleet
-            .on_load(now, &peer.endpoint, &load_report(load));
+    if let Some(load) = &load {
+        shared.fleet.on_load(now, &peer.endpoint, load);
+        link.reported.set();
     }
     if heartbeat.draining {
         shared.fleet.drain(&peer.endpoint);
     }
+    drop(shared);
+    let revision = heartbeat.config_revision;
+    let sight = &node.control.sight;
+    sight.report(now, &peer.endpoint, load, revision);
 }
 
 fn receive(node: &Node, peer: &Peer, link: &AgentLink, body: Body) {
+    let now = node.clock.now();
     match body {
         Body::Chunk(chunk) => link.on_chunk(chunk),
-        Body::Reply(reply) => link.on_reply(reply),
+        Body::Reply(reply) => {
+            if let Some(load) = &reply.load {
+                let mut report = load_report(load);
+                report.draining |= drained(node, peer);
+                node.shared().fleet.on_load(now, &peer.endpoint, &report);
+            }
+            link.on_reply(reply);
+        }
+        Body::Told(told) => link.on_told(told),
         Body::Cache(events) => {
             node.shared()
                 .fleet
@@ -374,6 +409,19 @@
     }
 }
 
+fn slots(heartbeat: &Heartbeat) -> BTreeMap<KeySlot, FencingNumber> {
+    let owned = heartbeat.slots.iter().filter_map(|owned| {
+        let slot = KeySlot::try_from(owned.slot).ok()?;
+        Some((slot, FencingNumber(owned.fence)))
+    });
+    owned.collect()
+}
+
+fn drained(node: &Node, peer: &Peer) -> bool {
+    let config = &node.board.config.get().config;
+    drains::covers(config, &peer.endpoint, &peer.host, &peer.domain)
+}
+
 fn load_report(load: &Load) -> LoadReport {
     LoadReport {
         seq: load.seq,
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -1,8 +1,10 @@
 //! The entry process: owns each request until its one outcome.
 
+mod admission;
 mod agents;
 mod board;
 mod connect;
+mod control;
 mod door;
 mod drive;
 mod follow;
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -2,12 +2,14 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use async_io::Async;
 use async_io::Timer;
 use derive_more::Display;
 use derive_more::Error;
@@ -19,12 +21,19 @@
 use snipeyoke_lib::drain::Held;
 use snipeyoke_lib::drain::Phase;
 use snipeyoke_lib::drain::Source;
+use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::log::LogStore;
+use snipeyoke_lib::once::KeySlot;
+use snipeyoke_lib::once::SlotMap;
 use snipeyoke_lib::routing::Home;
 use snipeyoke_lib::routing::LeastOutstanding;
 use snipeyoke_lib::routing::Policy;
 use snipeyoke_lib::routing::Predicted;
 use snipeyoke_lib::routing::RoundRobin;
+use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::Tokens;
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Bounds;
@@ -38,8 +47,12 @@
 use snipeyoke_wire::NodeKind;
 use snipeyoke_wire::frame::Body;
 
+use crate::admission;
+use crate::admission::Admission;
 use crate::agents::Agents;
 use crate::board::Board;
+use crate::control::Control;
+use crate::control::Port;
 use crate::door::Door;
 use crate::drive::Finish;
 use crate::follow;
@@ -88,12 +101,15 @@
     pub(crate) board: Board,
     pub(crate) agents: Agents,
     pub(crate) members: Members,
+    pub(crate) admission: Admission,
     pub(crate) outcomes: Outcomes,
+    pub(crate) control: Control,
     /// Requests in flight; the parent of their tasks.
     pub(crate) requests: Scope,
     /// Everything else on the traffic threads.
     pub(crate) scope: Scope,
     shared: Mutex<Shared>,
+    slots: Mutex<SlotMap>,
 }
 
 impl Node {
@@ -102,6 +118,17 @@
         self.shared.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the map of key slots, for one short step.
+    pub(crate) fn slots(&self) -> MutexGuard<'_, SlotMap> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the endpoint whose agent owns a key slot, as far as known.
+    pub(crate) fn owner(&self, pool: &PoolName, slot: KeySlot) -> Option<EndpointId> {
+        let slots = self.slots();
+        slots.owner(pool, slot).map(|owner| owner.endpoint.clone())
+    }
+
     pub(crate) fn hello(&self) -> Hello {
         let own = &self.settings;
         Hello {
@@ -118,7 +145,14 @@
         }
     }
 
-    /// Notes the end of a request.
+    /// Notes the end of a request that was taken on.
+    pub(crate) fn ended(&self, spec: &Spec, finish: &Finish) {
+        let used = Tokens(finish.prompt_tokens + finish.output_tokens);
+        self.admission.done(self.clock.now(), spec, used);
+        self.settled(spec, finish);
+    }
+
+    /// Notes the outcome of a request.
     pub(crate) fn settled(&self, spec: &Spec, finish: &Finish) {
         let reason = finish
             .reason
@@ -128,6 +162,10 @@
         log::info!(target: "request", event = "request-ended", request = spec.request.to_string().as_str(), account = spec.account.as_str(), pipeline = spec.name.as_str(), outcome = outcome.as_str(), reason = reason.as_str(); "");
         self.outcomes
             .note(spec.request, finish.outcome, finish.reason);
+        let now = self.clock.now();
+        self.control
+            .records
+            .finish(now, spec.request, finish.outcome, finish.reason);
     }
 }
 
@@ -136,6 +174,7 @@
 pub struct Router {
     node: Arc<Node>,
     callers: SocketAddr,
+    operators: SocketAddr,
     control: Scope,
 }
 
@@ -147,10 +186,8 @@
     /// Returns [`StartError`] if an address can't be bound.
     pub fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
         let raw = settings.raw;
-        let address = raw.listen.callers;
-        let wrap = |source| StartError::Listen { address, source };
-        let listener = http::bind(address).map_err(wrap)?;
-        let callers = listener.get_ref().local_addr().map_err(wrap)?;
+        let (listener, callers) = listen(raw.listen.callers)?;
+        let (operators, control_at) = listen(raw.listen.control)?;
         let bounds = Bounds {
             head_time: Duration::from_millis(raw.bounds.head_ms),
             conns: raw.bounds.conns,
@@ -162,12 +199,19 @@
         let node = Arc::new(node(raw, execs, members));
         node.scope.spawn(members::accept(Arc::clone(&node), peers));
         let client = Client::new(node.scope.clone(), CONNECT_LIMIT);
-        let log = Arc::new(HttpLog::new(client.clone(), node.settings.platform));
-        let hosts = HttpHosts::new(client, node.settings.platform);
+        let hosts = HttpHosts::new(client.clone(), node.settings.platform);
+        let log: Arc<dyn LogStore> = Arc::new(HttpLog::new(client, node.settings.platform));
         let control = Scope::new(Arc::clone(&execs.control));
         control.spawn(members::run(Arc::clone(&node), events));
         control.spawn(members::follow_hosts(Arc::clone(&node), hosts));
-        control.spawn(follow::run(Arc::clone(&node), log));
+        control.spawn(admission::run(Arc::clone(&node)));
+        control.spawn(follow::run(Arc::clone(&node), Arc::clone(&log)));
+        let port = Arc::new(Port::new(Arc::clone(&node), log));
+        // Operators look most of all while a router drains, so their port stays
+        // open until it stops.
+        let stop = node.board.stop.clone();
+        let asked = Scope::new(Arc::clone(&execs.control));
+        control.spawn(http::serve(operators, port, bounds, asked, stop));
         let door = Arc::new(Door::new(Arc::clone(&node)));
         let conns = Scope::new(Arc::clone(&execs.traffic));
         let drain = node.board.drain.clone();
@@ -178,6 +222,7 @@
         Ok(Self {
             node,
             callers,
+            operators: control_at,
             control,
         })
     }
@@ -188,10 +233,16 @@
         self.callers
     }
 
-    /// Returns the number of agents that this router has a link to.
+    /// Returns the address that operators connect to.
+    #[must_use]
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Returns the number of agents that have reported to this router.
     #[must_use]
     pub fn linked(&self) -> usize {
-        self.node.agents.count()
+        self.node.agents.reported()
     }
 
     /// Waits until the platform's host list says that this host leaves.
@@ -267,6 +318,13 @@
     }
 }
 
+fn listen(address: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), StartError> {
+    let wrap = |source| StartError::Listen { address, source };
+    let listener = http::bind(address).map_err(wrap)?;
+    let bound = listener.get_ref().local_addr().map_err(wrap)?;
+    Ok((listener, bound))
+}
+
 fn node(raw: Raw, execs: &Execs, members: Members) -> Node {
     let home = Home {
         domain: raw.domain.clone(),
@@ -284,10 +342,13 @@
         board: Board::new(),
         agents: Agents::default(),
         members,
+        admission: Admission::new(Time::ZERO, raw.routers.len() + 1),
         outcomes: Outcomes::default(),
+        control: Control::default(),
         requests: Scope::new(Arc::clone(&execs.traffic)),
         scope: Scope::new(Arc::clone(&execs.traffic)),
         shared: Mutex::new(Shared::new(home, policy, incarnation.0)),
+        slots: Mutex::default(),
         settings: raw,
     }
 }
