--- a/load/src/main.rs
+++ b/load/src/main.rs
@@ -1,4 +1,4 @@
-//! The load's program: `snipeyoke-load run|experiment|report|check|chaos`.
+//! The load's program: `snipeyoke-load COMMAND`; `--help` lists the commands.
 
 mod args;
 mod commands;
@@ -37,6 +37,9 @@
         Command::Check(check) => commands::check(&check, exec),
         Command::Rolling(args) => rolling::run(&args, exec),
         Command::Chaos(chaos) => commands::chaos(&chaos, exec),
+        Command::Overhead(overhead) => commands::overhead(&overhead, exec),
+        Command::Publish(publish) => commands::publish(&publish, exec),
+        Command::Settings(settings) => commands::settings(&settings),
     };
     threads.join();
     kept
--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -8,6 +8,7 @@
 use snipeyoke_lib::prefix::BLOCK_TOKENS;
 
 use crate::settings::EngineSettings;
+use crate::times::Times;
 
 use super::cache::Cache;
 
@@ -118,10 +119,12 @@
     reading: Vec<u32>,
     step: Duration,
     totals: Totals,
+    times: Times,
 }
 
 impl Batch {
     /// Builds an empty batch.
+    #[must_use]
     pub fn new(settings: EngineSettings) -> Self {
         Self {
             settings,
@@ -132,6 +135,7 @@
             reading: Vec::new(),
             step: Duration::ZERO,
             totals: Totals::default(),
+            times: Times::default(),
         }
     }
 
@@ -175,7 +179,7 @@
             }
         }
         for run in &self.active {
-            if run.ask.request == request {
+            if run.ask.request == request && !run.ask.sink.is_closed() {
                 found = true;
                 let _gone = run.ask.sink.try_send(Emit::Cancelled { fresh: false });
                 // The step under way still computes it; the next one does not.
@@ -186,8 +190,10 @@
     }
 
     /// Returns the tokens that a running generation has made, and its blocks.
+    #[must_use]
     pub fn find(&self, request: &str) -> Option<(u32, &[u64])> {
-        let run = self.active.iter().find(|r| r.ask.request == request)?;
+        let alive = |r: &&Run| r.ask.request == request && !r.ask.sink.is_closed();
+        let run = self.active.iter().find(alive)?;
         Some((run.next, &run.ask.blocks))
     }
 
@@ -244,6 +250,7 @@
             let run = self.active.remove(place);
             self.memory -= run.memory();
             self.totals.completed += 1;
+            self.times.add(now - run.queued);
         }
     }
 
@@ -255,11 +262,19 @@
     }
 
     /// Returns the totals since the start.
+    #[must_use]
     pub const fn totals(&self) -> Totals {
         self.totals
     }
 
+    /// Returns how long finished generations took, their wait included.
+    #[must_use]
+    pub const fn times(&self) -> &Times {
+        &self.times
+    }
+
     /// Returns what is waiting and at work.
+    #[must_use]
     pub fn level(&self) -> Level {
         let runs = self.active.iter().chain(self.waiting.values());
         let pending = runs.map(|run| {
