--- a/agent/src/node.rs
+++ b/agent/src/node.rs
@@ -10,10 +10,19 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use async_io::Timer;
 use derive_more::Display;
 use derive_more::Error;
+use snipeyoke_lib::drain::Drain;
+use snipeyoke_lib::drain::DrainAction;
+use snipeyoke_lib::drain::DrainSettings;
+use snipeyoke_lib::drain::Held;
+use snipeyoke_lib::drain::Phase;
+use snipeyoke_lib::drain::Source;
 use snipeyoke_lib::ids::Incarnation;
 use snipeyoke_lib::lease::LeaseHolder;
+use snipeyoke_lib::placement;
+use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::board::Fact;
 use snipeyoke_runtime::book::Book;
 use snipeyoke_runtime::clock::Clock;
@@ -21,10 +30,12 @@
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Client;
 use snipeyoke_runtime::link::LinkSender;
+use snipeyoke_runtime::platform::HttpHosts;
 use snipeyoke_runtime::platform::HttpLog;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::threads::Execs;
 use snipeyoke_wire::Goodbye;
+use snipeyoke_wire::Heartbeat;
 use snipeyoke_wire::Hello;
 use snipeyoke_wire::Load;
 use snipeyoke_wire::NodeKind;
@@ -32,6 +43,7 @@
 
 use crate::endpoint::Endpoint;
 use crate::gate::Gate;
+use crate::hosts;
 use crate::owner::Owner;
 use crate::peers;
 use crate::report;
@@ -46,6 +58,9 @@
 /// The longest time to connect to the endpoint on the same host.
 const CONNECT_LIMIT: Duration = Duration::from_millis(500);
 
+/// The longest silence of a router that a drain still waits for.
+const SILENCE_MAX: Duration = Duration::from_secs(6);
+
 /// The pause between two looks at what a drain still waits for.
 const DRAIN_LOOK: Duration = Duration::from_millis(20);
 
@@ -78,6 +93,11 @@
     pub(crate) book: Book,
     pub(crate) drain: Flag,
     pub(crate) stop: Flag,
+    /// Set once the platform's host list says that the host leaves.
+    pub(crate) leave: Flag,
+    /// Number of the last heartbeat to all routers.
+    pub(crate) seq: AtomicU64,
+    pub(crate) orders: Mutex<placement::Gate>,
     pub(crate) scope: Scope,
     address: SocketAddr,
     /// Number of the next load report; routers pass over older ones.
@@ -88,7 +108,21 @@
 #[derive(Debug, Default)]
 struct Links {
     next: u64,
-    open: BTreeMap<u64, LinkSender>,
+    open: BTreeMap<u64, OpenLink>,
+}
+
+/// One router's link and what it said about heartbeats.
+#[derive(Debug)]
+struct OpenLink {
+    sender: LinkSender,
+    /// The router's last heartbeat.
+    seen: u64,
+    /// Our last heartbeat that the router has seen.
+    echoed: u64,
+    /// The interval that the router asks for.
+    pace: Duration,
+    due: Time,
+    heard: Time,
 }
 
 impl Node {
@@ -119,7 +153,15 @@
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
         let id = links.next;
         links.next += 1;
-        links.open.insert(id, sender);
+        let open = OpenLink {
+            sender,
+            seen: 0,
+            echoed: 0,
+            pace: Duration::ZERO,
+            due: Time::ZERO,
+            heard: self.clock.now(),
+        };
+        links.open.insert(id, open);
         id
     }
 
@@ -133,14 +175,56 @@
 
     pub(crate) fn broadcast(&self, body: &Body) {
         let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
-        for sender in links.open.values() {
-            if let Err(error) = sender.send(body.clone()) {
+        for link in links.open.values() {
+            if let Err(error) = link.sender.send(body.clone()) {
                 log::debug!(event = "report-dropped", error = error.to_string().as_str(); "");
             }
         }
     }
 }
 
+impl Node {
+    /// Sends a heartbeat on each link that is due one, or on all.
+    pub(crate) fn beat(&self, heartbeat: &Heartbeat, all: bool) {
+        let now = self.clock.now();
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        for link in links.open.values_mut().filter(|l| all || l.due <= now) {
+            // A router with many links asks for fewer heartbeats; a tick early
+            // is better than one late.
+            link.due = now + link.pace.saturating_sub(report::REPORT_EVERY / 2);
+            let frame = Heartbeat {
+                seen_seq: link.seen,
+                ..heartbeat.clone()
+            };
+            if let Err(error) = link.sender.send(Body::Heartbeat(frame)) {
+                log::debug!(event = "heartbeat-dropped", error = error.to_string().as_str(); "");
+            }
+        }
+    }
+
+    /// Takes in a router's heartbeat.
+    pub(crate) fn heard(&self, id: u64, heartbeat: &Heartbeat) {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        if let Some(link) = links.open.get_mut(&id) {
+            link.heard = self.clock.now();
+            link.seen = link.seen.max(heartbeat.seq);
+            link.echoed = link.echoed.max(heartbeat.seen_seq);
+            link.pace = Duration::from_millis(heartbeat.interval_ms.into());
+        }
+    }
+
+    /// Counts the routers that may not have read our heartbeat `seq`.
+    ///
+    /// A router that is itself paused or cut off would hold the drain for as
+    /// long as that lasts, so after a while of silence it no longer counts.
+    fn unaware(&self, seq: u64) -> usize {
+        let now = self.clock.now();
+        let links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let unaware = |l: &&OpenLink| l.echoed < seq && now.since(l.heard) < SILENCE_MAX;
+        links.open.values().filter(unaware).count()
+    }
+}
+
 /// A running agent.
 #[derive(Debug)]
 pub struct Agent {
@@ -187,6 +271,9 @@
             settings: raw,
             drain,
             stop: Flag::default(),
+            leave: Flag::default(),
+            seq: AtomicU64::new(1),
+            orders: Mutex::default(),
             scope,
             address,
             loads: AtomicU64::new(1),
@@ -194,6 +281,11 @@
         });
         node.scope.spawn(peers::accept(Arc::clone(&node), listener));
         node.scope.spawn(report::run(Arc::clone(&node)));
+        if let Some(platform) = node.settings.platform {
+            let client = Client::new(node.scope.clone(), CONNECT_LIMIT);
+            let hosts = HttpHosts::new(client, platform);
+            node.scope.spawn(hosts::follow(Arc::clone(&node), hosts));
+        }
         if let (Some(owner), Some(log)) = (node.owner.clone(), log) {
             node.scope
                 .spawn(owner.run(Arc::new(log), node.stop.clone()));
@@ -208,27 +300,80 @@
         self.node.address
     }
 
-    /// Drains: takes nothing new, finishes what runs, says goodbye, and ends.
+    /// Waits until the platform's host list says that this host leaves.
+    pub async fn told_to_leave(&self) {
+        self.node.leave.wait().await;
+    }
+
+    /// Drains as at SIGTERM.
     pub async fn leave(&self) {
-        self.node.drain.set();
-        if let Some(owner) = &self.node.owner {
-            owner.drain();
+        self.drain(Source::Signal).await;
+    }
+
+    /// Drains: takes nothing new, finishes what runs, says goodbye, and ends.
+    ///
+    /// It leaves only after every router has echoed a draining heartbeat: a
+    /// link keeps its order, so all that a router sent before is answered.
+    pub async fn drain(&self, source: Source) {
+        let node = &self.node;
+        let mut drain = Drain::new(DrainSettings::default());
+        let mut actions = drain.begin(node.clock.now(), source, true);
+        log::info!(event = "drain-begins", source = source.to_string().as_str(), calls = node.gate.admitted().active; "");
+        let mut told = 0;
+        while drain.phase() != Phase::Done {
+            for action in &actions {
+                match action {
+                    DrainAction::Stop => told = self.refuse_new(),
+                    // Only now: a successor may run a key at once after the
+                    // release.
+                    DrainAction::HandOver => self.hand_over().await,
+                    DrainAction::Report { held, overdue } => {
+                        log::warn!(event = "drain-held", node = node.settings.node.as_str(), held = held.to_string().as_str(), overdue = overdue; "");
+                    }
+                    // Routers resume elsewhere by themselves; goodbye and exit
+                    // follow the loop; nothing here resumes service.
+                    DrainAction::Move
+                    | DrainAction::Goodbye
+                    | DrainAction::Exit
+                    | DrainAction::Resume => {}
+                }
+            }
+            Timer::after(DRAIN_LOOK).await;
+            let owned = node.owner.as_ref().map(|o| o.slots().len());
+            let held = Held {
+                calls: node.gate.admitted().active as usize,
+                unaware: node.unaware(told),
+                slots: owned.unwrap_or_default(),
+                ..Held::default()
+            };
+            actions = drain.update(node.clock.now(), held);
         }
         let goodbye = Goodbye {
-            incarnation: self.node.incarnation.0,
+            incarnation: node.incarnation.0,
             reason: "drain".to_owned(),
         };
-        self.node.broadcast(&Body::Goodbye(goodbye));
-        while self.node.gate.admitted().active > 0 {
-            async_io::Timer::after(DRAIN_LOOK).await;
+        node.broadcast(&Body::Goodbye(goodbye));
+        // The last replies are queued by now; the writers end once the links
+        // are closed and their queues are empty.
+        self.stop().await;
+    }
+
+    /// Refuses new work and says so; returns the number of that heartbeat.
+    fn refuse_new(&self) -> u64 {
+        let node = &self.node;
+        node.drain.set();
+        if let Some(owner) = &node.owner {
+            owner.drain();
         }
-        // Only now: a successor may run a key at once after the release.
+        let told = node.seq.fetch_add(1, Ordering::SeqCst) + 1;
+        node.beat(&report::frame(node, told), true);
+        told
+    }
+
+    async fn hand_over(&self) {
         if let Some(owner) = &self.node.owner {
             owner.release().await;
         }
-        // The last replies are queued by now; the writers end once the links
-        // are closed and their queues are empty.
-        self.stop().await;
     }
 
     /// Stops at once, cutting off what runs.
--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -24,6 +24,7 @@
 use crate::calls;
 use crate::node::Node;
 use crate::once;
+use crate::orders;
 use crate::report;
 
 /// The pause after a failed accept, so that a lack of descriptors can't spin.
@@ -77,7 +78,10 @@
     let calls = Calls::default();
     // The first report goes out at once: a router sends an agent nothing before
     // it has one.
-    let first = [Body::Hello(node.hello()), report::heartbeat(&node, 0)];
+    let first = [
+        Body::Hello(node.hello()),
+        Body::Heartbeat(report::frame(&node, 0)),
+    ];
     if first.into_iter().any(|frame| sender.send(frame).is_err()) {
         node.drop_link(id);
         return;
@@ -89,6 +93,7 @@
     let mut stopped = Box::pin(stopped);
     loop {
         match reader.next().or(&mut stopped).await {
+            Ok(Some(Body::Heartbeat(heartbeat))) => node.heard(id, &heartbeat),
             Ok(Some(body)) => receive(&node, &sender, &calls, body),
             Ok(None) => break,
             Err(error) => {
@@ -111,6 +116,12 @@
                 running.cancel.set();
             }
         }
+        Body::Order(order) => {
+            let owner = Arc::clone(node);
+            let link = sender.clone();
+            node.scope
+                .spawn(async move { orders::run(owner, link, order).await });
+        }
         Body::ConfigAsk(ask) => {
             if let Some(offer) = node.book.offer(Offset(ask.have)) {
                 pass_on(sender, Body::ConfigOffer(offer));
--- a/agent/src/report.rs
+++ b/agent/src/report.rs
@@ -1,6 +1,7 @@
 //! Reports of the endpoint's load and cache to the routers.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -20,7 +21,7 @@
 ///
 /// At 8 routers an agent and some 120 bytes a report this is 2 KB/s, well
 /// below the 30 KB/s that a node may spend on control.
-const REPORT_EVERY: Duration = Duration::from_millis(500);
+pub(crate) const REPORT_EVERY: Duration = Duration::from_millis(500);
 
 /// The longest wait for the endpoint's own report.
 const POLL_LIMIT: Duration = Duration::from_millis(400);
@@ -104,12 +105,11 @@
 
 /// Polls the endpoint and reports to every router until the agent stops.
 pub(crate) async fn run(node: Arc<Node>) {
-    let mut seq = 0;
     let mut cache = (0, 0);
     while !node.stop.is_set() {
-        seq += 1;
         poll(&node).await;
-        node.broadcast(&heartbeat(&node, seq));
+        let seq = node.seq.fetch_add(1, Ordering::SeqCst) + 1;
+        node.beat(&frame(&node, seq), false);
         if node.settings.endpoint.kind == EndpointKind::Engine {
             cache = report_cache(&node, cache).await;
         }
@@ -121,12 +121,12 @@
 }
 
 /// Builds a heartbeat with the load at this moment.
-pub(crate) fn heartbeat(node: &Node, seq: u64) -> Body {
+pub(crate) fn frame(node: &Node, seq: u64) -> Heartbeat {
     let config = {
         let fold = node.book.fold();
         (fold.next(), fold.revision())
     };
-    Body::Heartbeat(Heartbeat {
+    Heartbeat {
         incarnation: node.incarnation.0,
         seq,
         draining: node.drain.is_set(),
@@ -135,7 +135,7 @@
         load: Some(node.load()),
         slots: slots(node),
         ..Heartbeat::default()
-    })
+    }
 }
 
 fn slots(node: &Node) -> Vec<OwnedSlot> {
--- a/lib/examples/slopes.rs
+++ b/lib/examples/slopes.rs
@@ -63,8 +63,9 @@
         config_revision: 13_000,
         draining: false,
         seen_seq: 7_199_999,
-        load: (kind == NodeKind::Agent).then_some(load),
+        interval_ms: 1_200,
         slots: Vec::new(),
+        load: (kind == NodeKind::Agent).then_some(load),
     };
     Frame {
         body: Some(Body::Heartbeat(beat)),
