--- a/router/src/control/mod.rs
+++ b/router/src/control/mod.rs
@@ -37,6 +37,7 @@
 impl Control {
     /// Remembers what a record did to the configuration.
     pub(crate) fn on_applied(&self, applied: &Applied, fold: &Fold) {
+        metrics::gauge!("snipeyoke_config_revision").set(fold.revision().0 as f64);
         let mut history = self.history();
         match applied {
             Applied::Accepted { .. } => {
--- a/router/src/control/records.rs
+++ b/router/src/control/records.rs
@@ -67,7 +67,15 @@
 
     /// Notes the end of an attempt.
     pub(crate) fn ended(&self, now: Time, id: RequestId, attempt: AttemptId, end: &AttemptEnd) {
-        self.journal().on_attempt_end(now, id, attempt, end);
+        let mut journal = self.journal();
+        journal.on_attempt_end(now, id, attempt, end);
+        let found = journal.get(id).and_then(|r| measure_of(r, attempt, now));
+        drop(journal);
+        if let Some((stage, pipeline, took)) = found {
+            let how = ending(end);
+            metrics::counter!("snipeyoke_attempts_total", "pipeline" => pipeline.clone(), "stage" => stage.clone(), "end" => how).increment(1);
+            metrics::histogram!("snipeyoke_attempt_seconds", "pipeline" => pipeline, "stage" => stage).record(took);
+        }
     }
 
     /// Notes the one outcome of a request.
@@ -82,6 +90,20 @@
         let mut journal = self.journal();
         journal.on_finish(now, id, outcome, reason);
         metrics::gauge!("snipeyoke_journal_bytes").set(journal.used().0 as f64);
+        metrics::counter!("snipeyoke_journal_forgotten_total").absolute(journal.forgotten());
+        metrics::counter!("snipeyoke_journal_skipped_total").absolute(journal.skipped());
+        let Some(request) = journal.get(id) else {
+            return;
+        };
+        let pipeline = request.accepted.pipeline.to_string();
+        let took = request.elapsed(now).as_secs_f64();
+        let late = request.is_late(now);
+        drop(journal);
+        if late {
+            metrics::counter!("snipeyoke_requests_late_total", "pipeline" => pipeline.clone())
+                .increment(1);
+        }
+        metrics::histogram!("snipeyoke_request_seconds", "pipeline" => pipeline, "outcome" => outcome.to_string()).record(took);
     }
 
     /// Stops a request; returns whether it runs here.
@@ -130,3 +152,21 @@
         self.running.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
+
+/// Returns the stage, pipeline and seconds of an attempt.
+fn measure_of(request: &Request, attempt: AttemptId, now: Time) -> Option<(String, String, f64)> {
+    let found = request.attempts.iter().rev();
+    let mut found = found.filter(|a| a.decision.attempt == attempt);
+    let found = found.next()?;
+    let stage = found.decision.stage.to_string();
+    let pipeline = request.accepted.pipeline.to_string();
+    Some((stage, pipeline, found.actual(now).as_secs_f64()))
+}
+
+const fn ending(end: &AttemptEnd) -> &'static str {
+    match end {
+        AttemptEnd::Completed => "completed",
+        AttemptEnd::NotRun { .. } => "not-run",
+        AttemptEnd::Unknown { .. } => "unknown",
+    }
+}
--- a/runtime/src/logs.rs
+++ b/runtime/src/logs.rs
@@ -1,5 +1,7 @@
 //! The log lines of a process: key=value pairs on standard error.
 
+mod bound;
+
 use derive_more::Display;
 use derive_more::Error;
 use logforth::append::Stderr;
@@ -9,10 +11,14 @@
 use logforth::filter::rustlog::RustLogFilterBuilder;
 use logforth::layout::LogfmtLayout;
 
+use self::bound::Entry;
+use self::bound::Exit;
+use self::bound::Waiting;
+
 /// The lines that may wait for standard error.
 ///
 /// A slow reader of the log must not block traffic: lines beyond this number
-/// are dropped.
+/// are dropped and counted as `snipeyoke_log_dropped_total`.
 const BUFFER_LINES: usize = 8_192;
 
 /// The reason why the log can't be set up.
@@ -40,12 +46,23 @@
         RustLogFilterBuilder::try_from_spec(filter).map_err(|_malformed| LogsError::Filter {
             filter: filter.to_owned(),
         })?;
-    let stderr = Stderr::default().with_layout(LogfmtLayout::default());
-    let append = AsyncBuilder::new("log")
-        .buffered_lines_limit(Some(BUFFER_LINES))
+    let waiting = Waiting::default();
+    let exit = Exit {
+        inner: Stderr::default().with_layout(LogfmtLayout::default()),
+        waiting: waiting.clone(),
+    };
+    // The queue has room for every line that the entry lets through, and for
+    // one flush; it never drops by itself.
+    let queue = AsyncBuilder::new("log")
+        .buffered_lines_limit(Some(BUFFER_LINES + 1))
         .overflow_drop_incoming()
-        .append(stderr)
+        .append(exit)
         .build();
+    let append = Entry {
+        inner: queue,
+        waiting,
+        limit: BUFFER_LINES,
+    };
     let logger = builder()
         .dispatch(|d| d.filter(spec.build()).append(append))
         .build();
