--- a/cli/src/settings.rs
+++ b/cli/src/settings.rs
@@ -52,7 +52,7 @@
 }
 
 const fn timeout() -> u64 {
-    3_000
+    5_000
 }
 
 /// The checked settings.
