--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -154,8 +154,20 @@
     println!(
         "Ask as an operator, in another terminal:\n  \
          echo '{{\"routers\": [{}], \"key\": \"{OPERATOR_KEY}\"}}' > snipeyoke.jsonc\n  \
-         cargo run --release -p snipeyoke -- -e 'show requests; show endpoints'\n\
-         End with Ctrl-C.",
+         cargo run --release -p snipeyoke -- -e 'show requests; show endpoints'",
         routers.join(", ")
     );
+    println!(
+        "Cut the log off, and bring it back:\n  \
+         curl -s http://{0}/fault -d '{{\"refuse\": true}}'\n  \
+         curl -s http://{0}/fault -d '{{}}'",
+        site.platform
+    );
+    if let Some(endpoint) = site.endpoints.iter().find(|e| e.pool == "copyllm") {
+        println!(
+            "Make {} slow:\n  curl -s http://{}/fault -d '{{\"slow\": 400}}'",
+            endpoint.name, endpoint.address
+        );
+    }
+    println!("End with Ctrl-C.");
 }
