query: blame an attempt for its request's time only

Cause: the story of a request that ended unknown went on counting its attempt: '3.05s instead of 335ms' of a request of 3.00 s, more with each look. Change: an attempt without an end counts up to the request's end; hosts and leases, which a router does not keep, say so instead of 'no rows'; the tool says on a terminal that it waits.

--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -6,11 +6,15 @@
 use std::io::Read;
 use std::io::Write;
 use std::path::PathBuf;
+use std::pin::pin;
 use std::process::ExitCode;
 use std::sync::Arc;
+use std::time::Duration;
 
 use argh::FromArgs;
 use async_executor::Executor;
+use async_io::Timer;
+use futures_lite::FutureExt;
 use futures_lite::future;
 use snipeyoke::exit::Exit;
 use snipeyoke::exit::USAGE;
@@ -54,6 +58,9 @@
     file: Option<PathBuf>,
 }
 
+/// The pause between two lines of progress.
+const PROGRESS: Duration = Duration::from_secs(1);
+
 struct Tool {
     session: Session,
     json: bool,
@@ -149,7 +156,7 @@
 
     async fn carry_out(&mut self, statement: &Statement) -> Result<Exit, Box<dyn Error>> {
         let statement = &self.planned(statement);
-        let report = self.session.run(statement).await;
+        let report = patient(self.session.run(statement)).await;
         self.print(&report)?;
         let Statement::Watch { every, .. } = statement else {
             return Ok(report.exit);
@@ -180,3 +187,23 @@
         out.flush()
     }
 }
+
+/// Says on a terminal that an answer takes long.
+async fn patient<T>(answer: impl Future<Output = T>) -> T {
+    let mut answer = pin!(answer);
+    let mut waited = Duration::ZERO;
+    loop {
+        let early = async { Some(answer.as_mut().await) };
+        let late = async {
+            Timer::after(PROGRESS).await;
+            None
+        };
+        if let Some(answer) = early.or(late).await {
+            return answer;
+        }
+        waited += PROGRESS;
+        if std::io::stderr().is_terminal() {
+            eprintln!("waiting for answers since {} s", waited.as_secs());
+        }
+    }
+}
--- a/lib/src/journal/entry.rs
+++ b/lib/src/journal/entry.rs
@@ -134,8 +134,7 @@
     /// Returns how long the request took, or has taken so far.
     #[must_use]
     pub fn elapsed(&self, now: Time) -> Duration {
-        let until = self.finish.map_or(now, |f| f.at);
-        until.since(self.at)
+        self.until(now).since(self.at)
     }
 
     /// Returns the stage of the latest attempt.
@@ -150,9 +149,18 @@
         self.attempts.last().map(|a| &a.decision.chosen.endpoint)
     }
 
+    /// Returns the request's end, or the present while it runs.
+    ///
+    /// An attempt that had no end by then was given up with the request.
+    #[must_use]
+    pub fn until(&self, now: Time) -> Time {
+        self.finish.map_or(now, |f| f.at)
+    }
+
     /// Returns the attempt whose end was the latest beyond its prediction.
     #[must_use]
     pub fn slowest(&self, now: Time) -> Option<&Attempt> {
+        let now = self.until(now);
         let over = |a: &&Attempt| {
             let predicted = a.decision.chosen.predicted;
             a.actual(now).saturating_sub(predicted)
--- a/lib/src/query/evaluate.rs
+++ b/lib/src/query/evaluate.rs
@@ -155,10 +155,10 @@
             facts.requests(&mut |request| rows.take(&RequestAt { request, now }));
         }
         Subject::Endpoints => take_all(&mut rows, &facts.endpoints()),
-        Subject::Hosts => take_all(&mut rows, &facts.hosts()),
+        Subject::Hosts => take_all(&mut rows, &facts.hosts()?),
         Subject::Domains => take_all(&mut rows, &domains(facts)?),
         Subject::Nodes => take_all(&mut rows, &facts.nodes()),
-        Subject::Leases => take_all(&mut rows, &facts.leases()),
+        Subject::Leases => take_all(&mut rows, &facts.leases()?),
         Subject::Changes => take_all(&mut rows, &facts.changes()),
         Subject::Pipelines | Subject::Bindings | Subject::Accounts | Subject::Pools => {
             configured(&mut rows, facts)?;
@@ -215,7 +215,8 @@
         count: 0,
         active: 0,
     };
-    for host in facts.hosts() {
+    // Endpoints name their domains too, so the host list is not needed for most.
+    for host in facts.hosts().unwrap_or_default() {
         let entry = domains.entry(host.domain.clone());
         entry.or_insert_with(|| fact(&host.domain, host.region));
     }
--- a/lib/src/query/explain.rs
+++ b/lib/src/query/explain.rs
@@ -145,7 +145,7 @@
         return "; no stage was reached".to_owned();
     };
     let predicted = slowest.decision.chosen.predicted;
-    let actual = slowest.actual(now);
+    let actual = slowest.actual(request.until(now));
     let over = actual.saturating_sub(predicted);
     if over < NOTABLE {
         return "; every attempt kept its prediction: the time went between them".to_owned();
--- a/lib/src/query/facts.rs
+++ b/lib/src/query/facts.rs
@@ -53,13 +53,21 @@
     fn endpoints(&self) -> Vec<EndpointFact>;
 
     /// Returns the hosts of the host list.
-    fn hosts(&self) -> Vec<HostFact>;
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`FactError`] if the router does not know them.
+    fn hosts(&self) -> Result<Vec<HostFact>, FactError>;
 
     /// Returns the processes that the router sees, itself included.
     fn nodes(&self) -> Vec<NodeFact>;
 
     /// Returns the leases as the log has them.
-    fn leases(&self) -> Vec<LeaseFact>;
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`FactError`] if the router does not know them.
+    fn leases(&self) -> Result<Vec<LeaseFact>, FactError>;
 
     /// Returns the changes of the configuration, the newest first.
     fn changes(&self) -> Vec<ChangeFact>;
@@ -75,6 +83,14 @@
         /// The request.
         id: RequestId,
     },
+    /// The router keeps nothing of the kind.
+    #[display("this router knows nothing of {what}: {remedy}")]
+    NotKept {
+        /// What was asked for.
+        what: &'static str,
+        /// Where to look.
+        remedy: &'static str,
+    },
     /// A revision is not remembered.
     #[display("revision {asked} is not remembered: ask for one of {first} to {last}")]
     NoRevision {
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -82,16 +82,16 @@
         self.endpoints.clone()
     }
 
-    fn hosts(&self) -> Vec<HostFact> {
-        Vec::new()
+    fn hosts(&self) -> Result<Vec<HostFact>, FactError> {
+        Ok(Vec::new())
     }
 
     fn nodes(&self) -> Vec<NodeFact> {
         Vec::new()
     }
 
-    fn leases(&self) -> Vec<LeaseFact> {
-        Vec::new()
+    fn leases(&self) -> Result<Vec<LeaseFact>, FactError> {
+        Ok(Vec::new())
     }
 
     fn changes(&self) -> Vec<ChangeFact> {
--- a/router/src/control/facts.rs
+++ b/router/src/control/facts.rs
@@ -55,8 +55,11 @@
         self.0.control.sight.endpoints(self.now(), config)
     }
 
-    fn hosts(&self) -> Vec<HostFact> {
-        Vec::new()
+    fn hosts(&self) -> Result<Vec<HostFact>, FactError> {
+        Err(FactError::NotKept {
+            what: "the host list",
+            remedy: "ask 'show nodes' for the hosts of the nodes that it sees",
+        })
     }
 
     fn nodes(&self) -> Vec<NodeFact> {
@@ -65,8 +68,11 @@
         nodes
     }
 
-    fn leases(&self) -> Vec<LeaseFact> {
-        Vec::new()
+    fn leases(&self) -> Result<Vec<LeaseFact>, FactError> {
+        Err(FactError::NotKept {
+            what: "leases",
+            remedy: "look for slots-owned in the agents' logs",
+        })
     }
 
     fn changes(&self) -> Vec<ChangeFact> {
