standin: report the pace of steps as they are of late

Cause: reads of prompts between steps slowed generations well beyond the reported rate: a headline predicted at 430 ms took over 1,470 ms. Conclusion: predictions have what a real engine would tell them.

--- a/standin/src/engine/batch.rs
+++ b/standin/src/engine/batch.rs
@@ -12,6 +12,9 @@
 
 use super::cache::Cache;
 
+/// The share of a new step in the moving mean of step times.
+const PACE_SHARE: f64 = 0.05;
+
 /// What a running generation tells its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Emit {
@@ -95,7 +98,7 @@
 }
 
 /// What the batch holds now.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Level {
     /// Generations at work.
     pub active: usize,
@@ -105,6 +108,8 @@
     pub pending: u64,
     /// Tokens of memory in use.
     pub memory: u32,
+    /// Time of a step as of late, in microseconds; prompts read in between slow it.
+    pub pace: f64,
 }
 
 /// Generations waiting and at work.
@@ -118,6 +123,8 @@
     // Prompt tokens that the step under way reads, by place in `active`.
     reading: Vec<u32>,
     step: Duration,
+    // Moving mean of the time of steps that generate, in microseconds.
+    pace: f64,
     totals: Totals,
     times: Times,
 }
@@ -134,6 +141,7 @@
             serial: 0,
             reading: Vec::new(),
             step: Duration::ZERO,
+            pace: 0.0,
             totals: Totals::default(),
             times: Times::default(),
         }
@@ -218,6 +226,9 @@
         let micros = self.settings.step_us
             + f64::from(decoding) * self.settings.decode_us
             + f64::from(read) * self.settings.prefill_us;
+        if decoding > 0 {
+            self.pace += (micros - self.pace) * PACE_SHARE;
+        }
         self.step = Duration::from_secs_f64(micros / 1e6);
         Some(self.step)
     }
@@ -290,6 +301,7 @@
             queued: self.waiting.len(),
             pending: pending.sum(),
             memory: self.memory,
+            pace: self.pace,
         }
     }
 
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -171,13 +171,18 @@
         let level = report.level;
         let decoding = level.active.max(1) as f64;
         let step_us = settings.step_us + decoding * settings.decode_us;
+        let step_us = if level.active == 0 {
+            step_us
+        } else {
+            step_us.max(level.pace)
+        };
         let chunk = f64::from(settings.chunk);
         let read_us = settings.step_us + chunk * settings.prefill_us;
         let blocks = report.blocks * snipeyoke_lib::prefix::BLOCK_TOKENS;
         let cache = settings.cache_blocks * snipeyoke_lib::prefix::BLOCK_TOKENS;
         let age = u64::try_from((now - at).as_millis()).unwrap_or(u64::MAX);
-        // The rates are those of the engine's design: a straggling engine does
-        // not know that it straggles.
+        // The rates are those of planned steps: a straggling engine does not
+        // know that it straggles.
         json!({
             "seq": report.seq,
             "slots": settings.batch,
