--- a/agent/src/report.rs
+++ b/agent/src/report.rs
@@ -10,6 +10,7 @@
 use snipeyoke_wire::CacheEvents;
 use snipeyoke_wire::Heartbeat;
 use snipeyoke_wire::Load;
+use snipeyoke_wire::OwnedSlot;
 use snipeyoke_wire::frame::Body;
 
 use crate::node::Node;
@@ -121,15 +122,31 @@
 
 /// Builds a heartbeat with the load at this moment.
 pub(crate) fn heartbeat(node: &Node, seq: u64) -> Body {
+    let config = {
+        let fold = node.book.fold();
+        (fold.next(), fold.revision())
+    };
     Body::Heartbeat(Heartbeat {
         incarnation: node.incarnation.0,
         seq,
         draining: node.drain.is_set(),
+        config_offset: config.0.0,
+        config_revision: config.1.0,
         load: Some(node.load()),
+        slots: slots(node),
         ..Heartbeat::default()
     })
 }
 
+fn slots(node: &Node) -> Vec<OwnedSlot> {
+    let owned = node.owner.as_ref().map(|o| o.slots()).unwrap_or_default();
+    let slots = owned.into_iter().map(|(slot, fence)| OwnedSlot {
+        slot: u32::from(slot.number()),
+        fence: fence.0,
+    });
+    slots.collect()
+}
+
 async fn poll(node: &Node) {
     let path = match node.settings.endpoint.kind {
         EndpointKind::Engine => "/load",
--- a/cli/src/report.rs
+++ b/cli/src/report.rs
@@ -23,6 +23,9 @@
 /// The description of the language.
 const HELP: &str = include_str!("help.txt");
 
+/// The integers below this are exact as floats: 2 to the 53rd.
+const EXACT_MAX: f64 = 9_007_199_254_740_992.0;
+
 /// A router that gave no answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Unheard {
@@ -141,7 +144,8 @@
 
     /// Derives the exit from all that came in.
     pub(crate) fn settle(&mut self) {
-        if self.routers.is_empty() {
+        let denied = |u: &Unheard| u.error == AskError::Key;
+        if self.routers.is_empty() && !self.unheard.iter().all(denied) {
             self.exit = self.exit.max(Exit::Unheard);
         }
         if !self.errors.is_empty() {
@@ -232,6 +236,7 @@
         let json = match value {
             Value::Absent => Json::Null,
             Value::Text(text) => json!(text),
+            Value::Number(number) if is_whole(*number) => json!(*number as i64),
             Value::Number(number) => json!(number),
             Value::Interval(interval) => json!(interval.millis()),
             Value::Flag(flag) => json!(flag),
@@ -241,6 +246,11 @@
     Json::Object(object)
 }
 
+/// Tells whether a number is exact as an integer.
+fn is_whole(number: f64) -> bool {
+    number.fract() == 0.0 && number.abs() < EXACT_MAX
+}
+
 fn unheard_lines(unheard: &[Unheard]) -> Vec<String> {
     let line = |u: &Unheard| format!("not asked: {}: {}", u.address, u.error);
     unheard.iter().map(line).collect()
--- a/load/src/scene/mod.rs
+++ b/load/src/scene/mod.rs
@@ -16,5 +16,6 @@
 pub use deployment::Scene;
 pub use deployment::SceneError;
 pub use files::files;
+pub use ports::free as free_port;
 pub use publish::changes;
 pub use publish::records;
--- a/router/src/control/port.rs
+++ b/router/src/control/port.rs
@@ -90,9 +90,7 @@
                 let stopped = self.node.control.records.stop(id);
                 self.reply(StatusCode::OK, vec![Line::Stop { stopped }], 0)
             }
-            Statement::Command(Command::Change(change)) => {
-                self.change(operator, id, &change).await
-            }
+            Statement::Command(Command::Change(change)) => self.change(operator, id, &change).await,
         }
     }
 
