--- a/lib/src/membership/subset.rs
+++ b/lib/src/membership/subset.rs
@@ -44,7 +44,7 @@
 /// Returns how many of `pool` agents a router links to.
 ///
 /// All, while routers are few. With more routers the links of an agent stay at
-/// [`IN_DEGREE`] in expectation, but for pools so small that [`DEGREE_MIN`]
+/// `IN_DEGREE` in expectation, but for pools so small that `DEGREE_MIN`
 /// binds; there the heartbeat pace bounds the bytes instead.
 #[must_use]
 pub fn degree(pool: usize, routers: usize) -> usize {
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -266,7 +266,7 @@
 
     /// Drains: steps aside, takes nothing new, finishes what runs, and ends.
     ///
-    /// For [`ASIDE`] it still serves while `/readyz` says no, so that the
+    /// For `ASIDE` it still serves while `/readyz` says no, so that the
     /// platform's balancer has gone elsewhere before the first refusal.
     pub async fn drain(&self, source: Source) {
         let board = &self.node.board;
