runtime: start both programs from one place

Cause: the two main.rs were the same but for four words. Conclusion: a process starts, checks its settings and leaves in one way.

--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -12,6 +12,7 @@
 mod orders;
 mod owner;
 mod peers;
+mod program;
 mod report;
 pub mod settings;
 mod sse;
--- /dev/null
+++ b/agent/src/program.rs
@@ -0,0 +1,36 @@
+//! The agent as a program of its own.
+
+use snipeyoke_lib::drain::Source;
+use snipeyoke_runtime::program::Program;
+use snipeyoke_runtime::threads::Execs;
+
+use crate::node::Agent;
+use crate::node::StartError;
+use crate::settings::Settings;
+
+impl Program for Agent {
+    const NAME: &'static str = "snipeyoke-agent";
+
+    type Settings = Settings;
+    type StartError = StartError;
+
+    fn log_filter(settings: &Settings) -> &str {
+        &settings.raw.log
+    }
+
+    fn thread_count(settings: &Settings) -> usize {
+        settings.raw.threads
+    }
+
+    fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
+        Self::start(settings, execs)
+    }
+
+    async fn told_to_leave(&self) {
+        Self::told_to_leave(self).await;
+    }
+
+    async fn drain(&self, source: Source) {
+        Self::drain(self, source).await;
+    }
+}
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod members;
 mod node;
 mod outcomes;
+mod program;
 pub mod settings;
 mod snapshots;
 
--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod logs;
 pub mod measures;
 pub mod platform;
+pub mod program;
 pub mod scope;
 pub mod settings;
 pub mod signals;
