--- a/router/src/snapshots.rs
+++ b/router/src/snapshots.rs
@@ -33,10 +33,10 @@
 ///
 /// All routers find it due at about the same time. Each waits a random part of
 /// this, and the first one's snapshot spares the others theirs.
-const SPREAD: Duration = Duration::from_secs(20);
+const SPREAD: Duration = Duration::from_secs(5);
 
 /// The pause between two looks.
-const LOOK: Duration = Duration::from_secs(5);
+const LOOK: Duration = Duration::from_secs(1);
 
 /// What is known of the log's topic.
 #[derive(Debug, Clone, Copy, Default)]
--- a/site/tests/test_state.rs
+++ b/site/tests/test_state.rs
@@ -1,6 +1,7 @@
 //! Keys and configuration over real sockets.
 
 use std::net::SocketAddr;
+use std::path::Path;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -11,9 +12,12 @@
 use serde_json::Value;
 use serde_json::json;
 use snipeyoke_lib::config::Change;
+use snipeyoke_router::Router;
+use snipeyoke_router::settings::Settings;
 use snipeyoke_runtime::http::Client;
 use snipeyoke_runtime::http::collect;
 use snipeyoke_runtime::scope::Scope;
+use snipeyoke_runtime::settings;
 use snipeyoke_runtime::threads::Threads;
 use snipeyoke_site::Site;
 use snipeyoke_site::vestlandsprint;
@@ -27,6 +31,12 @@
 /// The pause between two tries.
 const PAUSE: Duration = Duration::from_millis(50);
 
+/// The records that the log keeps: fewer than there are, more than a snapshot lacks.
+const KEPT: usize = 100;
+
+/// The time within which a due snapshot is published.
+const SNAPSHOT_LIMIT: Duration = Duration::from_secs(8);
+
 struct Seen {
     status: u16,
     outcome: String,
@@ -164,3 +174,62 @@
         panic!("the router did not learn the configuration");
     });
 }
+
+#[test]
+fn a_router_behind_retention_recovers_from_a_snapshot() {
+    // A router starts after retention took the first changes. What is left are
+    // changes on revisions that it never saw, and it would refuse its callers
+    // for good. The routers that saw them have published a snapshot in time.
+    let threads = Threads::start(2).expect("threads start");
+    future::block_on(async {
+        let mut plan = vestlandsprint();
+        plan.platform.keep_records = KEPT;
+        let site = Site::start(&plan, &threads.execs()).await;
+        let mut site = site.expect("the site starts");
+        site.change(&many_changes())
+            .await
+            .expect("the log takes them");
+        Timer::after(SNAPSHOT_LIMIT).await;
+        site.change(&many_changes())
+            .await
+            .expect("the log takes them");
+        let settings = lone_router(site.platform);
+        let router = Router::start(settings, &threads.execs()).expect("the router starts");
+        let scope = Scope::new(threads.execs().traffic);
+        let caller = Caller(Client::new(scope.clone(), Duration::from_secs(1)));
+        let mut ready = false;
+        for _try in 0..TRIES {
+            let seen = caller.get(router.callers(), "/readyz").await;
+            ready = seen.is_some_and(|seen| seen.status == 200);
+            if ready {
+                break;
+            }
+            Timer::after(PAUSE).await;
+        }
+        assert!(ready, "the router found a snapshot");
+        router.stop().await;
+        site.stop().await;
+        scope.cancel().await;
+    });
+    threads.join();
+}
+
+/// More changes than make a snapshot due, fewer than retention keeps.
+fn many_changes() -> Vec<Change> {
+    let deadlines = (0..70).map(|index| 2_000 + index);
+    let changes = deadlines.map(|deadline_ms| Change::SetDeadline {
+        pipeline: "proof-approve".parse().expect("a name"),
+        deadline_ms,
+    });
+    changes.collect()
+}
+
+fn lone_router(platform: SocketAddr) -> Settings {
+    let listen = "127.0.0.1:0";
+    let settings = json!({
+        "node": "late", "host": "late", "domain": "late", "region": "late",
+        "listen": {"callers": listen, "control": listen, "peers": listen},
+        "platform": platform,
+    });
+    settings::parse(Path::new("late"), &settings.to_string()).expect("the settings are good")
+}
