--- a/agent/src/lib.rs
+++ b/agent/src/lib.rs
@@ -6,8 +6,10 @@
 mod calls;
 mod endpoint;
 mod gate;
+mod hosts;
 mod node;
 mod once;
+mod orders;
 mod owner;
 mod peers;
 mod report;
