once: let a release tell the newest key that was taken in

Cause: whenever a slot moved, fresh keys were told unknown for the 2 s of the skew, although the leaving owner knows exactly what it took in. Change: a release carries the newest issue of a key under each lease; the next owner vouches for every later key at once. Conclusion: only crashes cost the skew.

--- a/agent/src/owner.rs
+++ b/agent/src/owner.rs
@@ -109,7 +109,12 @@
     pub(crate) fn admit(&self, key: &OnceKey) -> Verdict {
         let mut state = self.state();
         let held = self.held(&state, key);
-        state.gate.admit(Clock::wall(), key, held)
+        let verdict = state.gate.admit(Clock::wall(), key, held);
+        if verdict == Verdict::Run {
+            let lease = key.slot().lease(state.share.pool());
+            state.holder.note_used(&lease, key.issued());
+        }
+        verdict
     }
 
     /// Checks the lease; nothing may come between this and the effect.
--- a/lib/examples/capacity.rs
+++ b/lib/examples/capacity.rs
@@ -298,7 +298,7 @@
     let mut gate = OnceGate::new(limits);
     let held = Held {
         fence: FencingNumber(1),
-        since: WallTime::from_millis(1),
+        before: WallTime::from_millis(1),
         until: Time::NEVER,
     };
     let started = Instant::now();
--- a/lib/src/lease/fold.rs
+++ b/lib/src/lease/fold.rs
@@ -6,12 +6,13 @@
 use crate::ids::FencingNumber;
 use crate::ids::Offset;
 use crate::lease::Claimed;
-use crate::lease::Hold;
 use crate::lease::LeaseHolder;
 use crate::lease::LeaseName;
 use crate::lease::LeaseRecord;
+use crate::lease::Released;
 use crate::lease::record::wait_for;
 use crate::time::Time;
+use crate::time::WallTime;
 
 /// How long a lease that ran out is remembered.
 const MEMORY: Duration = Duration::from_hours(1);
@@ -30,6 +31,8 @@
     tenure: Option<Tenure>,
     newest: Offset,
     free_at: Time,
+    /// What the last holder said when it gave the lease up.
+    used: Option<WallTime>,
 }
 
 /// The leases as far as one reader knows them.
@@ -88,6 +91,14 @@
         self.start == Offset(0) && !self.forgot && !self.leases.contains_key(lease)
     }
 
+    /// Returns the newest issue of a key under a lease that was given up.
+    ///
+    /// `None` if the lease is held, ran out, or was never held.
+    #[must_use]
+    pub fn used(&self, lease: &LeaseName) -> Option<WallTime> {
+        self.leases.get(lease)?.used
+    }
+
     /// Returns the leases under a prefix that are not free.
     pub fn taken<'a>(
         &'a self,
@@ -130,8 +141,8 @@
                 }
             }
             Some(LeaseRecord::Release { leases, .. }) => {
-                for hold in leases {
-                    self.release(offset, hold);
+                for released in leases {
+                    self.release(offset, released);
                 }
             }
             None => {}
@@ -165,18 +176,25 @@
             tenure: None,
             newest: offset,
             free_at,
+            used: None,
         });
         state.newest = offset;
+        state.used = None;
         state.free_at = state.free_at.max(free_at);
         state
     }
 
-    fn release(&mut self, offset: Offset, hold: &Hold) {
-        let state = self.touch(&hold.lease, offset, Time::ZERO);
+    fn release(&mut self, offset: Offset, released: &Released) {
+        let state = self.touch(&released.lease, offset, Time::ZERO);
         // A former holder that wakes up may release what is no longer its own.
-        if state.tenure.as_ref().is_some_and(|t| t.fence == hold.fence) {
+        if state
+            .tenure
+            .as_ref()
+            .is_some_and(|t| t.fence == released.fence)
+        {
             state.tenure = None;
             state.free_at = Time::ZERO;
+            state.used = Some(released.used);
         }
     }
 
--- a/lib/src/lease/holder.rs
+++ b/lib/src/lease/holder.rs
@@ -12,8 +12,10 @@
 use crate::lease::LeaseName;
 use crate::lease::LeaseRecord;
 use crate::lease::LeaseTerm;
+use crate::lease::Released;
 use crate::log::AppendEnd;
 use crate::log::Backoff;
+use crate::once::after_skew;
 use crate::record::Body;
 use crate::record::Record;
 use crate::record::RecordId;
@@ -38,6 +40,8 @@
     pub read_back: bool,
     /// A successor waits the term and the drift out.
     pub wait_out: bool,
+    /// A release tells the newest key that was taken in.
+    pub used: bool,
 }
 
 impl LeaseGuards {
@@ -47,6 +51,7 @@
         from_send: true,
         read_back: true,
         wait_out: true,
+        used: true,
     };
 }
 
@@ -55,8 +60,8 @@
 pub struct Held {
     /// The fencing number: the offset of the claim.
     pub fence: FencingNumber,
-    /// The time of day just before the claim was first sent.
-    pub since: WallTime,
+    /// No key issued later can have been taken in by an earlier holder.
+    pub before: WallTime,
     /// When the lease runs out on this process's clock.
     pub until: Time,
 }
@@ -65,9 +70,8 @@
 struct Sent {
     record: LeaseRecord,
     at: Time,
-    wall: WallTime,
-    /// The leases of a claim that no record had named before.
-    new: BTreeSet<LeaseName>,
+    /// For each lease of a claim, what [`Held::before`] will be.
+    before: BTreeMap<LeaseName, WallTime>,
 }
 
 /// The leases of one incarnation of a process.
@@ -79,6 +83,8 @@
     fold: LeaseFold,
     wanted: BTreeSet<LeaseName>,
     held: BTreeMap<LeaseName, Held>,
+    /// The newest issue of a key taken in under each lease held.
+    used: BTreeMap<LeaseName, WallTime>,
     sent: BTreeMap<RecordId, Sent>,
     flying: Option<RecordId>,
     renewed: Time,
@@ -109,6 +115,7 @@
             fold: LeaseFold::new(start),
             wanted: BTreeSet::new(),
             held: BTreeMap::new(),
+            used: BTreeMap::new(),
             sent: BTreeMap::new(),
             flying: None,
             renewed: Time::ZERO,
@@ -241,18 +248,13 @@
         let tenure = self.fold.tenure(lease);
         let won = tenure.is_some_and(|t| t.fence == fence && t.holder == self.me);
         if won || !self.guards.read_back {
-            // Nobody can have run a key under a lease that never was: the first
-            // owner vouches for keys of any age.
-            let since = if sent.new.contains(lease) {
-                WallTime::default()
-            } else {
-                sent.wall
-            };
+            let before = sent.before.get(lease).copied();
             let held = Held {
                 fence,
-                since,
+                before: before.unwrap_or(WallTime::from_millis(u64::MAX)),
                 until,
             };
+            self.used.remove(lease);
             self.held.insert(lease.clone(), held);
         }
     }
@@ -300,8 +302,7 @@
         let sent = Sent {
             record: step.clone(),
             at: now,
-            wall,
-            new: self.never_named(&step),
+            before: self.bounds(&step, wall),
         };
         self.sent.insert(id, sent);
         if self.sent.len() > SENT_MAX {
@@ -315,12 +316,33 @@
         })
     }
 
-    fn never_named(&self, step: &LeaseRecord) -> BTreeSet<LeaseName> {
+    /// Notes that a key is taken in under a lease that is held.
+    pub fn note_used(&mut self, lease: &LeaseName, issued: WallTime) {
+        if self.guards.used {
+            let newest = self.used.entry(lease.clone()).or_default();
+            *newest = issued.max(*newest);
+        }
+    }
+
+    fn bounds(&self, step: &LeaseRecord, wall: WallTime) -> BTreeMap<LeaseName, WallTime> {
         let LeaseRecord::Claim { leases, .. } = step else {
-            return BTreeSet::new();
+            return BTreeMap::new();
         };
         let names = leases.iter().map(|claimed| &claimed.lease);
-        names.filter(|l| self.fold.is_new(l)).cloned().collect()
+        let bounds = names.map(|lease| (lease.clone(), self.bound(lease, wall)));
+        bounds.collect()
+    }
+
+    /// Returns the newest issue that a key of an earlier holder can have.
+    ///
+    /// A holder that gave the lease up has said so. One that just ran out took
+    /// keys in until then, before this claim is sent: the clock of day tells,
+    /// give or take the skew. A lease that never was had no holder.
+    fn bound(&self, lease: &LeaseName, wall: WallTime) -> WallTime {
+        if self.fold.is_new(lease) {
+            return WallTime::default();
+        }
+        self.fold.used(lease).unwrap_or_else(|| after_skew(wall))
     }
 
     /// Tells whether an append was sent and its record not read back yet.
@@ -350,7 +372,7 @@
             .held
             .iter()
             .filter(|(lease, _)| !wanted.contains(*lease));
-        let leases: Vec<_> = surplus.map(hold).collect();
+        let leases: Vec<_> = surplus.map(|entry| self.released(entry)).collect();
         if leases.is_empty() {
             return None;
         }
@@ -361,6 +383,15 @@
         })
     }
 
+    fn released(&self, (lease, held): (&LeaseName, &Held)) -> Released {
+        let used = self.used.get(lease).copied().unwrap_or_default();
+        Released {
+            lease: lease.clone(),
+            fence: held.fence,
+            used: used.max(held.before),
+        }
+    }
+
     fn renewal(&self, now: Time) -> Option<LeaseRecord> {
         let due = self.renewed + self.term.term() / RENEWALS <= now;
         (due && !self.held.is_empty()).then(|| LeaseRecord::Renew {
--- a/lib/src/lease/mod.rs
+++ b/lib/src/lease/mod.rs
@@ -18,3 +18,4 @@
 pub use record::LeaseRecord;
 pub use record::LeaseTerm;
 pub use record::LeaseTermError;
+pub use record::Released;
--- a/lib/src/lease/record.rs
+++ b/lib/src/lease/record.rs
@@ -12,6 +12,7 @@
 use crate::ids::Incarnation;
 use crate::ids::NodeId;
 use crate::ids::Offset;
+use crate::time::WallTime;
 
 /// The longest name of a lease, in bytes: two names and a few characters.
 pub const LEASE_NAME_MAX: usize = 160;
@@ -99,6 +100,18 @@
     pub fence: FencingNumber,
 }
 
+/// One lease that its holder gives up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct Released {
+    /// The lease.
+    pub lease: LeaseName,
+    /// The offset of the claim.
+    pub fence: FencingNumber,
+    /// No key issued later was ever taken in under the lease.
+    pub used: WallTime,
+}
+
 /// A step in the life of leases.
 #[derive(Debug, Clone, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -127,7 +140,7 @@
         /// The holder.
         holder: LeaseHolder,
         /// The leases.
-        leases: Vec<Hold>,
+        leases: Vec<Released>,
     },
 }
 
--- a/lib/src/once/gate.rs
+++ b/lib/src/once/gate.rs
@@ -6,7 +6,6 @@
 use crate::once::KeyError;
 use crate::once::OnceEnd;
 use crate::once::OnceKey;
-use crate::once::key::after_skew;
 use crate::once::table::Answer;
 use crate::once::table::Entry;
 use crate::once::table::KeyRef;
@@ -123,7 +122,8 @@
     /// Decides on a call, given the lease of its slot as held at this moment.
     ///
     /// [`Verdict::Run`] enters the key into the table: end it with
-    /// [`Self::end`], whatever happens.
+    /// [`Self::end`], whatever happens, and tell the holder of the lease by
+    /// [`crate::lease::Holder::note_used`] under the same lock.
     pub fn admit(&mut self, wall: WallTime, key: &OnceKey, held: Option<Held>) -> Verdict {
         let name = KeyRef::from(key);
         if let Some(entry) = self.table.get(&name) {
@@ -159,10 +159,9 @@
             }
             return Ok(());
         };
-        // An earlier owner may have run the key and died with its answer. It
-        // took keys in until its lease ran out, before this claim was sent, so
-        // each of them was issued before that, give or take the clocks' skew.
-        if self.guards.issue && key.issued() <= after_skew(held.since) {
+        // An earlier owner may have run the key and died with its answer. What
+        // it took in was issued no later than this bound.
+        if self.guards.issue && key.issued() <= held.before {
             return Err(Verdict::Unknown);
         }
         if self.table.may_have_held(key.issued()) {
--- a/lib/src/once/mod.rs
+++ b/lib/src/once/mod.rs
@@ -22,6 +22,7 @@
 pub use key::OnceKey;
 pub use key::SKEW;
 pub use key::SLOTS;
+pub(crate) use key::after_skew;
 pub use share::SlotShare;
 pub use slots::SlotMap;
 pub use table::Answer;
--- a/lib/tests/test_once_scenarios.rs
+++ b/lib/tests/test_once_scenarios.rs
@@ -85,6 +85,7 @@
                 let index = self.agent(agent);
                 self.world.step(Step::Cut(index, number(ms).unsigned_abs()));
             }
+            ["leave", agent] => self.world.step(Step::Leave(self.agent(agent))),
             ["kill", agent] => self.world.step(Step::Kill(self.agent(agent))),
             ["log", "down"] => self.world.step(Step::Down),
             ["log", "mute"] => self.world.step(Step::Mute),
--- a/lib/tests/test_once_schedules.rs
+++ b/lib/tests/test_once_schedules.rs
@@ -73,6 +73,11 @@
     caught("lease.wait_out", |g| g.lease.wait_out = false);
 }
 
+#[test]
+fn needs_lease_used() {
+    caught("lease.used", |g| g.lease.used = false);
+}
+
 #[test]
 fn needs_once_lease() {
     caught("once.lease", |g| g.once.lease = false);
--- a/lib/testutils/src/world/agent.rs
+++ b/lib/testutils/src/world/agent.rs
@@ -1,5 +1,6 @@
 //! One agent of the simulated pool.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use snipeyoke_lib::ids::Incarnation;
@@ -40,6 +41,8 @@
     pub paused: u64,
     /// Until when it can't reach the log.
     pub cut: u64,
+    /// Whether it gives its slots up.
+    pub leaving: bool,
     /// Whether a read is under way.
     pub reading: bool,
     /// Its leases.
@@ -72,6 +75,7 @@
             alive: true,
             paused: 0,
             cut: 0,
+            leaving: false,
             reading: false,
             share: SlotShare::among(slots(), &pool(), &me),
             holder: Holder::with_guards(me, term, from, index, guards.lease),
@@ -101,7 +105,11 @@
 
     /// Updates the wanted leases.
     pub fn plan(&mut self, real: u64) {
-        let wanted = self.share.wanted(&self.holder, self.clock(real));
+        let wanted = if self.leaving {
+            BTreeSet::new()
+        } else {
+            self.share.wanted(&self.holder, self.clock(real))
+        };
         self.holder.want(wanted);
     }
 }
--- a/lib/testutils/src/world/mod.rs
+++ b/lib/testutils/src/world/mod.rs
@@ -79,6 +79,8 @@
     Pause(usize, u64),
     /// An agent dies and a new incarnation starts.
     Kill(usize),
+    /// An agent gives its slots up in good order and starts anew.
+    Leave(usize),
     /// An agent is cut off from the log for milliseconds.
     Cut(usize, u64),
     /// The log goes away.
@@ -181,6 +183,11 @@
             }
             Step::Pause(index, ms) => self.agents[index].paused = self.now + ms * 1_000,
             Step::Kill(index) => self.kill(index),
+            Step::Leave(index) => {
+                self.agents[index].leaving = true;
+                self.run_until(self.now + 600_000);
+                self.kill(index);
+            }
             Step::Cut(index, ms) => self.agents[index].cut = self.now + ms * 1_000,
             Step::Down => self.log.down = true,
             Step::Mute => self.log.mute = true,
@@ -456,6 +463,8 @@
         }
         match verdict {
             Verdict::Run => {
+                let lease = key.slot().lease(&pool());
+                agent.holder.note_used(&lease, key.issued());
                 let delay = self.delay();
                 self.after(delay, Event::Start(index, inc, caller, number));
             }
--- a/lib/testutils/src/world/schedule.rs
+++ b/lib/testutils/src/world/schedule.rs
@@ -34,6 +34,7 @@
         8 => (0..8_usize, target()).prop_map(|(back, to)| Step::Retry(back, to)),
         2 => (0..AGENTS, 100..8_000_u64).prop_map(|(index, ms)| Step::Pause(index, ms)),
         1 => (0..AGENTS).prop_map(Step::Kill),
+        1 => (0..AGENTS).prop_map(Step::Leave),
         1 => (0..AGENTS, 500..8_000_u64).prop_map(|(index, ms)| Step::Cut(index, ms)),
         1 => Just(Step::Down),
         1 => Just(Step::Mute),
