--- a/lib/src/lease/holder.rs
+++ b/lib/src/lease/holder.rs
@@ -5,17 +5,13 @@
 
 use crate::ids::FencingNumber;
 use crate::ids::Offset;
-use crate::lease::Claimed;
-use crate::lease::Hold;
 use crate::lease::LeaseFold;
 use crate::lease::LeaseHolder;
 use crate::lease::LeaseName;
 use crate::lease::LeaseRecord;
 use crate::lease::LeaseTerm;
-use crate::lease::Released;
 use crate::log::AppendEnd;
 use crate::log::Backoff;
-use crate::once::after_skew;
 use crate::record::Body;
 use crate::record::Record;
 use crate::record::RecordId;
@@ -23,7 +19,7 @@
 use crate::time::WallTime;
 
 /// Renewals that fit in one term: two may fail before the lease runs out.
-const RENEWALS: u32 = 3;
+pub(super) const RENEWALS: u32 = 3;
 
 /// The records under way that are remembered until they are read back.
 const SENT_MAX: usize = 16;
@@ -77,17 +73,17 @@
 /// The leases of one incarnation of a process.
 #[derive(Debug, Clone)]
 pub struct Holder {
-    me: LeaseHolder,
-    term: LeaseTerm,
+    pub(super) me: LeaseHolder,
+    pub(super) term: LeaseTerm,
     guards: LeaseGuards,
-    fold: LeaseFold,
-    wanted: BTreeSet<LeaseName>,
-    held: BTreeMap<LeaseName, Held>,
+    pub(super) fold: LeaseFold,
+    pub(super) wanted: BTreeSet<LeaseName>,
+    pub(super) held: BTreeMap<LeaseName, Held>,
     /// The newest issue of a key taken in under each lease held.
-    used: BTreeMap<LeaseName, WallTime>,
+    pub(super) used: BTreeMap<LeaseName, WallTime>,
     sent: BTreeMap<RecordId, Sent>,
     flying: Option<RecordId>,
-    renewed: Time,
+    pub(super) renewed: Time,
     resume: Time,
     backoff: Backoff,
 }
@@ -324,27 +320,6 @@
         }
     }
 
-    fn bounds(&self, step: &LeaseRecord, wall: WallTime) -> BTreeMap<LeaseName, WallTime> {
-        let LeaseRecord::Claim { leases, .. } = step else {
-            return BTreeMap::new();
-        };
-        let names = leases.iter().map(|claimed| &claimed.lease);
-        let bounds = names.map(|lease| (lease.clone(), self.bound(lease, wall)));
-        bounds.collect()
-    }
-
-    /// Returns the newest issue that a key of an earlier holder can have.
-    ///
-    /// A holder that gave the lease up has said so. One that just ran out took
-    /// keys in until then, before this claim is sent: the clock of day tells,
-    /// give or take the skew. A lease that never was had no holder.
-    fn bound(&self, lease: &LeaseName, wall: WallTime) -> WallTime {
-        if self.fold.is_new(lease) {
-            return WallTime::default();
-        }
-        self.fold.used(lease).unwrap_or_else(|| after_skew(wall))
-    }
-
     /// Tells whether an append was sent and its record not read back yet.
     #[must_use]
     pub const fn is_waiting(&self) -> bool {
@@ -366,61 +341,6 @@
         }
     }
 
-    fn release(&mut self) -> Option<LeaseRecord> {
-        let wanted = &self.wanted;
-        let surplus = self
-            .held
-            .iter()
-            .filter(|(lease, _)| !wanted.contains(*lease));
-        let leases: Vec<_> = surplus.map(|entry| self.released(entry)).collect();
-        if leases.is_empty() {
-            return None;
-        }
-        self.held.retain(|lease, _| wanted.contains(lease));
-        Some(LeaseRecord::Release {
-            holder: self.me.clone(),
-            leases,
-        })
-    }
-
-    fn released(&self, (lease, held): (&LeaseName, &Held)) -> Released {
-        let used = self.used.get(lease).copied().unwrap_or_default();
-        Released {
-            lease: lease.clone(),
-            fence: held.fence,
-            used: used.max(held.before),
-        }
-    }
-
-    fn renewal(&self, now: Time) -> Option<LeaseRecord> {
-        let due = self.renewed + self.term.term() / RENEWALS <= now;
-        (due && !self.held.is_empty()).then(|| LeaseRecord::Renew {
-            holder: self.me.clone(),
-            leases: self.held.iter().map(hold).collect(),
-            term_ms: self.term_ms(),
-        })
-    }
-
-    fn claim(&self, now: Time) -> Option<LeaseRecord> {
-        let missing = self.wanted.iter().filter(|l| !self.held.contains_key(*l));
-        let free = missing.filter(|lease| self.claim_at(lease) <= now);
-        let leases: Vec<_> = free
-            .map(|lease| Claimed {
-                lease: lease.clone(),
-                after: self.fold.next(),
-            })
-            .collect();
-        (!leases.is_empty()).then(|| LeaseRecord::Claim {
-            holder: self.me.clone(),
-            leases,
-            term_ms: self.term_ms(),
-        })
-    }
-
-    fn term_ms(&self) -> u64 {
-        u64::try_from(self.term.term().as_millis()).unwrap_or(u64::MAX)
-    }
-
     /// Takes the end of the append of a record.
     ///
     /// [`AppendEnd::Done`] proves no lease: another claim may stand before it.
@@ -448,10 +368,3 @@
         }
     }
 }
-
-fn hold((lease, held): (&LeaseName, &Held)) -> Hold {
-    Hold {
-        lease: lease.clone(),
-        fence: held.fence,
-    }
-}
--- a/lib/src/lease/mod.rs
+++ b/lib/src/lease/mod.rs
@@ -3,6 +3,7 @@
 mod fold;
 mod holder;
 mod record;
+mod steps;
 
 pub use fold::LeaseFold;
 pub use fold::Tenure;
--- a/lib/testutils/src/world/mod.rs
+++ b/lib/testutils/src/world/mod.rs
@@ -4,8 +4,10 @@
 //! any moment. Everything follows from the steps and the seed.
 
 mod agent;
+mod caller;
 mod log;
 mod schedule;
+mod step;
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -25,15 +27,19 @@
 use snipeyoke_lib::record::RecordId;
 use uuid::Uuid;
 
+use self::caller::Caller;
 pub use agent::Agent;
 pub use agent::KEYS;
 pub use agent::pool;
 pub use agent::slots;
 pub use agent::wall;
+pub use caller::Told;
 pub use log::FakeLog;
 pub use schedule::run;
 pub use schedule::schedule;
 pub use schedule::schedules;
+pub use step::Step;
+pub use step::Target;
 
 /// The agents of a world.
 pub const AGENTS: usize = 3;
@@ -57,64 +63,6 @@
     };
 }
 
-/// Where a call goes.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Target {
-    /// To the agent that holds the key's slot, or the first one.
-    Owner,
-    /// To an agent, whatever it holds.
-    Agent(usize),
-}
-
-/// One thing that happens to a world.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Step {
-    /// Time passes.
-    Wait(u64),
-    /// A caller issues a key with its clock off by milliseconds, and calls.
-    Call(i64, Target),
-    /// The caller of the key issued so many keys ago calls again.
-    Retry(usize, Target),
-    /// An agent stands still for milliseconds.
-    Pause(usize, u64),
-    /// An agent dies and a new incarnation starts.
-    Kill(usize),
-    /// An agent gives its slots up in good order and starts anew.
-    Leave(usize),
-    /// An agent is cut off from the log for milliseconds.
-    Cut(usize, u64),
-    /// The log goes away.
-    Down,
-    /// The log takes effect but its answers are lost.
-    Mute,
-    /// The log is well again.
-    Up,
-    /// Effects take so many milliseconds to reach the endpoint from now on.
-    Slow(u64),
-    /// Retention takes the records older than milliseconds, always more than a term.
-    Retain(u64),
-}
-
-/// What a caller was told about one try.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Told {
-    /// The answer.
-    Completed(Answer),
-    /// Not run, and why.
-    NotRun(String),
-    /// It may have run.
-    Unknown,
-    /// The key was used with another body.
-    Conflict,
-}
-
-#[derive(Debug, Clone)]
-struct Caller {
-    key: OnceKey,
-    tries: Vec<Option<Told>>,
-    effects: u32,
-}
-
 #[derive(Debug, Clone)]
 enum Event {
     Tick(usize),
@@ -515,20 +463,3 @@
         }
     }
 }
-
-impl Caller {
-    fn fault(&self) -> Option<String> {
-        if self.effects > 1 {
-            return Some(format!("{} effects", self.effects));
-        }
-        let refused = |t: &Option<Told>| matches!(t, Some(Told::NotRun(_)));
-        if self.effects > 0 && self.tries.iter().all(refused) {
-            return Some("ran, and every try was told that it did not".to_owned());
-        }
-        let completed = |t: &Option<Told>| matches!(t, Some(Told::Completed(_)));
-        if self.effects == 0 && self.tries.iter().any(completed) {
-            return Some("answered without an effect".to_owned());
-        }
-        None
-    }
-}
--- a/router/src/drive/mod.rs
+++ b/router/src/drive/mod.rs
@@ -1,13 +1,14 @@
 //! Drives a request's chain: carries out its actions, feeds it events.
 
 mod answer;
+mod ends;
 mod resolve;
 mod run;
 mod work;
 
 pub(crate) use answer::Finish;
 pub(crate) use answer::Up;
+pub(crate) use resolve::Once;
 pub(crate) use run::Job;
-pub(crate) use run::Once;
 pub(crate) use run::drive;
 pub(crate) use work::Work;
--- a/router/src/drive/resolve.rs
+++ b/router/src/drive/resolve.rs
@@ -14,6 +14,7 @@
 use snipeyoke_lib::time::Time;
 use snipeyoke_wire::Call;
 use snipeyoke_wire::End;
+use snipeyoke_wire::OnceKey;
 use snipeyoke_wire::Reply;
 
 use crate::agents::Input;
@@ -29,6 +30,13 @@
 /// The time left before the deadline in which the answer still gets out.
 const MARGIN: Duration = Duration::from_millis(20);
 
+/// The idempotency key of a request that may run only once.
+#[derive(Debug, Clone)]
+pub(crate) struct Once {
+    pub(crate) key: OnceKey,
+    pub(crate) slot: KeySlot,
+}
+
 /// A call to be resolved.
 #[derive(Debug)]
 pub(crate) struct Resolve {
--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -19,22 +19,22 @@
 use snipeyoke_lib::config::StageRole;
 use snipeyoke_lib::ids::AttemptId;
 use snipeyoke_lib::ids::EndpointId;
-use snipeyoke_lib::once::KeySlot;
 use snipeyoke_lib::outcome::AttemptEnd;
 use snipeyoke_lib::outcome::Outcome;
 use snipeyoke_lib::outcome::Reason;
 use snipeyoke_lib::time::Time;
-use snipeyoke_lib::units::Tokens;
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::logs;
 use snipeyoke_wire::Call;
-use snipeyoke_wire::End;
-use snipeyoke_wire::OnceKey;
-use snipeyoke_wire::Reply;
-use snipeyoke_wire::Role;
 
 use super::answer::Finish;
 use super::answer::Up;
+use super::ends::end_of;
+use super::ends::missing_end;
+use super::ends::moved;
+use super::ends::role_of;
+use super::ends::usage_of;
+use super::resolve::Once;
 use super::resolve::Resolve;
 use super::work::Taken;
 use super::work::Work;
@@ -43,13 +43,6 @@
 use crate::agents::Signal;
 use crate::node::Node;
 
-/// The idempotency key of a request that may run only once.
-#[derive(Debug, Clone)]
-pub(crate) struct Once {
-    pub(crate) key: OnceKey,
-    pub(crate) slot: KeySlot,
-}
-
 /// A request as the door hands it over.
 #[derive(Debug)]
 pub(crate) struct Job {
@@ -493,24 +486,6 @@
     }
 }
 
-/// Tells why the end of a call is not known, if it isn't.
-fn missing_end(signal: &Signal) -> Option<Reason> {
-    match signal {
-        Signal::Lost { written: true } => Some(Reason::Connection),
-        Signal::Reply(reply) if reply.end() == End::Unknown => {
-            let reason = reply.reason.parse().unwrap_or(Reason::EndpointFailure);
-            // A conflict is an answer: the key stands for another body.
-            (reason != Reason::KeyConflict).then_some(reason)
-        }
-        _ => None,
-    }
-}
-
-/// Tells whether an agent refused a call because it does not own its slot.
-fn moved(signal: &Signal) -> bool {
-    matches!(signal, Signal::Reply(reply) if reply.end() == End::NotRun)
-}
-
 struct Sending {
     attempt: AttemptId,
     stage: usize,
@@ -518,46 +493,3 @@
     priority: u8,
     resume: u32,
 }
-
-const fn role_of(role: StageRole) -> Role {
-    match role {
-        StageRole::Encode => Role::Encode,
-        StageRole::Retrieve => Role::Retrieve,
-        StageRole::Rerank => Role::Rerank,
-        StageRole::Generate => Role::Generate,
-        StageRole::Call => Role::Call,
-    }
-}
-
-fn usage_of(reply: &Reply) -> Usage {
-    Usage {
-        queue: Duration::from_micros(reply.queue_us),
-        work: Duration::from_micros(reply.work_us),
-        cached: Tokens(reply.cached_tokens),
-        output: Tokens(reply.output_tokens),
-    }
-}
-
-/// Reads an attempt's answer out of its reply, or how else it ended.
-///
-/// An answer that lacks what its role promises is no answer: taken as
-/// completed it would reach the caller as a half result.
-fn end_of(work: &Work, role: StageRole, reply: &Reply) -> Result<Taken, AttemptEnd> {
-    let reason = reply.reason.parse().unwrap_or(Reason::EndpointFailure);
-    match reply.end() {
-        End::Completed => work.read(role, &reply.body).map_err(|error| {
-            log::warn!(event = "answer-malformed", error = error.to_string().as_str(); "");
-            let reason = Reason::EndpointFailure;
-            AttemptEnd::Unknown { reason }
-        }),
-        End::NotRun => {
-            let after = Duration::from_millis(u64::from(reply.retry_after_ms));
-            let retry_after = (reply.retry_after_ms > 0).then_some(after);
-            Err(AttemptEnd::NotRun {
-                reason,
-                retry_after,
-            })
-        }
-        End::Unknown | End::Unspecified => Err(AttemptEnd::Unknown { reason }),
-    }
-}
