membership: tell a pause of its own from the silence of others

Cause: a router that was paused would have found all its peers silent, and a silent agent was barred only by the age of its reports, after 3 s. Change: no judgement for 0.7 s after a late wake-up; a silent agent is barred at once.

--- a/lib/src/membership/view/mod.rs
+++ b/lib/src/membership/view/mod.rs
@@ -30,6 +30,12 @@
 use crate::ids::PoolName;
 use crate::time::Time;
 
+/// How late a wake-up must be to count as a pause of this process.
+const PAUSE_MIN: Duration = Duration::from_millis(300);
+
+/// How long nobody is judged by silence after a pause.
+const PAUSE_CALM: Duration = Duration::from_millis(700);
+
 /// The settings of a view.
 #[derive(Debug, Clone, Copy)]
 pub struct ViewSettings {
@@ -109,6 +115,8 @@
     leaving: bool,
     changed: bool,
     due: Due,
+    /// Until then nobody is judged by silence.
+    calm: Time,
     wake: Time,
 }
 
@@ -129,6 +137,7 @@
             leaving: false,
             changed: true,
             due: Due::default(),
+            calm: Time::ZERO,
             wake: Time::ZERO,
         }
     }
@@ -166,6 +175,7 @@
 
     /// Takes in an event and returns what to do.
     pub fn handle(&mut self, now: Time, event: Event) -> Vec<Action> {
+        self.notice_pause(now);
         let mut out = Vec::new();
         match event {
             Event::Seeds(seeds) => {
@@ -201,6 +211,18 @@
         out
     }
 
+    /// Holds judgement after a pause of this very process.
+    ///
+    /// Heartbeats that came meanwhile still wait to be read. Judged before
+    /// them, every peer would look silent, and the node that slept would refuse
+    /// all work for want of endpoints.
+    fn notice_pause(&mut self, now: Time) {
+        let slept = self.wake > Time::ZERO && now.since(self.wake) > PAUSE_MIN;
+        if slept {
+            self.calm = now + PAUSE_CALM;
+        }
+    }
+
     /// Applies `change` to a member and reports a change of its state.
     fn update(&mut self, node: &NodeId, out: &mut Vec<Action>, change: impl FnOnce(&mut Member)) {
         let Some(member) = self.members.get_mut(node) else {
--- a/lib/src/membership/view/plan.rs
+++ b/lib/src/membership/view/plan.rs
@@ -29,6 +29,7 @@
 
 impl View {
     pub(super) fn advance(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.due.judge = self.due.judge.max(self.calm);
         if now >= self.due.judge {
             self.judge(now, out);
         }
--- a/router/src/members.rs
+++ b/router/src/members.rs
@@ -249,8 +249,9 @@
         return;
     };
     let mut shared = node.shared();
-    // A slow peer is barred by the age of its reports; one that is alive again
-    // on the same link must be let in, as nothing else would.
+    // A peer that falls silent is barred at once: the age of its last report
+    // would bar it only after three seconds. One that is alive again on the
+    // same link must be let in, as nothing else would.
     match (to, member.incarnation()) {
         (PeerState::Alive, Some(life)) if from != PeerState::Unheard => {
             let (domain, region) = (&profile.domain, &profile.region);
@@ -258,6 +259,7 @@
                 .fleet
                 .upsert(endpoint.clone(), pool.clone(), domain, region, life);
         }
+        (PeerState::Slow, _) if from == PeerState::Alive => shared.fleet.gone(endpoint),
         (PeerState::CutOff | PeerState::Dead, _) => shared.fleet.gone(endpoint),
         _ => {}
     }
