--- a/lib/src/routing/policy.rs
+++ b/lib/src/routing/policy.rs
@@ -67,6 +67,8 @@
     pub why: Why,
     /// The predicted seconds to the answer.
     pub predicted: f32,
+    /// The predicted seconds if the endpoint keeps its promises.
+    pub plain: f32,
     /// The two next best, with their predicted seconds.
     pub others: [Option<(usize, f32)>; 2],
 }
@@ -89,6 +91,7 @@
 /// The policies that settings can name.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 #[derive(Display, FromStr, Serialize, Deserialize)]
+#[from_str(rename_all = "kebab-case")]
 #[serde(rename_all = "kebab-case")]
 pub enum PolicyKind {
     /// The endpoint with the least predicted lateness and cost.
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -19,6 +19,7 @@
 use snipeyoke_lib::ids::HostId;
 use snipeyoke_lib::ids::IdError;
 use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::ids::Region;
 use snipeyoke_lib::membership;
@@ -43,6 +44,7 @@
 
 use crate::agents::AgentLink;
 use crate::control::drains;
+use crate::follow;
 use crate::members::Entry;
 use crate::node::Node;
 
@@ -363,6 +365,7 @@
 
 fn report(node: &Node, peer: &Peer, link: &AgentLink, heartbeat: &Heartbeat) {
     let now = node.clock.now();
+    follow::level(node, link, Offset(heartbeat.config_offset));
     node.slots()
         .report(&peer.pool, &peer.endpoint, &slots(heartbeat));
     let mut load = heartbeat.load.as_ref().map(load_report);
@@ -398,6 +401,12 @@
             link.on_reply(reply);
         }
         Body::Told(told) => link.on_told(told),
+        Body::ConfigAsk(ask) => {
+            if let Some(offer) = node.book.offer(Offset(ask.have)) {
+                link.pass_on(Body::ConfigOffer(offer));
+            }
+        }
+        Body::ConfigOffer(offer) => follow::offered(node, link, &offer),
         Body::Cache(events) => {
             node.shared()
                 .fleet
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -12,6 +12,7 @@
 mod node;
 mod outcomes;
 pub mod settings;
+mod snapshots;
 
 pub use node::Router;
 pub use node::StartError;
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -34,6 +34,8 @@
 use snipeyoke_lib::routing::RoundRobin;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Tokens;
+use snipeyoke_runtime::board::Fact;
+use snipeyoke_runtime::book::Book;
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Bounds;
@@ -62,6 +64,8 @@
 use crate::settings::PolicyName;
 use crate::settings::Raw;
 use crate::settings::Settings;
+use crate::snapshots;
+use crate::snapshots::Seen;
 
 /// The version of the frames between processes.
 const PROTOCOL: u32 = 1;
@@ -99,6 +103,10 @@
     pub(crate) incarnation: Incarnation,
     pub(crate) clock: Clock,
     pub(crate) board: Board,
+    /// The configuration as it is read and passed on.
+    pub(crate) book: Book,
+    /// What was last read of the configuration's topic.
+    pub(crate) log_seen: Fact<Seen>,
     pub(crate) agents: Agents,
     pub(crate) members: Members,
     pub(crate) admission: Admission,
@@ -206,6 +214,7 @@
         control.spawn(members::follow_hosts(Arc::clone(&node), hosts));
         control.spawn(admission::run(Arc::clone(&node)));
         control.spawn(follow::run(Arc::clone(&node), Arc::clone(&log)));
+        control.spawn(snapshots::run(Arc::clone(&node), Arc::clone(&log)));
         let port = Arc::new(Port::new(Arc::clone(&node), log));
         // Operators look most of all while a router drains, so their port stays
         // open until it stops.
@@ -340,6 +349,8 @@
         incarnation,
         clock: Clock::start(),
         board: Board::new(),
+        book: Book::default(),
+        log_seen: Fact::new(Seen::default()),
         agents: Agents::default(),
         members,
         admission: Admission::new(Time::ZERO, raw.routers.len() + 1),
