control: show the host list and the other routers

Cause: 'show hosts' had nothing, 'show nodes' no other router. Change: what the membership view and the host list say is kept for operators. Conclusion: a partition shows as a router that is not fresh.

--- a/router/src/control/facts.rs
+++ b/router/src/control/facts.rs
@@ -56,14 +56,17 @@
     }
 
     fn hosts(&self) -> Result<Vec<HostFact>, FactError> {
-        Err(FactError::NotKept {
+        let config = &self.0.board.config.get().config;
+        let hosts = self.0.control.peers.hosts(config);
+        hosts.ok_or(FactError::NotKept {
             what: "the host list",
-            remedy: "ask 'show nodes' for the hosts of the nodes that it sees",
+            remedy: "it was never read: look after the platform, or ask 'show nodes'",
         })
     }
 
     fn nodes(&self) -> Vec<NodeFact> {
         let mut nodes = vec![own(self.0)];
+        nodes.extend(self.0.control.peers.routers(self.now()));
         nodes.extend(self.0.control.sight.agents(self.now()));
         nodes
     }
--- a/router/src/control/mod.rs
+++ b/router/src/control/mod.rs
@@ -4,6 +4,7 @@
 mod changes;
 pub(crate) mod drains;
 mod facts;
+mod peers;
 mod port;
 mod records;
 mod sight;
@@ -17,6 +18,7 @@
 use snipeyoke_lib::config::Fold;
 use snipeyoke_lib::query::History;
 
+pub(crate) use self::peers::Peers;
 pub(crate) use self::port::Port;
 pub(crate) use self::records::Records;
 pub(crate) use self::sight::Sight;
@@ -29,6 +31,8 @@
     pub(crate) records: Records,
     /// The endpoints that it sees.
     pub(crate) sight: Sight,
+    /// The hosts and other routers.
+    pub(crate) peers: Peers,
     /// The operators who wait for a change to be read back.
     pub(crate) waiters: Waiters,
     history: Mutex<History>,
--- a/router/src/members.rs
+++ b/router/src/members.rs
@@ -245,6 +245,7 @@
         return;
     };
     let profile = &member.profile;
+    node.control.peers.state(node.clock.now(), profile, to);
     let (Some(endpoint), Some(pool)) = (&profile.endpoint, &profile.pool) else {
         return;
     };
@@ -270,8 +271,11 @@
             node.board.stop.wait().await;
             None
         };
-        // An empty list names nobody and so tells nothing.
         let list = hosts.list().or(stopped).await;
+        if let Some(list) = &list {
+            node.control.peers.listed(list);
+        }
+        // An empty list names nobody and so tells nothing.
         if let Some(list) = list.filter(|l| !l.is_empty()) {
             node.members.tell(Event::HostList(list));
         }
--- a/site/tests/test_operators.rs
+++ b/site/tests/test_operators.rs
@@ -242,6 +242,21 @@
         assert!(report.text().contains("not asked: 127.0.0.1:9"));
         let table = report.table.expect("the answer has rows");
         let id = table.rows[0].0[0].to_string();
+        let nodes = run(&mut operator, "show nodes where kind = router by node").await;
+        assert!(
+            count(&nodes, "vestlandsprint-router-0") >= 1,
+            "{}",
+            nodes.text()
+        );
+        let mut hosts = run(&mut operator, "show hosts").await;
+        for _look in 0..50 {
+            if hosts.table.is_some() {
+                break;
+            }
+            operator.pause(Duration::from_millis(100)).await;
+            hosts = run(&mut operator, "show hosts").await;
+        }
+        assert!(hosts.table.is_some(), "{}", hosts.text());
         let story = run(&mut operator, &format!("explain {id}")).await.text();
         assert!(
             story.contains("came") && story.contains("answered"),
