--- a/router/src/control/changes.rs
+++ b/router/src/control/changes.rs
@@ -13,12 +13,14 @@
 use snipeyoke_lib::log::Topic;
 use snipeyoke_lib::query::ChangeAnswer;
 use snipeyoke_lib::query::ChangeCommand;
+use snipeyoke_lib::query::Facts;
 use snipeyoke_lib::query::difference;
 use snipeyoke_lib::record::Author;
 use snipeyoke_lib::record::Body;
 use snipeyoke_lib::record::Record;
 use snipeyoke_lib::record::RecordId;
 
+use super::facts::NodeFacts;
 use super::waiters::Waiter;
 use crate::node::Node;
 
@@ -47,7 +49,7 @@
     let in_force = node.board.config.get();
     let base = command.base.unwrap_or(in_force.revision);
     // The words are checked on the configuration that the operator saw.
-    let seen = match node.control.history().at(Some(base)) {
+    let seen = match NodeFacts(node).config(Some(base)) {
         Ok(seen) => seen.config,
         Err(error) => return invalid(&error),
     };
