--- a/load/src/scene/ports.rs
+++ b/load/src/scene/ports.rs
@@ -14,6 +14,9 @@
 /// The number of ports tried.
 const COUNT: u16 = 12_000;
 
+/// The ports between the starts of two processes with neighbouring ids.
+const SPREAD: u32 = 997;
+
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
 /// Returns an address that was free a moment ago.
@@ -22,8 +25,9 @@
 ///
 /// Returns the system's last error when every port is taken.
 pub fn free() -> io::Result<SocketAddr> {
-    // Two runs on one host start at different places.
-    let offset = u16::try_from(std::process::id() % u32::from(COUNT)).unwrap_or_default();
+    // Two runs on one host start at different places, also with neighbouring ids.
+    let spread = std::process::id().wrapping_mul(SPREAD) % u32::from(COUNT);
+    let offset = u16::try_from(spread).unwrap_or_default();
     let mut last = io::Error::from(io::ErrorKind::AddrInUse);
     for _try in 0..COUNT {
         let next = NEXT.fetch_add(1, Ordering::Relaxed) % COUNT;
