--- a/load/src/args.rs
+++ b/load/src/args.rs
@@ -6,6 +6,8 @@
 use argh::FromArgs;
 use snipeyoke_load::experiment::FaultKind;
 
+use crate::rolling::Rolling;
+
 /// Open-loop load, experiments and reports for snipeyoke. Exit code 0: all
 /// promises kept; 1: it could not run; 2: a promise was broken.
 #[derive(Debug)]
@@ -23,6 +25,7 @@
     Experiment(Experiment),
     Report(Report),
     Check(Check),
+    Rolling(Rolling),
     Chaos(Chaos),
     Overhead(Overhead),
     Publish(Publish),
@@ -152,6 +155,9 @@
     /// seconds with faults
     #[argh(option, default = "60")]
     pub seconds: u64,
+    /// the mean pause between two faults, in milliseconds
+    #[argh(option, default = "500")]
+    pub pause: u64,
     /// keys a second
     #[argh(option, default = "40.0")]
     pub rate: f64,
--- a/router/src/door/mod.rs
+++ b/router/src/door/mod.rs
@@ -10,10 +10,14 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
 use hyper::Method;
 use hyper::StatusCode;
+use hyper::header::CONNECTION;
+use hyper::header::HeaderValue;
 use snipeyoke_lib::ids::RequestId;
+use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::http::Handler;
 use snipeyoke_runtime::http::Reply;
 use snipeyoke_runtime::http::Request;
@@ -28,6 +32,9 @@
 use crate::control::drains;
 use crate::node::Node;
 
+/// How long a new router waits to meet an endpoint of each pool.
+const MEET_MAX: Duration = Duration::from_secs(5);
+
 /// The path prefix of plain requests and of questions about requests.
 const REQUESTS: &str = "/v1/requests/";
 
@@ -42,6 +49,17 @@
         Self { node }
     }
 
+    async fn answer(&self, request: Request) -> Reply {
+        let mut reply = self.route(request).await;
+        // Closed after its answer, a connection can't meet the close with the
+        // next request half way, which its caller could not tell from a failure.
+        if self.node.board.aside.is_set() {
+            let close = HeaderValue::from_static("close");
+            reply.headers_mut().insert(CONNECTION, close);
+        }
+        reply
+    }
+
     async fn route(&self, request: Request) -> Reply {
         let id = RequestId(Uuid::now_v7());
         let path = request.uri().path().to_owned();
@@ -65,22 +83,41 @@
         })
     }
 
+    /// Tells whether each pool has an endpoint that takes work.
+    ///
+    /// A balancer that came before would find a router that refuses all. A pool
+    /// without any endpoint must not keep the router out for good, though.
+    fn has_met(&self) -> bool {
+        let now = self.node.clock.now();
+        if now.since(Time::ZERO) > MEET_MAX {
+            return true;
+        }
+        let config = self.node.board.config.get();
+        let shared = self.node.shared();
+        let mut pools = config.config.pools.keys();
+        pools.all(|name| shared.fleet.pool(name).is_some_and(|p| p.is_usable(now)))
+    }
+
     fn readiness(&self) -> StatusCode {
         let board = &self.node.board;
         let fact = board.config.get();
         // The balancer stops sending callers here, and may start again when the
         // drain ends; what comes meanwhile is served.
         let drained = drains::covers_self(&fact.config, &self.node.settings);
-        if board.drain.is_set() || drained || !fact.is_known() {
+        if board.aside.is_set() || drained || !fact.is_known() {
+            return StatusCode::SERVICE_UNAVAILABLE;
+        }
+        if !board.met.is_set() && !self.has_met() {
             return StatusCode::SERVICE_UNAVAILABLE;
         }
+        board.met.set();
         StatusCode::OK
     }
 }
 
 impl Handler for Door {
     fn handle(&self, request: Request) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>> {
-        Box::pin(self.route(request))
+        Box::pin(self.answer(request))
     }
 }
 
--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -8,9 +8,11 @@
 mod door;
 mod drive;
 mod follow;
+mod members;
 mod node;
 mod outcomes;
 pub mod settings;
+mod snapshots;
 
 pub use node::Router;
 pub use node::StartError;
