--- a/router/src/lib.rs
+++ b/router/src/lib.rs
@@ -8,6 +8,7 @@
 mod door;
 mod drive;
 mod follow;
+mod members;
 mod node;
 mod outcomes;
 pub mod settings;
