router: tell the other routers the demand on limits

Cause: each router admitted a whole limit, as it heard of no other. The frame carries levels, and the sender's time of day as its number.

--- a/router/src/admission.rs
+++ b/router/src/admission.rs
@@ -13,10 +13,16 @@
 use snipeyoke_lib::chain::Shared;
 use snipeyoke_lib::chain::Spec;
 use snipeyoke_lib::config::Config;
+use snipeyoke_lib::ids::NodeId;
+use snipeyoke_lib::limits::AccountUse;
 use snipeyoke_lib::limits::Limiter;
 use snipeyoke_lib::outcome::Reason;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Tokens;
+use snipeyoke_runtime::clock::Clock;
+use snipeyoke_wire::AccountUsage;
+use snipeyoke_wire::Usage;
+use snipeyoke_wire::frame::Body;
 
 use crate::node::Node;
 
@@ -61,6 +67,12 @@
             .inspect_err(|_refusal| limiter.done(now, &spec.account, expected, Tokens(0)))
     }
 
+    /// Takes in what another router is asked for.
+    pub(crate) fn on_usage(&self, now: Time, peer: &NodeId, usage: &Usage) {
+        let uses = usage.accounts.iter().filter_map(heard).collect();
+        self.limiter().on_peer(now, peer, usage.seq, uses);
+    }
+
     /// Notes the end of a request that was taken on.
     pub(crate) fn done(&self, now: Time, spec: &Spec, used: Tokens) {
         self.limiter()
@@ -84,6 +96,33 @@
         };
         pause.or(node.board.stop.wait()).await;
         let now = node.clock.now();
-        let _report = node.admission.limiter().tick(now);
+        let uses = node.admission.limiter().tick(now);
+        let usage = Usage {
+            seq: Clock::wall().as_millis(),
+            accounts: uses.iter().map(told).collect(),
+        };
+        node.members.tell_routers(&Body::Usage(usage));
+    }
+}
+
+fn told(own: &AccountUse) -> AccountUsage {
+    AccountUsage {
+        account: own.account.to_string(),
+        requests: own.requests,
+        tokens: own.tokens,
+        active: own.active,
     }
 }
+
+// A peer of another release, or a broken one, may tell of names or numbers that
+// no router can have; one of these in the sum would void the share of all.
+fn heard(theirs: &AccountUsage) -> Option<AccountUse> {
+    let sound = |rate: f64| rate.is_finite() && rate >= 0.0;
+    let account = theirs.account.parse().ok()?;
+    (sound(theirs.requests) && sound(theirs.tokens)).then_some(AccountUse {
+        account,
+        requests: theirs.requests,
+        tokens: theirs.tokens,
+        active: theirs.active,
+    })
+}
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -190,7 +190,7 @@
             return Err(error);
         }
     };
-    let entry = node.members.open(sender.clone());
+    let entry = node.members.open(sender.clone(), &met.profile);
     node.members.tell(Event::LinkUp {
         link: entry.link,
         dialed,
@@ -341,6 +341,10 @@
                 }
                 log::info!(event = "peer-leaves", link = entry.link.0, reason = goodbye.reason.as_str(); "");
             }
+            Some(Body::Usage(usage)) => {
+                let now = node.clock.now();
+                node.admission.on_usage(now, &entry.peer, &usage);
+            }
             Some(body) => {
                 if let Some(peer) = peer {
                     receive(node, peer, link, body);
--- a/router/src/members.rs
+++ b/router/src/members.rs
@@ -43,6 +43,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Entry {
     pub(crate) link: LinkId,
+    pub(crate) peer: NodeId,
+    kind: NodeKind,
     pub(crate) sender: LinkSender,
     /// Set once the view takes the link for the peer's.
     pub(crate) admitted: Flag,
@@ -81,11 +83,13 @@
     }
 
     /// Notes a link on which the peer said hello.
-    pub(crate) fn open(&self, sender: LinkSender) -> Entry {
+    pub(crate) fn open(&self, sender: LinkSender, profile: &Profile) -> Entry {
         let mut links = self.links();
         links.next += 1;
         let entry = Entry {
             link: LinkId(links.next),
+            peer: profile.node.clone(),
+            kind: profile.kind,
             sender,
             admitted: Flag::default(),
             retired: Flag::default(),
@@ -108,6 +112,17 @@
         }
     }
 
+    /// Sends a frame to every linked router.
+    pub(crate) fn tell_routers(&self, body: &Body) {
+        let links = self.links();
+        let routers = links.open.values().filter(|e| e.kind == NodeKind::Router);
+        for entry in routers {
+            if let Err(error) = entry.sender.send(body.clone()) {
+                log::debug!(event = "frame-dropped", error = error.to_string().as_str(); "");
+            }
+        }
+    }
+
     fn get(&self, link: LinkId) -> Option<Entry> {
         self.links().open.get(&link).cloned()
     }
