--- a/lib/src/routing/fleet.rs
+++ b/lib/src/routing/fleet.rs
@@ -110,10 +110,12 @@
     }
 
     /// Notes that an endpoint can't be reached any more.
+    ///
+    /// What is known of its cache stays for its return: links are replaced more
+    /// often than caches are lost, and agents tell only what is new.
     pub fn gone(&mut self, endpoint: &EndpointId) {
         if let Some((pool, slot)) = self.find_mut(endpoint) {
             pool.endpoints[slot].present = false;
-            pool.holders.clear(slot);
         }
     }
 
--- a/lib/src/routing/pool.rs
+++ b/lib/src/routing/pool.rs
@@ -148,6 +148,7 @@
         let free = |e: &Endpoint| !e.present && e.outstanding == 0;
         if let Some(slot) = self.endpoints.iter().position(free) {
             self.endpoints[slot] = endpoint;
+            self.holders.clear(slot);
             return slot;
         }
         self.endpoints.push(endpoint);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -8,6 +8,7 @@
 mod test_config_fold;
 mod test_config_model;
 mod test_drain;
+mod test_fleet;
 mod test_journal;
 mod test_limits;
 mod test_membership;
