--- a/lib/src/lease/mod.rs
+++ b/lib/src/lease/mod.rs
@@ -3,6 +3,7 @@
 mod fold;
 mod holder;
 mod record;
+mod steps;
 
 pub use fold::LeaseFold;
 pub use fold::Tenure;
@@ -18,3 +19,4 @@
 pub use record::LeaseRecord;
 pub use record::LeaseTerm;
 pub use record::LeaseTermError;
+pub use record::Released;
