limits: hold accounts above their share to 80% of the deadline, not 60%

Cause: what predicted did not attain was refused, while answers came in time: the heavy accounts were held to 54% of a deadline that the usual answer needs 45% of. Change: 80% instead of 60%.

--- a/lib/src/limits/fair.rs
+++ b/lib/src/limits/fair.rs
@@ -12,7 +12,7 @@
 const FORGET: f64 = 1e-3;
 
 /// The part of its budget that an account far above its share may plan with.
-const STRICTEST: f64 = 0.6;
+const STRICTEST: f64 = 0.8;
 
 /// The recent use of endpoints by each account.
 #[derive(Debug, Clone, Default)]
