membership: test that a lost echo bars a peer

Cause: taking the echo check out failed no test, since the mesh ends a link that loses one direction. Change: a test of the detector on a link that stays open. Conclusion: one-way loss is covered on both kinds of links.

--- a/lib/tests/test_membership.rs
+++ b/lib/tests/test_membership.rs
@@ -13,11 +13,15 @@
 use proptest::test_runner::RngAlgorithm;
 use proptest::test_runner::TestRng;
 use proptest::test_runner::TestRunner;
+use snipeyoke_lib::ids::Incarnation;
 use snipeyoke_lib::ids::NodeId;
+use snipeyoke_lib::membership::Beat;
 use snipeyoke_lib::membership::Candidate;
+use snipeyoke_lib::membership::Detector;
 use snipeyoke_lib::membership::PeerState;
 use snipeyoke_lib::membership::Place;
 use snipeyoke_lib::membership::Profile;
+use snipeyoke_lib::membership::Timing;
 use snipeyoke_lib::membership::ViewSettings;
 use snipeyoke_lib::membership::choose;
 use snipeyoke_lib::membership::degree;
@@ -429,3 +433,36 @@
         "the last came back after {last:?}"
     );
 }
+
+#[test]
+fn a_peer_that_no_longer_hears_us_is_cut_off_although_we_hear_it() {
+    // The caller waits for calls that never arrive. The network loses what goes
+    // to the agent and delivers what comes from it, on a link that stays open.
+    // Its heartbeats stop echoing ours, which alone bars it; it returns when the
+    // echo does.
+    let mut detector = Detector::new(Timing::default());
+    let life = Incarnation(1);
+    let beat = |seq, seen| Beat {
+        incarnation: life,
+        seq,
+        seen,
+        draining: false,
+        pace: Duration::ZERO,
+    };
+    let mut states = Vec::new();
+    detector.link_up(Time::ZERO, life);
+    for seq in 1..=60u64 {
+        let now = Time::from_millis(seq * 500);
+        detector.sent(now, seq);
+        let heard_by_peer = if (10..40).contains(&seq) { 10 } else { seq };
+        detector.heard(now, beat(seq, heard_by_peer));
+        if states.last() != Some(&detector.state()) {
+            states.push(detector.state());
+        }
+    }
+    let (alive, cut, slow) = (PeerState::Alive, PeerState::CutOff, PeerState::Slow);
+    assert!(
+        states == [alive, cut, alive] || states == [alive, cut, slow, alive],
+        "{states:?}"
+    );
+}
