--- a/lib/src/lease/holder.rs
+++ b/lib/src/lease/holder.rs
@@ -5,8 +5,6 @@
 
 use crate::ids::FencingNumber;
 use crate::ids::Offset;
-use crate::lease::Claimed;
-use crate::lease::Hold;
 use crate::lease::LeaseFold;
 use crate::lease::LeaseHolder;
 use crate::lease::LeaseName;
@@ -21,7 +19,7 @@
 use crate::time::WallTime;
 
 /// Renewals that fit in one term: two may fail before the lease runs out.
-const RENEWALS: u32 = 3;
+pub(super) const RENEWALS: u32 = 3;
 
 /// The records under way that are remembered until they are read back.
 const SENT_MAX: usize = 16;
@@ -38,6 +36,8 @@
     pub read_back: bool,
     /// A successor waits the term and the drift out.
     pub wait_out: bool,
+    /// A release tells the newest key that was taken in.
+    pub used: bool,
 }
 
 impl LeaseGuards {
@@ -47,6 +47,7 @@
         from_send: true,
         read_back: true,
         wait_out: true,
+        used: true,
     };
 }
 
@@ -55,8 +56,8 @@
 pub struct Held {
     /// The fencing number: the offset of the claim.
     pub fence: FencingNumber,
-    /// The time of day just before the claim was first sent.
-    pub since: WallTime,
+    /// No key issued later can have been taken in by an earlier holder.
+    pub before: WallTime,
     /// When the lease runs out on this process's clock.
     pub until: Time,
 }
@@ -65,23 +66,24 @@
 struct Sent {
     record: LeaseRecord,
     at: Time,
-    wall: WallTime,
-    /// The leases of a claim that no record had named before.
-    new: BTreeSet<LeaseName>,
+    /// For each lease of a claim, what [`Held::before`] will be.
+    before: BTreeMap<LeaseName, WallTime>,
 }
 
 /// The leases of one incarnation of a process.
 #[derive(Debug, Clone)]
 pub struct Holder {
-    me: LeaseHolder,
-    term: LeaseTerm,
+    pub(super) me: LeaseHolder,
+    pub(super) term: LeaseTerm,
     guards: LeaseGuards,
-    fold: LeaseFold,
-    wanted: BTreeSet<LeaseName>,
-    held: BTreeMap<LeaseName, Held>,
+    pub(super) fold: LeaseFold,
+    pub(super) wanted: BTreeSet<LeaseName>,
+    pub(super) held: BTreeMap<LeaseName, Held>,
+    /// The newest issue of a key taken in under each lease held.
+    pub(super) used: BTreeMap<LeaseName, WallTime>,
     sent: BTreeMap<RecordId, Sent>,
     flying: Option<RecordId>,
-    renewed: Time,
+    pub(super) renewed: Time,
     resume: Time,
     backoff: Backoff,
 }
@@ -109,6 +111,7 @@
             fold: LeaseFold::new(start),
             wanted: BTreeSet::new(),
             held: BTreeMap::new(),
+            used: BTreeMap::new(),
             sent: BTreeMap::new(),
             flying: None,
             renewed: Time::ZERO,
@@ -241,18 +244,13 @@
         let tenure = self.fold.tenure(lease);
         let won = tenure.is_some_and(|t| t.fence == fence && t.holder == self.me);
         if won || !self.guards.read_back {
-            // Nobody can have run a key under a lease that never was: the first
-            // owner vouches for keys of any age.
-            let since = if sent.new.contains(lease) {
-                WallTime::default()
-            } else {
-                sent.wall
-            };
+            let before = sent.before.get(lease).copied();
             let held = Held {
                 fence,
-                since,
+                before: before.unwrap_or(WallTime::from_millis(u64::MAX)),
                 until,
             };
+            self.used.remove(lease);
             self.held.insert(lease.clone(), held);
         }
     }
@@ -300,8 +298,7 @@
         let sent = Sent {
             record: step.clone(),
             at: now,
-            wall,
-            new: self.never_named(&step),
+            before: self.bounds(&step, wall),
         };
         self.sent.insert(id, sent);
         if self.sent.len() > SENT_MAX {
@@ -315,12 +312,12 @@
         })
     }
 
-    fn never_named(&self, step: &LeaseRecord) -> BTreeSet<LeaseName> {
-        let LeaseRecord::Claim { leases, .. } = step else {
-            return BTreeSet::new();
-        };
-        let names = leases.iter().map(|claimed| &claimed.lease);
-        names.filter(|l| self.fold.is_new(l)).cloned().collect()
+    /// Notes that a key is taken in under a lease that is held.
+    pub fn note_used(&mut self, lease: &LeaseName, issued: WallTime) {
+        if self.guards.used {
+            let newest = self.used.entry(lease.clone()).or_default();
+            *newest = issued.max(*newest);
+        }
     }
 
     /// Tells whether an append was sent and its record not read back yet.
@@ -344,52 +341,6 @@
         }
     }
 
-    fn release(&mut self) -> Option<LeaseRecord> {
-        let wanted = &self.wanted;
-        let surplus = self
-            .held
-            .iter()
-            .filter(|(lease, _)| !wanted.contains(*lease));
-        let leases: Vec<_> = surplus.map(hold).collect();
-        if leases.is_empty() {
-            return None;
-        }
-        self.held.retain(|lease, _| wanted.contains(lease));
-        Some(LeaseRecord::Release {
-            holder: self.me.clone(),
-            leases,
-        })
-    }
-
-    fn renewal(&self, now: Time) -> Option<LeaseRecord> {
-        let due = self.renewed + self.term.term() / RENEWALS <= now;
-        (due && !self.held.is_empty()).then(|| LeaseRecord::Renew {
-            holder: self.me.clone(),
-            leases: self.held.iter().map(hold).collect(),
-            term_ms: self.term_ms(),
-        })
-    }
-
-    fn claim(&self, now: Time) -> Option<LeaseRecord> {
-        let missing = self.wanted.iter().filter(|l| !self.held.contains_key(*l));
-        let free = missing.filter(|lease| self.claim_at(lease) <= now);
-        let leases: Vec<_> = free
-            .map(|lease| Claimed {
-                lease: lease.clone(),
-                after: self.fold.next(),
-            })
-            .collect();
-        (!leases.is_empty()).then(|| LeaseRecord::Claim {
-            holder: self.me.clone(),
-            leases,
-            term_ms: self.term_ms(),
-        })
-    }
-
-    fn term_ms(&self) -> u64 {
-        u64::try_from(self.term.term().as_millis()).unwrap_or(u64::MAX)
-    }
-
     /// Takes the end of the append of a record.
     ///
     /// [`AppendEnd::Done`] proves no lease: another claim may stand before it.
@@ -417,10 +368,3 @@
         }
     }
 }
-
-fn hold((lease, held): (&LeaseName, &Held)) -> Hold {
-    Hold {
-        lease: lease.clone(),
-        fence: held.fence,
-    }
-}
--- a/router/src/members.rs
+++ b/router/src/members.rs
@@ -43,6 +43,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Entry {
     pub(crate) link: LinkId,
+    pub(crate) peer: NodeId,
+    kind: NodeKind,
     pub(crate) sender: LinkSender,
     /// Set once the view takes the link for the peer's.
     pub(crate) admitted: Flag,
@@ -81,11 +83,13 @@
     }
 
     /// Notes a link on which the peer said hello.
-    pub(crate) fn open(&self, sender: LinkSender) -> Entry {
+    pub(crate) fn open(&self, sender: LinkSender, profile: &Profile) -> Entry {
         let mut links = self.links();
         links.next += 1;
         let entry = Entry {
             link: LinkId(links.next),
+            peer: profile.node.clone(),
+            kind: profile.kind,
             sender,
             admitted: Flag::default(),
             retired: Flag::default(),
@@ -108,6 +112,17 @@
         }
     }
 
+    /// Sends a frame to every linked router.
+    pub(crate) fn tell_routers(&self, body: &Body) {
+        let links = self.links();
+        let routers = links.open.values().filter(|e| e.kind == NodeKind::Router);
+        for entry in routers {
+            if let Err(error) = entry.sender.send(body.clone()) {
+                log::debug!(event = "frame-dropped", error = error.to_string().as_str(); "");
+            }
+        }
+    }
+
     fn get(&self, link: LinkId) -> Option<Entry> {
         self.links().open.get(&link).cloned()
     }
@@ -245,6 +260,7 @@
         return;
     };
     let profile = &member.profile;
+    node.control.peers.state(node.clock.now(), profile, to);
     let (Some(endpoint), Some(pool)) = (&profile.endpoint, &profile.pool) else {
         return;
     };
@@ -272,8 +288,11 @@
             node.board.stop.wait().await;
             None
         };
-        // An empty list names nobody and so tells nothing.
         let list = hosts.list().or(stopped).await;
+        if let Some(list) = &list {
+            node.control.peers.listed(list);
+        }
+        // An empty list names nobody and so tells nothing.
         if let Some(list) = list.filter(|l| !l.is_empty()) {
             node.members.tell(Event::HostList(list));
         }
