--- a/load/src/chaos/mod.rs
+++ b/load/src/chaos/mod.rs
@@ -25,6 +25,8 @@
 
 use self::caller::BEARER;
 use self::caller::Callers;
+pub use self::caller::Operation;
+pub use self::caller::Seen;
 use self::fleet::Fleet;
 pub use self::fleet::Size;
 pub use self::verdict::Verdict;
