--- a/router/src/members.rs
+++ b/router/src/members.rs
@@ -43,6 +43,8 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Entry {
     pub(crate) link: LinkId,
+    pub(crate) peer: NodeId,
+    kind: NodeKind,
     pub(crate) sender: LinkSender,
     /// Set once the view takes the link for the peer's.
     pub(crate) admitted: Flag,
@@ -81,11 +83,13 @@
     }
 
     /// Notes a link on which the peer said hello.
-    pub(crate) fn open(&self, sender: LinkSender) -> Entry {
+    pub(crate) fn open(&self, sender: LinkSender, profile: &Profile) -> Entry {
         let mut links = self.links();
         links.next += 1;
         let entry = Entry {
             link: LinkId(links.next),
+            peer: profile.node.clone(),
+            kind: profile.kind,
             sender,
             admitted: Flag::default(),
             retired: Flag::default(),
@@ -108,6 +112,17 @@
         }
     }
 
+    /// Sends a frame to every linked router.
+    pub(crate) fn tell_routers(&self, body: &Body) {
+        let links = self.links();
+        let routers = links.open.values().filter(|e| e.kind == NodeKind::Router);
+        for entry in routers {
+            if let Err(error) = entry.sender.send(body.clone()) {
+                log::debug!(event = "frame-dropped", error = error.to_string().as_str(); "");
+            }
+        }
+    }
+
     fn get(&self, link: LinkId) -> Option<Entry> {
         self.links().open.get(&link).cloned()
     }
@@ -245,12 +260,14 @@
         return;
     };
     let profile = &member.profile;
+    node.control.peers.state(node.clock.now(), profile, to);
     let (Some(endpoint), Some(pool)) = (&profile.endpoint, &profile.pool) else {
         return;
     };
     let mut shared = node.shared();
-    // A slow peer is barred by the age of its reports; one that is alive again
-    // on the same link must be let in, as nothing else would.
+    // A peer that falls silent is barred at once: the age of its last report
+    // would bar it only after three seconds. One that is alive again on the
+    // same link must be let in, as nothing else would.
     match (to, member.incarnation()) {
         (PeerState::Alive, Some(life)) if from != PeerState::Unheard => {
             let (domain, region) = (&profile.domain, &profile.region);
@@ -258,6 +275,7 @@
                 .fleet
                 .upsert(endpoint.clone(), pool.clone(), domain, region, life);
         }
+        (PeerState::Slow, _) if from == PeerState::Alive => shared.fleet.gone(endpoint),
         (PeerState::CutOff | PeerState::Dead, _) => shared.fleet.gone(endpoint),
         _ => {}
     }
@@ -270,8 +288,11 @@
             node.board.stop.wait().await;
             None
         };
-        // An empty list names nobody and so tells nothing.
         let list = hosts.list().or(stopped).await;
+        if let Some(list) = &list {
+            node.control.peers.listed(list);
+        }
+        // An empty list names nobody and so tells nothing.
         if let Some(list) = list.filter(|l| !l.is_empty()) {
             node.members.tell(Event::HostList(list));
         }
