routing: keep an index of a pool's slots

Cause: adding an endpoint of a new name went over all places and looked each up by a scan of its pool, so filling one pool was cubic; and a free slot was looked for among all endpoints. Change: a pool keeps its slots by endpoint and the set of absent ones, and says whom it ousted, so that just this place is forgotten. The lowest idle absent slot is reused, as before. A test over random arrivals, moves and bookings holds the index to the slots; it fails without the removal of the ousted name from the index, and without the check that it has not moved.

--- a/lib/examples/capacity.rs
+++ b/lib/examples/capacity.rs
@@ -269,21 +269,31 @@
     let all = accounts(count);
     let mut limiter = Limiter::begin(now, peers + 1);
     limiter.set(now, &all);
-    for n in 0..peers {
-        let uses = all.keys().map(|name| AccountUse {
-            account: name.clone(),
-            requests: 1.0,
-            tokens: 100.0,
-            active: 1,
-        });
-        let peer: NodeId = name(&format!("router-{n:03}"));
-        limiter.on_peer(now, &peer, 1, uses.collect());
+    let mut heard = Duration::ZERO;
+    for seq in 1..3 {
+        heard = Duration::ZERO;
+        for n in 0..peers {
+            let uses = all.keys().map(|name| AccountUse {
+                account: name.clone(),
+                requests: seq as f64,
+                tokens: 100.0,
+                active: 1,
+            });
+            let uses = uses.collect();
+            let peer: NodeId = name(&format!("router-{n:03}"));
+            let started = Instant::now();
+            limiter.on_peer(now, &peer, seq, uses);
+            heard += started.elapsed();
+        }
     }
     let pairs = peers * count;
     let real = (resident() - before) / pairs as f64;
     print("limits: resident / (peer, account)", pairs, real, "B");
+    let time = micros(heard) / pairs as f64;
+    print("limits: report / (peer, account)", pairs, time, "us");
     let started = Instant::now();
     black_box(limiter.tick(now));
+    print("limits: tick", pairs, micros(started.elapsed()), "us");
     let time = micros(started.elapsed()) / pairs as f64;
     print("limits: tick / (peer, account)", pairs, time, "us");
     keep((limiter, all));
@@ -330,7 +340,7 @@
     for count in [1_900, 3_800, 7_600, 30_400] {
         config(count);
     }
-    for count in [170, 340, 680] {
+    for count in [170, 340, 680, 6_800] {
         fleet(count);
     }
     for count in [12_500, 25_000, 50_000] {
--- a/lib/src/routing/fleet.rs
+++ b/lib/src/routing/fleet.rs
@@ -80,16 +80,18 @@
         self.lives += 1;
         let life = self.lives;
         let slots = self.pools.entry(pool.clone()).or_default();
-        let slot = slots.enter(&endpoint, incarnation, life);
-        let Some(slot) = slot else {
+        let Some(entered) = slots.enter(&endpoint, incarnation, life) else {
             return;
         };
-        slots.endpoints[slot].place(index, overhead);
-        if self.places.insert(endpoint, pool).is_none() {
-            let pools = &self.pools;
-            self.places
-                .retain(|id, pool| pools.get(pool).is_some_and(|p| p.find(id).is_some()));
+        slots.endpoints[entered.slot].place(index, overhead);
+        // An endpoint that moved to another pool is ousted from its old one
+        // later, and must stay where it is now.
+        if let Some(old) = entered.ousted
+            && self.places.get(&old) == Some(&pool)
+        {
+            self.places.remove(&old);
         }
+        self.places.insert(endpoint, pool);
     }
 
     /// Takes in a load report.
@@ -115,7 +117,7 @@
     /// often than caches are lost, and agents tell only what is new.
     pub fn gone(&mut self, endpoint: &EndpointId) {
         if let Some((pool, slot)) = self.find_mut(endpoint) {
-            pool.endpoints[slot].present = false;
+            pool.leave(slot);
         }
     }
 
--- a/lib/src/routing/pool.rs
+++ b/lib/src/routing/pool.rs
@@ -1,5 +1,8 @@
 //! The endpoints of one pool.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
 use super::CacheUpdate;
 use super::Endpoint;
 use super::Holders;
@@ -22,6 +25,13 @@
 /// The weight of a new observation of the pool's work.
 const WORK_WEIGHT: f32 = 0.02;
 
+/// The slot that an endpoint entered, and the absent one that it took it from.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(super) struct Entered {
+    pub(super) slot: usize,
+    pub(super) ousted: Option<EndpointId>,
+}
+
 /// The endpoints of one pool, each in a slot that stays its own.
 #[derive(Debug, Clone)]
 pub struct Pool {
@@ -29,6 +39,8 @@
     pub(super) holders: Holders,
     pub(super) price: f32,
     pub(super) mean: f32,
+    slots: BTreeMap<EndpointId, usize>,
+    absent: BTreeSet<usize>,
     models: Vec<ModelName>,
     work: f32,
     drag: Drag,
@@ -41,6 +53,8 @@
             holders: Holders::default(),
             price: 1.0,
             mean: 0.0,
+            slots: BTreeMap::new(),
+            absent: BTreeSet::new(),
             models: Vec::new(),
             work: first_work(),
             drag: Drag::default(),
@@ -58,7 +72,7 @@
     /// Finds an endpoint's slot.
     #[must_use]
     pub fn find(&self, id: &EndpointId) -> Option<usize> {
-        self.endpoints.iter().position(|e| e.id == *id)
+        self.slots.get(id).copied()
     }
 
     /// Returns how full a slot's endpoint is; above one, calls wait.
@@ -125,7 +139,7 @@
         id: &EndpointId,
         incarnation: Incarnation,
         life: u64,
-    ) -> Option<usize> {
+    ) -> Option<Entered> {
         let Some(slot) = self.find(id) else {
             return Some(self.fill(Endpoint::new(id.clone(), incarnation, life)));
         };
@@ -139,20 +153,35 @@
         } else {
             old.present = true;
         }
-        Some(slot)
+        self.absent.remove(&slot);
+        Some(Entered { slot, ousted: None })
+    }
+
+    /// Notes that the endpoint at a slot can't be reached any more.
+    pub(super) fn leave(&mut self, slot: usize) {
+        self.endpoints[slot].present = false;
+        self.absent.insert(slot);
     }
 
     // Replaced hosts bring new names every day; without reuse the slots, and
     // with them each choice, would grow for as long as the router lives.
-    fn fill(&mut self, endpoint: Endpoint) -> usize {
-        let free = |e: &Endpoint| !e.present && e.outstanding == 0;
-        if let Some(slot) = self.endpoints.iter().position(free) {
-            self.endpoints[slot] = endpoint;
-            self.holders.clear(slot);
-            return slot;
+    fn fill(&mut self, endpoint: Endpoint) -> Entered {
+        let idle = |slot: &usize| self.endpoints[*slot].outstanding == 0;
+        let free = self.absent.iter().copied().find(idle);
+        let slot = free.unwrap_or(self.endpoints.len());
+        self.slots.insert(endpoint.id.clone(), slot);
+        if free.is_none() {
+            self.endpoints.push(endpoint);
+            return Entered { slot, ousted: None };
+        }
+        self.absent.remove(&slot);
+        self.holders.clear(slot);
+        let old = std::mem::replace(&mut self.endpoints[slot], endpoint);
+        self.slots.remove(&old.id);
+        Entered {
+            slot,
+            ousted: Some(old.id),
         }
-        self.endpoints.push(endpoint);
-        self.endpoints.len() - 1
     }
 
     pub(super) fn cache(&mut self, slot: usize, update: &CacheUpdate) {
--- a/lib/tests/test_fleet.rs
+++ b/lib/tests/test_fleet.rs
@@ -1,14 +1,23 @@
 //! What a router keeps of an endpoint.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
+use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
+use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::Incarnation;
+use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::routing::CacheUpdate;
+use snipeyoke_lib::routing::Endpoint;
+use snipeyoke_lib::routing::Fleet;
+use snipeyoke_lib::routing::Home;
 use snipeyoke_lib::routing::LoadReport;
 use snipeyoke_lib::routing::Need;
 use snipeyoke_lib::routing::PolicyKind;
 use snipeyoke_lib::routing::Why;
 use snipeyoke_lib::routing::choose;
+use snipeyoke_lib::time::Time;
 
 use crate::chain_world::World;
 
@@ -76,3 +85,62 @@
     back(&mut world, 2);
     assert_eq!(why(&mut world), Why::Predicted);
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 500,
+        rng_seed: RngSeed::Fixed(0xf1ee7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    // A call would be booked on, and answered for, the wrong endpoint.
+    // Endpoints come, go, move to another pool and take over the slots of
+    // others, while calls of the old ones are still in flight. Each must be
+    // found where it is, and nobody may lose a slot while it has calls.
+    #[test]
+    fn finds_each_endpoint_in_its_slot(
+        steps in prop::collection::vec((0..4_u8, 0..6_u8, 0..2_u8), 1..60),
+    ) {
+        let mut fleet = Fleet::new(Home {
+            domain: "a".parse().expect("a name"),
+            region: "r".parse().expect("a name"),
+        });
+        let domain = "a".parse().expect("a name");
+        let region = "r".parse().expect("a name");
+        let mut booked = Vec::new();
+        let mut last = BTreeMap::new();
+        for (step, id, pool) in steps {
+            let id: EndpointId = format!("e{id}").parse().expect("a name");
+            let pool: PoolName = format!("p{pool}").parse().expect("a name");
+            match step {
+                0 | 1 => {
+                    fleet.upsert(id.clone(), pool.clone(), &domain, &region, Incarnation(1));
+                    let held = fleet.pool(&pool).and_then(|p| p.find(&id));
+                    prop_assert!(held.is_some(), "{id} is not in {pool}");
+                    last.insert(id, pool);
+                }
+                2 => fleet.gone(&id),
+                _ => {
+                    let slot = fleet.pool(&pool).and_then(|p| p.find(&id));
+                    let booking = slot.and_then(|s| fleet.book(Time::ZERO, &pool, s));
+                    booked.extend(booking.map(|b| (id, pool, b)));
+                }
+            }
+            for pool in fleet.pools().values() {
+                for (slot, endpoint) in pool.endpoints().iter().enumerate() {
+                    prop_assert_eq!(pool.find(endpoint.id()), Some(slot));
+                }
+            }
+            for (id, pool) in &last {
+                let held = fleet.pool(pool).and_then(|p| p.find(id));
+                let named = fleet.endpoint(id).map(Endpoint::id);
+                prop_assert_eq!(named, held.map(|_| id));
+            }
+            for (id, pool, booking) in &booked {
+                let held = fleet.pool(pool).and_then(|p| p.find(id));
+                prop_assert_eq!(held, Some(booking.slot()));
+            }
+        }
+    }
+}
