limits: sum demand as reports come, and bound what is told

Cause: each tick looked every account up in the report of every peer, under the lock that admission takes: 40 peers that tell of 7,600 accounts are 304,000 look-ups. Nothing bounded a report. Change: the sum by account is kept up to date by the difference between a peer's last two reports, in whole millionths so that it is exact, and a tick walks accounts and sums side by side. All routers together tell of 20,000 accounts a tick; a router tells of those asked for the most of their limit, and takes only its even part of what it does not tell of, so that shares never add up to more than one.

--- a/lib/src/limits/limiter.rs
+++ b/lib/src/limits/limiter.rs
@@ -1,5 +1,6 @@
 //! The shares of one router in the limits of all accounts.
 
+use std::cmp::Ordering;
 use std::collections::BTreeMap;
 use std::time::Duration;
 
@@ -7,6 +8,8 @@
 use derive_more::Error;
 
 use super::Bucket;
+use super::peers::PAIRS_MAX;
+use super::peers::Peers;
 use crate::config::Account;
 use crate::config::Limits;
 use crate::ids::ClientAccount;
@@ -29,7 +32,7 @@
 ///
 /// After it the others take over what it had. Two sides of a partition then
 /// admit a full limit each, which is the bound on the overshoot.
-const SILENT: Duration = Duration::from_secs(5);
+pub(super) const SILENT: Duration = Duration::from_secs(5);
 
 /// The demand below which an account is not reported.
 const IDLE: f64 = 0.01;
@@ -99,18 +102,11 @@
     share: f64,
 }
 
-#[derive(Debug, Clone)]
-struct Peer {
-    heard: Time,
-    seq: u64,
-    uses: BTreeMap<ClientAccount, AccountUse>,
-}
-
 /// The shares of one router in the limits of all accounts.
 #[derive(Debug, Clone, Default)]
 pub struct Limiter {
     accounts: BTreeMap<ClientAccount, State>,
-    peers: BTreeMap<NodeId, Peer>,
+    peers: Peers,
     expected: usize,
     began: Time,
 }
@@ -125,14 +121,14 @@
     pub const fn begin(now: Time, routers: usize) -> Self {
         Self {
             accounts: BTreeMap::new(),
-            peers: BTreeMap::new(),
+            peers: Peers::new(),
             expected: routers,
             began: now,
         }
     }
 
     fn routers(&self, now: Time) -> usize {
-        let heard = self.peers.len() + 1;
+        let heard = self.peers.count() + 1;
         if now.since(self.began) < SILENT {
             return heard.max(self.expected);
         }
@@ -154,50 +150,64 @@
 
     /// Takes in what another router is asked for.
     pub fn on_peer(&mut self, now: Time, peer: &NodeId, seq: u64, uses: Vec<AccountUse>) {
-        if let Some(known) = self.peers.get(peer)
-            && seq <= known.seq
-            && now.since(known.heard) < SILENT
-        {
-            return;
-        }
-        let uses = uses.into_iter().map(|u| (u.account.clone(), u)).collect();
-        let news = Peer {
-            heard: now,
-            seq,
-            uses,
-        };
-        self.peers.insert(peer.clone(), news);
+        self.peers.hear(now, peer, seq, uses);
     }
 
     /// Recomputes the shares and returns what to tell the other routers.
+    ///
+    /// An account that is not told counts as not asked for: the shares of those
+    /// that tell of it then still add up to one, with the even parts.
     pub fn tick(&mut self, now: Time) -> Vec<AccountUse> {
-        self.peers.retain(|_, p| now.since(p.heard) < SILENT);
+        self.peers.forget(now);
         let routers = self.routers(now);
-        let complete = routers == self.peers.len() + 1;
+        let complete = routers == self.peers.count() + 1;
+        let most = (PAIRS_MAX / routers).max(1);
+        let (line, mut level) = self.line(now, most);
+        let even = 1.0 / routers as f64;
+        let mut asked = self.peers.asked();
         let mut report = Vec::new();
         for (name, state) in &mut self.accounts {
-            let own = state.asked.rate(now);
-            let others = self.peers.values().filter_map(|p| p.uses.get(name));
-            let theirs: f64 = others.map(|u| u.requests).sum();
-            let even = 1.0 / routers as f64;
+            let told = state
+                .part(now)
+                .is_some_and(|part| match part.total_cmp(&line) {
+                    Ordering::Less => false,
+                    Ordering::Equal => {
+                        let room = level > 0;
+                        level = level.saturating_sub(1);
+                        room
+                    }
+                    Ordering::Greater => true,
+                });
+            let own = if told { state.asked.rate(now) } else { 0.0 };
             let share = if complete {
-                share(own, own + theirs, even)
+                share(own, own + asked.of(name), even)
             } else {
                 even
             };
             state.set_share(now, share);
-            if own > IDLE || state.active > 0 {
-                report.push(AccountUse {
-                    account: name.clone(),
-                    requests: own,
-                    tokens: state.asked_tokens.rate(now),
-                    active: state.active,
-                });
+            if told {
+                report.push(state.told(now, name));
             }
         }
         report
     }
 
+    // Returns the part of its limit that an account must be asked for here to
+    // be among the `most` that are told, and how many with just that part are.
+    fn line(&self, now: Time, most: usize) -> (f64, usize) {
+        if self.accounts.len() <= most {
+            return (0.0, most);
+        }
+        let states = self.accounts.values();
+        let mut parts: Vec<f64> = states.filter_map(|s| s.part(now)).collect();
+        if parts.len() <= most {
+            return (0.0, most);
+        }
+        let (above, line, _) = parts.select_nth_unstable_by(most - 1, |a, b| b.total_cmp(a));
+        let above = above.iter().filter(|part| **part > *line).count();
+        (*line, most - above)
+    }
+
     /// Admits a request that is expected to use `tokens`.
     ///
     /// # Errors
@@ -284,6 +294,23 @@
         self.tokens.set(now, rate, rate * BURST);
     }
 
+    // Returns the part of its limit that the account is asked for here, or `None`
+    // if it is idle.
+    fn part(&self, now: Time) -> Option<f64> {
+        let own = self.asked.rate(now);
+        let busy = own > IDLE || self.active > 0;
+        busy.then(|| own / self.limits.requests.0.max(IDLE))
+    }
+
+    fn told(&self, now: Time, name: &ClientAccount) -> AccountUse {
+        AccountUse {
+            account: name.clone(),
+            requests: self.asked.rate(now),
+            tokens: self.asked_tokens.rate(now),
+            active: self.active,
+        }
+    }
+
     // A share below one request would shut out an account at a router that has
     // seen little of it; with one each, the overshoot is one a router.
     fn concurrency(&self) -> u32 {
--- a/lib/src/limits/mod.rs
+++ b/lib/src/limits/mod.rs
@@ -7,6 +7,7 @@
 mod bucket;
 mod fair;
 mod limiter;
+mod peers;
 
 pub use bucket::Bucket;
 pub use fair::Fairness;
--- a/lib/tests/test_limits.rs
+++ b/lib/tests/test_limits.rs
@@ -6,10 +6,12 @@
 use assert_matches::assert_matches;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
+use rand_pcg::Pcg32;
 use snipeyoke_lib::config::Account;
 use snipeyoke_lib::config::Limits;
 use snipeyoke_lib::ids::ClientAccount;
 use snipeyoke_lib::ids::NodeId;
+use snipeyoke_lib::limits::AccountUse;
 use snipeyoke_lib::limits::LimitError;
 use snipeyoke_lib::limits::Limiter;
 use snipeyoke_lib::time::Time;
@@ -36,17 +38,33 @@
 }
 
 fn limits(concurrency: u32) -> BTreeMap<ClientAccount, Account> {
+    BTreeMap::from([(account(), with(concurrency))])
+}
+
+fn with(concurrency: u32) -> Account {
     let limits = Limits {
         requests: RequestRate(LIMIT),
         tokens: TokenRate(1e6),
         concurrency,
     };
-    let account = Account {
+    Account {
         keys: Vec::new(),
         limits,
         share: 1.0,
-    };
-    BTreeMap::from([(self::account(), account)])
+    }
+}
+
+fn tell(routers: &mut [Limiter], now: Time, seq: u64) -> Vec<Vec<AccountUse>> {
+    let reports: Vec<_> = routers.iter_mut().map(|r| r.tick(now)).collect();
+    for (from, uses) in reports.iter().enumerate() {
+        let name: NodeId = format!("router-{from}").parse().expect("a name");
+        for (to, router) in routers.iter_mut().enumerate() {
+            if to != from {
+                router.on_peer(now, &name, seq, uses.clone());
+            }
+        }
+    }
+    reports
 }
 
 impl Site {
@@ -134,6 +152,42 @@
     assert!(settled <= 1_050, "{settled} of 1,000");
 }
 
+#[test]
+fn shares_hold_for_more_accounts_than_routers_can_tell_of() {
+    // The callers of an account are let in beyond its limit at all routers.
+    // A balancer spreads 1,200 accounts over 20 routers, each of which may
+    // tell of 1,000. One that took a share of what it does not tell of would
+    // have it besides the shares of those that do.
+    let names: Vec<ClientAccount> = (0..1_200)
+        .map(|n| format!("account-{n:04}").parse().expect("a name"))
+        .collect();
+    let accounts = names.iter().map(|n| (n.clone(), with(100))).collect();
+    let mut router = Limiter::begin(Time::ZERO, 20);
+    router.set(Time::ZERO, &accounts);
+    let mut routers = vec![router; 20];
+    let mut rng = Pcg32::new(7, 20);
+    let now = Time::from_millis(500);
+    for router in &mut routers {
+        for name in &names {
+            for _ in 0..=rng.next_u32() % 4 {
+                drop(router.admit(now, name, Tokens(1)));
+            }
+        }
+    }
+    for _ in 0..20 {
+        drop(routers[3].admit(now, &names[1_199], Tokens(1)));
+    }
+    let told = tell(&mut routers, now, 1);
+    assert!(told.iter().all(|uses| uses.len() == 1_000));
+    let busiest = told[3].last().map(|u| &u.account);
+    assert_eq!(busiest, names.last(), "the busiest is told before others");
+    tell(&mut routers, now, 2);
+    for name in &names {
+        let sum: f64 = routers.iter().filter_map(|r| r.share(name)).sum();
+        assert!((0.1..=1.000_1).contains(&sum), "{name}: {sum}");
+    }
+}
+
 #[test]
 fn concurrency_counts_what_is_in_flight() {
     let mut router = Limiter::default();
