router: pass on each token once, and the last stage's text alone

Cause: found in the read-through. (1) A chunk that repeats some of the tokens taken was appended whole, as text can't be cut between tokens. (2) Text of every generating stage went to the caller and into the answer, so a pipeline of two such stages answered with both, one after the other. Ruled out: cutting by words, since an engine's tokens are not words. Change: an attempt that straddles ends as unknown and is cancelled; a stage's text becomes the draft that the next stage gets, and the last one's is the answer. A site can take an endpoint that the test runs itself. Conclusion: each token once, in order, also from a careless engine.

--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -26,6 +26,7 @@
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::logs;
 use snipeyoke_wire::Call;
+use snipeyoke_wire::Chunk;
 
 use super::answer::Finish;
 use super::answer::Up;
@@ -62,6 +63,7 @@
 #[derive(Debug)]
 struct Attempt {
     endpoint: EndpointId,
+    stage: usize,
     role: StageRole,
     call: Option<CallHandle>,
     taken: Option<Taken>,
@@ -75,8 +77,10 @@
     job: Job,
     chain: Chain,
     attempts: BTreeMap<AttemptId, Attempt>,
-    /// Data of the chunk that the chain is being told of.
-    chunk: Option<(u32, Bytes)>,
+    /// The chunk that the chain is being told of.
+    chunk: Option<Chunk>,
+    /// The tokens of the stage's answer that have been taken.
+    held: u32,
     wake: Time,
     feed: Sender<Input>,
     /// Events that arose while actions were carried out.
@@ -108,6 +112,7 @@
         chain,
         attempts: BTreeMap::new(),
         chunk: None,
+        held: 0,
         wake: Time::NEVER,
         feed,
         pending: vec![Event::Start],
@@ -223,7 +228,7 @@
                 self.send(&send, endpoint);
             }
             Action::Cancel { attempt } => self.cancel(attempt),
-            Action::Deliver { skip, .. } => self.deliver(skip),
+            Action::Deliver { attempt, skip } => self.deliver(attempt, skip),
             Action::StageDone { stage, attempt } => self.stage_done(stage, attempt),
             Action::Finish {
                 outcome,
@@ -247,6 +252,7 @@
             .call(&endpoint, attempt, call, self.feed.clone());
         let record = Attempt {
             endpoint,
+            stage: send.stage,
             role,
             call: handle,
             taken: None,
@@ -315,19 +321,22 @@
         }
     }
 
-    /// Appends the chunk at hand, without the tokens that were there before.
-    fn deliver(&mut self, skip: u32) {
-        let Some((tokens, data)) = self.chunk.take() else {
+    /// Takes the chunk at hand, unless all its tokens were there before.
+    fn deliver(&mut self, attempt: AttemptId, skip: u32) {
+        let Some(chunk) = self.chunk.take() else {
             return;
         };
-        // An engine resumes at a token's border, so a chunk is either new or
-        // known as a whole; a chunk can't be cut between its tokens here.
-        if skip >= tokens {
+        if skip >= chunk.tokens {
             return;
         }
-        self.job.work.text.push_str(&String::from_utf8_lossy(&data));
-        let sent = !self.job.spec.stream || self.job.up.try_send(Up::Piece(data)).is_ok();
-        if !sent {
+        self.held = chunk.index + chunk.tokens;
+        let text = String::from_utf8_lossy(&chunk.data);
+        self.job.work.text.push_str(&text);
+        // Text of an earlier stage is an input of the next one, not an answer.
+        let spec = &self.job.spec;
+        let stage = self.attempts.get(&attempt).map(|a| a.stage);
+        let last = stage == Some(spec.pipeline.stages.len() - 1);
+        if last && spec.stream && self.job.up.try_send(Up::Piece(chunk.data)).is_err() {
             self.job.gone.set();
         }
     }
@@ -342,6 +351,7 @@
         if let Some(taken) = record.taken {
             self.job.work.take(taken);
         }
+        self.held = 0;
     }
 
     fn finish(&mut self, outcome: Outcome, reason: Option<Reason>, retry: Option<Duration>) {
@@ -350,7 +360,7 @@
             outcome,
             reason,
             retry,
-            text: std::mem::take(&mut self.job.work.text),
+            text: std::mem::take(&mut self.job.work.draft),
             output: self.job.work.output.take(),
             prompt_tokens: self.job.spec.prompt.tokens.0,
             output_tokens: self.output_tokens,
@@ -375,9 +385,23 @@
         }
         let record = self.attempts.get_mut(&attempt)?;
         match input.signal {
+            // Text can't be cut between the tokens of one chunk. An engine that
+            // takes an answer up inside a chunk that was taken would make the
+            // caller read some of its tokens twice, so its attempt ends here.
+            Signal::Chunk(chunk) if straddles(&chunk, self.held) => {
+                if let Some(call) = record.call.take() {
+                    call.cancel();
+                }
+                let reason = Reason::EndpointFailure;
+                Some(Event::Ended {
+                    attempt,
+                    end: AttemptEnd::Unknown { reason },
+                    usage: Usage::default(),
+                })
+            }
             Signal::Chunk(chunk) => {
                 let (index, tokens) = (chunk.index, chunk.tokens);
-                self.chunk = Some((tokens, chunk.data));
+                self.chunk = Some(chunk);
                 Some(Event::Chunk {
                     attempt,
                     index,
@@ -475,6 +499,11 @@
     }
 }
 
+/// Tells whether some, but not all, of a chunk's tokens have been taken.
+const fn straddles(chunk: &Chunk, held: u32) -> bool {
+    chunk.index < held && held < chunk.index.saturating_add(chunk.tokens)
+}
+
 impl Drop for Driver {
     fn drop(&mut self) {
         // Attempts whose request has ended are of no use to anybody.
--- a/router/src/drive/work.rs
+++ b/router/src/drive/work.rs
@@ -47,8 +47,10 @@
     max_tokens: u32,
     embedding: Option<Box<RawValue>>,
     documents: Vec<Document>,
-    /// Generated text that has been delivered.
+    /// Text that the generating stage at work has given so far.
     pub(crate) text: String,
+    /// The whole text of the last generating stage that is done.
+    pub(crate) draft: String,
     /// The answer of the last plain service.
     pub(crate) output: Option<Bytes>,
 }
@@ -157,27 +159,28 @@
         })
     }
 
-    /// Returns the messages with what was retrieved before the last one.
+    /// Returns the messages with what earlier stages added, before the last one.
     ///
     /// What comes before it is shared between requests and stays a common
     /// prefix that engines have cached.
     fn prompt(&self) -> Vec<Value> {
-        if self.documents.is_empty() {
-            return self.messages.clone();
+        let mut context: Vec<&str> = self.documents.iter().map(|d| d.text.as_str()).collect();
+        if !self.draft.is_empty() {
+            context.push(&self.draft);
         }
-        let texts: Vec<&str> = self.documents.iter().map(|d| d.text.as_str()).collect();
-        let context = json!({"role": "system", "content": texts.join("\n")});
         let mut messages = self.messages.clone();
-        let at = messages.len().saturating_sub(1);
-        messages.insert(at, context);
+        if !context.is_empty() {
+            let at = messages.len().saturating_sub(1);
+            messages.insert(at, json!({"role": "system", "content": context.join("\n")}));
+        }
         messages
     }
 
     fn call_body(&self) -> Bytes {
         let input = serde_json::from_slice::<&RawValue>(&self.input);
         match input {
-            Ok(input) if !self.text.is_empty() => {
-                let text = &self.text;
+            Ok(input) if !self.draft.is_empty() => {
+                let text = &self.draft;
                 Bytes::from(json!({"input": input, "text": text}).to_string())
             }
             _ => self.input.clone(),
@@ -218,7 +221,7 @@
         match taken {
             Taken::Embedding(embedding) => self.embedding = Some(embedding),
             Taken::Documents(documents) => self.documents = documents,
-            Taken::Text => {}
+            Taken::Text => self.draft = std::mem::take(&mut self.text),
             Taken::Output(output) => self.output = Some(output),
         }
     }
--- a/site/src/plan.rs
+++ b/site/src/plan.rs
@@ -1,6 +1,7 @@
 //! What a deployment consists of; both users' deployments in small.
 
 use std::fmt::Write;
+use std::net::SocketAddr;
 use std::str::FromStr;
 
 use sha2::Digest;
@@ -57,6 +58,8 @@
     pub queue: u32,
     /// The stand-in for each endpoint.
     pub standin: Settings,
+    /// The address of an endpoint that runs already, in place of stand-ins.
+    pub outside: Option<SocketAddr>,
 }
 
 /// Returns the digest under which a key stands in the configuration.
@@ -260,6 +263,7 @@
         slots,
         queue: 64,
         standin: standin.clone(),
+        outside: None,
     };
     vec![
         pool("encoders", 2, 4, &engine),
--- a/site/src/run.rs
+++ b/site/src/run.rs
@@ -116,13 +116,16 @@
         index: usize,
         execs: &Execs,
     ) -> Result<(), SiteError> {
-        let standin = Standin::start(&execs.traffic, pool.standin.clone())?;
+        let address = match pool.outside {
+            Some(address) => address,
+            None => self.add_standin(&pool.standin, execs)?,
+        };
         let domain = &plan.domains[index % plan.domains.len()];
         let name = format!("{}-{index}", pool.name);
         let endpoint = Endpoint {
             id: name.parse()?,
             pool: pool.name.parse()?,
-            address: standin.address(),
+            address,
             kind: kind_of(&pool.standin),
             slots: pool.slots,
             queue: pool.queue,
@@ -145,12 +148,18 @@
             name,
             pool: pool.name.clone(),
             domain: domain.clone(),
-            address: standin.address(),
+            address,
         });
-        self.standins.push(standin);
         Ok(())
     }
 
+    fn add_standin(&mut self, settings: &Settings, execs: &Execs) -> Result<SocketAddr, SiteError> {
+        let standin = Standin::start(&execs.traffic, settings.clone())?;
+        let address = standin.address();
+        self.standins.push(standin);
+        Ok(address)
+    }
+
     /// Starts one more router, which need not be ready when this returns.
     ///
     /// # Errors
