site: stop routers together, and agents together

Cause: each router steps aside for 2 s and each agent drains for about one, one after the other, at the end of every end-to-end test. Change: all routers leave at once, then all agents.

--- a/site/src/run.rs
+++ b/site/src/run.rs
@@ -7,6 +7,7 @@
 
 use async_io::Timer;
 use bytes::Bytes;
+use futures_util::future::join_all;
 use http_body_util::Full;
 use snipeyoke_agent::Agent;
 use snipeyoke_agent::settings::Endpoint;
@@ -248,12 +249,8 @@
 
     /// Drains the routers, then the agents, and stops the stand-ins.
     pub async fn stop(self) {
-        for router in &self.routers {
-            router.leave().await;
-        }
-        for agent in &self.agents {
-            agent.leave().await;
-        }
+        join_all(self.routers.iter().map(Router::leave)).await;
+        join_all(self.agents.iter().map(Agent::leave)).await;
         for standin in self.standins {
             standin.stop().await;
         }
