router: wait at a drain until answers are sent

Cause: a drain waited for requests, not for their answers: a caller on a slow line that still read 300 ms after the request's end was cut off. Ruled out: waiting for connections, since an idle one would hold the drain. Change: each exchange counts as in flight until its body was sent or given up. Conclusion: a planned stop waits for slow readers too.

--- a/router/src/door/mod.rs
+++ b/router/src/door/mod.rs
@@ -22,6 +22,7 @@
 use snipeyoke_runtime::http::Reply;
 use snipeyoke_runtime::http::Request;
 use snipeyoke_runtime::http::full;
+use snipeyoke_runtime::http::holding;
 use snipeyoke_runtime::measures;
 use uuid::Uuid;
 
@@ -117,7 +118,14 @@
 
 impl Handler for Door {
     fn handle(&self, request: Request) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>> {
-        Box::pin(self.answer(request))
+        // An exchange is in flight until its answer was sent. A caller on a slow
+        // line still reads after the request has ended, and a router that left
+        // then would cut the answer off.
+        let token = Arc::clone(&self.node.exchanges);
+        Box::pin(async move {
+            let reply = self.answer(request).await;
+            reply.map(|body| holding(body, token))
+        })
     }
 }
 
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -114,6 +114,9 @@
     pub(crate) control: Control,
     /// Requests in flight; the parent of their tasks.
     pub(crate) requests: Scope,
+    /// Counted once for each exchange whose answer is not yet sent, besides
+    /// the router's own.
+    pub(crate) exchanges: Arc<()>,
     /// Everything else on the traffic threads.
     pub(crate) scope: Scope,
     shared: Mutex<Shared>,
@@ -137,6 +140,12 @@
         slots.owner(pool, slot).map(|owner| owner.endpoint.clone())
     }
 
+    /// Returns the requests that run, and the answers still being sent.
+    pub(crate) fn in_flight(&self) -> usize {
+        let sending = Arc::strong_count(&self.exchanges) - 1;
+        self.requests.len().max(sending)
+    }
+
     pub(crate) fn hello(&self) -> Hello {
         let own = &self.settings;
         Hello {
@@ -279,7 +288,7 @@
             self.carry(&actions);
             Timer::after(DRAIN_LOOK).await;
             let held = Held {
-                calls: self.node.requests.len(),
+                calls: self.node.in_flight(),
                 ..Held::default()
             };
             actions = drain.update(self.node.clock.now(), held);
@@ -357,6 +366,7 @@
         outcomes: Outcomes::default(),
         control: Control::default(),
         requests: Scope::new(Arc::clone(&execs.traffic)),
+        exchanges: Arc::default(),
         scope: Scope::new(Arc::clone(&execs.traffic)),
         shared: Mutex::new(Shared::new(home, policy, incarnation.0)),
         slots: Mutex::default(),
--- a/runtime/src/http/body.rs
+++ b/runtime/src/http/body.rs
@@ -1,6 +1,9 @@
 //! Bodies of requests and replies.
 
 use std::convert::Infallible;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
 
 use bytes::Bytes;
 use derive_more::Display;
@@ -14,8 +17,10 @@
 use http_body_util::Limited;
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
+use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::Incoming;
+use hyper::body::SizeHint;
 
 /// The body of a reply.
 pub type ReplyBody = UnsyncBoxBody<Bytes, Infallible>;
@@ -80,3 +85,40 @@
         },
     }
 }
+
+/// Returns the same body, which drops `token` once it was sent or given up.
+#[must_use]
+pub fn holding(body: ReplyBody, token: impl Send + 'static) -> ReplyBody {
+    let token = Box::new(token);
+    Holding {
+        body,
+        _token: token,
+    }
+    .boxed_unsync()
+}
+
+/// A body that keeps something alive until it is dropped.
+struct Holding<T> {
+    body: ReplyBody,
+    _token: Box<T>,
+}
+
+impl<T> Body for Holding<T> {
+    type Data = Bytes;
+    type Error = Infallible;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -9,6 +9,7 @@
 pub use body::collect;
 pub use body::empty;
 pub use body::full;
+pub use body::holding;
 pub use body::streamed;
 pub use client::Client;
 pub use client::ClientError;
