runtime: bear callers who are out of reach for a while

Cause: found in the read-through: callers' connections had the 3 s bound on unacknowledged bytes that is meant for hosts, so a ranger's phone without coverage for 3 s lost its answer. Change: the bound is the time that an idle caller may take, 30 s by default; connections between hosts keep 3 s. Conclusion: a site's own links still find a silent host in 3 s.

--- a/runtime/src/http/client.rs
+++ b/runtime/src/http/client.rs
@@ -17,6 +17,7 @@
 use hyper::client::conn::http1::SendRequest;
 use smol_hyper::rt::FuturesIo;
 
+use crate::link::UNHEARD_MAX;
 use crate::link::connect;
 use crate::link::prepare;
 use crate::scope::Scope;
@@ -139,7 +140,7 @@
         let stream = connect(address, self.limit)
             .await
             .map_err(ClientError::Connect)?;
-        prepare(&stream).map_err(ClientError::Connect)?;
+        prepare(&stream, UNHEARD_MAX).map_err(ClientError::Connect)?;
         let (sender, conn) = http1::handshake(FuturesIo::new(stream))
             .await
             .map_err(ClientError::NotSent)?;
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -126,7 +126,9 @@
     bounds: Bounds,
     drain: Flag,
 ) {
-    if prepare(&stream).is_err() {
+    // A caller's phone may be out of reach for longer than a host ever is; what
+    // an idle caller may take is also the bound for one who is away.
+    if prepare(&stream, bounds.head_time).is_err() {
         return;
     }
     let service = service_fn(|request: Request| {
--- a/runtime/src/link.rs
+++ b/runtime/src/link.rs
@@ -36,11 +36,11 @@
 /// Bytes of a frame around its body.
 const FRAME_SLACK: usize = 16;
 
-/// The longest time that sent bytes may go unacknowledged, in milliseconds.
+/// The longest time that bytes sent between hosts may go unacknowledged.
 ///
 /// A peer without power never answers: without this bound a connection to it
 /// would look alive for many minutes.
-const USER_TIMEOUT_MS: u32 = 3_000;
+pub const UNHEARD_MAX: Duration = Duration::from_secs(3);
 
 /// A frame on its way out.
 #[derive(Debug)]
@@ -214,7 +214,7 @@
 ///
 /// Returns the system's error if the socket options can't be set.
 pub fn open(stream: Async<TcpStream>) -> io::Result<(LinkSender, LinkWriter, LinkReader)> {
-    prepare(&stream)?;
+    prepare(&stream, UNHEARD_MAX)?;
     let (sink, stream) = Framed::new(stream.compat(), FrameCodec::default()).split();
     let (send, queue) = async_channel::bounded(QUEUE_MAX);
     Ok((
@@ -226,11 +226,14 @@
 
 /// Sets the socket options that every connection of ours has.
 ///
+/// `unheard` is the longest time that sent bytes may go unacknowledged.
+///
 /// # Errors
 ///
 /// Returns the system's error if an option can't be set.
-pub fn prepare(stream: &Async<TcpStream>) -> io::Result<()> {
+pub fn prepare(stream: &Async<TcpStream>, unheard: Duration) -> io::Result<()> {
     stream.get_ref().set_nodelay(true)?;
-    rustix::net::sockopt::set_tcp_user_timeout(stream.get_ref(), USER_TIMEOUT_MS)?;
+    let millis = u32::try_from(unheard.as_millis()).unwrap_or(u32::MAX);
+    rustix::net::sockopt::set_tcp_user_timeout(stream.get_ref(), millis)?;
     Ok(())
 }
