--- a/agent/src/owner.rs
+++ b/agent/src/owner.rs
@@ -277,7 +277,7 @@
         Body::Lease(LeaseRecord::Claim { .. }) => "lease-claim",
         Body::Lease(LeaseRecord::Renew { .. }) => "lease-renew",
         Body::Lease(LeaseRecord::Release { .. }) => "lease-release",
-        Body::ConfigChange { .. } | Body::Snapshot(_) => "other",
+        Body::ConfigChange { .. } | Body::Snapshot(_) | Body::SnapshotPart(_) => "other",
     }
 }
 
--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -123,7 +123,7 @@
                 .spawn(async move { orders::run(owner, link, order).await });
         }
         Body::ConfigAsk(ask) => {
-            if let Some(offer) = node.book.offer(Offset(ask.have)) {
+            for offer in node.book.offer(Offset(ask.have)) {
                 pass_on(sender, Body::ConfigOffer(offer));
             }
         }
--- a/lib/examples/capacity.rs
+++ b/lib/examples/capacity.rs
@@ -17,6 +17,7 @@
 use snipeyoke_lib::config::Config;
 use snipeyoke_lib::config::Fold;
 use snipeyoke_lib::config::Limits;
+use snipeyoke_lib::config::PART_MAX;
 use snipeyoke_lib::config::Snapshot;
 use snipeyoke_lib::ids::AttemptId;
 use snipeyoke_lib::ids::ClientAccount;
@@ -202,6 +203,49 @@
     keep((fold, snapshot, bytes));
 }
 
+fn parts(count: usize) {
+    let config = Config {
+        accounts: accounts(count),
+        ..Config::default()
+    };
+    let snapshot = Snapshot {
+        next: Offset(1),
+        revision: Revision(1),
+        config: Arc::new(config),
+        recent: Vec::new(),
+    };
+    let whole = serde_json::to_vec(&snapshot).expect("a snapshot has a JSON form");
+    print("parts: snapshot", count, whole.len() as f64, "B");
+    let started = Instant::now();
+    let records = snapshot.records(&Author::Peer, RecordId::default);
+    let records: Vec<_> = records.iter().map(Record::encode).collect();
+    let time = started.elapsed();
+    print("parts: records", count, records.len() as f64, "records");
+    let sizes = || records.iter().map(Vec::len);
+    print(
+        "parts: all records",
+        count,
+        sizes().sum::<usize>() as f64,
+        "B",
+    );
+    let largest = sizes().max().unwrap_or_default();
+    assert!(largest <= PART_MAX, "a record of {largest} bytes");
+    print("parts: largest record", count, largest as f64, "B");
+    print("parts: time to make", count, micros(time), "us");
+    let mut fold = Fold::new();
+    let started = Instant::now();
+    for record in &records {
+        fold.apply_bytes(Offset(9), record);
+    }
+    assert_eq!(
+        fold.config(),
+        snapshot.config,
+        "the parts make the snapshot"
+    );
+    let time = micros(started.elapsed());
+    print("parts: time to take", count, time, "us");
+}
+
 fn change(base: u64) -> Record {
     let account = accounts(1).into_iter().next().expect("there is one");
     Record {
@@ -330,6 +374,9 @@
     for count in [1_900, 3_800, 7_600, 30_400] {
         config(count);
     }
+    for count in [1_000, 3_000, 7_600] {
+        parts(count);
+    }
     for count in [170, 340, 680] {
         fleet(count);
     }
--- a/lib/src/config/fold.rs
+++ b/lib/src/config/fold.rs
@@ -8,7 +8,11 @@
 use crate::config::Change;
 use crate::config::Config;
 use crate::config::ConfigError;
+use crate::config::Part;
+use crate::config::PartSet;
 use crate::config::Snapshot;
+use crate::config::parts::Assembly;
+use crate::config::parts::Tally;
 use crate::ids::Offset;
 use crate::ids::Revision;
 use crate::record::Author;
@@ -26,6 +30,12 @@
 /// The raw records kept for peers that are a little behind.
 pub const TAIL_MAX: usize = 64;
 
+/// The most bytes of the raw records kept.
+///
+/// A peer that is further behind gets a snapshot, at letter 1's size a third
+/// as large.
+pub const TAIL_BYTES: usize = 4 * 1024 * 1024;
+
 /// An accepted change, as the author of one that lost is shown it.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Winner {
@@ -63,6 +73,8 @@
     },
     /// A snapshot in line with what is known already.
     Covered,
+    /// A part of such a snapshot; others of its parts were not yet seen.
+    Part,
     /// The record lies below the next offset and was applied before.
     Old,
     /// Records before this one were not seen: read from `next`, or recover.
@@ -117,6 +129,8 @@
     winners: BTreeMap<Revision, Winner>,
     recent: VecDeque<Accepted>,
     tail: VecDeque<(Offset, Vec<u8>)>,
+    assembly: Assembly,
+    tally: Tally,
 }
 
 impl Default for Fold {
@@ -143,6 +157,8 @@
             winners: BTreeMap::new(),
             recent: VecDeque::new(),
             tail: VecDeque::new(),
+            assembly: Assembly::default(),
+            tally: Tally::default(),
         }
     }
 
@@ -185,20 +201,19 @@
 
     /// Applies the record read at an offset.
     pub fn apply(&mut self, offset: Offset, record: &Record) -> Applied {
-        if let (Some(Applied::Gap { .. }), Body::Snapshot(snapshot)) =
-            (self.position(offset), &record.body)
-        {
-            return self.recover(snapshot);
-        }
-        if let Some(early) = self.position(offset) {
-            return early;
+        match self.position(offset) {
+            Some(Applied::Gap { .. }) => return self.recover(&record.body),
+            Some(early) => return early,
+            None => {}
         }
         let applied = match &record.body {
             Body::ConfigChange { base, change } => self.change(record, *base, change),
             Body::Snapshot(_) => Applied::Covered,
+            Body::SnapshotPart(part) if self.tally.saw(part) => Applied::Covered,
+            Body::SnapshotPart(_) => Applied::Part,
             Body::Lease(_) => Applied::Foreign(None),
         };
-        self.advance(offset, record.encode());
+        self.advance(offset, passed_on(record));
         applied
     }
 
@@ -212,12 +227,17 @@
 
     fn advance(&mut self, offset: Offset, bytes: Vec<u8>) {
         self.next = offset.next();
+        self.assembly.forget(self.next);
         self.tail.push_back((offset, bytes));
-        if self.tail.len() > TAIL_MAX {
+        while self.tail.len() > TAIL_MAX || self.tail_bytes() > TAIL_BYTES {
             self.tail.pop_front();
         }
     }
 
+    fn tail_bytes(&self) -> usize {
+        self.tail.iter().map(|(_, bytes)| bytes.len()).sum()
+    }
+
     fn change(&mut self, record: &Record, base: Revision, change: &Change) -> Applied {
         // An append whose answer was lost is sent again under the same id.
         // Without this check its author would hear that the change lost to
@@ -294,11 +314,38 @@
         self.recent = snapshot.recent.iter().copied().collect();
         self.winners.clear();
         self.tail.clear();
+        self.assembly.forget(self.next);
         true
     }
 
-    fn recover(&mut self, snapshot: &Snapshot) -> Applied {
-        if self.adopt(snapshot) {
+    /// Holds a part of a snapshot, and takes the snapshot over once it is whole.
+    ///
+    /// Returns whether the state was replaced. Parts may come in any order and
+    /// repeatedly; those that complete nothing are bounded by
+    /// [`SETS_MAX`](crate::config::SETS_MAX) and
+    /// [`HELD_MAX`](crate::config::HELD_MAX).
+    pub fn adopt_part(&mut self, part: &Part) -> bool {
+        // Parts of a state already passed would only push out better ones.
+        if part.set.next <= self.next && self.guards.order {
+            return false;
+        }
+        let whole = self.assembly.add(part);
+        whole.is_some_and(|snapshot| self.adopt(&snapshot))
+    }
+
+    /// Returns the bytes held of incomplete snapshots.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.assembly.held()
+    }
+
+    fn recover(&mut self, body: &Body) -> Applied {
+        let adopted = match body {
+            Body::Snapshot(snapshot) => self.adopt(snapshot),
+            Body::SnapshotPart(part) => self.adopt_part(part),
+            Body::ConfigChange { .. } | Body::Lease(_) => false,
+        };
+        if adopted {
             return Applied::Restored { next: self.next };
         }
         Applied::Gap { next: self.next }
@@ -318,3 +365,27 @@
         Some(wanted.map(|(_, bytes)| bytes.clone()).collect())
     }
 }
+
+// A peer that has all records before a snapshot needs nothing of it but its
+// place; with the text, each snapshot would cost each link a megabyte.
+fn passed_on(record: &Record) -> Vec<u8> {
+    let bare = match &record.body {
+        Body::Snapshot(snapshot) => Part {
+            set: PartSet {
+                next: snapshot.next,
+                count: 1,
+                digest: 0,
+            },
+            index: 0,
+            text: String::new(),
+        },
+        Body::SnapshotPart(part) => part.bare(),
+        Body::ConfigChange { .. } | Body::Lease(_) => return record.encode(),
+    };
+    let record = Record {
+        id: record.id,
+        author: record.author.clone(),
+        body: Body::SnapshotPart(bare),
+    };
+    record.encode()
+}
--- a/lib/src/record.rs
+++ b/lib/src/record.rs
@@ -9,6 +9,7 @@
 use uuid::Uuid;
 
 use crate::config::Change;
+use crate::config::Part;
 use crate::config::Snapshot;
 use crate::ids::IdError;
 use crate::ids::NodeId;
@@ -66,6 +67,8 @@
     },
     /// The whole configuration, for readers that fell behind retention.
     Snapshot(Snapshot),
+    /// A part of a configuration that is too large for one record.
+    SnapshotPart(Part),
     /// A step in the life of a lease.
     Lease(LeaseRecord),
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_chain_random;
 mod test_config_fold;
 mod test_config_model;
+mod test_config_parts;
 mod test_drain;
 mod test_fleet;
 mod test_journal;
--- a/lib/tests/test_config_fold.rs
+++ b/lib/tests/test_config_fold.rs
@@ -1,6 +1,7 @@
 //! The configuration under crossing changes, lost answers, outages and retention.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use proptest::collection::vec;
@@ -31,6 +32,9 @@
 
 const READERS: usize = 3;
 
+/// Bytes of a snapshot's part: a few records make several parts.
+const SMALL: usize = 120;
+
 /// A second: longer than every pause of a publisher or follower.
 const LONG: Duration = Duration::from_secs(3);
 
@@ -48,7 +52,9 @@
     Read { reader: usize, most: usize },
     /// A reader offers its snapshot to another.
     Offer { from: usize, to: usize },
-    /// A reader publishes a snapshot, then retention takes what it covers.
+    /// A reader begins to publish a snapshot, or publishes its next part.
+    ///
+    /// After the last part, retention takes what the snapshot covers.
     Snapshot { reader: usize },
     /// A reader starts anew, without memory.
     Restart { reader: usize },
@@ -62,7 +68,7 @@
             .prop_map(|(reader, effect, answer)| Op::Publish { reader, effect, answer }),
         6 => (reader.clone(), 0..6_usize).prop_map(|(reader, most)| Op::Read { reader, most }),
         2 => (reader.clone(), reader.clone()).prop_map(|(from, to)| Op::Offer { from, to }),
-        1 => reader.clone().prop_map(|reader| Op::Snapshot { reader }),
+        4 => reader.clone().prop_map(|reader| Op::Snapshot { reader }),
         1 => reader.prop_map(|reader| Op::Restart { reader }),
     ]
 }
@@ -71,6 +77,10 @@
     fold: Fold,
     follower: Follower,
     publisher: Publisher,
+    /// The parts of a snapshot that it still has to publish.
+    parts: VecDeque<Body>,
+    /// The offset that this snapshot covers.
+    covers: usize,
     /// Restarted without memory: behind is where it began.
     seen: (Offset, Revision),
 }
@@ -91,6 +101,8 @@
         fold: Fold::with_guards(guards),
         follower: Follower::new(Topic::config(), Offset(0), index as u64),
         publisher: Publisher::new(Topic::config(), index as u64),
+        parts: VecDeque::new(),
+        covers: 0,
         seen: (Offset(0), Revision(0)),
     }
 }
@@ -162,18 +174,32 @@
                     reader.follower.seek(reader.fold.next());
                 }
             }
-            Op::Snapshot { reader } => {
-                let snapshot = self.readers[reader].fold.snapshot();
-                let covered = usize::try_from(snapshot.next.0).expect("small");
-                let record = self.record(reader, Body::Snapshot(snapshot));
-                self.append(record.encode())?;
-                self.first = self.first.max(covered);
-            }
+            Op::Snapshot { reader } => self.snapshot(reader)?,
             Op::Restart { reader: index } => self.readers[index] = reader(self.guards, index),
         }
         self.check()
     }
 
+    /// Publishes as reader 0 a whole snapshot, as the others the next part.
+    fn snapshot(&mut self, reader: usize) -> Result<(), String> {
+        if self.readers[reader].parts.is_empty() {
+            let snapshot = self.readers[reader].fold.snapshot();
+            let parts = snapshot.parts(SMALL).into_iter();
+            self.readers[reader].covers = usize::try_from(snapshot.next.0).expect("small");
+            self.readers[reader].parts = match reader {
+                0 => [Body::Snapshot(snapshot)].into(),
+                _ => parts.map(Body::SnapshotPart).collect(),
+            };
+        }
+        let body = self.readers[reader].parts.pop_front();
+        let record = self.record(reader, body.expect("a snapshot has a part"));
+        self.append(record.encode())?;
+        if self.readers[reader].parts.is_empty() {
+            self.first = self.first.max(self.readers[reader].covers);
+        }
+        Ok(())
+    }
+
     fn submit(&mut self, reader: usize, price: u8) {
         let base = self.readers[reader].fold.revision();
         let change = Change::SetPool {
--- /dev/null
+++ b/lib/tests/test_config_parts.rs
@@ -0,0 +1,276 @@
+//! Snapshots in parts: any order, repeated, lost, mixed and damaged.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::Config as Runs;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use snipeyoke_lib::config::Config;
+use snipeyoke_lib::config::Fold;
+use snipeyoke_lib::config::HELD_MAX;
+use snipeyoke_lib::config::PART_MAX;
+use snipeyoke_lib::config::Part;
+use snipeyoke_lib::config::PartSet;
+use snipeyoke_lib::config::Pool;
+use snipeyoke_lib::config::SETS_MAX;
+use snipeyoke_lib::config::Snapshot;
+use snipeyoke_lib::ids::NodeId;
+use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::ids::Revision;
+use snipeyoke_lib::record::Author;
+use snipeyoke_lib::record::Body;
+use snipeyoke_lib::record::Record;
+use snipeyoke_lib::record::RecordId;
+
+/// Bytes of a part here, so that some dozens of pools make several.
+const SMALL: usize = 300;
+
+/// Two publishers with states at each offset: they must never mix.
+const OFFSETS: u64 = 5;
+
+/// The offset of the first record of the topic that is read.
+const LOG: u64 = 20;
+
+#[derive(Debug, Clone, Copy)]
+enum Way {
+    Offer,
+    Log,
+}
+
+/// The part of a state that arrives, by which way and in what shape.
+#[derive(Debug, Clone, Copy)]
+struct Step {
+    state: usize,
+    part: usize,
+    way: Way,
+    damaged: bool,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let way = prop_oneof![Just(Way::Offer), Just(Way::Log)];
+    let damaged = prop::bool::weighted(0.05);
+    (0..2 * OFFSETS as usize, 0..64_usize, way, damaged).prop_map(|(state, part, way, damaged)| {
+        Step {
+            state,
+            part,
+            way,
+            damaged,
+        }
+    })
+}
+
+fn state(offset: u64, price: f64) -> Snapshot {
+    let pool = |n: u64| (format!("pool-{n}"), Pool { price, path: None });
+    let pools = (0..5 + offset).map(pool);
+    let config = Config {
+        pools: pools
+            .map(|(name, pool)| (name.parse().expect("a name"), pool))
+            .collect(),
+        ..Config::default()
+    };
+    Snapshot {
+        next: Offset(offset),
+        revision: Revision(offset),
+        config: Arc::new(config),
+        recent: Vec::new(),
+    }
+}
+
+/// The states of both publishers.
+fn states() -> Vec<Snapshot> {
+    let both = |n| [state(n, 1.0), state(n, 2.0)];
+    (1..=OFFSETS).flat_map(both).collect()
+}
+
+fn record(part: Part) -> Record {
+    let node: NodeId = "router-1".parse().expect("a name");
+    Record {
+        id: RecordId::default(),
+        author: Author::Node(node),
+        body: Body::SnapshotPart(part),
+    }
+}
+
+/// A reader, and what has arrived at it whole and undamaged.
+struct Bench {
+    states: Vec<Snapshot>,
+    parts: Vec<Vec<Part>>,
+    fold: Fold,
+    arrived: BTreeMap<PartSet, BTreeSet<u32>>,
+    log: u64,
+}
+
+impl Bench {
+    fn new() -> Self {
+        let states = states();
+        Self {
+            parts: states.iter().map(|s| s.parts(SMALL)).collect(),
+            states,
+            fold: Fold::new(),
+            arrived: BTreeMap::new(),
+            log: LOG,
+        }
+    }
+
+    fn run(&mut self, step: Step) -> Result<(), String> {
+        let parts = &self.parts[step.state];
+        let mut part = parts[step.part % parts.len()].clone();
+        let before = self.fold.next();
+        if step.damaged {
+            // Still JSON when joined, so that nothing but the digest tells.
+            part.text = part.text.replace('1', "7") + " ";
+        } else {
+            self.arrived.entry(part.set).or_default().insert(part.index);
+        }
+        match step.way {
+            Way::Offer => {
+                self.fold.adopt_part(&part);
+            }
+            Way::Log => {
+                self.log += 1;
+                self.fold.apply(Offset(self.log), &record(part));
+            }
+        }
+        self.check(before)
+    }
+
+    fn check(&self, before: Offset) -> Result<(), String> {
+        let next = self.fold.next();
+        if next < before {
+            return Err(format!("the reader went back from {before} to {next}"));
+        }
+        let most = SETS_MAX * 64 * SMALL;
+        if self.fold.held() > most {
+            return Err(format!("{} bytes are held", self.fold.held()));
+        }
+        if next == before {
+            return Ok(());
+        }
+        let config = self.fold.config();
+        let known = |s: &&Snapshot| s.next == next && s.config == config;
+        let Some(state) = self.states.iter().find(known) else {
+            return Err(format!("the state at {next} is none that a publisher had"));
+        };
+        let set = state.parts(SMALL)[0].set;
+        let arrived = self.arrived.get(&set).map_or(0, BTreeSet::len);
+        if arrived < set.count as usize {
+            return Err(format!(
+                "a state of {arrived} parts of {} was taken",
+                set.count
+            ));
+        }
+        Ok(())
+    }
+
+    /// Has the highest state arrive whole, in an order, twice over.
+    ///
+    /// Twice, since a damaged part may stand in for one until its set is dropped.
+    fn settle(&mut self, order: &[usize]) -> Result<(), String> {
+        let state = self.states.len() - 1;
+        let count = self.parts[state].len();
+        for _time in 0..2 {
+            let whole = (0..count).map(|n| order[n % order.len()] % count);
+            for part in whole.chain(0..count) {
+                self.run(Step {
+                    state,
+                    part,
+                    way: Way::Offer,
+                    damaged: false,
+                })?;
+            }
+        }
+        if self.fold.next() != Offset(OFFSETS) {
+            return Err("the highest state was not taken".to_owned());
+        }
+        if self.fold.held() > 0 {
+            return Err("parts are held that nobody needs".to_owned());
+        }
+        Ok(())
+    }
+}
+
+#[test]
+fn a_state_is_taken_whole_or_not_at_all() {
+    // A process is put in force a configuration that no operator made: parts
+    // of several states and publishers come mixed, repeated, damaged or not at
+    // all, by offers and from the log, and a wrong set of them is joined.
+    let config = Runs {
+        cases: 2_000,
+        failure_persistence: None,
+        ..Runs::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let steps = (vec(step(), 0..150), vec(0..64_usize, 1..20));
+    let verdict = TestRunner::new_with_rng(config, rng).run(&steps, |(steps, order)| {
+        let mut bench = Bench::new();
+        for step in steps {
+            prop_assert_eq!(bench.run(step), Ok(()));
+        }
+        prop_assert_eq!(bench.settle(&order), Ok(()));
+        Ok(())
+    });
+    verdict.expect("states are taken whole");
+}
+
+#[test]
+fn parts_that_never_come_whole_are_bounded() {
+    // A reader runs out of memory: publishers stop half-way again and again,
+    // and each leaves a large part that nothing ever completes.
+    let mut fold = Fold::new();
+    for n in 1..1_000 {
+        let set = PartSet {
+            next: Offset(n),
+            count: 100,
+            digest: n,
+        };
+        let text = "x".repeat(PART_MAX);
+        for index in 0..30 {
+            let text = text.clone();
+            fold.adopt_part(&Part { set, index, text });
+        }
+        assert!(fold.held() <= HELD_MAX, "{} bytes are held", fold.held());
+    }
+    let state = Snapshot {
+        next: Offset(2_000),
+        ..state(40, 1.0)
+    };
+    let parts = state.parts(SMALL);
+    let (last, others) = parts.split_last().expect("there are parts");
+    for part in others {
+        assert!(!fold.adopt_part(part));
+    }
+    assert!(fold.adopt_part(last), "a later state is taken");
+    assert_eq!(fold.held(), 0);
+}
+
+#[test]
+fn every_record_of_a_snapshot_is_bounded() {
+    // The log refuses a record, and nobody gets a snapshot any more: text that
+    // JSON has to escape twice makes the record larger than the text.
+    let pools = (0..20_000).map(|n| {
+        let path = Some(format!("/\"\\\u{1}æ{n}"));
+        let pool = Pool { price: 1.0, path };
+        (format!("pool-{n}").parse().expect("a name"), pool)
+    });
+    let snapshot = Snapshot {
+        config: Arc::new(Config {
+            pools: pools.collect(),
+            ..Config::default()
+        }),
+        ..state(9, 1.0)
+    };
+    let records = snapshot.records(&Author::Peer, RecordId::default);
+    assert!(records.len() > 1);
+    let mut fold = Fold::new();
+    for record in records.iter().rev() {
+        let bytes = record.encode();
+        assert!(bytes.len() <= PART_MAX, "{} bytes", bytes.len());
+        fold.apply_bytes(Offset(LOG), &bytes);
+    }
+    assert_eq!(fold.config(), snapshot.config);
+}
--- a/router/src/agents.rs
+++ b/router/src/agents.rs
@@ -8,11 +8,14 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use async_channel::Receiver;
 use async_channel::Sender;
 use snipeyoke_lib::ids::AttemptId;
 use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::link::LinkSender;
 use snipeyoke_runtime::link::Written;
@@ -25,6 +28,9 @@
 use snipeyoke_wire::Told;
 use snipeyoke_wire::frame::Body;
 
+/// The time after which the same offer or question is sent again.
+const LEVEL_AGAIN: Duration = Duration::from_secs(2);
+
 /// Something about one attempt, for its driver.
 #[derive(Debug)]
 pub(crate) struct Input {
@@ -45,6 +51,13 @@
     Lost { written: bool },
 }
 
+/// When the configuration was last levelled over a link, and between what.
+#[derive(Debug, Default)]
+struct Levelled {
+    at: Option<(Offset, Offset)>,
+    when: Time,
+}
+
 /// The link to one agent.
 #[derive(Debug)]
 pub(crate) struct AgentLink {
@@ -55,6 +68,7 @@
     pub(crate) reported: Flag,
     calls: Mutex<BTreeMap<u64, Pending>>,
     asks: Mutex<BTreeMap<u64, Sender<Reply>>>,
+    levelled: Mutex<Levelled>,
 }
 
 #[derive(Debug)]
@@ -133,9 +147,26 @@
             reported: Flag::default(),
             calls: Mutex::default(),
             asks: Mutex::default(),
+            levelled: Mutex::default(),
         }
     }
 
+    /// Tells whether to offer or ask, with these offsets here and there.
+    ///
+    /// An agent reports twice a second, also while a snapshot of a megabyte is
+    /// on its way to it; each report would queue the same megabyte again.
+    pub(crate) fn is_uneven(&self, now: Time, own: Offset, theirs: Offset) -> bool {
+        let mut last = self.levelled.lock().unwrap_or_else(PoisonError::into_inner);
+        if last.at == Some((own, theirs)) && now.since(last.when) < LEVEL_AGAIN {
+            return false;
+        }
+        *last = Levelled {
+            at: Some((own, theirs)),
+            when: now,
+        };
+        own != theirs
+    }
+
     fn call(
         self: Arc<Self>,
         attempt: AttemptId,
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -406,7 +406,7 @@
         }
         Body::Told(told) => link.on_told(told),
         Body::ConfigAsk(ask) => {
-            if let Some(offer) = node.book.offer(Offset(ask.have)) {
+            for offer in node.book.offer(Offset(ask.have)) {
                 link.pass_on(Body::ConfigOffer(offer));
             }
         }
--- a/router/src/follow.rs
+++ b/router/src/follow.rs
@@ -141,9 +141,15 @@
         node.log_seen.set(Seen {
             snapshot,
             at,
+            part: None,
             ..seen
         });
     }
+    if matches!(applied, Applied::Part) {
+        let seen = *node.log_seen.get();
+        let part = Some(node.clock.now());
+        node.log_seen.set(Seen { part, ..seen });
+    }
     match applied {
         Applied::Accepted { revision } => {
             log::info!(event = "config-accepted", offset = offset.0, revision = revision.0; "");
@@ -157,9 +163,14 @@
 /// Levels the configuration with an agent that reports an offset.
 pub(crate) fn level(node: &Node, link: &AgentLink, theirs: Offset) {
     let own = node.book.next();
+    if !link.is_uneven(node.clock.now(), own, theirs) {
+        return;
+    }
     if theirs > own {
         link.pass_on(Body::ConfigAsk(node.book.ask()));
-    } else if let Some(offer) = node.book.offer(theirs) {
+        return;
+    }
+    for offer in node.book.offer(theirs) {
         link.pass_on(Body::ConfigOffer(offer));
     }
 }
--- a/router/src/snapshots.rs
+++ b/router/src/snapshots.rs
@@ -6,13 +6,14 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use rand::RngExt;
+use snipeyoke_lib::config::HELD_MAX;
+use snipeyoke_lib::config::PARTS_MAX;
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::Append;
 use snipeyoke_lib::log::AppendEnd;
 use snipeyoke_lib::log::LogStore;
 use snipeyoke_lib::log::Topic;
 use snipeyoke_lib::record::Author;
-use snipeyoke_lib::record::Body;
 use snipeyoke_lib::record::Record;
 use snipeyoke_lib::record::RecordId;
 use snipeyoke_lib::time::Time;
@@ -35,7 +36,13 @@
 /// this, and the first one's snapshot spares the others theirs.
 const SPREAD: Duration = Duration::from_secs(5);
 
-/// The pause between two looks.
+/// The tries to append one part.
+///
+/// A snapshot that lacks one part is lost, with all that was sent of it. A part
+/// that is appended twice does no harm.
+const TRIES: usize = 3;
+
+/// The pause between two looks, or two tries.
 const LOOK: Duration = Duration::from_secs(1);
 
 /// What is known of the log's topic.
@@ -47,6 +54,8 @@
     pub(crate) snapshot: Offset,
     /// When that snapshot was read.
     pub(crate) at: Time,
+    /// When the newest part of a snapshot not yet whole was read.
+    pub(crate) part: Option<Time>,
 }
 
 /// Publishes snapshots until the router stops.
@@ -74,24 +83,48 @@
     if next != seen.end || next == Offset(0) {
         return false;
     }
-    let aged = node.clock.now().since(seen.at) > AGE_MAX;
+    // Somebody is publishing, or stopped half-way if nothing comes any more.
+    let now = node.clock.now();
+    if seen.part.is_some_and(|at| now.since(at) < SPREAD) {
+        return false;
+    }
+    let aged = now.since(seen.at) > AGE_MAX;
     aged || next.0.saturating_sub(seen.snapshot.0) > RECORDS_MAX
 }
 
 async fn publish(node: &Node, log: &dyn LogStore) {
     let snapshot = node.book.fold().snapshot();
     let covers = snapshot.next;
-    let record = Record {
-        id: RecordId(Uuid::now_v7()),
-        author: Author::Node(node.settings.node.clone()),
-        body: Body::Snapshot(snapshot),
-    };
-    let append = Append {
-        topic: Topic::config(),
-        records: vec![record.encode()],
-    };
-    metrics::counter!("snipeyoke_log_appends_total", "kind" => "snapshot").increment(1);
-    let end = log.append(append).await;
-    let done = matches!(end, AppendEnd::Done { .. });
-    log::info!(event = "config-snapshot", covers = covers.0, done; "");
+    let author = Author::Node(node.settings.node.clone());
+    let records = snapshot.records(&author, || RecordId(Uuid::now_v7()));
+    let parts = records.len();
+    let records: Vec<_> = records.iter().map(Record::encode).collect();
+    let bytes: usize = records.iter().map(Vec::len).sum();
+    if bytes > HELD_MAX || parts > PARTS_MAX as usize {
+        log::warn!(event = "config-too-large", bytes, limit = HELD_MAX, remedy = "remove client accounts"; "");
+    }
+    let mut done = true;
+    for record in records {
+        done = done && append(node, log, record).await;
+    }
+    log::info!(event = "config-snapshot", covers = covers.0, parts, bytes, done; "");
+}
+
+/// Appends one record, the log service's limit for one append.
+async fn append(node: &Node, log: &dyn LogStore, record: Vec<u8>) -> bool {
+    for _try in 0..TRIES {
+        if node.board.stop.is_set() {
+            return false;
+        }
+        let append = Append {
+            topic: Topic::config(),
+            records: vec![record.clone()],
+        };
+        metrics::counter!("snipeyoke_log_appends_total", "kind" => "snapshot").increment(1);
+        if let AppendEnd::Done { .. } = log.append(append).await {
+            return true;
+        }
+        Timer::after(LOOK).await;
+    }
+    false
 }
--- a/runtime/src/book.rs
+++ b/runtime/src/book.rs
@@ -7,6 +7,8 @@
 use bytes::Bytes;
 use snipeyoke_lib::config::Applied;
 use snipeyoke_lib::config::Fold;
+use snipeyoke_lib::config::PART_MAX;
+use snipeyoke_lib::config::Snapshot;
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::record::Author;
 use snipeyoke_lib::record::Body;
@@ -56,18 +58,24 @@
         }
     }
 
-    /// Builds an offer for a process that has everything below an offset.
+    /// Builds offers for a process that has everything below an offset.
+    ///
+    /// They are to be sent in order, each in a frame of its own. One that is
+    /// lost leaves a gap or an incomplete snapshot, and all are sent again
+    /// when the other process next tells what it has.
     #[must_use]
-    pub fn offer(&self, have: Offset) -> Option<ConfigOffer> {
+    pub fn offer(&self, have: Offset) -> Vec<ConfigOffer> {
         let fold = self.fold();
         if have >= fold.next() {
-            return None;
+            return Vec::new();
+        }
+        if let Some(records) = fold.since(have) {
+            return offer_records(have, records);
         }
-        let records = fold.since(have).unwrap_or_else(|| vec![snapshot(&fold)]);
-        Some(ConfigOffer {
-            next: fold.next().0,
-            records: records.into_iter().map(Bytes::from).collect(),
-        })
+        let snapshot = fold.snapshot();
+        // Encoding takes milliseconds, and the fold is wanted by others.
+        drop(fold);
+        offer_snapshot(&snapshot)
     }
 
     /// Takes an offer, if it lies higher than what is known.
@@ -82,8 +90,17 @@
         let mut fold = self.fold();
         let before = fold.revision();
         let mut taken = Taken::default();
-        if let Some(snapshot) = offered_snapshot(offer) {
-            taken.changed = fold.adopt(&snapshot);
+        // All links of a process that starts offer it the same: what is left
+        // of it once the first is taken is not even parsed.
+        if offer.next <= fold.next().0 {
+            return taken;
+        }
+        if let Some(body) = offered_state(offer) {
+            taken.changed = match &body {
+                Body::Snapshot(snapshot) => fold.adopt(snapshot),
+                Body::SnapshotPart(part) => fold.adopt_part(part),
+                Body::ConfigChange { .. } | Body::Lease(_) => false,
+            };
             if taken.changed {
                 let next = fold.next();
                 note(&fold, next, &Applied::Restored { next });
@@ -110,26 +127,52 @@
     }
 }
 
-/// Encodes the state as a record; its id is nil, it never goes to the log.
-fn snapshot(fold: &Fold) -> Vec<u8> {
-    let record = Record {
-        id: RecordId::default(),
-        author: Author::Peer,
-        body: Body::Snapshot(fold.snapshot()),
+/// Packs records into offers of at most [`PART_MAX`] bytes, or one record.
+fn offer_records(have: Offset, records: Vec<Vec<u8>>) -> Vec<ConfigOffer> {
+    let mut offers: Vec<ConfigOffer> = Vec::new();
+    let mut room = 0;
+    for (offset, record) in (have.0..).map(Offset).zip(records) {
+        let next = offset.next().0;
+        let record = Bytes::from(record);
+        match offers.last_mut() {
+            Some(last) if record.len() <= room => {
+                room -= record.len();
+                last.next = next;
+                last.records.push(record);
+            }
+            _ => {
+                room = PART_MAX.saturating_sub(record.len());
+                let records = vec![record];
+                offers.push(ConfigOffer { next, records });
+            }
+        }
+    }
+    offers
+}
+
+/// Encodes the state as records; their ids are nil, they never go to the log.
+fn offer_snapshot(snapshot: &Snapshot) -> Vec<ConfigOffer> {
+    let offer = |record: Record| ConfigOffer {
+        next: snapshot.next.0,
+        records: vec![Bytes::from(record.encode())],
     };
-    record.encode()
+    let records = snapshot.records(&Author::Peer, RecordId::default);
+    records.into_iter().map(offer).collect()
 }
 
-/// Returns the snapshot that an offer consists of, if it is none of records.
+/// Returns the snapshot or part that an offer consists of, if none of records.
 ///
 /// A snapshot read from the log covers less than the offset after it, so its
 /// `next` tells the two apart.
-fn offered_snapshot(offer: &ConfigOffer) -> Option<snipeyoke_lib::config::Snapshot> {
+fn offered_state(offer: &ConfigOffer) -> Option<Body> {
     let [only] = offer.records.as_slice() else {
         return None;
     };
-    match Record::try_from(only.as_ref()).ok()?.body {
-        Body::Snapshot(snapshot) if snapshot.next.0 == offer.next => Some(snapshot),
-        _ => None,
-    }
+    let body = Record::try_from(only.as_ref()).ok()?.body;
+    let next = match &body {
+        Body::Snapshot(snapshot) => snapshot.next,
+        Body::SnapshotPart(part) => part.set.next,
+        Body::ConfigChange { .. } | Body::Lease(_) => return None,
+    };
+    (next.0 == offer.next).then_some(body)
 }
--- /dev/null
+++ b/runtime/tests/test_book.rs
@@ -0,0 +1,130 @@
+//! Tests of the configuration on its way from process to process.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_executor::Executor;
+use futures_lite::future;
+use snipeyoke_lib::config::Account;
+use snipeyoke_lib::config::Change;
+use snipeyoke_lib::config::Config;
+use snipeyoke_lib::config::Limits;
+use snipeyoke_lib::config::Snapshot;
+use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::ids::Revision;
+use snipeyoke_lib::record::Author;
+use snipeyoke_lib::record::Body;
+use snipeyoke_lib::record::Record;
+use snipeyoke_lib::record::RecordId;
+use snipeyoke_lib::units::RequestRate;
+use snipeyoke_lib::units::TokenRate;
+use snipeyoke_runtime::book::Book;
+use snipeyoke_runtime::http::bind;
+use snipeyoke_runtime::link;
+use snipeyoke_wire::frame;
+use uuid::Uuid;
+
+/// The client accounts of letter 1.
+const ACCOUNTS: usize = 7_600;
+
+/// Keys of an account whose record is as large as a log takes.
+const KEYS: usize = 2_500;
+
+fn account(first: usize, keys: usize) -> Account {
+    let key = |n: usize| format!("{n:064x}").parse().expect("a digest");
+    Account {
+        keys: (first..first + keys).map(key).collect(),
+        limits: Limits {
+            requests: RequestRate(10.0),
+            tokens: TokenRate(1_000.0),
+            concurrency: 8,
+        },
+        share: 1.0,
+    }
+}
+
+fn at_the_letters_size() -> Snapshot {
+    let name = |n: usize| format!("account-{n:06}").parse().expect("a name");
+    let config = Config {
+        accounts: (0..ACCOUNTS).map(|n| (name(n), account(n, 1))).collect(),
+        ..Config::default()
+    };
+    Snapshot {
+        next: Offset(7),
+        revision: Revision(5),
+        config: Arc::new(config),
+        recent: Vec::new(),
+    }
+}
+
+/// Sends all that one process offers another over a link, and has it taken.
+fn pass_on(giver: &Book, taker: &Book) {
+    let exec = Arc::new(Executor::new());
+    future::block_on(exec.run(async {
+        let listener = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0))).expect("a free port");
+        let address = listener.get_ref().local_addr().expect("an address");
+        let near = link::connect(address, Duration::from_secs(5)).await;
+        let (far, _peer) = listener.accept().await.expect("the connection comes");
+        let (sender, writer, _near) = link::open(near.expect("it is there")).expect("options");
+        let (_sender, _writer, mut far) = link::open(far).expect("options");
+        let task = exec.spawn(writer.run());
+        let offers = giver.offer(taker.next());
+        let frames = offers.len();
+        for offer in offers {
+            let sent = sender.send(frame::Body::ConfigOffer(offer));
+            sent.expect("an offer fits a frame");
+        }
+        for _frame in 0..frames {
+            let frame = far.next().await.expect("the link stands");
+            let Some(frame::Body::ConfigOffer(offer)) = frame else {
+                panic!("not an offer: {frame:?}");
+            };
+            assert!(!taker.take(&offer, |_, _, _| {}).gap);
+        }
+        task.cancel().await;
+    }));
+}
+
+fn assert_level(giver: &Book, taker: &Book) {
+    assert_eq!(taker.next(), giver.next());
+    assert_eq!(taker.fold().revision(), giver.fold().revision());
+    assert_eq!(taker.fold().config(), giver.fold().config());
+}
+
+#[test]
+fn a_router_without_log_gets_the_letters_configuration_from_an_agent() {
+    // A router refuses its callers for as long as the log is away: it starts
+    // without memory, its agents have 7,600 accounts, and their offer has to
+    // get through the link. As one frame it is too large and is never sent.
+    let (agent, router) = (Book::default(), Book::default());
+    assert!(agent.fold().adopt(&at_the_letters_size()));
+    pass_on(&agent, &router);
+    assert_level(&agent, &router);
+}
+
+#[test]
+fn a_process_many_large_records_behind_gets_them_all() {
+    // A process stays at an old revision: it misses eight changes, each as
+    // large as a log takes, and together they are larger than a frame.
+    let (ahead, behind) = (Book::default(), Book::default());
+    for n in 0..8 {
+        let name = format!("account-{n}").parse().expect("a name");
+        let record = Record {
+            id: RecordId(Uuid::from_u128(n + 1)),
+            author: Author::Operator("kari".parse().expect("a name")),
+            body: Body::ConfigChange {
+                base: Revision(n as u64),
+                change: Change::SetAccount {
+                    name,
+                    account: account(n as usize * KEYS, KEYS),
+                },
+            },
+        };
+        ahead.fold().apply(Offset(n as u64), &record);
+    }
+    assert_eq!(ahead.fold().revision(), Revision(8));
+    pass_on(&ahead, &behind);
+    assert_level(&ahead, &behind);
+}
