--- a/site/tests/test_state.rs
+++ b/site/tests/test_state.rs
@@ -11,7 +11,11 @@
 use hyper::Request;
 use serde_json::Value;
 use serde_json::json;
+use snipeyoke_lib::config::Account;
 use snipeyoke_lib::config::Change;
+use snipeyoke_lib::config::Limits;
+use snipeyoke_lib::units::RequestRate;
+use snipeyoke_lib::units::TokenRate;
 use snipeyoke_router::Router;
 use snipeyoke_router::settings::Settings;
 use snipeyoke_runtime::http::Client;
@@ -34,6 +38,9 @@
 /// The records that the log keeps: fewer than there are, more than a snapshot lacks.
 const KEPT: usize = 100;
 
+/// The keys of an account of 100 KB.
+const KEYS: usize = 1_500;
+
 /// The time within which a due snapshot is published.
 const SNAPSHOT_LIMIT: Duration = Duration::from_secs(8);
 
@@ -180,12 +187,24 @@
     // A router starts after retention took the first changes. What is left are
     // changes on revisions that it never saw, and it would refuse its callers
     // for good. The routers that saw them have published a snapshot in time.
+    recovers(&[]);
+}
+
+#[test]
+fn a_router_behind_retention_recovers_from_a_snapshot_in_parts() {
+    // As above, but the log would refuse the snapshot as one record: it takes
+    // accounts of 400 KB in. Its parts come among other records.
+    recovers(&large_accounts());
+}
+
+fn recovers(first: &[Change]) {
     let threads = Threads::start(2).expect("threads start");
     future::block_on(async {
         let mut plan = vestlandsprint();
         plan.platform.keep_records = KEPT;
         let site = Site::start(&plan, &threads.execs()).await;
         let mut site = site.expect("the site starts");
+        site.change(first).await.expect("the log takes them");
         site.change(&many_changes())
             .await
             .expect("the log takes them");
@@ -224,6 +243,24 @@
     changes.collect()
 }
 
+/// Accounts whose snapshot has more than two parts.
+fn large_accounts() -> Vec<Change> {
+    let key = |n: usize| format!("{n:064x}").parse().expect("a digest");
+    let account = |n: usize| Change::SetAccount {
+        name: format!("large-{n}").parse().expect("a name"),
+        account: Account {
+            keys: (n * KEYS..(n + 1) * KEYS).map(key).collect(),
+            limits: Limits {
+                requests: RequestRate(10.0),
+                tokens: TokenRate(1_000.0),
+                concurrency: 8,
+            },
+            share: 1.0,
+        },
+    };
+    (1..=4).map(account).collect()
+}
+
 fn lone_router(platform: SocketAddr) -> Settings {
     let listen = "127.0.0.1:0";
     let settings = json!({
