--- a/runtime/tests/test_book.rs
+++ b/runtime/tests/test_book.rs
@@ -17,14 +17,12 @@
 use snipeyoke_lib::record::Author;
 use snipeyoke_lib::record::Body;
 use snipeyoke_lib::record::Record;
-use snipeyoke_lib::record::RecordId;
 use snipeyoke_lib::units::RequestRate;
 use snipeyoke_lib::units::TokenRate;
 use snipeyoke_runtime::book::Book;
 use snipeyoke_runtime::http::bind;
 use snipeyoke_runtime::link;
 use snipeyoke_wire::frame;
-use uuid::Uuid;
 
 /// The client accounts of letter 1.
 const ACCOUNTS: usize = 7_600;
@@ -112,17 +110,17 @@
     for n in 0..8 {
         let name = format!("account-{n}").parse().expect("a name");
         let record = Record {
-            id: RecordId(Uuid::from_u128(n + 1)),
+            id: format!("{:032x}", n + 1).parse().expect("an id"),
             author: Author::Operator("kari".parse().expect("a name")),
             body: Body::ConfigChange {
-                base: Revision(n as u64),
+                base: Revision(n),
                 change: Change::SetAccount {
                     name,
                     account: account(n as usize * KEYS, KEYS),
                 },
             },
         };
-        ahead.fold().apply(Offset(n as u64), &record);
+        ahead.fold().apply(Offset(n), &record);
     }
     assert_eq!(ahead.fold().revision(), Revision(8));
     pass_on(&ahead, &behind);
