chain: wait for a key slot's next owner instead of giving up

Cause: a non-idempotent call that met a slot on its way from a draining agent to its successor was given up at once, as no-lease or draining, although the refusal proves that it did not run and an owner was about to come. Change: such a stage waits for the slot's next owner, for three quarters of the time left and 3 s at most, looks every 50 to 100 ms, and sends to it. Who refused the key isn't asked again before its next report. The router names the slot's owner to the chain before each event. The wait ends in not-run with a Retry-After as soon as it can't help any more. A refusal for lack of a lease no longer counts against the endpoint's health. Tests: two expectations of scenarios/chain/once said "refused at once"; that was the fault. They now follow the request through the wait to its one end, which also shows that no other endpoint is asked. The random schedules gained moves of the slot and refusals with no-lease, and check that only the present owner is sent to, never again who refused, and that no wait lasts to the deadline. Conclusion: the router's part; how long a slot has no owner is the agents'.

--- a/lib/src/chain/ending.rs
+++ b/lib/src/chain/ending.rs
@@ -17,6 +17,24 @@
 /// The first pause before asking a full pool again; it doubles.
 const PAUSE_FIRST: Duration = Duration::from_millis(5);
 
+/// The part of the time left in which a key waits for its slot's next owner.
+///
+/// What remains is for the call itself: 250 ms of the deadline of 1 s that
+/// approvals have.
+const OWNER_PART: f32 = 0.75;
+
+/// The longest wait for a slot's next owner.
+///
+/// A slot changes hands in about a second; one that has no owner for longer
+/// belonged to an agent that died, and its lease may run for minutes.
+const OWNER_WAIT: Duration = Duration::from_secs(3);
+
+/// The pause between two looks for a slot's next owner.
+///
+/// Agents report their slots each half second, so that an earlier look sees
+/// nothing new; spread by jitter, waiting keys don't reach a new owner at once.
+const OWNER_PAUSE: Duration = Duration::from_millis(50);
+
 impl Chain {
     /// Tries the stage again where that is allowed, or gives the request up.
     pub(super) fn retry(&mut self, reason: Reason, after: Option<Duration>, turn: &mut Turn<'_>) {
@@ -28,6 +46,11 @@
             self.refuse(reason, after, turn);
             return;
         }
+        if self.is_ownerless(reason) {
+            self.refuser = self.here().last().map(|a| a.endpoint.clone());
+            self.seek_owner(reason, after, turn);
+            return;
+        }
         // A drain moves work that nobody meant to fail; it is bounded by the
         // number of attempts. All else draws from the budget: without it, each
         // failure would add calls to a pool that fails because of its calls.
@@ -55,6 +78,45 @@
         self.again = Some(again);
     }
 
+    /// Tells whether only another owner of the key's slot can help.
+    pub(super) fn is_ownerless(&self, reason: Reason) -> bool {
+        let moves = matches!(reason, Reason::NoLease | Reason::Draining);
+        moves && !self.current().idempotent
+    }
+
+    // The refusal proves that the attempt did not run, so an owner that is
+    // known already gets the key at once. It costs no retry: attempts are
+    // bounded, and nobody but the owner may take the call anyway.
+    fn seek_owner(&mut self, reason: Reason, after: Option<Duration>, turn: &mut Turn<'_>) {
+        if self.spec.slot == self.refuser {
+            self.await_owner(reason, after, turn);
+        } else {
+            self.send(turn);
+        }
+    }
+
+    /// Waits for the next owner of the key's slot, or gives the request up.
+    ///
+    /// While a slot changes hands nobody may run its keys. Refused at once,
+    /// every planned restart would show to callers as failed approvals. The
+    /// wait ends as soon as it can't help any more, and so does the request.
+    pub(super) fn await_owner(
+        &mut self,
+        reason: Reason,
+        after: Option<Duration>,
+        turn: &mut Turn<'_>,
+    ) {
+        let left = timing::latest(turn.now, self, turn.shared).since(turn.now);
+        let wait = left.mul_f32(OWNER_PART).min(OWNER_WAIT);
+        let until = *self.until.get_or_insert(turn.now + wait);
+        let again = turn.now + timing::jitter(OWNER_PAUSE, turn.shared);
+        if again >= until {
+            self.refuse(reason, after, turn);
+            return;
+        }
+        self.again = Some(again);
+    }
+
     fn refuse(&mut self, reason: Reason, after: Option<Duration>, turn: &mut Turn<'_>) {
         let after = after.unwrap_or_else(|| timing::come_back(turn.shared));
         self.give_up(reason, Some(after), turn);
--- a/lib/src/chain/machine.rs
+++ b/lib/src/chain/machine.rs
@@ -34,6 +34,10 @@
     pub(super) tokens: u32,
     pub(super) source: Option<AttemptId>,
     pub(super) again: Option<Time>,
+    /// When the wait for the slot's next owner ends, once it began.
+    pub(super) until: Option<Time>,
+    /// The endpoint that refused the key, until another owner was named.
+    pub(super) refuser: Option<EndpointId>,
     pub(super) entered: Time,
     pub(super) finished: bool,
     started: bool,
@@ -51,6 +55,8 @@
             tokens: 0,
             source: None,
             again: None,
+            until: None,
+            refuser: None,
             entered: Time::ZERO,
             finished: false,
             started: false,
@@ -65,7 +71,12 @@
     }
 
     /// Names the endpoint that owns the key's slot now.
+    ///
+    /// Call it before each event: it is how a waiting chain hears of an owner.
     pub fn own(&mut self, slot: Option<EndpointId>) {
+        if self.refuser != slot {
+            self.refuser = None;
+        }
         self.spec.slot = slot;
     }
 
@@ -137,6 +148,8 @@
         self.tokens = 0;
         self.source = None;
         self.again = None;
+        self.until = None;
+        self.refuser = None;
         turn.shared.retry.earn(&self.current().pool);
         turn.shared.hedge.earn();
         self.send(turn);
@@ -180,6 +193,7 @@
         match select::pick(turn.now, self, turn.shared) {
             Ok(picked) => self.send_to(picked, turn),
             Err(_) if self.open().next().is_some() => {}
+            Err(reason) if self.is_ownerless(reason) => self.await_owner(reason, None, turn),
             Err(reason) => {
                 let after = timing::come_back(turn.shared);
                 self.give_up(reason, Some(after), turn);
--- a/lib/src/chain/model.rs
+++ b/lib/src/chain/model.rs
@@ -49,8 +49,8 @@
     pub stream: bool,
     /// The only endpoint that may run a non-idempotent last stage.
     ///
-    /// The owner of the key's slot names it; without one such a stage is not
-    /// sent at all.
+    /// The owner of the key's slot; without one such a stage is not sent, and
+    /// waits a bounded time for the next owner.
     pub slot: Option<EndpointId>,
 }
 
--- a/lib/src/chain/select.rs
+++ b/lib/src/chain/select.rs
@@ -120,7 +120,11 @@
 // Two agents that both take a key would both run the call. Only the owner of
 // the key's slot knows what became of it, so no other endpoint is asked.
 fn pick_owner(now: Time, chain: &Chain, pool: &Pool) -> Result<Picked, Reason> {
-    let owner = chain.spec.slot.as_ref().ok_or(Reason::NoLease)?;
+    let owner = chain.spec.slot.as_ref();
+    // Who refused the key is named until its next report comes. Asked again
+    // before, it would use up the attempts that the next owner needs.
+    let owner = owner.filter(|&o| chain.refuser.as_ref() != Some(o));
+    let owner = owner.ok_or(Reason::NoLease)?;
     let slot = pool.find(owner).ok_or(Reason::NoEndpoint)?;
     let endpoint = &pool.endpoints()[slot];
     if endpoint.is_draining() {
@@ -207,6 +211,8 @@
     match reason {
         Reason::Overload | Reason::Limit | Reason::Deadline => endpoint.refused(),
         Reason::Draining => endpoint.leaves(),
+        // The slot moved; the endpoint is as well as before.
+        Reason::NoLease => {}
         _ => endpoint.health_mut().failed(now),
     }
 }
--- a/lib/tests/test_chain.rs
+++ b/lib/tests/test_chain.rs
@@ -76,6 +76,7 @@
             "gone" => self.gone(case),
             "teach" => self.teach(case),
             "request" => self.request(case),
+            "owner" => self.owner(case),
             "wait" => String::new(),
             _ => self.event(case),
         };
@@ -112,6 +113,12 @@
         String::new()
     }
 
+    fn owner(&mut self, case: &mut TestCase) -> String {
+        let chain = self.chain.as_mut().expect("a request");
+        chain.own(arg(case, "id"));
+        String::new()
+    }
+
     fn teach(&mut self, case: &mut TestCase) -> String {
         let stage = arg(case, "stage").expect("stage=");
         let took = Duration::from_millis(arg(case, "took").expect("took="));
--- a/router/src/drive/ends.rs
+++ b/router/src/drive/ends.rs
@@ -28,11 +28,6 @@
     }
 }
 
-/// Tells whether an agent refused a call because it does not own its slot.
-pub(super) fn moved(signal: &Signal) -> bool {
-    matches!(signal, Signal::Reply(reply) if reply.end() == End::NotRun)
-}
-
 pub(super) const fn role_of(role: StageRole) -> Role {
     match role {
         StageRole::Encode => Role::Encode,
--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -31,7 +31,6 @@
 use super::answer::Up;
 use super::ends::end_of;
 use super::ends::missing_end;
-use super::ends::moved;
 use super::ends::role_of;
 use super::ends::usage_of;
 use super::resolve::Once;
@@ -195,6 +194,7 @@
         let mut actions = Vec::new();
         let now = self.node.clock.now();
         self.record_end(now, &event);
+        self.follow_owner();
         self.chain
             .on_event(now, event, &mut self.node.shared(), &mut actions);
         for action in actions {
@@ -370,9 +370,6 @@
         {
             return None;
         }
-        if moved(&input.signal) {
-            self.follow_owner();
-        }
         let record = self.attempts.get_mut(&attempt)?;
         match input.signal {
             Signal::Chunk(chunk) => {
@@ -449,7 +446,7 @@
         true
     }
 
-    /// Names the slot's present owner to the chain, for its next attempt.
+    /// Names the slot's present owner to the chain, which may wait for it.
     fn follow_owner(&mut self) {
         if let (Some(once), Some(stage)) = (&self.job.once, self.job.spec.pipeline.stages.last()) {
             self.chain.own(self.node.owner(&stage.pool, once.slot));
