agent: take over slots given up at once, not at the next look

Cause: an agent that expects nothing reads the topic of leases each 15 s, so slots that a leaving agent gave up could stay without an owner that long. No wait of a call with a deadline of 1 s spans this. Change: an agent reports its slots at once when it won some or gave some up. A router that hears of slots given up tells the other agents of the pool, in a new frame `SlotsFreed`; they read each 250 ms for 2 s. A draining agent does not, as it would have to give them up again. An agent that dies gives nothing up, so that a crash adds no reads. Figures: test_slots for what counts as news. With real processes not run yet. Conclusion: bounded reads, eight an agent for each release.

--- a/agent/src/owner.rs
+++ b/agent/src/owner.rs
@@ -6,6 +6,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -56,6 +58,11 @@
 /// it makes 45 reads a second in all, were every pool non-idempotent.
 const READ_LATER: Duration = Duration::from_secs(15);
 
+/// The time after a release by another agent in which its slots are looked for.
+///
+/// Bounded, so that a release that can't be read yet costs a few reads alone.
+const SEEK: Duration = Duration::from_secs(2);
+
 /// The time after the start in which the other agents' seats are looked for.
 const START: Duration = Duration::from_secs(5);
 
@@ -72,6 +79,10 @@
     state: Mutex<State>,
     /// Notified whenever a call ends.
     ended: Event,
+    /// Notified whenever slots are won or lost.
+    moved: Event,
+    /// Set when another agent of the pool is said to have given slots up.
+    sought: AtomicBool,
     leaving: Flag,
     released: Flag,
 }
@@ -96,6 +107,8 @@
             clock,
             state: Mutex::new(state),
             ended: Event::new(),
+            moved: Event::new(),
+            sought: AtomicBool::new(false),
             leaving: Flag::default(),
             released: Flag::default(),
         }
@@ -142,6 +155,16 @@
         self.ended.listen()
     }
 
+    /// Returns what wakes up when slots are won or lost.
+    pub(crate) fn listen_moved(&self) -> EventListener {
+        self.moved.listen()
+    }
+
+    /// Looks soon for slots that another agent gave up.
+    pub(crate) fn seek(&self) {
+        self.sought.store(true, Ordering::SeqCst);
+    }
+
     /// Returns the slots that are owned at this moment.
     pub(crate) fn slots(&self) -> BTreeMap<KeySlot, FencingNumber> {
         let state = self.state();
@@ -192,6 +215,12 @@
             let now = self.clock.now();
             self.state().holder.answered(now, record.id, &end);
             reader.soon();
+            if matches!(record.body, Body::Lease(LeaseRecord::Release { .. })) {
+                self.moved.notify(usize::MAX);
+            }
+        }
+        if self.sought.swap(false, Ordering::SeqCst) {
+            reader.seek(self.clock.now());
         }
         if reader.is_due(self) {
             self.read(log, reader).await;
@@ -258,6 +287,7 @@
         if before != after {
             log::info!(target: "lease", event = "slots-owned", pool = state.share.pool().as_str(), slots = after.len(), before = before.len(); "");
             metrics::gauge!("snipeyoke_slots_owned").set(after.len() as f64);
+            self.moved.notify(usize::MAX);
         }
         state.holder.fold().next()
     }
@@ -285,6 +315,8 @@
 #[derive(Debug)]
 struct Reader {
     next: Time,
+    /// Until when slots are looked for that another agent gave up.
+    seeks: Time,
     backoff: Backoff,
 }
 
@@ -292,6 +324,7 @@
     fn new(seed: u64) -> Self {
         Self {
             next: Time::ZERO,
+            seeks: Time::ZERO,
             backoff: Backoff::new(seed),
         }
     }
@@ -300,12 +333,18 @@
         self.next = Time::ZERO;
     }
 
+    fn seek(&mut self, now: Time) {
+        self.seeks = now + SEEK;
+        self.soon();
+    }
+
     fn is_due(&self, owner: &Owner) -> bool {
         owner.clock.now() >= self.next
     }
 
     fn answered(&mut self, now: Time, soon: bool) {
         self.backoff.succeeded();
+        let soon = soon || now < self.seeks;
         self.next = now + if soon { READ_SOON } else { READ_LATER };
     }
 
--- a/agent/src/peers.rs
+++ b/agent/src/peers.rs
@@ -18,6 +18,7 @@
 use snipeyoke_runtime::link::LinkSender;
 use snipeyoke_wire::Ask;
 use snipeyoke_wire::Call;
+use snipeyoke_wire::SlotsFreed;
 use snipeyoke_wire::Told;
 use snipeyoke_wire::frame::Body;
 
@@ -132,6 +133,7 @@
                 pass_on(sender, Body::ConfigAsk(node.book.ask()));
             }
         }
+        Body::SlotsFreed(freed) => seek(node, &freed),
         Body::Ask(ask) => start_ask(node, sender, &ask),
         Body::Hello(hello) => {
             log::info!(event = "link-up", peer = hello.node.as_str(), incarnation = hello.incarnation; "");
@@ -169,6 +171,17 @@
     }
 }
 
+fn seek(node: &Node, freed: &SlotsFreed) {
+    let same = freed.pool == node.settings.endpoint.pool.as_str();
+    // A draining agent would only have to give them up again.
+    if let Some(owner) = &node.owner
+        && same
+        && !node.drain.is_set()
+    {
+        owner.seek();
+    }
+}
+
 fn start_ask(node: &Arc<Node>, sender: &LinkSender, ask: &Ask) {
     let key = ask.key.as_ref().and_then(once::key_of);
     let (Some(owner), Some(key)) = (node.owner.clone(), key) else {
--- a/agent/src/report.rs
+++ b/agent/src/report.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use event_listener::EventListener;
 use futures_lite::FutureExt;
 use serde::Deserialize;
 use snipeyoke_lib::time::Time;
@@ -106,18 +107,39 @@
 /// Polls the endpoint and reports to every router until the agent stops.
 pub(crate) async fn run(node: Arc<Node>) {
     let mut cache = (0, 0);
+    let mut moved = false;
     while !node.stop.is_set() {
+        // The listener comes before the report: a move between the two would
+        // otherwise wait for the next one.
+        let listener = node.owner.as_ref().map(|o| o.listen_moved());
         poll(&node).await;
         let seq = node.seq.fetch_add(1, Ordering::SeqCst) + 1;
-        node.beat(&frame(&node, seq), false);
+        node.beat(&frame(&node, seq), moved);
         if node.settings.endpoint.kind == EndpointKind::Engine {
             cache = report_cache(&node, cache).await;
         }
         let pause = async {
             Timer::after(REPORT_EVERY).await;
+            false
         };
-        pause.or(node.stop.wait()).await;
+        let stopped = async {
+            node.stop.wait().await;
+            false
+        };
+        moved = pause.or(stopped).or(slots_moved(listener)).await;
+    }
+}
+
+/// Waits until slots were won or lost, then tells so.
+///
+/// Callers wait at the routers for a slot's next owner, so that its news
+/// doesn't wait for the next report.
+async fn slots_moved(listener: Option<EventListener>) -> bool {
+    match listener {
+        Some(listener) => listener.await,
+        None => std::future::pending().await,
     }
+    true
 }
 
 /// Builds a heartbeat with the load at this moment.
--- a/lib/src/once/slots.rs
+++ b/lib/src/once/slots.rs
@@ -27,14 +27,18 @@
 
 impl SlotMap {
     /// Takes all slots that an agent says it owns; the highest claim wins.
+    ///
+    /// Returns whether the agent gave slots up since its last report.
     pub fn report(
         &mut self,
         pool: &PoolName,
         endpoint: &EndpointId,
         slots: &BTreeMap<KeySlot, FencingNumber>,
-    ) {
+    ) -> bool {
         let owners = self.pools.entry(pool.clone()).or_default();
+        let before = owners.len();
         owners.retain(|slot, owner| owner.endpoint != *endpoint || slots.contains_key(slot));
+        let freed = owners.len() < before;
         for (slot, fence) in slots {
             let known = owners.get(slot);
             if known.is_none_or(|k| k.fence <= *fence) {
@@ -45,6 +49,7 @@
                 owners.insert(*slot, owner);
             }
         }
+        freed
     }
 
     /// Forgets an endpoint that can't be reached any more.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -17,3 +17,4 @@
 mod test_outcome;
 mod test_placement;
 mod test_query;
+mod test_slots;
--- a/router/src/agents.rs
+++ b/router/src/agents.rs
@@ -113,6 +113,14 @@
         link.ask(key)
     }
 
+    /// Sends an agent a frame that nobody waits for, if there is a link to it.
+    pub(crate) fn pass_on(&self, endpoint: &EndpointId, body: Body) {
+        let link = self.links().get(endpoint).cloned();
+        if let Some(link) = link {
+            link.pass_on(body);
+        }
+    }
+
     /// Returns the number of links whose agent has reported its load.
     pub(crate) fn reported(&self) -> usize {
         let links = self.links();
--- a/router/src/connect.rs
+++ b/router/src/connect.rs
@@ -29,6 +29,7 @@
 use snipeyoke_lib::membership::Profile;
 use snipeyoke_lib::once::KeySlot;
 use snipeyoke_lib::routing::CacheUpdate;
+use snipeyoke_lib::routing::Endpoint;
 use snipeyoke_lib::routing::LoadReport;
 use snipeyoke_runtime::link;
 use snipeyoke_runtime::link::LinkReader;
@@ -40,6 +41,7 @@
 use snipeyoke_wire::Hello;
 use snipeyoke_wire::Load;
 use snipeyoke_wire::NodeKind;
+use snipeyoke_wire::SlotsFreed;
 use snipeyoke_wire::frame::Body;
 
 use crate::agents::AgentLink;
@@ -370,8 +372,12 @@
 fn report(node: &Node, peer: &Peer, link: &AgentLink, heartbeat: &Heartbeat) {
     let now = node.clock.now();
     follow::level(node, link, Offset(heartbeat.config_offset));
-    node.slots()
+    let freed = node
+        .slots()
         .report(&peer.pool, &peer.endpoint, &slots(heartbeat));
+    if freed {
+        tell_freed(node, peer);
+    }
     let mut load = heartbeat.load.as_ref().map(load_report);
     // The agent knows nothing of an operator's drain, and each of its reports
     // would put it back into service.
@@ -392,6 +398,28 @@
     sight.report(now, &peer.endpoint, load, revision);
 }
 
+/// Tells the other agents of a pool that one of them gave key slots up.
+///
+/// They look at the log each 15 s while they expect nothing, and for so long
+/// every call to these slots would be refused.
+fn tell_freed(node: &Node, peer: &Peer) {
+    let others: Vec<EndpointId> = {
+        let shared = node.shared();
+        let Some(pool) = shared.fleet.pool(&peer.pool) else {
+            return;
+        };
+        let ids = pool.endpoints().iter().map(Endpoint::id);
+        ids.filter(|&id| *id != peer.endpoint).cloned().collect()
+    };
+    let frame = SlotsFreed {
+        pool: peer.pool.to_string(),
+    };
+    for endpoint in others {
+        let body = Body::SlotsFreed(frame.clone());
+        node.agents.pass_on(&endpoint, body);
+    }
+}
+
 fn receive(node: &Node, peer: &Peer, link: &AgentLink, body: Body) {
     let now = node.clock.now();
     match body {
