--- a/router/src/drive/mod.rs
+++ b/router/src/drive/mod.rs
@@ -2,6 +2,7 @@
 
 mod answer;
 mod ends;
+mod record;
 mod resolve;
 mod run;
 mod work;
--- a/router/src/drive/run.rs
+++ b/router/src/drive/run.rs
@@ -34,11 +34,12 @@
 use super::ends::missing_end;
 use super::ends::role_of;
 use super::ends::usage_of;
+use super::record::Attempt;
+use super::record::Sending;
+use super::record::Told;
 use super::resolve::Once;
 use super::resolve::Resolve;
-use super::work::Taken;
 use super::work::Work;
-use crate::agents::CallHandle;
 use crate::agents::Input;
 use crate::agents::Signal;
 use crate::node::Node;
@@ -58,19 +59,6 @@
     pub(crate) stop: Flag,
 }
 
-/// One attempt on its way.
-#[derive(Debug)]
-struct Attempt {
-    endpoint: EndpointId,
-    stage: usize,
-    role: StageRole,
-    call: Option<CallHandle>,
-    taken: Option<Taken>,
-    output_tokens: u32,
-    /// The call, kept while a missing answer could be resolved by it.
-    once: Option<Call>,
-}
-
 struct Driver {
     node: Arc<Node>,
     job: Job,
@@ -90,17 +78,6 @@
     done: bool,
 }
 
-/// What the chain has heard once and need not hear again.
-///
-/// The flags behind it stay set: without this a chain that goes on, because a
-/// non-idempotent call still runs, would be told without end and keep the
-/// thread busy.
-#[derive(Debug, Default)]
-struct Told {
-    gone: bool,
-    stopped: bool,
-}
-
 /// Drives a request to its one outcome.
 pub(crate) async fn drive(node: Arc<Node>, job: Job) {
     let (feed, inputs) = async_channel::unbounded();
@@ -511,11 +488,3 @@
         }
     }
 }
-
-struct Sending {
-    attempt: AttemptId,
-    stage: usize,
-    left: Duration,
-    priority: u8,
-    resume: u32,
-}
