routing: hold what all endpoints have in common against none of them

Admission saw 2.0 s where answers took 0.95 s (taken over predicted: median 0.64 to 0.83), and refused. Change: the verdict on an endpoint is held against the pool's mean miss.

--- a/lib/src/chain/select.rs
+++ b/lib/src/chain/select.rs
@@ -160,8 +160,9 @@
 ) {
     let pool = &chain.current().pool;
     let took = now.since(attempt.began);
+    let ratio = own_ratio(now, attempt, chain, shared);
     if let Some(endpoint) = shared.fleet.at(pool, attempt.slot, &attempt.endpoint) {
-        endpoint.health_mut().answered(now, attempt.ratio(now));
+        endpoint.health_mut().answered(now, ratio);
     }
     shared.fleet.worked(pool, attempt.slot, usage.work);
     if generates(chain.current()) {
@@ -182,6 +183,19 @@
     let slope = shared.fleet.pool(pool).map_or(0.0, Pool::drag);
     let idle = attempt.ratio(now) * (1.0 + slope * attempt.crowd.min(1.0));
     shared.fleet.dragged(pool, attempt.crowd, idle);
+    shared.fleet.missed(pool, attempt.ratio(now));
+}
+
+// When all endpoints are slower than promised, as with cold caches, the drag of
+// the pool takes it up. Held against each endpoint too, it counted twice, and
+// admission refused what could be done in half the predicted time.
+fn own_ratio(now: Time, attempt: &Attempt, chain: &Chain, shared: &Shared) -> f32 {
+    let ratio = attempt.ratio(now);
+    if !generates(chain.current()) {
+        return ratio;
+    }
+    let pool = shared.fleet.pool(&chain.current().pool);
+    ratio / pool.map_or(1.0, Pool::common)
 }
 
 /// Learns from an attempt that ended without an answer.
@@ -214,7 +228,8 @@
 /// Learns that an attempt takes longer than predicted, before it ends.
 pub(super) fn note_overdue(now: Time, attempt: &Attempt, chain: &Chain, shared: &mut Shared) {
     let pool = &chain.current().pool;
+    let ratio = own_ratio(now, attempt, chain, shared);
     if let Some(endpoint) = shared.fleet.at(pool, attempt.slot, &attempt.endpoint) {
-        endpoint.health_mut().overdue(now, attempt.ratio(now));
+        endpoint.health_mut().overdue(now, ratio);
     }
 }
--- a/lib/src/routing/drag.rs
+++ b/lib/src/routing/drag.rs
@@ -15,11 +15,18 @@
 /// The largest slope believed.
 const SLOPE_MAX: f32 = 4.0;
 
+/// The weight of a new observation of what all endpoints have in common.
+const COMMON_WEIGHT: f32 = 0.05;
+
+/// The largest miss taken in for that, so that one straggler hardly shows.
+const COMMON_MAX: f32 = 2.5;
+
 /// A least-squares fit of `ratio = 1 + slope * crowd`, with fading weights.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(super) struct Drag {
     across: f32,
     along: f32,
+    common: f32,
 }
 
 impl Default for Drag {
@@ -28,6 +35,7 @@
         Self {
             across: FIRST * along,
             along,
+            common: 1.0,
         }
     }
 }
@@ -42,6 +50,17 @@
         self.along = KEPT * self.along + crowd * crowd;
     }
 
+    /// Takes in how many times its promised time an answer took.
+    pub(super) fn missed(&mut self, ratio: f32) {
+        let ratio = ratio.clamp(0.0, COMMON_MAX);
+        self.common += COMMON_WEIGHT * (ratio - self.common);
+    }
+
+    /// Returns how much longer than promised the answers of all endpoints take.
+    pub(super) const fn common(self) -> f32 {
+        self.common.max(1.0)
+    }
+
     /// Returns the slowdown of a full batch.
     pub(super) const fn slope(self) -> f32 {
         if self.along <= 0.0 {
--- a/lib/src/routing/fleet.rs
+++ b/lib/src/routing/fleet.rs
@@ -201,6 +201,13 @@
         }
     }
 
+    /// Notes how many times its promised time a generation took.
+    pub fn missed(&mut self, pool: &PoolName, ratio: f32) {
+        if let Some(pool) = self.pools.get_mut(pool) {
+            pool.missed(ratio);
+        }
+    }
+
     /// Notes the work time of a completed call.
     pub fn worked(&mut self, pool: &PoolName, slot: usize, work: Duration) {
         if let Some(pool) = self.pools.get_mut(pool)
--- a/lib/src/routing/pool.rs
+++ b/lib/src/routing/pool.rs
@@ -192,6 +192,17 @@
         self.drag.observe(crowd, ratio);
     }
 
+    /// Learns how many times its promised time an answer took.
+    pub(super) fn missed(&mut self, ratio: f32) {
+        self.drag.missed(ratio);
+    }
+
+    /// Returns how much longer than promised the answers of all endpoints take.
+    #[must_use]
+    pub const fn common(&self) -> f32 {
+        self.drag.common()
+    }
+
     fn usual(&self) -> Usual {
         Usual {
             work: self.work,
