--- a/lib/tests/test_chain.rs
+++ b/lib/tests/test_chain.rs
@@ -77,6 +77,8 @@
             "teach" => self.teach(case),
             "request" => self.request(case),
             "wait" => String::new(),
+            "answers" => self.answers(case),
+            "verdict" => self.verdict(case),
             _ => self.event(case),
         };
         text.push_str(&more);
@@ -124,6 +126,47 @@
         String::new()
     }
 
+    /// Sends requests one after the other and answers each after its time, or
+    /// `times` as late where `slow` has it.
+    fn answers(&mut self, case: &mut TestCase) -> String {
+        let stages: Vec<String> = case.take_args("stages").expect("stages=(..)");
+        let count = arg(case, "count").expect("count=");
+        let took = Duration::from_millis(arg(case, "took").expect("took="));
+        let slow: Option<String> = arg(case, "slow");
+        let times = arg(case, "times").unwrap_or(1);
+        for _ in 0..count {
+            self.begin = self.world.now;
+            self.chain = Some(Chain::new(spec(self.world.now, &stages, 60_000)));
+            self.wake = None;
+            let sent = self.feed(Event::Start);
+            let late = slow
+                .as_ref()
+                .is_some_and(|id| sent.contains(&format!("to={id} ")));
+            let after = if late { took * times } else { took };
+            self.world.pass(self.begin + after);
+            let usage = Usage {
+                work: took,
+                ..Usage::default()
+            };
+            self.feed(Event::Ended {
+                attempt: AttemptId(0),
+                end: AttemptEnd::Completed,
+                usage,
+            });
+        }
+        String::new()
+    }
+
+    fn verdict(&mut self, case: &mut TestCase) -> String {
+        let id: EndpointId = arg(case, "id").expect("id=");
+        let now = self.world.now;
+        let mut pools = self.world.shared.fleet.pools().values();
+        let seen =
+            pools.find_map(|pool| Some(pool.endpoints()[pool.find(&id)?].health().slow(now)));
+        let slow = seen.expect("an endpoint");
+        format!("{slow:.1} times as slow as promised\n")
+    }
+
     fn request(&mut self, case: &mut TestCase) -> String {
         let stages: Vec<String> = case.take_args("stages").expect("stages=(..)");
         let deadline = arg(case, "deadline").unwrap_or(3_000);
