--- a/site/src/run.rs
+++ b/site/src/run.rs
@@ -7,6 +7,7 @@
 
 use async_io::Timer;
 use bytes::Bytes;
+use futures_util::future::join_all;
 use http_body_util::Full;
 use snipeyoke_agent::Agent;
 use snipeyoke_agent::settings::Endpoint;
@@ -116,13 +117,16 @@
         index: usize,
         execs: &Execs,
     ) -> Result<(), SiteError> {
-        let standin = Standin::start(&execs.traffic, pool.standin.clone())?;
+        let address = match pool.outside {
+            Some(address) => address,
+            None => self.add_standin(&pool.standin, execs)?,
+        };
         let domain = &plan.domains[index % plan.domains.len()];
         let name = format!("{}-{index}", pool.name);
         let endpoint = Endpoint {
             id: name.parse()?,
             pool: pool.name.parse()?,
-            address: standin.address(),
+            address,
             kind: kind_of(&pool.standin),
             slots: pool.slots,
             queue: pool.queue,
@@ -145,12 +149,18 @@
             name,
             pool: pool.name.clone(),
             domain: domain.clone(),
-            address: standin.address(),
+            address,
         });
-        self.standins.push(standin);
         Ok(())
     }
 
+    fn add_standin(&mut self, settings: &Settings, execs: &Execs) -> Result<SocketAddr, SiteError> {
+        let standin = Standin::start(&execs.traffic, settings.clone())?;
+        let address = standin.address();
+        self.standins.push(standin);
+        Ok(address)
+    }
+
     /// Starts one more router, which need not be ready when this returns.
     ///
     /// # Errors
@@ -239,12 +249,8 @@
 
     /// Drains the routers, then the agents, and stops the stand-ins.
     pub async fn stop(self) {
-        for router in &self.routers {
-            router.leave().await;
-        }
-        for agent in &self.agents {
-            agent.leave().await;
-        }
+        join_all(self.routers.iter().map(Router::leave)).await;
+        join_all(self.agents.iter().map(Agent::leave)).await;
         for standin in self.standins {
             standin.stop().await;
         }
