--- a/lib/src/chain/select.rs
+++ b/lib/src/chain/select.rs
@@ -120,7 +120,11 @@
 // Two agents that both take a key would both run the call. Only the owner of
 // the key's slot knows what became of it, so no other endpoint is asked.
 fn pick_owner(now: Time, chain: &Chain, pool: &Pool) -> Result<Picked, Reason> {
-    let owner = chain.spec.slot.as_ref().ok_or(Reason::NoLease)?;
+    let owner = chain.spec.slot.as_ref();
+    // Who refused the key is named until its next report comes. Asked again
+    // before, it would use up the attempts that the next owner needs.
+    let owner = owner.filter(|&o| chain.refuser.as_ref() != Some(o));
+    let owner = owner.ok_or(Reason::NoLease)?;
     let slot = pool.find(owner).ok_or(Reason::NoEndpoint)?;
     let endpoint = &pool.endpoints()[slot];
     if endpoint.is_draining() {
@@ -160,8 +164,9 @@
 ) {
     let pool = &chain.current().pool;
     let took = now.since(attempt.began);
+    let ratio = own_ratio(now, attempt, chain, shared);
     if let Some(endpoint) = shared.fleet.at(pool, attempt.slot, &attempt.endpoint) {
-        endpoint.health_mut().answered(now, attempt.ratio(now));
+        endpoint.health_mut().answered(now, ratio);
     }
     shared.fleet.worked(pool, attempt.slot, usage.work);
     if generates(chain.current()) {
@@ -182,6 +187,19 @@
     let slope = shared.fleet.pool(pool).map_or(0.0, Pool::drag);
     let idle = attempt.ratio(now) * (1.0 + slope * attempt.crowd.min(1.0));
     shared.fleet.dragged(pool, attempt.crowd, idle);
+    shared.fleet.missed(pool, attempt.ratio(now));
+}
+
+// When all endpoints are slower than promised, as with cold caches, the drag of
+// the pool takes it up. Held against each endpoint too, it counted twice, and
+// admission refused what could be done in half the predicted time.
+fn own_ratio(now: Time, attempt: &Attempt, chain: &Chain, shared: &Shared) -> f32 {
+    let ratio = attempt.ratio(now);
+    if !generates(chain.current()) {
+        return ratio;
+    }
+    let pool = shared.fleet.pool(&chain.current().pool);
+    ratio / pool.map_or(1.0, Pool::common)
 }
 
 /// Learns from an attempt that ended without an answer.
@@ -207,6 +225,8 @@
     match reason {
         Reason::Overload | Reason::Limit | Reason::Deadline => endpoint.refused(),
         Reason::Draining => endpoint.leaves(),
+        // The slot moved; the endpoint is as well as before.
+        Reason::NoLease => {}
         _ => endpoint.health_mut().failed(now),
     }
 }
@@ -214,7 +234,8 @@
 /// Learns that an attempt takes longer than predicted, before it ends.
 pub(super) fn note_overdue(now: Time, attempt: &Attempt, chain: &Chain, shared: &mut Shared) {
     let pool = &chain.current().pool;
+    let ratio = own_ratio(now, attempt, chain, shared);
     if let Some(endpoint) = shared.fleet.at(pool, attempt.slot, &attempt.endpoint) {
-        endpoint.health_mut().overdue(now, attempt.ratio(now));
+        endpoint.health_mut().overdue(now, ratio);
     }
 }
