--- a/site/src/run.rs
+++ b/site/src/run.rs
@@ -36,7 +36,7 @@
 pub const OPERATOR_KEY: &str = "operator-key-of-the-demo";
 
 /// The longest time until every router is ready.
-const READY_LIMIT: Duration = Duration::from_secs(10);
+const READY_LIMIT: Duration = Duration::from_secs(30);
 
 /// The pause between two looks.
 const LOOK: Duration = Duration::from_millis(20);
