chain: land the red test of a hedge to the only endpoint

Mending it makes scenario chain/hopeless fail, which expects just such a hedge; that is to be decided, not eased in passing. Socket addresses in the library come from core, which has no sockets, so the compiler shows that they are data.

--- a/lib/src/membership/dial.rs
+++ b/lib/src/membership/dial.rs
@@ -1,7 +1,7 @@
 //! When to dial an address again.
 
+use core::net::SocketAddr;
 use std::collections::BTreeMap;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use rapidhash::v3::rapidhash_v3;
--- a/lib/src/membership/event.rs
+++ b/lib/src/membership/event.rs
@@ -1,6 +1,6 @@
 //! What goes into the membership view and what comes out.
 
-use std::net::SocketAddr;
+use core::net::SocketAddr;
 
 use derive_more::Display;
 
--- a/lib/src/membership/peer.rs
+++ b/lib/src/membership/peer.rs
@@ -1,6 +1,6 @@
 //! What nodes tell about themselves, and what others tell about them.
 
-use std::net::SocketAddr;
+use core::net::SocketAddr;
 use std::time::Duration;
 
 use derive_more::Display;
--- a/lib/src/membership/view/member.rs
+++ b/lib/src/membership/view/member.rs
@@ -1,6 +1,6 @@
 //! One node as the view knows it.
 
-use std::net::SocketAddr;
+use core::net::SocketAddr;
 use std::time::Duration;
 
 use crate::ids::Incarnation;
--- a/lib/src/membership/view/mod.rs
+++ b/lib/src/membership/view/mod.rs
@@ -3,9 +3,9 @@
 mod member;
 mod plan;
 
+use core::net::SocketAddr;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 pub use member::Member;
--- a/lib/src/membership/view/plan.rs
+++ b/lib/src/membership/view/plan.rs
@@ -1,8 +1,8 @@
 //! What the view does as time passes: heartbeats, timeouts, links, dials.
 
+use core::net::SocketAddr;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use super::Group;
--- a/lib/tests/test_chain.rs
+++ b/lib/tests/test_chain.rs
@@ -298,3 +298,12 @@
         file.run(|case| script.run(case));
     });
 }
+
+#[test]
+#[ignore = "red: a hedge goes to the only endpoint there is, see KNOWN-RED.txt"]
+fn sends_no_hedge_to_the_only_endpoint() {
+    datadriven::walk("tests/scenarios/red", |file| {
+        let mut script = Script::new();
+        file.run(|case| script.run(case));
+    });
+}
