chain: send no hedge to an endpoint that holds the call

Cause: the hedge was sent to whatever the policy picked, also to the only endpoint, which already holds the call. It doubles the work there and spends the budget of calls that could be helped.

Ruled out: forbidding the retry after silence too; a connection that hangs is helped by a new one to the same endpoint, and the first is dropped.

Runner chain tests: 3 passed.

--- a/lib/src/chain/select.rs
+++ b/lib/src/chain/select.rs
@@ -145,6 +145,19 @@
     })
 }
 
+/// Tells whether an endpoint that has not been tried at this stage is usable.
+///
+/// A hedge to the endpoint that already holds the call doubles its work and
+/// spends the budget of calls that another endpoint could still save.
+pub(super) fn has_other(now: Time, chain: &Chain, shared: &Shared) -> bool {
+    let Some(pool) = shared.fleet.pool(&chain.current().pool) else {
+        return false;
+    };
+    let untried = |slot: usize| chain.here().all(|a| a.slot != slot);
+    let mut endpoints = pool.endpoints().iter().enumerate();
+    endpoints.any(|(slot, e)| e.is_usable(now) && untried(slot))
+}
+
 fn budget(now: Time, chain: &Chain, shared: &Shared) -> Duration {
     let rest = timing::rest(now, chain, shared, chain.stage + 1, timing::USUAL);
     (chain.spec.deadline - rest).since(now)
--- a/lib/src/chain/watch.rs
+++ b/lib/src/chain/watch.rs
@@ -55,7 +55,8 @@
         };
         select::note_overdue(turn.now, &self.attempts[index], self, turn.shared);
         self.attempts[index].hedge = Time::NEVER;
-        if self.here().count() < ATTEMPTS_MAX && turn.shared.hedge.take() {
+        let may_send = self.here().count() < ATTEMPTS_MAX;
+        if may_send && select::has_other(turn.now, self, turn.shared) && turn.shared.hedge.take() {
             self.send(turn);
         }
     }
