--- /dev/null
+++ b/gateway/src/attempt.rs
@@ -0,0 +1,267 @@
+//! One try of a request at one endpoint.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hyper::StatusCode;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::serving::directory::Choice;
+use snipeyoke_lib::serving::directory::Wanted;
+use snipeyoke_lib::time::Time;
+
+use crate::call::Call;
+use crate::call::CallError;
+use crate::call::call;
+use crate::dialect::Answer;
+use crate::dialect::Sending;
+use crate::refusal::Refusal;
+use crate::shared::Shared;
+use crate::ticket::Ticket;
+
+/// How long a request waits for the first endpoint of its service.
+///
+/// Entries that lapsed with the registry are back within two seconds of its
+/// return; a service without endpoints for longer has none.
+const ENDPOINT_WAIT: Duration = Duration::from_secs(2);
+
+/// The most connections that are tried for one request.
+///
+/// A failed connection is no try: the endpoint never had the request. With
+/// more of them failing than this the service is away.
+const CONNECTS_MAX: usize = 4;
+
+/// The shared tokens from which a prompt is kept to an endpoint.
+///
+/// Fewer are read again in less time than a busier endpoint costs.
+const SHARED_MIN: u32 = 256;
+
+/// What one try brought.
+#[derive(Debug)]
+pub(crate) enum Tried {
+    /// An endpoint answers; the body is still to be read.
+    Answered(Box<Answered>),
+    /// Nothing ran at this try.
+    NotRun(Refusal),
+    /// One of the stages' results is gone; nothing ran.
+    InputsGone,
+    /// The request may have run, and there is no answer.
+    Unknown(Refusal),
+}
+
+/// An endpoint's answer.
+#[derive(Debug)]
+pub(crate) struct Answered {
+    pub(crate) call: Call,
+    pub(crate) answer: Answer,
+    pub(crate) busy: Busy,
+    pub(crate) sent: Time,
+}
+
+/// Counts a call at its endpoint until it is dropped.
+#[derive(Debug)]
+pub(crate) struct Busy {
+    shared: Arc<Shared>,
+    pub(crate) endpoint: EndpointId,
+}
+
+impl Busy {
+    fn new(shared: &Arc<Shared>, endpoint: &EndpointId) -> Self {
+        shared.directory().began(endpoint);
+        Self {
+            shared: Arc::clone(shared),
+            endpoint: endpoint.clone(),
+        }
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.shared.directory().ended(&self.endpoint);
+    }
+}
+
+/// Chooses an endpoint and sends the request to it.
+pub(crate) async fn attempt(
+    ticket: &mut Ticket,
+    inputs: &[String],
+    last_event: Option<u64>,
+) -> Tried {
+    let mut failed = Vec::new();
+    loop {
+        let Some(choice) = choose(ticket, &failed).await else {
+            return Tried::NotRun(Refusal::NoEndpoint);
+        };
+        log_choice(ticket, &choice);
+        let busy = Busy::new(&ticket.shared, &choice.entry.id);
+        let sent = ticket.shared.now();
+        let with = Sending {
+            account: ticket.account(),
+            endpoint: &choice.entry.id,
+            left: ticket.left(),
+            inputs,
+            last_event,
+            urgency: ticket.route.kind.is_stream().then(|| ticket.urgency()),
+        };
+        let body = ticket.body.clone();
+        let request = ticket.shared.dialect.request(&ticket.head, body, with);
+        let exec = Arc::clone(&ticket.shared.traffic);
+        let called = call(&exec, choice.entry.address, request);
+        let may_have_run = std::mem::replace(&mut ticket.may_have_run, true);
+        match ticket.within(called).await {
+            None => {
+                ticket.tried.push(choice.entry.id);
+                return Tried::Unknown(Refusal::Timeout);
+            }
+            Some(Ok(call)) => {
+                ticket.tried.push(choice.entry.id);
+                return judge(ticket, call, busy, sent, may_have_run);
+            }
+            Some(Err(error)) => {
+                note_error(ticket, &choice.entry.id, &error);
+                if !error.is_not_sent() {
+                    ticket.tried.push(choice.entry.id);
+                    return Tried::Unknown(Refusal::AnswerLost);
+                }
+                ticket.may_have_run = may_have_run;
+                failed.push(choice.entry.id);
+                if failed.len() >= CONNECTS_MAX {
+                    return Tried::NotRun(Refusal::NoEndpoint);
+                }
+            }
+        }
+    }
+}
+
+async fn choose(ticket: &Ticket, failed: &[EndpointId]) -> Option<Choice> {
+    let shared = &ticket.shared;
+    let until = shared.now() + ENDPOINT_WAIT;
+    loop {
+        let changed = shared.changed.listen();
+        if let Some(choice) = pick(ticket, failed) {
+            return Some(choice);
+        }
+        let left = until.min(ticket.due).since(shared.now());
+        if left.is_zero() {
+            return None;
+        }
+        let over = async_io::Timer::after(left);
+        let timer = async {
+            over.await;
+        };
+        futures_lite::future::or(changed, timer).await;
+    }
+}
+
+fn pick(ticket: &Ticket, failed: &[EndpointId]) -> Option<Choice> {
+    let mut avoid = ticket.tried.clone();
+    avoid.extend_from_slice(failed);
+    let prompt = ticket.ask.prompt.filter(|p| p.shared >= SHARED_MIN);
+    let near = ticket.domain.as_ref();
+    let wanted = Wanted {
+        service: &ticket.service,
+        avoid: &avoid,
+        domain: near.or(Some(&ticket.shared.settings.domain)),
+        strict: near.is_some(),
+        prefix: prompt.map(|p| p.prefix),
+    };
+    ticket
+        .shared
+        .directory()
+        .choose(ticket.shared.now(), wanted)
+}
+
+fn log_choice(ticket: &Ticket, choice: &Choice) {
+    let endpoint = choice.entry.id.to_string();
+    log::info!(
+        event = "endpoint-chosen",
+        request = ticket.ask.id.as_str(),
+        endpoint = endpoint.as_str(),
+        reason = choice.reason.to_string().as_str(),
+        calls = choice.calls,
+        report_ms = choice.age.as_millis().min(99_999) as u64,
+        left_ms = ticket.left().as_millis() as u64;
+        ""
+    );
+}
+
+fn note_error(ticket: &Ticket, endpoint: &EndpointId, error: &CallError) {
+    let now = ticket.shared.now();
+    if let Some(health) = ticket.shared.directory().health_mut(endpoint) {
+        health.broke(now);
+    }
+    log::warn!(event = "call-failed", request = ticket.ask.id.as_str(), endpoint = endpoint.to_string().as_str(), error = error.to_string().as_str(); "");
+}
+
+/// Tells what the head of an answer means for the request.
+fn judge(ticket: &mut Ticket, call: Call, busy: Busy, sent: Time, may_have_run: bool) -> Tried {
+    let shared = Arc::clone(&ticket.shared);
+    let answer = shared.dialect.answer(&call.head);
+    let now = shared.now();
+    let endpoint = busy.endpoint.clone();
+    if let Some(load) = answer.load {
+        shared.directory().reported(now, &endpoint, load);
+    }
+    let status = call.head.status;
+    if answer.not_run || answer.misled {
+        ticket.may_have_run = may_have_run;
+        log::info!(event = "endpoint-refused", request = ticket.ask.id.as_str(), endpoint = endpoint.to_string().as_str(), status = status.as_u16(), misled = answer.misled; "");
+    }
+    if answer.misled {
+        shared.directory().mislead(&endpoint);
+        return Tried::NotRun(Refusal::NoEndpoint);
+    }
+    if answer.not_run {
+        if status == StatusCode::CONFLICT {
+            ticket.tried.pop();
+            return Tried::InputsGone;
+        }
+        if let Some(health) = shared.directory().health_mut(&endpoint) {
+            health.failed(now);
+        }
+        return Tried::NotRun(Refusal::Full);
+    }
+    // An endpoint may send a second answer to another request; taken for this
+    // one's, the caller would get a stranger's bytes.
+    if answer.id.as_deref() != Some(ticket.ask.id.as_str()) || answer.coded {
+        log::warn!(event = "answer-of-another", request = ticket.ask.id.as_str(), endpoint = endpoint.to_string().as_str(), found = answer.id.as_deref().unwrap_or("-"); "");
+        if let Some(health) = shared.directory().health_mut(&endpoint) {
+            health.failed(now);
+        }
+        return Tried::Unknown(Refusal::AnswerLost);
+    }
+    Tried::Answered(Box::new(Answered {
+        call,
+        answer,
+        busy,
+        sent,
+    }))
+}
+
+/// Notes an answer's time against what was expected of the service.
+pub(crate) fn note_time(ticket: &Ticket, endpoint: &EndpointId, sent: Time) {
+    let shared = &ticket.shared;
+    let now = shared.now();
+    let tokens = ticket.ask.prompt.map_or(0, |p| p.tokens);
+    let ratio = shared
+        .paces()
+        .observe(&ticket.service, tokens, now.since(sent));
+    if let Some(health) = shared.directory().health_mut(endpoint) {
+        health.answered(now, ratio);
+    }
+}
+
+/// Notes an answer that says that the endpoint failed, or was broken off.
+pub(crate) fn note_failure(ticket: &Ticket, endpoint: &EndpointId) {
+    let now = ticket.shared.now();
+    if let Some(health) = ticket.shared.directory().health_mut(endpoint) {
+        health.failed(now);
+    }
+}
+
+/// Tells whether a status says that the request did not run.
+///
+/// Passed on from an endpoint that does not vouch for it, the promise would be
+/// the node's own, and false.
+pub(crate) const fn is_promise(status: StatusCode) -> bool {
+    matches!(status.as_u16(), 408 | 421 | 429 | 503)
+}
--- /dev/null
+++ b/gateway/src/desk/books.rs
@@ -0,0 +1,117 @@
+//! Conversions between jobs and their frames.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::serving::pieces::Job;
+use snipeyoke_lib::serving::pieces::Work;
+use snipeyoke_lib::serving::replica::Record;
+use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::Bytes;
+use snipeyoke_wire::KeyedRecord;
+use snipeyoke_wire::PieceJob;
+use snipeyoke_wire::PieceJobEnd;
+
+use super::Done;
+use super::JobNumber;
+use super::Made;
+
+/// Writes a job for another node.
+pub(super) fn job_frame(now: Time, number: JobNumber, service: &str, job: &Job) -> PieceJob {
+    let micros = |at: Time| at.since(now).as_micros() as u64;
+    let inputs = match &job.work {
+        Work::Key => Vec::new(),
+        Work::Inputs(inputs) => inputs.clone(),
+    };
+    PieceJob {
+        job: number.0,
+        service: service.to_owned(),
+        request: job.request.clone(),
+        stage: job.stage as u32,
+        pieces: job.pieces.clone(),
+        key: job.key.clone(),
+        inputs,
+        each: job.each.0,
+        goal_us: micros(job.goal),
+        due_us: micros(job.due),
+        domain: job
+            .domain
+            .as_ref()
+            .map(ToString::to_string)
+            .unwrap_or_default(),
+    }
+}
+
+/// Reads a job of another node.
+pub(super) fn job_of(now: Time, frame: PieceJob) -> Job {
+    let later = |micros: u64| now + Duration::from_micros(micros);
+    let work = if frame.inputs.is_empty() {
+        Work::Key
+    } else {
+        Work::Inputs(frame.inputs)
+    };
+    Job {
+        request: frame.request,
+        stage: frame.stage as usize,
+        pieces: frame.pieces,
+        work,
+        key: frame.key,
+        each: Bytes(frame.each),
+        goal: later(frame.goal_us),
+        due: later(frame.due_us),
+        domain: frame.domain.parse().ok(),
+    }
+}
+
+/// Writes the end of a job for the node that handed it in.
+pub(super) fn end_frame(done: &Done) -> PieceJobEnd {
+    let made = done.made.iter().map(|m| snipeyoke_wire::PieceResult {
+        piece: m.piece,
+        handle: m.handle.clone(),
+        endpoint: m.endpoint.to_string(),
+    });
+    PieceJobEnd {
+        job: done.number.0,
+        made: made.collect(),
+        failure: done.failure.map(|f| f.to_string()).unwrap_or_default(),
+    }
+}
+
+/// Reads the end of a job; results of unreadable endpoints are left out.
+pub(super) fn done_of(frame: PieceJobEnd) -> Done {
+    let made = frame.made.into_iter().filter_map(|m| {
+        Some(Made {
+            piece: m.piece,
+            handle: m.handle,
+            endpoint: m.endpoint.parse().ok()?,
+        })
+    });
+    let failure = match frame.failure.as_str() {
+        "" => None,
+        text => Some(text.parse().unwrap_or(super::Failure::Failed)),
+    };
+    Done {
+        number: JobNumber(frame.job),
+        made: made.collect(),
+        failure,
+    }
+}
+
+/// Writes a record for a neighbour.
+pub(super) fn record_frame(record: Record) -> KeyedRecord {
+    KeyedRecord {
+        key: record.key,
+        value: record.value.map(|v| v.to_vec().into()),
+        offset: record.offset.0,
+    }
+}
+
+/// Reads a neighbour's record.
+pub(super) fn record_of(frame: KeyedRecord) -> Record {
+    Record {
+        key: frame.key,
+        value: frame.value.map(|v| Arc::from(v.as_ref())),
+        offset: Offset(frame.offset),
+    }
+}
--- /dev/null
+++ b/gateway/src/desk/calls.rs
@@ -0,0 +1,98 @@
+//! Calls to endpoints of stage services.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::pieces::PieceResult;
+use snipeyoke_lib::serving::pieces::Send;
+
+use crate::call::Call;
+use crate::call::CallError;
+use crate::call::call;
+use crate::shared::Shared;
+
+/// The largest answer to a call for pieces, in bytes.
+const ANSWER_MAX: usize = 1 << 20;
+
+/// The longest time to give results back.
+const GIVE_BACK_LIMIT: Duration = Duration::from_secs(1);
+
+/// The time on top of a call's own limit, for the way there and back.
+const WAY: Duration = Duration::from_millis(200);
+
+/// Makes a call for pieces.
+pub(super) async fn run_pieces(shared: Arc<Shared>, send: Send) -> PieceResult {
+    let request = shared.dialect.run_pieces(&send.entry.id, &send.items);
+    let answered = async {
+        match call(&shared.traffic, send.entry.address, request).await {
+            Ok(call) => read(&shared, &send.entry, call).await,
+            Err(error) => broken(&send.entry, &error),
+        }
+    };
+    let over = async {
+        Timer::after(send.limit + WAY).await;
+        log::warn!(event = "pieces-silent", endpoint = send.entry.id.to_string().as_str(), pieces = send.items.len(); "");
+        PieceResult::Broken
+    };
+    answered.or(over).await
+}
+
+fn broken(entry: &Entry, error: &CallError) -> PieceResult {
+    log::warn!(event = "pieces-failed", endpoint = entry.id.to_string().as_str(), error = error.to_string().as_str(); "");
+    PieceResult::Broken
+}
+
+async fn read(shared: &Shared, entry: &Entry, mut call: Call) -> PieceResult {
+    let answer = shared.dialect.answer(&call.head);
+    if answer.misled {
+        return PieceResult::Misled;
+    }
+    if answer.not_run {
+        return PieceResult::Refused;
+    }
+    let mut body = Vec::new();
+    loop {
+        match call.next().await {
+            Ok(Some(bytes)) if body.len() + bytes.len() <= ANSWER_MAX => {
+                body.extend_from_slice(&bytes);
+            }
+            Ok(None) => break,
+            Ok(Some(_)) | Err(_) => return PieceResult::Broken,
+        }
+    }
+    if !call.head.status.is_success() {
+        return PieceResult::Broken;
+    }
+    let outcomes = shared.dialect.piece_outcomes(&body);
+    outcomes.map_or_else(
+        || {
+            log::warn!(event = "pieces-unreadable", endpoint = entry.id.to_string().as_str(); "");
+            PieceResult::Broken
+        },
+        PieceResult::Answered,
+    )
+}
+
+/// Tells an endpoint that results are not needed any more.
+///
+/// It is told once: a result that is not dropped lapses by itself.
+pub(super) async fn give_back(shared: Arc<Shared>, entry: Entry, handles: Vec<String>) {
+    let request = shared.dialect.give_back(&handles);
+    let told = async {
+        let Ok(mut call) = call(&shared.traffic, entry.address, request).await else {
+            return false;
+        };
+        while let Ok(Some(_)) = call.next().await {}
+        call.head.status.is_success()
+    };
+    let over = async {
+        Timer::after(GIVE_BACK_LIMIT).await;
+        false
+    };
+    if !told.or(over).await {
+        log::info!(event = "give-back-failed", endpoint = entry.id.to_string().as_str(), results = handles.len(); "");
+    }
+}
--- /dev/null
+++ b/gateway/src/desk/links.rs
@@ -0,0 +1,93 @@
+//! The links between nodes.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::time::Duration;
+
+use async_channel::Sender;
+use async_io::Async;
+use async_io::Timer;
+use snipeyoke_runtime::link;
+use snipeyoke_runtime::link::LinkReader;
+use snipeyoke_runtime::scope::Scope;
+
+use super::Desk;
+use super::messages::LinkNumber;
+use super::messages::Message;
+
+/// The longest time to connect to another node.
+const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+
+/// The pause after a failed accept.
+///
+/// Accept fails when descriptors run out; trying again at once would spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Takes links from other nodes.
+pub(crate) async fn accept(listener: Async<TcpListener>, desk: Desk, scope: Scope) {
+    let mut next = 0;
+    loop {
+        match listener.accept().await {
+            Ok((stream, _peer)) => {
+                let number = LinkNumber(next);
+                next += 1;
+                scope.spawn(serve(stream, number, desk.inbox.clone(), scope.clone()));
+            }
+            Err(error) => {
+                log::warn!(event = "accept-failed", error = error.to_string().as_str(), remedy = "raise the descriptor limit"; "");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: Async<TcpStream>, number: LinkNumber, inbox: Sender<Message>, scope: Scope) {
+    let Ok((sender, writer, mut reader)) = link::open(stream) else {
+        return;
+    };
+    scope.spawn(async move {
+        let _ended = writer.run().await;
+    });
+    let opened = Message::Accepted {
+        link: number,
+        sender: sender.clone(),
+    };
+    let _closed = inbox.try_send(opened);
+    while let Some(body) = next(&mut reader).await {
+        let _closed = inbox.try_send(Message::Asked { link: number, body });
+    }
+    sender.close();
+    let _closed = inbox.try_send(Message::Hung { link: number });
+}
+
+/// Opens a link to another node and reads it until it fails.
+pub(super) async fn dial(peer: SocketAddr, inbox: Sender<Message>, scope: Scope) {
+    if let Ok(stream) = link::connect(peer, CONNECT_LIMIT).await
+        && let Ok((sender, writer, mut reader)) = link::open(stream)
+    {
+        scope.spawn(async move {
+            let _ended = writer.run().await;
+        });
+        let connected = Message::Connected {
+            peer,
+            sender: sender.clone(),
+        };
+        let _closed = inbox.try_send(connected);
+        while let Some(body) = next(&mut reader).await {
+            let _closed = inbox.try_send(Message::Answered { peer, body });
+        }
+        sender.close();
+    }
+    let _closed = inbox.try_send(Message::Lost { peer });
+}
+
+async fn next(reader: &mut LinkReader) -> Option<snipeyoke_wire::frame::Body> {
+    match reader.next().await {
+        Ok(body) => body,
+        Err(error) => {
+            log::debug!(event = "link-failed", error = error.to_string().as_str(); "");
+            None
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/desk/messages.rs
@@ -0,0 +1,65 @@
+//! What the desk's task is told.
+
+use std::net::SocketAddr;
+
+use async_channel::Sender;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::pieces::Job;
+use snipeyoke_lib::serving::pieces::PieceResult;
+use snipeyoke_runtime::link::LinkSender;
+use snipeyoke_wire::frame::Body;
+
+use super::Done;
+use super::JobNumber;
+
+/// Numbers the links that other nodes opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct LinkNumber(pub(crate) u64);
+
+/// An event for the desk.
+#[derive(Debug)]
+pub(crate) enum Message {
+    /// A request of this node hands in a job.
+    Submit {
+        number: JobNumber,
+        service: PoolName,
+        job: Job,
+        reply: Sender<Done>,
+    },
+    /// A request of this node no longer waits for a job.
+    Cancel { number: JobNumber },
+    /// A request of this node no longer needs results.
+    GiveBack {
+        service: PoolName,
+        results: Vec<(EndpointId, String)>,
+    },
+    /// The endpoints changed.
+    EndpointsChanged,
+    /// This node leaves.
+    Leaving,
+    /// A call for pieces ended.
+    CallEnded {
+        service: PoolName,
+        call: u64,
+        result: PieceResult,
+    },
+    /// Another node opened a link.
+    Accepted {
+        link: LinkNumber,
+        sender: LinkSender,
+    },
+    /// A frame came over a link that another node opened.
+    Asked { link: LinkNumber, body: Body },
+    /// A link that another node opened is gone.
+    Hung { link: LinkNumber },
+    /// A link that this node opened is up.
+    Connected {
+        peer: SocketAddr,
+        sender: LinkSender,
+    },
+    /// A frame came over a link that this node opened.
+    Answered { peer: SocketAddr, body: Body },
+    /// A link that this node opened failed.
+    Lost { peer: SocketAddr },
+}
--- /dev/null
+++ b/gateway/src/desk/mod.rs
@@ -0,0 +1,112 @@
+//! The desk: takes stage jobs to the owner of their service, and back.
+//!
+//! One task of the control thread holds the queues of the services that this
+//! node owns, the jobs that others own, and the links to other nodes.
+
+mod books;
+mod calls;
+mod links;
+mod messages;
+mod run;
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::pieces::Job;
+
+pub(crate) use self::links::accept;
+pub(crate) use self::messages::Message;
+pub(crate) use self::run::run;
+
+/// Numbers the jobs that this node's requests submit.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) struct JobNumber(pub(crate) u64);
+
+/// A result and the endpoint that holds it.
+#[derive(Debug, Clone)]
+pub(crate) struct Made {
+    pub(crate) piece: u32,
+    pub(crate) handle: String,
+    pub(crate) endpoint: EndpointId,
+}
+
+/// Why a job did not get all its results.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display, derive_more::FromStr)]
+pub(crate) enum Failure {
+    /// It could not be done in time.
+    #[display("late")]
+    Late,
+    /// An input is gone.
+    #[display("gone")]
+    Gone,
+    /// The work failed.
+    #[display("failed")]
+    Failed,
+}
+
+/// The end of a job.
+#[derive(Debug, Clone)]
+pub(crate) struct Done {
+    pub(crate) number: JobNumber,
+    pub(crate) made: Vec<Made>,
+    pub(crate) failure: Option<Failure>,
+}
+
+/// Where requests hand in their jobs; clones share the desk.
+#[derive(Debug, Clone)]
+pub(crate) struct Desk {
+    inbox: Sender<Message>,
+    next: Arc<AtomicU64>,
+}
+
+impl Desk {
+    /// Builds a desk and the messages that its task takes.
+    pub(crate) fn new() -> (Self, Receiver<Message>) {
+        let (inbox, messages) = async_channel::unbounded();
+        let next = Arc::default();
+        (Self { inbox, next }, messages)
+    }
+
+    /// Hands in a job; its end comes over `reply`.
+    pub(crate) fn submit(&self, service: PoolName, job: Job, reply: Sender<Done>) -> JobNumber {
+        let number = JobNumber(self.next.fetch_add(1, Ordering::Relaxed));
+        self.tell(Message::Submit {
+            number,
+            service,
+            job,
+            reply,
+        });
+        number
+    }
+
+    /// Says that nobody waits for a job any more.
+    pub(crate) fn cancel(&self, number: JobNumber) {
+        self.tell(Message::Cancel { number });
+    }
+
+    /// Says that nobody needs these results any more.
+    pub(crate) fn give_back(&self, service: PoolName, results: Vec<(EndpointId, String)>) {
+        self.tell(Message::GiveBack { service, results });
+    }
+
+    /// Says that the endpoints changed.
+    pub(crate) fn endpoints_changed(&self) {
+        self.tell(Message::EndpointsChanged);
+    }
+
+    /// Says that this node leaves.
+    pub(crate) fn leaving(&self) {
+        self.tell(Message::Leaving);
+    }
+
+    fn tell(&self, message: Message) {
+        // The desk is gone only when the process ends; nobody waits then.
+        let _closed = self.inbox.try_send(message);
+    }
+}
--- /dev/null
+++ b/gateway/src/dialect.rs
@@ -0,0 +1,138 @@
+//! The border to what callers and endpoints speak.
+
+use std::fmt::Debug;
+use std::time::Duration;
+
+use bytes::Bytes;
+use derive_more::Display;
+use derive_more::Error;
+use http_body_util::Full;
+use hyper::HeaderMap;
+use hyper::Request;
+use hyper::http::request;
+use hyper::http::response;
+use snipeyoke_lib::ids::ClientAccount;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::serving::directory::Load;
+use snipeyoke_lib::serving::pieces::Item;
+use snipeyoke_lib::serving::pieces::Outcome;
+
+/// What a request says of its prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Prompt {
+    /// All tokens to be read.
+    pub tokens: u32,
+    /// The tokens of the parts that other requests share.
+    pub shared: u32,
+    /// The hash of those parts, in order; 0 if there are none.
+    pub prefix: u64,
+}
+
+/// What a caller asks, beside the method, path and body.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ask {
+    /// The client attempt's own id.
+    pub id: String,
+    /// How long the caller waits.
+    pub left: Option<Duration>,
+    /// The caller's key.
+    pub key: Option<String>,
+    /// The last event that the caller has already.
+    pub last_event: Option<u64>,
+    /// The prompt, for a model.
+    pub prompt: Option<Prompt>,
+    /// The pieces of each stage.
+    pub pieces: Vec<u32>,
+    /// What the first stages start from.
+    pub piece_key: String,
+}
+
+/// Why a request can't be read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display, Error)]
+pub enum AskError {
+    /// The host is missing.
+    #[display("the request names no host: send one Host header")]
+    NoHost,
+    /// The client attempt has no id.
+    #[display("the request has no id: send a new one with each attempt")]
+    NoId,
+    /// Two ways to find the end of the body are given.
+    #[display("the request has a length and a transfer coding: send one of them")]
+    TwoLengths,
+    /// A header can't be read.
+    #[display("the header {name} can't be read: correct it")]
+    Malformed {
+        /// Its name.
+        name: &'static str,
+    },
+}
+
+/// What the node adds to a request that it passes on.
+#[derive(Debug, Clone, Copy)]
+pub struct Sending<'a> {
+    /// The account of the caller's key.
+    pub account: Option<&'a ClientAccount>,
+    /// The endpoint that is meant.
+    pub endpoint: &'a EndpointId,
+    /// The time left.
+    pub left: Duration,
+    /// The results of the stages before.
+    pub inputs: &'a [String],
+    /// The event after which to go on.
+    pub last_event: Option<u64>,
+    /// The urgency, for models; 0 is first.
+    pub urgency: Option<u8>,
+}
+
+/// What the head of an endpoint's answer says.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Answer {
+    /// The client attempt that it answers.
+    pub id: Option<String>,
+    /// Whether the endpoint signed it.
+    pub signed: bool,
+    /// Whether the endpoint vouches that it did not run the request.
+    pub not_run: bool,
+    /// Whether another endpoint than the one meant answered.
+    pub misled: bool,
+    /// Whether the body is coded, which no caller asks for.
+    pub coded: bool,
+    /// The endpoint's load.
+    pub load: Option<Load>,
+    /// The headers that go to the caller.
+    pub headers: HeaderMap,
+}
+
+/// Translates between the node and what callers and endpoints speak.
+pub trait Dialect: Debug + Send + Sync + 'static {
+    /// Reads a caller's request head.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`AskError`] for a head that can't be read.
+    fn ask(&self, head: &request::Parts) -> Result<Ask, AskError>;
+
+    /// Writes a request for an endpoint.
+    fn request(
+        &self,
+        head: &request::Parts,
+        body: Bytes,
+        with: Sending<'_>,
+    ) -> Request<Full<Bytes>>;
+
+    /// Reads the head of an endpoint's answer.
+    fn answer(&self, head: &response::Parts) -> Answer;
+
+    /// Writes a call for stage pieces.
+    fn run_pieces(&self, endpoint: &EndpointId, items: &[Item]) -> Request<Full<Bytes>>;
+
+    /// Reads the answer to a call for stage pieces; `None` if it can't be read.
+    fn piece_outcomes(&self, body: &[u8]) -> Option<Vec<Outcome>>;
+
+    /// Writes a call that gives results back.
+    fn give_back(&self, handles: &[String]) -> Request<Full<Bytes>>;
+
+    /// Returns the path on which a balancer asks whether the node is ready.
+    fn ready_path(&self) -> &'static str;
+}
--- /dev/null
+++ b/gateway/src/follow.rs
@@ -0,0 +1,140 @@
+//! Follows the registry's topics.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use snipeyoke_lib::log::Backoff;
+
+use crate::registry::Page;
+use crate::registry::Topic;
+use crate::registry::Update;
+use crate::shared::Shared;
+
+/// How long a read of the configuration may wait for a change.
+///
+/// Each read has its price, and changes are minutes apart.
+const CONFIG_WAIT: Duration = Duration::from_secs(20);
+
+/// The pause between two reads of the endpoints.
+///
+/// Endpoints write many times a second together, so waiting for the next
+/// record would read without end. A leaving endpoint must get nothing new
+/// two seconds after it says so; two reads fit in, one of them may fail.
+const ENDPOINTS_PAUSE: Duration = Duration::from_millis(800);
+
+/// The pauses between the looks at the other nodes.
+///
+/// Nodes start together, so the first looks come soon; later ones only find
+/// those that no neighbour has named.
+const NODES_PAUSES: [Duration; 3] = [
+    Duration::from_millis(500),
+    Duration::from_secs(2),
+    Duration::from_secs(15),
+];
+
+/// Follows one topic until the process ends.
+pub(crate) async fn follow(shared: Arc<Shared>, topic: Topic, seed: u64) {
+    let mut backoff = Backoff::new(seed);
+    loop {
+        list(&shared, topic, &mut backoff).await;
+        read_on(&shared, topic, &mut backoff).await;
+    }
+}
+
+/// Reads the whole list, as often as it takes.
+async fn list(shared: &Shared, topic: Topic, backoff: &mut Backoff) {
+    loop {
+        if let Some((records, end)) = pages(shared, topic).await {
+            backoff.succeeded();
+            shared.replace(topic, records, end);
+            note_read(shared, topic);
+            return;
+        }
+        log::warn!(event = "registry-failed", topic = topic.to_string().as_str(), call = "list"; "");
+        Timer::after(backoff.failed()).await;
+    }
+}
+
+async fn pages(
+    shared: &Shared,
+    topic: Topic,
+) -> Option<(
+    Vec<snipeyoke_lib::serving::replica::Record>,
+    snipeyoke_lib::ids::Offset,
+)> {
+    let mut all = Vec::new();
+    // Pages are no snapshot: reading goes on from where the first one ended.
+    let mut first_end = None;
+    let mut after = None;
+    loop {
+        let Page { records, more, end } = shared.registry.newest(topic, after).await?;
+        all.extend(records);
+        let end = *first_end.get_or_insert(end);
+        match more {
+            Some(key) => after = Some(key),
+            None => return Some((all, end)),
+        }
+    }
+}
+
+/// Reads new records until some of them are no longer kept.
+async fn read_on(shared: &Shared, topic: Topic, backoff: &mut Backoff) {
+    let wait = if topic == Topic::Config {
+        CONFIG_WAIT
+    } else {
+        Duration::ZERO
+    };
+    let mut failing = false;
+    loop {
+        if topic == Topic::Endpoints && !failing {
+            Timer::after(ENDPOINTS_PAUSE).await;
+        }
+        let from = match topic {
+            Topic::Config => shared.replicas().config.next(),
+            Topic::Endpoints | Topic::Nodes => shared.replicas().endpoints.next(),
+        };
+        match shared.registry.read(topic, from, wait).await {
+            Update::Records { records, next } => {
+                backoff.succeeded();
+                if std::mem::take(&mut failing) {
+                    log::info!(event = "registry-regained", topic = topic.to_string().as_str(); "");
+                }
+                shared.extend(topic, records, next, "registry");
+                note_read(shared, topic);
+            }
+            Update::Gone => {
+                log::info!(event = "registry-history-gone", topic = topic.to_string().as_str(), from = from.0; "");
+                return;
+            }
+            Update::Failed => {
+                if !std::mem::replace(&mut failing, true) {
+                    log::warn!(event = "registry-lost", topic = topic.to_string().as_str(), from = from.0; "");
+                }
+                Timer::after(backoff.failed()).await;
+            }
+        }
+    }
+}
+
+fn note_read(shared: &Shared, topic: Topic) {
+    if topic == Topic::Endpoints {
+        shared.replicas().read = Some(shared.now());
+    }
+}
+
+/// Registers this node and looks for others.
+pub(crate) async fn meet(shared: Arc<Shared>, seed: u64) {
+    let mut backoff = Backoff::new(seed);
+    let node = shared.settings.node.clone();
+    let address = shared.settings.listen.peers;
+    while !shared.registry.announce(&node, address).await {
+        Timer::after(backoff.failed()).await;
+    }
+    for pause in NODES_PAUSES {
+        Timer::after(pause).await;
+        if let Some((records, end)) = pages(&shared, Topic::Nodes).await {
+            shared.replace(Topic::Nodes, records, end);
+        }
+    }
+}
--- /dev/null
+++ b/gateway/src/lib.rs
@@ -0,0 +1,28 @@
+//! A node that fronts endpoints directly, without agents beside them.
+//!
+//! It forwards requests, streams and stage work over HTTP, and takes routes,
+//! keys and endpoints from a registry. What callers, endpoints and the registry
+//! speak is left to a [`dialect::Dialect`] and a [`registry::Registry`].
+
+mod attempt;
+mod call;
+mod desk;
+pub mod dialect;
+mod door;
+mod follow;
+mod node;
+mod plain;
+mod program;
+mod ready;
+mod refusal;
+pub mod registry;
+pub mod settings;
+mod shared;
+mod stages;
+mod stream;
+mod ticket;
+
+pub use node::Gateway;
+pub use node::StartError;
+pub use program::Adapter;
+pub use program::Front;
--- /dev/null
+++ b/gateway/src/node.rs
@@ -0,0 +1,212 @@
+//! A whole gateway: its tasks, and the way it leaves.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Async;
+use async_io::Timer;
+use derive_more::Display;
+use derive_more::Error;
+use futures_lite::FutureExt;
+use rapidhash::v3::rapidhash_v3;
+use snipeyoke_runtime::flag::Flag;
+use snipeyoke_runtime::http;
+use snipeyoke_runtime::http::Bounds;
+use snipeyoke_runtime::http::Handler;
+use snipeyoke_runtime::scope::Scope;
+use snipeyoke_runtime::threads::Execs;
+
+use crate::desk;
+use crate::desk::Desk;
+use crate::dialect::Dialect;
+use crate::door::Door;
+use crate::follow;
+use crate::ready::Metrics;
+use crate::ready::Readiness;
+use crate::registry::Registry;
+use crate::registry::Topic;
+use crate::settings::Settings;
+use crate::shared::Shared;
+
+/// How long a leaving node still takes new requests.
+///
+/// A balancer that asks once a second and wants two misses has passed the node
+/// over after two seconds at most, and its last connections have come.
+const ASIDE: Duration = Duration::from_millis(2_300);
+
+/// The part of the grace after which what still runs is left to its end.
+///
+/// A clean end before SIGKILL closes every connection in an orderly way.
+const GRACE_USED: f64 = 0.95;
+
+/// The connections of callers at once.
+///
+/// A third of the descriptors that a small host allows; each request in
+/// flight takes one more for its endpoint.
+const CONNS: usize = 1_300;
+
+/// The longest time for a head, and for an idle connection of a caller.
+///
+/// Configurations allow callers up to fifteen seconds of idleness.
+const HEAD_TIME: Duration = Duration::from_secs(16);
+
+/// The reason why a node can't start.
+#[derive(Debug)]
+#[derive(Display, Error)]
+pub enum StartError {
+    /// An address can't be listened on.
+    #[display("{address}: can't listen: {source}; check that the address is this host's and free")]
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// The system's error.
+        source: io::Error,
+    },
+}
+
+impl StartError {
+    /// Tells whether an address was taken.
+    #[must_use]
+    pub fn is_taken(&self) -> bool {
+        let Self::Listen { source, .. } = self;
+        source.kind() == io::ErrorKind::AddrInUse
+    }
+}
+
+/// A running gateway.
+#[derive(Debug)]
+pub struct Gateway {
+    shared: Arc<Shared>,
+    callers: Scope,
+    control: Scope,
+    served: Flag,
+}
+
+impl Gateway {
+    /// Starts a gateway on the given executors.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`StartError`] if an address can't be listened on.
+    pub fn start(
+        settings: Settings,
+        dialect: Arc<dyn Dialect>,
+        registry: Arc<dyn Registry>,
+        execs: &Execs,
+    ) -> Result<Self, StartError> {
+        let listen = settings.listen.clone();
+        let callers_at = bind(listen.callers)?;
+        let ready_at = bind(listen.ready)?;
+        let peers_at = bind(listen.peers)?;
+        let metrics_at = listen.metrics.map(bind).transpose()?;
+        let (desk, messages) = Desk::new();
+        let traffic = Arc::clone(&execs.traffic);
+        let seeds = settings.seeds.clone();
+        let shared = Shared::new(settings, dialect, registry, traffic, desk);
+        let shared = Arc::new(shared);
+        for seed in seeds {
+            shared.owners().learn(shared.now(), seed);
+        }
+        let gateway = Self {
+            callers: Scope::new(Arc::clone(&execs.traffic)),
+            control: Scope::new(Arc::clone(&execs.control)),
+            served: Flag::default(),
+            shared,
+        };
+        gateway.serve_callers(callers_at);
+        gateway.serve_small(ready_at, Arc::new(Readiness(Arc::clone(&gateway.shared))));
+        if let Some(listener) = metrics_at {
+            gateway.serve_small(listener, Arc::new(Metrics));
+        }
+        gateway.run_control(peers_at, messages);
+        log::info!(
+            event = "started",
+            node = gateway.shared.settings.node.to_string().as_str(),
+            domain = gateway.shared.settings.domain.to_string().as_str(),
+            callers = listen.callers.to_string().as_str();
+            ""
+        );
+        Ok(gateway)
+    }
+
+    fn serve_callers(&self, listener: Async<TcpListener>) {
+        let door = Arc::new(Door(Arc::clone(&self.shared)));
+        let bounds = Bounds {
+            head_time: HEAD_TIME,
+            conns: CONNS,
+        };
+        let scope = Scope::new(self.callers.exec());
+        let drain = self.shared.drain.clone();
+        let end = self.shared.end.clone();
+        let served = self.served.clone();
+        self.callers.spawn(async move {
+            http::serve_until(listener, door, bounds, scope, drain, end).await;
+            served.set();
+        });
+    }
+
+    fn serve_small(&self, listener: Async<TcpListener>, handler: Arc<dyn Handler>) {
+        let bounds = Bounds {
+            head_time: HEAD_TIME,
+            conns: 64,
+        };
+        let scope = Scope::new(self.control.exec());
+        let never = Flag::default();
+        self.control
+            .spawn(http::serve(listener, handler, bounds, scope, never));
+    }
+
+    fn run_control(
+        &self,
+        peers: Async<TcpListener>,
+        messages: async_channel::Receiver<crate::desk::Message>,
+    ) {
+        let seed = rapidhash_v3(self.shared.settings.node.as_str().as_bytes());
+        let shared = || Arc::clone(&self.shared);
+        let scope = &self.control;
+        scope.spawn(desk::run(shared(), messages, scope.clone()));
+        let desk = self.shared.desk.clone();
+        scope.spawn(desk::accept(peers, desk, scope.clone()));
+        scope.spawn(follow::follow(shared(), Topic::Config, seed));
+        scope.spawn(follow::follow(shared(), Topic::Endpoints, seed ^ 1));
+        scope.spawn(follow::meet(shared(), seed ^ 2));
+    }
+
+    /// Takes new settings; addresses stay until the next start.
+    pub fn reload(&self, settings: &Settings) {
+        self.shared.budget().set_limits(settings.retries);
+        let now = self.shared.now();
+        for &seed in &settings.seeds {
+            self.shared.owners().learn(now, seed);
+        }
+        log::info!(event = "settings-reloaded", node = settings.node.to_string().as_str(); "");
+    }
+
+    /// Leaves: the balancer first, then idle connections, then what runs.
+    pub async fn drain(&self) {
+        log::info!(event = "leaving", grace_ms = self.shared.settings.grace.as_millis() as u64; "");
+        let began = self.shared.now();
+        self.shared.aside.set();
+        self.shared.desk.leaving();
+        Timer::after(ASIDE).await;
+        self.shared.drain.set();
+        self.shared.end.set();
+        let left = self.shared.settings.grace.mul_f64(GRACE_USED);
+        let over = async {
+            let spent = self.shared.now().since(began);
+            Timer::after(left.saturating_sub(spent)).await;
+        };
+        self.served.wait().or(over).await;
+        let running = self.callers.len();
+        log::info!(event = "stopped", running, took_ms = self.shared.now().since(began).as_millis() as u64; "");
+        self.callers.cancel().await;
+        self.control.cancel_later().await;
+    }
+}
+
+fn bind(address: SocketAddr) -> Result<Async<TcpListener>, StartError> {
+    http::bind(address).map_err(|source| StartError::Listen { address, source })
+}
--- /dev/null
+++ b/gateway/src/program.rs
@@ -0,0 +1,70 @@
+//! The gateway as a program of its own.
+
+use std::marker::PhantomData;
+use std::sync::Arc;
+
+use futures_lite::future;
+use snipeyoke_lib::drain::Source;
+use snipeyoke_runtime::logs::Output;
+use snipeyoke_runtime::program::Program;
+use snipeyoke_runtime::threads::Execs;
+
+use crate::dialect::Dialect;
+use crate::node::Gateway;
+use crate::node::StartError;
+use crate::registry::Registry;
+use crate::settings::Settings;
+
+/// What a platform gives to a gateway.
+pub trait Adapter: 'static {
+    /// Returns what its callers and endpoints speak.
+    fn dialect(settings: &Settings) -> Arc<dyn Dialect>;
+
+    /// Returns where routes and endpoints are registered.
+    fn registry(settings: &Settings, execs: &Execs) -> Arc<dyn Registry>;
+}
+
+/// A gateway on the platform that `A` adapts.
+#[derive(Debug)]
+pub struct Front<A> {
+    gateway: Gateway,
+    adapter: PhantomData<A>,
+}
+
+impl<A: Adapter> Program for Front<A> {
+    const NAME: &'static str = "snipeyoke-front";
+    const LOG: Output = Output::Stdout;
+
+    type Settings = Settings;
+    type StartError = StartError;
+
+    fn log_filter(settings: &Settings) -> &str {
+        &settings.log
+    }
+
+    fn thread_count(_settings: &Settings) -> usize {
+        1
+    }
+
+    fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
+        let dialect = A::dialect(&settings);
+        let registry = A::registry(&settings, execs);
+        let gateway = Gateway::start(settings, dialect, registry, execs)?;
+        Ok(Self {
+            gateway,
+            adapter: PhantomData,
+        })
+    }
+
+    fn reload(&self, settings: Settings) {
+        self.gateway.reload(&settings);
+    }
+
+    async fn told_to_leave(&self) {
+        future::pending().await
+    }
+
+    async fn drain(&self, _source: Source) {
+        self.gateway.drain().await;
+    }
+}
--- /dev/null
+++ b/gateway/src/ready.rs
@@ -0,0 +1,40 @@
+//! Tells a balancer whether the node is ready, and scrapers its metrics.
+
+use std::pin::Pin;
+use std::sync::Arc;
+
+use hyper::StatusCode;
+use snipeyoke_runtime::http::Handler;
+use snipeyoke_runtime::http::Reply;
+use snipeyoke_runtime::http::Request;
+use snipeyoke_runtime::http::empty;
+use snipeyoke_runtime::http::full;
+use snipeyoke_runtime::measures;
+
+use crate::shared::Shared;
+
+/// Answers the balancer.
+pub(crate) struct Readiness(pub(crate) Arc<Shared>);
+
+impl Handler for Readiness {
+    fn handle(&self, request: Request) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>> {
+        let known = request.uri().path() == self.0.dialect.ready_path();
+        let status = match (known, self.0.is_ready()) {
+            (false, _) => StatusCode::NOT_FOUND,
+            (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+            (true, true) => StatusCode::OK,
+        };
+        let mut reply = Reply::new(empty());
+        *reply.status_mut() = status;
+        Box::pin(async { reply })
+    }
+}
+
+/// Answers scrapers.
+pub(crate) struct Metrics;
+
+impl Handler for Metrics {
+    fn handle(&self, _request: Request) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>> {
+        Box::pin(async { Reply::new(full(measures::render())) })
+    }
+}
--- /dev/null
+++ b/gateway/src/refusal.rs
@@ -0,0 +1,97 @@
+//! Answers of the node's own.
+
+use std::time::Duration;
+
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use hyper::header::RETRY_AFTER;
+use snipeyoke_runtime::http::Reply;
+use snipeyoke_runtime::http::full;
+
+/// The shortest time after which a refused caller may come back.
+///
+/// About one call of a stage: sooner, nothing has changed.
+const COME_BACK: Duration = Duration::from_millis(250);
+
+/// Why a request ends without an endpoint's answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display)]
+pub(crate) enum Refusal {
+    /// No configuration is known yet.
+    #[display("no-config")]
+    NoConfig,
+    /// The head can't be read.
+    #[display("malformed")]
+    Malformed,
+    /// No route fits.
+    #[display("no-route")]
+    NoRoute,
+    /// The key is missing or unknown.
+    #[display("no-key")]
+    NoKey,
+    /// The body is larger than allowed.
+    #[display("too-large")]
+    TooLarge,
+    /// The body did not come whole.
+    #[display("body-broken")]
+    BodyBroken,
+    /// No endpoint takes work.
+    #[display("no-endpoint")]
+    NoEndpoint,
+    /// The endpoints are full.
+    #[display("full")]
+    Full,
+    /// The stages can't be done in time.
+    #[display("stages-late")]
+    StagesLate,
+    /// A stage failed.
+    #[display("stage-failed")]
+    StageFailed,
+    /// Time is over, and nothing was sent.
+    #[display("timeout-not-run")]
+    TimeoutNotRun,
+    /// Time is over, and the request may have run.
+    #[display("timeout")]
+    Timeout,
+    /// The endpoint's answer was lost or can't be used.
+    #[display("answer-lost")]
+    AnswerLost,
+}
+
+impl Refusal {
+    /// Returns the status that says what is known: 503 only if nothing ran.
+    pub(crate) const fn status(self) -> StatusCode {
+        match self {
+            Self::Malformed | Self::BodyBroken => StatusCode::BAD_REQUEST,
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey => StatusCode::UNAUTHORIZED,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
+            Self::AnswerLost => StatusCode::BAD_GATEWAY,
+            Self::NoConfig
+            | Self::NoEndpoint
+            | Self::Full
+            | Self::StagesLate
+            | Self::StageFailed
+            | Self::TimeoutNotRun => StatusCode::SERVICE_UNAVAILABLE,
+        }
+    }
+
+    /// Builds the answer; `draw` in `0..1` spreads those who come back.
+    pub(crate) fn reply(self, draw: f64) -> Reply {
+        let status = self.status();
+        let mut reply = Reply::new(full(format!("{self}\n")));
+        *reply.status_mut() = status;
+        let headers = reply.headers_mut();
+        headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            let wait = COME_BACK.mul_f64(1.0 + draw);
+            let text = format!("{:.2}", wait.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&text) {
+                headers.insert(RETRY_AFTER, value);
+            }
+        }
+        reply
+    }
+}
--- /dev/null
+++ b/gateway/src/registry.rs
@@ -0,0 +1,99 @@
+//! The border to where routes, endpoints and nodes are registered.
+
+use std::fmt::Debug;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use snipeyoke_lib::ids::NodeId;
+use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::log::LogCall;
+use snipeyoke_lib::serving::catalog::Catalog;
+use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::replica::Record;
+
+/// The topics of a registry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display)]
+pub enum Topic {
+    /// The configuration.
+    #[display("config")]
+    Config,
+    /// The endpoints.
+    #[display("endpoints")]
+    Endpoints,
+    /// The nodes.
+    #[display("nodes")]
+    Nodes,
+}
+
+/// A part of a list of all keys.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Page {
+    /// The newest record of each key.
+    pub records: Vec<Record>,
+    /// The key after which the list goes on, if it does.
+    pub more: Option<String>,
+    /// The offset after the newest record.
+    pub end: Offset,
+}
+
+/// How a read of new records ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Update {
+    /// The records, and the offset after them.
+    Records {
+        /// The records.
+        records: Vec<Record>,
+        /// The offset after them.
+        next: Offset,
+    },
+    /// The records asked for are no longer kept: the list has to be read.
+    Gone,
+    /// No answer, or a failure.
+    Failed,
+}
+
+/// Why a record can't be used.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error)]
+pub enum RecordError {
+    /// The bytes are no record of this kind.
+    #[display("the record can't be read: {what}; its writer has to mend it")]
+    Malformed {
+        /// What was found.
+        what: String,
+    },
+}
+
+/// Where routes, endpoints and nodes are registered.
+///
+/// An implementation makes one try for each call.
+pub trait Registry: Debug + Send + Sync + 'static {
+    /// Reads a page of the newest records of a topic, after a key.
+    fn newest(&self, topic: Topic, after: Option<String>) -> LogCall<'_, Option<Page>>;
+
+    /// Reads the records from an offset on, or waits for one.
+    fn read(&self, topic: Topic, from: Offset, wait: Duration) -> LogCall<'_, Update>;
+
+    /// Registers this node; tells whether it is registered for sure.
+    fn announce(&self, node: &NodeId, address: SocketAddr) -> LogCall<'_, bool>;
+
+    /// Reads a record of the configuration; `None` if its key is another one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RecordError`] if it can't be used.
+    fn catalog(&self, key: &str, value: &[u8]) -> Option<Result<Catalog, RecordError>>;
+
+    /// Reads an endpoint's record.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`RecordError`] if it can't be used.
+    fn entry(&self, key: &str, value: &[u8]) -> Result<Entry, RecordError>;
+
+    /// Reads the address in a node's record.
+    fn node(&self, value: &[u8]) -> Option<SocketAddr>;
+}
--- /dev/null
+++ b/gateway/src/settings.rs
@@ -0,0 +1,156 @@
+//! The settings of a gateway.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use derive_more::Display;
+use derive_more::Error;
+use serde::Deserialize;
+use snipeyoke_lib::ids::FailureDomain;
+use snipeyoke_lib::ids::NodeId;
+use snipeyoke_lib::ids::Region;
+use snipeyoke_lib::serving::budget::BudgetLimits;
+use snipeyoke_runtime::settings::Checked;
+
+/// The longest grace that is taken, in seconds.
+const GRACE_MAX: f64 = 3_600.0;
+
+/// The settings as they stand in the file.
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Raw {
+    /// The name of this process.
+    pub node: NodeId,
+    /// The failure domain of its host.
+    pub domain: FailureDomain,
+    /// The region of the failure domain.
+    pub region: Region,
+    /// The addresses to listen on.
+    pub listen: Listen,
+    /// Nodes to begin with; others are learned from them and the registry.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// The registry's address.
+    pub registry: SocketAddr,
+    /// The time between SIGTERM and SIGKILL, in seconds.
+    pub grace_s: f64,
+    /// The bound on retries over all nodes.
+    pub retries: Retries,
+    /// The log filter: `LEVEL` or `TARGET=LEVEL,…`.
+    #[serde(default = "info")]
+    pub log: String,
+}
+
+fn info() -> String {
+    "info".to_owned()
+}
+
+/// The addresses of a gateway.
+#[derive(Debug, Clone)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For a balancer that asks whether the node is ready.
+    pub ready: SocketAddr,
+    /// For other nodes.
+    pub peers: SocketAddr,
+    /// For scrapers of metrics.
+    #[serde(default)]
+    pub metrics: Option<SocketAddr>,
+}
+
+/// The bound on retries over all nodes.
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Retries {
+    /// Repeats for each request.
+    pub ratio: f64,
+    /// The window, in seconds.
+    pub window_s: f64,
+    /// Repeats beyond the ratio in a window.
+    pub extra: f64,
+}
+
+/// The checked settings.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// The name of this process.
+    pub node: NodeId,
+    /// The failure domain of its host.
+    pub domain: FailureDomain,
+    /// The addresses to listen on.
+    pub listen: Listen,
+    /// Nodes to begin with.
+    pub seeds: Vec<SocketAddr>,
+    /// The registry's address.
+    pub registry: SocketAddr,
+    /// The time between SIGTERM and SIGKILL.
+    pub grace: Duration,
+    /// The bound on retries over all nodes.
+    pub retries: BudgetLimits,
+    /// The log filter.
+    pub log: String,
+}
+
+/// The reason why a value is refused.
+#[derive(Debug, Clone, PartialEq)]
+#[derive(Display, Error)]
+pub enum ValueError {
+    /// A number is out of its range.
+    #[display("{}", list(found))]
+    Range {
+        /// Each value that is out of range: key, value and remedy.
+        found: Vec<String>,
+    },
+}
+
+fn list(found: &[String]) -> String {
+    found.join("; ")
+}
+
+impl TryFrom<Raw> for Settings {
+    type Error = ValueError;
+
+    fn try_from(raw: Raw) -> Result<Self, ValueError> {
+        let mut found = Vec::new();
+        let mut check = |key: &str, value: f64, least: f64, most: f64| {
+            if !(least..=most).contains(&value) {
+                found.push(format!("`{key}` is {value}: give {least} to {most}"));
+            }
+        };
+        check("grace_s", raw.grace_s, 1.0, GRACE_MAX);
+        check("ratio", raw.retries.ratio, 0.0, 10.0);
+        check("window_s", raw.retries.window_s, 0.1, 3_600.0);
+        check("extra", raw.retries.extra, 0.0, 1e6);
+        if !found.is_empty() {
+            return Err(ValueError::Range { found });
+        }
+        Ok(Self {
+            node: raw.node,
+            domain: raw.domain,
+            listen: raw.listen,
+            seeds: raw.seeds,
+            registry: raw.registry,
+            grace: Duration::from_secs_f64(raw.grace_s),
+            retries: BudgetLimits {
+                ratio: raw.retries.ratio,
+                window: Duration::from_secs_f64(raw.retries.window_s),
+                extra: raw.retries.extra,
+            },
+            log: raw.log,
+        })
+    }
+}
+
+impl Checked for Settings {
+    type Raw = Raw;
+    type Error = ValueError;
+
+    fn check(raw: Raw) -> Result<Self, ValueError> {
+        Self::try_from(raw)
+    }
+}
--- /dev/null
+++ b/gateway/src/shared.rs
@@ -0,0 +1,272 @@
+//! The blackboard of a gateway: what controllers write and traffic reads.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use event_listener::Event;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::serving::budget::SharedBudget;
+use snipeyoke_lib::serving::catalog::Catalog;
+use snipeyoke_lib::serving::directory::Directory;
+use snipeyoke_lib::serving::owners::Owners;
+use snipeyoke_lib::serving::pace::Paces;
+use snipeyoke_lib::serving::replica::Record;
+use snipeyoke_lib::serving::replica::Replica;
+use snipeyoke_lib::time::Time;
+use snipeyoke_runtime::board::Fact;
+use snipeyoke_runtime::clock::Clock;
+use snipeyoke_runtime::flag::Flag;
+use snipeyoke_runtime::threads::Exec;
+
+use crate::desk::Desk;
+use crate::dialect::Dialect;
+use crate::registry::Registry;
+use crate::registry::Topic;
+use crate::settings::Settings;
+
+/// How long the endpoints' records count as fresh after a read.
+///
+/// Reads are under a second apart; beyond this one has failed, and a neighbour
+/// may know more.
+const FRESH: Duration = Duration::from_millis(1_500);
+
+/// What one node knows and shares among its tasks.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) clock: Clock,
+    pub(crate) settings: Settings,
+    pub(crate) dialect: Arc<dyn Dialect>,
+    pub(crate) registry: Arc<dyn Registry>,
+    pub(crate) traffic: Exec,
+    pub(crate) desk: Desk,
+    /// The configuration in force; `None` until one is known.
+    pub(crate) catalog: Fact<Option<Arc<Catalog>>>,
+    /// Wakes those who wait for an endpoint.
+    pub(crate) changed: Event,
+    /// Set once the balancer is asked to pass this node over.
+    pub(crate) aside: Flag,
+    /// Set once callers' idle connections are closed.
+    pub(crate) drain: Flag,
+    /// Set once nothing new is answered.
+    pub(crate) end: Flag,
+    directory: Mutex<Directory>,
+    budget: Mutex<SharedBudget>,
+    owners: Mutex<Owners>,
+    paces: Mutex<Paces>,
+    replicas: Mutex<Replicas>,
+}
+
+/// The copies of the registry's topics.
+#[derive(Debug, Default)]
+pub(crate) struct Replicas {
+    pub(crate) config: Replica,
+    pub(crate) endpoints: Replica,
+    /// When the endpoints were last read from the registry.
+    pub(crate) read: Option<Time>,
+}
+
+impl Shared {
+    pub(crate) fn new(
+        settings: Settings,
+        dialect: Arc<dyn Dialect>,
+        registry: Arc<dyn Registry>,
+        traffic: Exec,
+        desk: Desk,
+    ) -> Self {
+        Self {
+            clock: Clock::start(),
+            directory: Mutex::default(),
+            budget: Mutex::new(SharedBudget::new(settings.retries)),
+            owners: Mutex::new(Owners::new(settings.listen.peers)),
+            paces: Mutex::default(),
+            replicas: Mutex::default(),
+            catalog: Fact::new(None),
+            changed: Event::new(),
+            aside: Flag::default(),
+            drain: Flag::default(),
+            end: Flag::default(),
+            settings,
+            dialect,
+            registry,
+            traffic,
+            desk,
+        }
+    }
+
+    pub(crate) fn now(&self) -> Time {
+        self.clock.now()
+    }
+
+    pub(crate) fn directory(&self) -> MutexGuard<'_, Directory> {
+        lock(&self.directory)
+    }
+
+    pub(crate) fn budget(&self) -> MutexGuard<'_, SharedBudget> {
+        lock(&self.budget)
+    }
+
+    pub(crate) fn owners(&self) -> MutexGuard<'_, Owners> {
+        lock(&self.owners)
+    }
+
+    pub(crate) fn paces(&self) -> MutexGuard<'_, Paces> {
+        lock(&self.paces)
+    }
+
+    pub(crate) fn replicas(&self) -> MutexGuard<'_, Replicas> {
+        lock(&self.replicas)
+    }
+
+    /// Tells whether the registry can't be read now.
+    pub(crate) fn is_stale(&self) -> bool {
+        let read = self.replicas().read;
+        read.is_none_or(|at| self.now().since(at) > FRESH)
+    }
+
+    /// Tells whether the node can serve callers.
+    pub(crate) fn is_ready(&self) -> bool {
+        let knows = self.catalog.get().is_some();
+        knows && self.directory().iter().next().is_some() && !self.aside.is_set()
+    }
+
+    /// Takes in records of the configuration, wherever they came from.
+    pub(crate) fn apply_config(&self, news: &[Record], source: &str) {
+        for record in news {
+            let Some(value) = &record.value else {
+                continue;
+            };
+            match self.registry.catalog(&record.key, value) {
+                Some(Ok(catalog)) => self.put_in_force(catalog, record, source),
+                Some(Err(error)) => {
+                    log::error!(event = "config-refused", offset = record.offset.0, error = error.to_string().as_str(); "");
+                }
+                None => {}
+            }
+        }
+    }
+
+    // A late answer, or an older neighbour, may bring an older version. Revoked
+    // keys and dropped routes would come back with it.
+    fn put_in_force(&self, catalog: Catalog, record: &Record, source: &str) {
+        let held = self.catalog.get().as_ref().as_ref().map(|c| c.version());
+        let version = catalog.version();
+        if held.is_some_and(|held| held >= version) {
+            log::info!(event = "config-passed-over", version, held = held.unwrap_or_default(), source; "");
+            return;
+        }
+        self.catalog.set(Some(Arc::new(catalog)));
+        metrics::gauge!("snipeyoke_config_version").set(version as f64);
+        log::info!(event = "config-in-force", version, offset = record.offset.0, source; "");
+    }
+
+    /// Takes in records of endpoints, wherever they came from.
+    pub(crate) fn apply_endpoints(&self, news: &[Record], source: &str) {
+        let mut changed = false;
+        for record in news {
+            changed |= self.apply_endpoint(record, source);
+        }
+        if changed {
+            self.changed.notify(usize::MAX);
+            self.desk.endpoints_changed();
+        }
+    }
+
+    fn apply_endpoint(&self, record: &Record, source: &str) -> bool {
+        let Some(value) = &record.value else {
+            return self.forget(&record.key, record, source, "left");
+        };
+        match self.registry.entry(&record.key, value) {
+            Ok(entry) => {
+                let id = entry.id.clone();
+                let mut directory = self.directory();
+                let was = directory.get(&id).map(|e| e.entry().draining);
+                let draining = entry.draining;
+                let fresh = directory.set(entry);
+                drop(directory);
+                let news = fresh || was != Some(draining);
+                if news {
+                    let id = id.to_string();
+                    log::info!(event = "endpoint-known", endpoint = id.as_str(), draining, fresh, offset = record.offset.0, source; "");
+                }
+                news
+            }
+            // A writer that isn't the endpoint may leave anything there. It
+            // names no endpoint to use, and the others hold.
+            Err(error) => {
+                log::warn!(event = "endpoint-refused", key = record.key.as_str(), offset = record.offset.0, error = error.to_string().as_str(); "");
+                self.forget(&record.key, record, source, "unreadable")
+            }
+        }
+    }
+
+    fn forget(&self, key: &str, record: &Record, source: &str, why: &str) -> bool {
+        let Ok(id) = key.parse::<EndpointId>() else {
+            return false;
+        };
+        let known = self.directory().remove(&id);
+        if known {
+            log::info!(event = "endpoint-gone", endpoint = key, why, offset = record.offset.0, source; "");
+        }
+        known
+    }
+
+    /// Takes in what a neighbour or the registry said of one topic.
+    pub(crate) fn extend(
+        &self,
+        topic: Topic,
+        records: Vec<Record>,
+        next: snipeyoke_lib::ids::Offset,
+        source: &str,
+    ) {
+        match topic {
+            Topic::Config => {
+                let news = self.replicas().config.extend(records, next);
+                self.apply_config(&news, source);
+            }
+            Topic::Endpoints => {
+                let news = self.replicas().endpoints.extend(records, next);
+                self.apply_endpoints(&news, source);
+            }
+            Topic::Nodes => self.learn_nodes(&records),
+        }
+    }
+
+    /// Takes in a list of all keys of one topic.
+    pub(crate) fn replace(
+        &self,
+        topic: Topic,
+        records: Vec<Record>,
+        end: snipeyoke_lib::ids::Offset,
+    ) {
+        match topic {
+            Topic::Config => {
+                let news = self.replicas().config.replace(records, end);
+                self.apply_config(&news, "registry");
+            }
+            Topic::Endpoints => {
+                let news = self.replicas().endpoints.replace(records, end);
+                self.apply_endpoints(&news, "registry");
+            }
+            Topic::Nodes => self.learn_nodes(&records),
+        }
+    }
+
+    fn learn_nodes(&self, records: &[Record]) {
+        let values = records.iter().filter_map(|r| r.value.as_ref());
+        let addresses = values.filter_map(|v| self.registry.node(v));
+        let mut owners = self.owners();
+        for address in addresses {
+            owners.learn(self.now(), address);
+        }
+        self.budget().share(owners.count());
+    }
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    // A panic while the lock was held has been logged; the state behind it is
+    // only counters and copies, which stay usable.
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- /dev/null
+++ b/gateway/src/stages.rs
@@ -0,0 +1,247 @@
+//! The stage work of one request, from its node's side.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_channel::Sender;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::FailureDomain;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::pieces::Job;
+use snipeyoke_lib::serving::pieces::Order;
+use snipeyoke_lib::serving::pieces::Plan;
+use snipeyoke_lib::serving::pieces::PlanError;
+use snipeyoke_lib::time::Time;
+
+use crate::desk::Desk;
+use crate::desk::Done;
+use crate::desk::Failure;
+use crate::desk::JobNumber;
+use crate::refusal::Refusal;
+use crate::ticket::Ticket;
+
+/// The size of all results from which the request follows them.
+///
+/// Results of this size take longer on their way than a prefix that is read
+/// again; smaller ones are fetched from anywhere.
+const FOLLOW_MIN: u64 = 500_000;
+
+/// The part of the expected time that later work takes at the very least.
+///
+/// Used for the moment after which work is useless, where the expected time
+/// would give up requests that still can be served.
+const LEAST: f64 = 0.7;
+
+/// The stage work of one request.
+///
+/// What is still under way when this is dropped is cancelled, and results that
+/// nobody needs are given back.
+#[derive(Debug)]
+pub(crate) struct StageWork {
+    desk: Desk,
+    plan: Plan,
+    makers: BTreeMap<String, (PoolName, EndpointId)>,
+    open: BTreeMap<JobNumber, (usize, Vec<u32>)>,
+    ends: (Sender<Done>, Receiver<Done>),
+}
+
+impl StageWork {
+    /// Plans the stages of a request; `None` if it has none.
+    pub(crate) fn plan(ticket: &Ticket) -> Result<Option<Self>, PlanError> {
+        if ticket.route.stages.is_empty() {
+            return Ok(None);
+        }
+        let plan = Plan::new(&ticket.route.stages, &ticket.ask.pieces)?;
+        Ok(Some(Self {
+            desk: ticket.shared.desk.clone(),
+            plan,
+            makers: BTreeMap::new(),
+            open: BTreeMap::new(),
+            ends: async_channel::unbounded(),
+        }))
+    }
+
+    /// Does what is missing of the stages and returns the results that the
+    /// request itself needs.
+    pub(crate) async fn inputs(
+        work: Option<&mut Self>,
+        ticket: &mut Ticket,
+    ) -> Result<Vec<String>, Refusal> {
+        let Some(work) = work else {
+            return Ok(Vec::new());
+        };
+        while !work.plan.is_done() {
+            for order in work.plan.orders() {
+                work.submit(ticket, order);
+            }
+            let done = ticket.within(work.ends.1.recv()).await;
+            let Some(Ok(done)) = done else {
+                return Err(ticket.timeout());
+            };
+            work.take(ticket, done)?;
+            let unneeded = work.plan.unneeded();
+            work.give_back_all(unneeded);
+        }
+        if ticket.story.staged.is_none() {
+            ticket.story.staged = Some(ticket.shared.now());
+        }
+        let inputs = work.plan.inputs();
+        ticket.domain = work.domain(ticket, &inputs);
+        Ok(inputs)
+    }
+
+    /// Notes that the request found a result gone.
+    pub(crate) fn results_gone(&mut self) -> Result<(), PlanError> {
+        self.plan.results_gone()
+    }
+
+    /// Gives back all results, once the request has read them.
+    pub(crate) fn give_back(&mut self) {
+        let remaining = self.plan.remaining();
+        self.give_back_all(remaining);
+    }
+
+    fn submit(&mut self, ticket: &Ticket, order: Order) {
+        let stage = &ticket.route.stages[order.stage];
+        let after = self.after(ticket, order.stage);
+        let now = ticket.shared.now();
+        let job = Job {
+            request: ticket.ask.id.clone(),
+            stage: order.stage,
+            pieces: order.pieces.clone(),
+            work: order.work,
+            key: ticket.ask.piece_key.clone(),
+            each: stage.bytes,
+            goal: later(now, ticket.goal - after),
+            due: later(now, ticket.due - after.mul_f64(LEAST)),
+            domain: home(ticket),
+        };
+        let number = self
+            .desk
+            .submit(stage.service.clone(), job, self.ends.0.clone());
+        self.open.insert(number, (order.stage, order.pieces));
+    }
+
+    /// Returns the time expected for what comes after a stage.
+    fn after(&self, ticket: &Ticket, stage: usize) -> Duration {
+        let tokens = ticket
+            .ask
+            .prompt
+            .map_or(0, |p| p.tokens - p.shared.min(p.tokens));
+        let model = ticket.shared.paces().expected(&ticket.service, tokens);
+        let counts = self.plan.counts();
+        let stages = ticket.route.stages.iter().zip(&counts).enumerate();
+        let mut reached = BTreeSet::from([stage]);
+        let mut time = model;
+        for (index, (next, &count)) in stages {
+            if count == 0 || !next.after.iter().any(|a| reached.contains(a)) {
+                continue;
+            }
+            reached.insert(index);
+            let service = ticket.catalog.service(&next.service);
+            if let Some(limits) = service.and_then(|s| s.pieces.as_ref()) {
+                time += limits.call + limits.item * count.min(limits.batch as u32);
+            }
+        }
+        time
+    }
+
+    fn take(&mut self, ticket: &Ticket, done: Done) -> Result<(), Refusal> {
+        let Some((stage, pieces)) = self.open.remove(&done.number) else {
+            return Ok(());
+        };
+        let service = &ticket.route.stages[stage].service;
+        for made in done.made {
+            let maker = (service.clone(), made.endpoint);
+            self.makers.insert(made.handle.clone(), maker);
+            self.plan.done(stage, made.piece, made.handle);
+        }
+        let again = match done.failure {
+            None => return Ok(()),
+            Some(Failure::Late) => return Err(Refusal::StagesLate),
+            Some(Failure::Gone) => self.inputs_gone(stage, &pieces),
+            Some(Failure::Failed) => self.failed(stage, &pieces),
+        };
+        again.map_err(|error| {
+            log::warn!(event = "stage-given-up", request = ticket.ask.id.as_str(), stage, error = error.to_string().as_str(); "");
+            Refusal::StageFailed
+        })
+    }
+
+    fn inputs_gone(&mut self, stage: usize, pieces: &[u32]) -> Result<(), PlanError> {
+        if let Some(&first) = pieces.first() {
+            self.plan.inputs_gone(stage, first)?;
+        }
+        self.reopen(stage, pieces);
+        Ok(())
+    }
+
+    fn failed(&mut self, stage: usize, pieces: &[u32]) -> Result<(), PlanError> {
+        if let Some(&first) = pieces.first() {
+            self.plan.failed(stage, first)?;
+        }
+        self.reopen(stage, pieces);
+        Ok(())
+    }
+
+    fn reopen(&mut self, stage: usize, pieces: &[u32]) {
+        for &piece in pieces {
+            self.plan.reopen(stage, piece);
+        }
+    }
+
+    fn give_back_all(&mut self, handles: Vec<String>) {
+        let mut by_service: BTreeMap<PoolName, Vec<(EndpointId, String)>> = BTreeMap::new();
+        for handle in handles {
+            if let Some((service, endpoint)) = self.makers.remove(&handle) {
+                by_service
+                    .entry(service)
+                    .or_default()
+                    .push((endpoint, handle));
+            }
+        }
+        for (service, results) in by_service {
+            self.desk.give_back(service, results);
+        }
+    }
+
+    /// Returns where the results lie, if that is worth following.
+    fn domain(&self, ticket: &Ticket, inputs: &[String]) -> Option<FailureDomain> {
+        let mut sizes: BTreeMap<FailureDomain, u64> = BTreeMap::new();
+        let directory = ticket.shared.directory();
+        for handle in inputs {
+            let (service, id) = self.makers.get(handle)?;
+            let Some(endpoint) = directory.get(id) else {
+                continue;
+            };
+            let stage = ticket.route.stages.iter().find(|s| s.service == *service);
+            let bytes = stage.map_or(0, |s| s.bytes.0);
+            *sizes.entry(endpoint.entry().domain.clone()).or_default() += bytes;
+        }
+        let (domain, size) = sizes.into_iter().max_by_key(|(_, size)| *size)?;
+        (size >= FOLLOW_MIN).then_some(domain)
+    }
+}
+
+impl Drop for StageWork {
+    fn drop(&mut self) {
+        for &number in self.open.keys() {
+            self.desk.cancel(number);
+        }
+        self.give_back();
+    }
+}
+
+/// Returns where the request's prompt would best be read.
+fn home(ticket: &Ticket) -> Option<FailureDomain> {
+    let prompt = ticket.ask.prompt?;
+    let directory = ticket.shared.directory();
+    let entry = directory.home(&ticket.service, prompt.prefix)?;
+    Some(entry.domain.clone())
+}
+
+fn later(now: Time, at: Time) -> Time {
+    at.max(now)
+}
--- /dev/null
+++ b/gateway/src/ticket.rs
@@ -0,0 +1,174 @@
+//! One client attempt on its way, owned by this node alone.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use bytes::Bytes;
+use futures_lite::FutureExt;
+use hyper::StatusCode;
+use hyper::http::request;
+use rapidhash::v3::rapidhash_v3;
+use snipeyoke_lib::ids::ClientAccount;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::FailureDomain;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::catalog::Catalog;
+use snipeyoke_lib::serving::catalog::Holder;
+use snipeyoke_lib::serving::catalog::Route;
+use snipeyoke_lib::time::Time;
+
+use crate::dialect::Ask;
+use crate::refusal::Refusal;
+use crate::shared::Shared;
+
+/// A client attempt that has a route, and what became of it so far.
+#[derive(Debug)]
+pub(crate) struct Ticket {
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) catalog: Arc<Catalog>,
+    pub(crate) ask: Ask,
+    pub(crate) head: request::Parts,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: PoolName,
+    pub(crate) holder: Option<Holder>,
+    pub(crate) began: Time,
+    /// When the answer stops being on time.
+    pub(crate) goal: Time,
+    /// When the caller, or the route, gives the request up.
+    pub(crate) due: Time,
+    /// Where the results of its stages lie.
+    pub(crate) domain: Option<FailureDomain>,
+    /// The endpoints that it was sent to.
+    pub(crate) tried: Vec<EndpointId>,
+    /// Whether an endpoint may have run it.
+    pub(crate) may_have_run: bool,
+    pub(crate) story: Story,
+}
+
+/// What the log tells of a request at its end.
+#[derive(Debug, Default)]
+pub(crate) struct Story {
+    /// When its stages were done.
+    pub(crate) staged: Option<Time>,
+    /// When its first event, or its answer, came.
+    pub(crate) first: Option<Time>,
+    pub(crate) events: u64,
+    pub(crate) ended: Option<(u16, &'static str)>,
+}
+
+impl Ticket {
+    pub(crate) fn new(
+        shared: Arc<Shared>,
+        catalog: Arc<Catalog>,
+        ask: Ask,
+        head: request::Parts,
+        (route, holder): (Arc<Route>, Option<Holder>),
+        began: Time,
+    ) -> Option<Self> {
+        let draw = rapidhash_v3(ask.id.as_bytes());
+        let service = route.target(draw)?.clone();
+        let left = ask.left.unwrap_or(route.timeout).min(route.timeout);
+        Some(Self {
+            goal: began + route.goal,
+            due: began + left,
+            shared,
+            catalog,
+            ask,
+            head,
+            body: Bytes::new(),
+            route,
+            service,
+            holder,
+            began,
+            domain: None,
+            tried: Vec::new(),
+            may_have_run: false,
+            story: Story::default(),
+        })
+    }
+
+    pub(crate) fn account(&self) -> Option<&ClientAccount> {
+        self.holder.as_ref().map(|h| &h.account)
+    }
+
+    /// Returns the urgency for a model; an account's own goes first.
+    pub(crate) fn urgency(&self) -> u8 {
+        let own = self.holder.as_ref().and_then(|h| h.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// Returns the time left as of now.
+    pub(crate) fn left(&self) -> Duration {
+        self.due.since(self.shared.now())
+    }
+
+    /// Waits for a future as long as the request has time.
+    pub(crate) async fn within<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let over = async {
+            Timer::after(self.left()).await;
+            None
+        };
+        async { Some(future.await) }.or(over).await
+    }
+
+    /// Tells whether another endpoint may be tried, and spends the budget.
+    pub(crate) fn may_try_again(&self) -> bool {
+        let more = (self.tried.len() as u32) < self.route.attempts;
+        let now = self.shared.now();
+        more && now < self.due && self.shared.budget().take(now, &self.service)
+    }
+
+    /// Returns the refusal for a request whose time is over.
+    pub(crate) const fn timeout(&self) -> Refusal {
+        if self.may_have_run {
+            Refusal::Timeout
+        } else {
+            Refusal::TimeoutNotRun
+        }
+    }
+
+    /// Returns a number in `0..1` that differs from request to request.
+    pub(crate) fn draw(&self) -> f64 {
+        draw(&self.ask.id)
+    }
+
+    /// Notes how the request ended, for the log.
+    pub(crate) const fn end(&mut self, status: StatusCode, outcome: &'static str) {
+        self.story.ended = Some((status.as_u16(), outcome));
+    }
+}
+
+/// Returns a number in `0..1` that differs from id to id.
+pub(crate) fn draw(id: &str) -> f64 {
+    (rapidhash_v3(id.as_bytes()) >> 11) as f64 / (1_u64 << 53) as f64
+}
+
+impl Drop for Ticket {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        let (status, outcome) = self.story.ended.unwrap_or((0, "caller-gone"));
+        let took = now.since(self.began);
+        metrics::counter!("snipeyoke_requests_total", "route" => self.route.name.clone(), "outcome" => outcome).increment(1);
+        metrics::histogram!("snipeyoke_request_seconds", "outcome" => outcome).record(took);
+        let since = |at: Option<Time>| at.map_or(0, |at| at.since(self.began).as_millis() as u64);
+        let endpoint = self.tried.last().map(ToString::to_string);
+        log::info!(
+            event = "request-ended",
+            request = self.ask.id.as_str(),
+            route = self.route.name.as_str(),
+            account = self.account().map_or("-", |a| a.as_str()),
+            status,
+            outcome,
+            took_ms = took.as_millis() as u64,
+            staged_ms = since(self.story.staged),
+            first_ms = since(self.story.first),
+            events = self.story.events,
+            tries = self.tried.len(),
+            endpoint = endpoint.as_deref().unwrap_or("-"),
+            config = self.catalog.version();
+            ""
+        );
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -26,5 +26,6 @@
 pub mod record;
 pub mod retry;
 pub mod routing;
+pub mod serving;
 pub mod time;
 pub mod units;
--- /dev/null
+++ b/lib/src/serving/directory.rs
@@ -0,0 +1,361 @@
+//! The endpoints of all services, and the choice among them.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rapidhash::v3::RapidSecrets;
+use rapidhash::v3::rapidhash_v3_seeded;
+
+use super::health::Health;
+use crate::ids::EndpointId;
+use crate::ids::FailureDomain;
+use crate::ids::PoolName;
+use crate::time::Time;
+
+/// How long a report of load says something.
+///
+/// Calls last from 50 ms to a few seconds; after a second most of what was
+/// reported has ended.
+const REPORT_FRESH: Duration = Duration::from_secs(1);
+
+/// How far above the mean load an endpoint that holds a prefix may be.
+///
+/// Bounded-load hashing: at a quarter above the mean a hot key spills to its
+/// next endpoint, while keys of usual heat stay together.
+const BOUND_RATIO: f32 = 1.25;
+
+/// The calls above the mean at which spilling begins.
+///
+/// A handful of running calls costs less than reading a shared prefix again.
+const BOUND_SLACK: f32 = 6.0;
+
+/// How many times slower than its peers an endpoint is left by its prefixes.
+const SLOW: f32 = 2.5;
+
+/// The weight of an endpoint's failures in its load.
+///
+/// An endpoint that fails four in ten of its calls then counts as four times
+/// as loaded as its peers.
+const FAILURE_WEIGHT: f32 = 8.0;
+
+/// What another failure domain costs, in calls.
+///
+/// Half a call: an idle endpoint nearby is taken before an idle one afar, a
+/// busy one nearby is not.
+const AFAR: f32 = 0.5;
+
+const SECRETS: RapidSecrets = RapidSecrets::seed(0);
+
+/// What an endpoint says of itself.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// Its name.
+    pub id: EndpointId,
+    /// The moment of its start, as it tells it; a name may be used again.
+    pub born: Option<u64>,
+    /// Its service.
+    pub service: PoolName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its failure domain.
+    pub domain: FailureDomain,
+    /// The calls that it works on at once.
+    pub slots: u32,
+    /// Whether it leaves and takes nothing new.
+    pub draining: bool,
+}
+
+/// The load that an endpoint reported with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Load {
+    /// Calls at work and waiting.
+    pub calls: u32,
+    /// The calls that it works on at once.
+    pub slots: u32,
+}
+
+/// One endpoint as this node knows it.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    entry: Entry,
+    own: u32,
+    others: u32,
+    reported: Time,
+    health: Health,
+    misled: bool,
+}
+
+impl Endpoint {
+    fn new(entry: Entry) -> Self {
+        Self {
+            entry,
+            own: 0,
+            others: 0,
+            reported: Time::ZERO,
+            health: Health::default(),
+            misled: false,
+        }
+    }
+
+    /// Returns what the endpoint says of itself.
+    #[must_use]
+    pub const fn entry(&self) -> &Entry {
+        &self.entry
+    }
+
+    /// Returns its health as seen from here.
+    #[must_use]
+    pub const fn health(&self) -> &Health {
+        &self.health
+    }
+
+    /// Tells whether it may get new calls.
+    #[must_use]
+    pub const fn is_open(&self) -> bool {
+        !self.entry.draining && !self.misled
+    }
+
+    /// Returns the calls that it is taken to have now.
+    #[must_use]
+    pub fn calls(&self, now: Time) -> f32 {
+        let age = now.since(self.reported).as_secs_f32() / REPORT_FRESH.as_secs_f32();
+        self.own as f32 + self.others as f32 * (1.0 - age).max(0.0)
+    }
+
+    fn burden(&self, now: Time) -> f32 {
+        let failures = 1.0 + FAILURE_WEIGHT * self.health.failures(now);
+        let slowness = self.health.slowness(now).max(0.5);
+        (self.calls(now) + 1.0) / self.entry.slots.max(1) as f32 * failures * slowness
+    }
+}
+
+/// What a call asks of its endpoint.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The service.
+    pub service: &'a PoolName,
+    /// Endpoints that are not to be taken, unless there is no other.
+    pub avoid: &'a [EndpointId],
+    /// The failure domain that is nearest, if any.
+    pub domain: Option<&'a FailureDomain>,
+    /// Whether other failure domains come only after all of that one.
+    pub strict: bool,
+    /// The hash of the prompt's shared prefix, where one is worth keeping to.
+    pub prefix: Option<u64>,
+}
+
+/// Why an endpoint was chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(derive_more::Display)]
+pub enum Reason {
+    /// It has the least load.
+    #[display("least-load")]
+    LeastLoad,
+    /// It is the first for the prompt's prefix.
+    #[display("prefix")]
+    Prefix,
+    /// The first for the prefix is full, slow or away.
+    #[display("prefix-spill")]
+    Spill,
+    /// All endpoints are paused; it is the least bad.
+    #[display("last-resort")]
+    LastResort,
+}
+
+/// An endpoint picked for a call.
+#[derive(Debug, Clone)]
+pub struct Choice {
+    /// What it says of itself.
+    pub entry: Entry,
+    /// Why it was chosen.
+    pub reason: Reason,
+    /// The calls that it was taken to have.
+    pub calls: f32,
+    /// The age of its last report of load.
+    pub age: Duration,
+}
+
+/// All endpoints that this node knows.
+#[derive(Debug, Clone, Default)]
+pub struct Directory {
+    endpoints: BTreeMap<EndpointId, Endpoint>,
+}
+
+impl Directory {
+    /// Takes in what an endpoint says of itself; tells whether it is a new one.
+    ///
+    /// One that started again under its name is a new one: what was learned of
+    /// the life before says nothing about this one.
+    pub fn set(&mut self, entry: Entry) -> bool {
+        let held = self.endpoints.get_mut(&entry.id);
+        let same = |e: &Endpoint| e.entry.born == entry.born && e.entry.address == entry.address;
+        match held {
+            Some(endpoint) if same(endpoint) => {
+                endpoint.entry = entry;
+                false
+            }
+            _ => {
+                self.endpoints
+                    .insert(entry.id.clone(), Endpoint::new(entry));
+                true
+            }
+        }
+    }
+
+    /// Forgets an endpoint; tells whether it was known.
+    pub fn remove(&mut self, id: &EndpointId) -> bool {
+        self.endpoints.remove(id).is_some()
+    }
+
+    /// Returns an endpoint.
+    #[must_use]
+    pub fn get(&self, id: &EndpointId) -> Option<&Endpoint> {
+        self.endpoints.get(id)
+    }
+
+    /// Returns all endpoints.
+    pub fn iter(&self) -> impl Iterator<Item = &Endpoint> {
+        self.endpoints.values()
+    }
+
+    /// Tells whether a service has an endpoint that may get calls.
+    #[must_use]
+    pub fn serves(&self, service: &PoolName) -> bool {
+        self.open(service).next().is_some()
+    }
+
+    fn open<'a>(&'a self, service: &PoolName) -> impl Iterator<Item = &'a Endpoint> {
+        let all = self.endpoints.values();
+        all.filter(move |e| e.is_open() && e.entry.service == *service)
+    }
+
+    /// Returns the endpoint that a prefix belongs to while nothing is wrong.
+    #[must_use]
+    pub fn home(&self, service: &PoolName, prefix: u64) -> Option<&Entry> {
+        let ranked = self.open(service).max_by_key(|e| rank(prefix, &e.entry.id));
+        ranked.map(|e| &e.entry)
+    }
+
+    /// Chooses the endpoint for a call.
+    #[must_use]
+    pub fn choose(&self, now: Time, wanted: Wanted<'_>) -> Option<Choice> {
+        let all: Vec<&Endpoint> = self.open(wanted.service).collect();
+        let fresh = |e: &&Endpoint| !wanted.avoid.contains(&e.entry.id);
+        let usable: Vec<&Endpoint> = all.iter().copied().filter(fresh).collect();
+        let well = |e: &&Endpoint| !e.health.is_paused(now);
+        let mut pool: Vec<&Endpoint> = usable.iter().copied().filter(well).collect();
+        if pool.is_empty() {
+            let least = least(now, &usable, wanted)?;
+            return Some(choice(now, least, Reason::LastResort));
+        }
+        if let (true, Some(domain)) = (wanted.strict, wanted.domain) {
+            let near = |e: &&Endpoint| e.entry.domain == *domain;
+            let nearby: Vec<&Endpoint> = pool.iter().copied().filter(near).collect();
+            if !nearby.is_empty() {
+                pool = nearby;
+            }
+        }
+        let Some(prefix) = wanted.prefix else {
+            let least = least(now, &pool, wanted)?;
+            return Some(choice(now, least, Reason::LeastLoad));
+        };
+        let picked = bounded(now, &pool, prefix);
+        let home = pool.iter().max_by_key(|e| rank(prefix, &e.entry.id))?;
+        let at_home = home.entry.id == picked.entry.id;
+        let reason = if at_home {
+            Reason::Prefix
+        } else {
+            Reason::Spill
+        };
+        Some(choice(now, picked, reason))
+    }
+
+    /// Notes that a call was sent.
+    pub fn began(&mut self, id: &EndpointId) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.own += 1;
+        }
+    }
+
+    /// Notes that a call ended, in whatever way.
+    pub fn ended(&mut self, id: &EndpointId) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.own = endpoint.own.saturating_sub(1);
+        }
+    }
+
+    /// Notes the load that came with an answer.
+    pub fn reported(&mut self, now: Time, id: &EndpointId, load: Load) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            // The report counts this node's calls too, which it knows itself.
+            endpoint.others = load.calls.saturating_sub(endpoint.own);
+            endpoint.reported = now;
+        }
+    }
+
+    /// Returns an endpoint's health for an update.
+    pub fn health_mut(&mut self, id: &EndpointId) -> Option<&mut Health> {
+        self.endpoints.get_mut(id).map(|e| &mut e.health)
+    }
+
+    /// Notes that another endpoint answers at this one's address.
+    ///
+    /// It gets no more calls until it says something new of itself.
+    pub fn mislead(&mut self, id: &EndpointId) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.misled = true;
+        }
+    }
+}
+
+fn choice(now: Time, endpoint: &Endpoint, reason: Reason) -> Choice {
+    Choice {
+        entry: endpoint.entry.clone(),
+        reason,
+        calls: endpoint.calls(now),
+        age: now.since(endpoint.reported),
+    }
+}
+
+fn least<'a>(now: Time, pool: &[&'a Endpoint], wanted: Wanted<'_>) -> Option<&'a Endpoint> {
+    let burden = |e: &Endpoint| {
+        let afar = wanted.domain.is_some_and(|d| e.entry.domain != *d);
+        let slots = e.entry.slots.max(1) as f32;
+        e.burden(now) + if afar { AFAR / slots } else { 0.0 }
+    };
+    let ordered = |a: &&&Endpoint, b: &&&Endpoint| burden(a).total_cmp(&burden(b));
+    pool.iter().min_by(ordered).copied()
+}
+
+/// Returns the first endpoint of a prefix that is neither full nor slow.
+fn bounded<'a>(now: Time, pool: &[&'a Endpoint], prefix: u64) -> &'a Endpoint {
+    let mut ranked: Vec<&Endpoint> = pool.to_vec();
+    ranked.sort_by_key(|e| std::cmp::Reverse(rank(prefix, &e.entry.id)));
+    let count = ranked.len().max(1) as f32;
+    let calls: f32 = ranked.iter().map(|e| e.calls(now)).sum();
+    let bound = BOUND_RATIO * calls / count + BOUND_SLACK;
+    let slowness = middle(ranked.iter().map(|e| e.health.slowness(now)).collect());
+    let failures = middle(ranked.iter().map(|e| e.health.failures(now)).collect());
+    let fits = |e: &&&Endpoint| {
+        let slow = e.health.slowness(now) > SLOW * slowness;
+        let failing = e.health.failures(now) > failures + 0.3;
+        e.calls(now) < bound && !slow && !failing
+    };
+    let first = ranked.iter().find(fits).or_else(|| ranked.first());
+    let Some(endpoint) = first else {
+        unreachable!("the caller has at least one endpoint");
+    };
+    endpoint
+}
+
+fn middle(mut values: Vec<f32>) -> f32 {
+    values.sort_by(f32::total_cmp);
+    values.get(values.len() / 2).copied().unwrap_or(1.0)
+}
+
+fn rank(prefix: u64, id: &EndpointId) -> u64 {
+    let mut text = prefix.to_le_bytes().to_vec();
+    text.extend_from_slice(id.as_str().as_bytes());
+    rapidhash_v3_seeded(&text, &SECRETS)
+}
--- /dev/null
+++ b/lib/src/serving/mod.rs
@@ -0,0 +1,15 @@
+//! Decisions of a node that fronts endpoints directly, without agents.
+//!
+//! A node keeps two replicas of the platform's records, the configuration and
+//! the endpoints, and owns each client attempt that reaches it. Stage pieces of
+//! all nodes meet at one owner for each service, which fills the calls.
+
+pub mod budget;
+pub mod catalog;
+pub mod directory;
+pub mod events;
+pub mod health;
+pub mod owners;
+pub mod pace;
+pub mod pieces;
+pub mod replica;
--- /dev/null
+++ b/lib/src/serving/pieces/mod.rs
@@ -0,0 +1,19 @@
+//! Stage work in pieces: what a request still needs, and how calls are filled.
+
+mod plan;
+mod queue;
+mod room;
+
+pub use plan::Order;
+pub use plan::Plan;
+pub use plan::PlanError;
+pub use plan::Work;
+pub use queue::Item;
+pub use queue::Job;
+pub use queue::JobEnd;
+pub use queue::JobId;
+pub use queue::Outcome;
+pub use queue::PieceQueue;
+pub use queue::Result as PieceResult;
+pub use queue::Send;
+pub use room::Room;
--- /dev/null
+++ b/lib/src/serving/pieces/queue.rs
@@ -0,0 +1,736 @@
+//! Fills calls of one stage service with pieces of many requests.
+//!
+//! A call costs much more than a piece in it, so full calls decide how much a
+//! service can do. Work goes to the endpoint that is done first; while all are
+//! at work pieces wait here, where the most urgent goes first, and leave
+//! together.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use super::plan::Work;
+use super::room::Room;
+use crate::ids::EndpointId;
+use crate::ids::FailureDomain;
+use crate::serving::catalog::PieceLimits;
+use crate::serving::directory::Entry;
+use crate::serving::health::Health;
+use crate::time::Time;
+use crate::units::Bytes;
+
+/// How many times its expected time a call takes before its pieces are also
+/// given to another endpoint.
+///
+/// Usual calls stay below one and a half; a stopped endpoint never answers.
+const OVERDUE: u32 = 3;
+
+/// The time on top of it, for the way there and back.
+const OVERDUE_MORE: Duration = Duration::from_millis(60);
+
+/// The most times that the pieces of one job are given out again.
+const AGAIN_MAX: u32 = 4;
+
+/// What a result's way to another failure domain is worth, for each megabyte.
+///
+/// Results of a few megabytes are worth the wait for about one call.
+const AFAR_MB: Duration = Duration::from_millis(20);
+
+/// The part of an endpoint's memory beyond which results are given back.
+///
+/// Below it they lapse by themselves, which costs no call.
+const PRESSURE: f64 = 0.4;
+
+/// How long an endpoint without room is left alone.
+const FULL_PAUSE: Duration = Duration::from_millis(60);
+
+/// Numbers the jobs of one queue.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(derive_more::Display)]
+pub struct JobId(pub u64);
+
+/// Pieces of one stage of one request.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Job {
+    /// The request, as its caller names it.
+    pub request: String,
+    /// The stage.
+    pub stage: usize,
+    /// The pieces.
+    pub pieces: Vec<u32>,
+    /// What they start from.
+    pub work: Work,
+    /// The request's own key, for stages that start from it.
+    pub key: String,
+    /// The usual size of one result.
+    pub each: Bytes,
+    /// When the stage should be done for the request to be on time.
+    pub goal: Time,
+    /// When nobody needs the results any more.
+    pub due: Time,
+    /// Where the results will be read.
+    pub domain: Option<FailureDomain>,
+}
+
+/// One piece of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Item {
+    /// The job it belongs to.
+    pub job: JobId,
+    /// The request, as its caller names it.
+    pub request: String,
+    /// The stage.
+    pub stage: usize,
+    /// The piece.
+    pub piece: u32,
+    /// The time left for it.
+    pub left: Duration,
+    /// What it starts from.
+    pub work: Work,
+    /// The request's own key.
+    pub key: String,
+}
+
+/// A call that is to be made.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Send {
+    /// The number of the call in this queue.
+    pub call: u64,
+    /// The endpoint.
+    pub entry: Entry,
+    /// The pieces.
+    pub items: Vec<Item>,
+    /// How long the call is expected to take.
+    pub expected: Duration,
+    /// When the call is given up.
+    pub limit: Duration,
+}
+
+/// What became of one piece.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// The result stands under this handle.
+    Made(String),
+    /// Its time was over at its turn.
+    Late,
+    /// One of its inputs is gone.
+    Gone,
+    /// There was no room for its result.
+    Full,
+    /// The work failed.
+    Failed,
+}
+
+/// What became of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Result {
+    /// The endpoint answered, piece by piece.
+    Answered(Vec<Outcome>),
+    /// The endpoint did not take the call.
+    Refused,
+    /// Another endpoint has this one's address; nothing ran.
+    Misled,
+    /// The connection failed or was silent.
+    Broken,
+}
+
+/// A job's end.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct JobEnd {
+    /// The job.
+    pub job: JobId,
+    /// The pieces that are done: number, handle and endpoint.
+    pub made: Vec<(u32, String, EndpointId)>,
+    /// Why the others are not; `None` if all are done.
+    pub failure: Option<Outcome>,
+}
+
+#[derive(Debug, Clone, Default)]
+struct Piece {
+    running: u32,
+    waiting: bool,
+    made: Option<(String, EndpointId)>,
+}
+
+#[derive(Debug, Clone)]
+struct Held {
+    job: Job,
+    pieces: BTreeMap<u32, Piece>,
+    again: u32,
+}
+
+impl Held {
+    fn waiting(&self) -> usize {
+        self.pieces.values().filter(|p| p.waiting).count()
+    }
+
+    fn is_done(&self) -> bool {
+        self.pieces.values().all(|p| p.made.is_some())
+    }
+}
+
+#[derive(Debug, Clone)]
+struct Call {
+    endpoint: EndpointId,
+    items: Vec<(JobId, u32)>,
+    booked: Bytes,
+    each: Vec<Bytes>,
+    began: Time,
+    expected: Duration,
+    overdue: Option<Time>,
+}
+
+#[derive(Debug, Clone)]
+struct Maker {
+    entry: Entry,
+    present: bool,
+    calls: u32,
+    free_at: Time,
+    full: Time,
+    health: Health,
+    room: Room,
+    unneeded: Vec<String>,
+}
+
+/// The pieces that wait for one service, and the calls under way.
+#[derive(Debug, Clone)]
+pub struct PieceQueue {
+    limits: PieceLimits,
+    makers: BTreeMap<EndpointId, Maker>,
+    jobs: BTreeMap<JobId, Held>,
+    calls: BTreeMap<u64, Call>,
+    next_job: u64,
+    next_call: u64,
+    ends: Vec<JobEnd>,
+}
+
+impl PieceQueue {
+    /// Starts empty, without endpoints.
+    #[must_use]
+    pub const fn new(limits: PieceLimits) -> Self {
+        Self {
+            limits,
+            makers: BTreeMap::new(),
+            jobs: BTreeMap::new(),
+            calls: BTreeMap::new(),
+            next_job: 0,
+            next_call: 0,
+            ends: Vec::new(),
+        }
+    }
+
+    /// Sets how its endpoints take pieces.
+    pub fn set_limits(&mut self, limits: PieceLimits) {
+        self.limits = limits;
+    }
+
+    /// Sets the endpoints that may get calls.
+    pub fn set_endpoints<'a>(&mut self, entries: impl Iterator<Item = &'a Entry>) {
+        for maker in self.makers.values_mut() {
+            maker.present = false;
+        }
+        for entry in entries {
+            let same = |m: &Maker| m.entry.born == entry.born && m.entry.address == entry.address;
+            match self.makers.get_mut(&entry.id) {
+                Some(maker) if same(maker) => {
+                    maker.present = true;
+                    maker.entry = entry.clone();
+                }
+                _ => {
+                    self.makers
+                        .insert(entry.id.clone(), Maker::new(entry.clone()));
+                }
+            }
+        }
+        self.makers.retain(|_, m| m.present || m.calls > 0);
+    }
+
+    /// Returns the number of jobs that are not done.
+    #[must_use]
+    pub fn job_count(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns the number of pieces that wait for a call.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.jobs.values().map(Held::waiting).sum()
+    }
+
+    /// Takes in a job.
+    pub fn submit(&mut self, job: Job) -> JobId {
+        let id = JobId(self.next_job);
+        self.next_job += 1;
+        let waiting = Piece {
+            waiting: true,
+            ..Piece::default()
+        };
+        let pieces = job.pieces.iter().map(|&p| (p, waiting.clone()));
+        let held = Held {
+            pieces: pieces.collect(),
+            job,
+            again: 0,
+        };
+        self.jobs.insert(id, held);
+        id
+    }
+
+    /// Drops a job that nobody waits for; its results are given back.
+    pub fn cancel(&mut self, id: JobId) {
+        let Some(held) = self.jobs.remove(&id) else {
+            return;
+        };
+        for piece in held.pieces.into_values() {
+            if let Some((handle, endpoint)) = piece.made {
+                self.give_back(&endpoint, handle);
+            }
+        }
+    }
+
+    /// Notes that nobody needs a result any more.
+    pub fn give_back(&mut self, endpoint: &EndpointId, handle: String) {
+        if let Some(maker) = self.makers.get_mut(endpoint) {
+            maker.unneeded.push(handle);
+        }
+    }
+
+    /// Returns the results that an endpoint is to be told to drop.
+    ///
+    /// Only endpoints that are short of memory are told: other results lapse
+    /// by themselves, and each call has its price.
+    pub fn take_unneeded(&mut self, now: Time) -> Vec<(Entry, Vec<String>)> {
+        let room = self.limits.room.0 as f64;
+        let mut out = Vec::new();
+        for maker in self.makers.values_mut() {
+            let short = maker.room.taken(now).0 as f64 > PRESSURE * room;
+            if short && !maker.unneeded.is_empty() {
+                let handles = std::mem::take(&mut maker.unneeded);
+                for handle in &handles {
+                    maker.room.free(handle);
+                }
+                out.push((maker.entry.clone(), handles));
+            }
+        }
+        out
+    }
+
+    /// Returns the jobs that ended since the last call.
+    pub fn take_ends(&mut self) -> Vec<JobEnd> {
+        std::mem::take(&mut self.ends)
+    }
+
+    /// Returns when [`Self::poll`] has something to do though nothing happens.
+    #[must_use]
+    pub fn wake(&self) -> Time {
+        let overdue = self.calls.values().filter_map(|c| c.overdue);
+        let waiting = self.jobs.values().filter(|h| h.waiting() > 0);
+        let due = waiting.map(|h| h.job.due - self.expected(1));
+        let full = self.makers.values().map(|m| m.full);
+        let full = full.filter(|&at| at > Time::ZERO);
+        overdue.chain(due).chain(full).min().unwrap_or(Time::NEVER)
+    }
+
+    /// Returns the calls to make now.
+    pub fn poll(&mut self, now: Time) -> Vec<Send> {
+        self.give_out_overdue(now);
+        self.end_late(now);
+        for maker in self.makers.values_mut() {
+            if maker.full <= now {
+                maker.full = Time::ZERO;
+            }
+        }
+        let mut sends = Vec::new();
+        while let Some(send) = self.next_send(now) {
+            sends.push(send);
+        }
+        sends
+    }
+
+    /// Takes in what became of a call.
+    pub fn ended(&mut self, now: Time, call: u64, result: Result) {
+        let Some(call) = self.calls.remove(&call) else {
+            return;
+        };
+        self.note_maker(now, &call, &result);
+        match result {
+            Result::Answered(outcomes) if outcomes.len() == call.items.len() => {
+                let items = call.items.iter().zip(&call.each).zip(outcomes);
+                for ((&(job, piece), &each), outcome) in items {
+                    self.piece_ended(now, &call, (job, piece), each, outcome);
+                }
+            }
+            Result::Answered(_) | Result::Broken => self.again(&call, true),
+            Result::Refused | Result::Misled => self.again(&call, false),
+        }
+    }
+
+    fn note_maker(&mut self, now: Time, call: &Call, result: &Result) {
+        let Some(maker) = self.makers.get_mut(&call.endpoint) else {
+            return;
+        };
+        maker.calls = maker.calls.saturating_sub(1);
+        maker.room.unbook(call.booked);
+        maker.free_at = now;
+        let ratio = now.since(call.began).as_secs_f32() / call.expected.as_secs_f32();
+        match result {
+            Result::Answered(outcomes) => {
+                maker.health.answered(now, ratio);
+                if outcomes.contains(&Outcome::Failed) {
+                    maker.health.failed(now);
+                }
+                if outcomes.contains(&Outcome::Full) {
+                    maker.full = now + FULL_PAUSE;
+                }
+            }
+            // Someone else's calls fill it; it is not sick.
+            Result::Refused => maker.full = now + FULL_PAUSE,
+            Result::Misled => maker.present = false,
+            Result::Broken => maker.health.broke(now),
+        }
+    }
+
+    fn piece_ended(
+        &mut self,
+        now: Time,
+        call: &Call,
+        (id, piece): (JobId, u32),
+        each: Bytes,
+        outcome: Outcome,
+    ) {
+        if let Outcome::Made(handle) = &outcome
+            && let Some(maker) = self.makers.get_mut(&call.endpoint)
+        {
+            maker.room.hold(now, handle.clone(), each, self.limits.keep);
+        }
+        let Some(held) = self.jobs.get_mut(&id) else {
+            if let Outcome::Made(handle) = outcome {
+                self.give_back(&call.endpoint, handle);
+            }
+            return;
+        };
+        let Some(state) = held.pieces.get_mut(&piece) else {
+            return;
+        };
+        state.running = state.running.saturating_sub(1);
+        match outcome {
+            Outcome::Made(handle) if state.made.is_some() => {
+                self.give_back(&call.endpoint, handle);
+            }
+            Outcome::Made(handle) => {
+                state.made = Some((handle, call.endpoint.clone()));
+                state.waiting = false;
+                if held.is_done() {
+                    self.end(id, None);
+                }
+            }
+            _ if state.made.is_some() || state.running > 0 => {}
+            Outcome::Full | Outcome::Failed if held.again < AGAIN_MAX => {
+                held.again += 1;
+                state.waiting = true;
+            }
+            failure => self.end(id, Some(failure)),
+        }
+    }
+
+    /// Gives the pieces of a call that did not answer to another endpoint.
+    fn again(&mut self, call: &Call, counted: bool) {
+        let mut exhausted = Vec::new();
+        for &(id, piece) in &call.items {
+            let Some(held) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            let Some(state) = held.pieces.get_mut(&piece) else {
+                continue;
+            };
+            state.running = state.running.saturating_sub(1);
+            if state.made.is_none() && state.running == 0 && !state.waiting {
+                state.waiting = true;
+                held.again += u32::from(counted);
+            }
+            if held.again > AGAIN_MAX * held.pieces.len() as u32 {
+                exhausted.push(id);
+            }
+        }
+        for id in exhausted {
+            self.end(id, Some(Outcome::Failed));
+        }
+    }
+
+    fn end(&mut self, id: JobId, failure: Option<Outcome>) {
+        let Some(held) = self.jobs.remove(&id) else {
+            return;
+        };
+        let made = held.pieces.into_iter();
+        let made = made.filter_map(|(p, s)| s.made.map(|(handle, e)| (p, handle, e)));
+        self.ends.push(JobEnd {
+            job: id,
+            made: made.collect(),
+            failure,
+        });
+    }
+
+    // A stopped endpoint keeps its connection open and never answers. Waiting
+    // for it loses the request although others could do the piece in time; the
+    // first result is taken, a second one is given back.
+    fn give_out_overdue(&mut self, now: Time) {
+        let due = |c: &&mut Call| c.overdue.is_some_and(|at| at <= now);
+        let mut given = Vec::new();
+        for call in self.calls.values_mut().filter(due) {
+            call.overdue = None;
+            let ratio = now.since(call.began).as_secs_f32() / call.expected.as_secs_f32();
+            if let Some(maker) = self.makers.get_mut(&call.endpoint) {
+                maker.health.answered(now, ratio);
+                maker.health.failed(now);
+            }
+            given.extend(call.items.iter().copied());
+        }
+        for (id, piece) in given {
+            let Some(held) = self.jobs.get_mut(&id) else {
+                continue;
+            };
+            if let Some(state) = held.pieces.get_mut(&piece)
+                && state.made.is_none()
+            {
+                state.waiting = true;
+            }
+        }
+    }
+
+    fn end_late(&mut self, now: Time) {
+        let least = self.expected(1);
+        let late = |h: &Held| {
+            let running = h.pieces.values().any(|p| p.running > 0 && p.made.is_none());
+            h.waiting() > 0 && !running && now + least > h.job.due
+        };
+        let ids: Vec<JobId> = self
+            .jobs
+            .iter()
+            .filter(|(_, h)| late(h))
+            .map(|(&id, _)| id)
+            .collect();
+        for id in ids {
+            self.end(id, Some(Outcome::Late));
+        }
+    }
+
+    fn next_send(&mut self, now: Time) -> Option<Send> {
+        let order = self.order(now);
+        for &id in &order {
+            let maker = self.best(now, id)?;
+            if self.is_idle(now, &maker) && self.fits(now, &maker, id) > 0 {
+                return Some(self.fill(now, &maker, id, &order));
+            }
+        }
+        None
+    }
+
+    /// Returns the jobs with waiting pieces, the most urgent first.
+    ///
+    /// Those that can still be on time go by their goal; the others after
+    /// them, as an answer that is late anyway loses less by waiting.
+    fn order(&self, now: Time) -> Vec<JobId> {
+        let waiting = self.jobs.iter().filter(|(_, h)| h.waiting() > 0);
+        let mut order: Vec<(bool, Time, JobId)> = waiting
+            .map(|(&id, held)| {
+                let late = now + self.expected(held.waiting()) > held.job.goal;
+                let by = if late { held.job.due } else { held.job.goal };
+                (late, by, id)
+            })
+            .collect();
+        order.sort();
+        order.into_iter().map(|(_, _, id)| id).collect()
+    }
+
+    /// Returns the endpoint that would have the job done first.
+    fn best(&self, now: Time, id: JobId) -> Option<EndpointId> {
+        let held = self.jobs.get(&id)?;
+        let pieces = held.waiting().min(self.limits.batch);
+        let usable = self.makers.values().filter(|m| m.is_usable());
+        let well: Vec<&Maker> = usable
+            .clone()
+            .filter(|m| !m.health.is_paused(now))
+            .collect();
+        let pool: Vec<&Maker> = if well.is_empty() {
+            usable.collect()
+        } else {
+            well
+        };
+        let done = |m: &Maker| {
+            let begin = if m.calls < self.limits.slots {
+                now
+            } else {
+                m.free_at.max(now)
+            };
+            let begin = begin.max(m.full);
+            let took = self
+                .expected(pieces)
+                .mul_f32(m.health.slowness(now).max(0.5));
+            let failing = took.mul_f32(m.health.failures(now));
+            begin + took + failing + afar(held, m)
+        };
+        let first = pool.into_iter().min_by_key(|m| done(m))?;
+        Some(first.entry.id.clone())
+    }
+
+    fn is_idle(&self, now: Time, id: &EndpointId) -> bool {
+        let maker = &self.makers[id];
+        maker.calls < self.limits.slots && maker.full <= now
+    }
+
+    /// Returns how many results of a job an endpoint has room for.
+    fn fits(&mut self, now: Time, maker: &EndpointId, id: JobId) -> usize {
+        let each = self.jobs[&id].job.each.0.max(1);
+        let Some(maker) = self.makers.get_mut(maker) else {
+            return 0;
+        };
+        let taken = maker.room.taken(now).0;
+        let fits = self.limits.room.0.saturating_sub(taken) / each;
+        // A result larger than all of the memory can only be tried.
+        if taken == 0 {
+            fits.max(1) as usize
+        } else {
+            fits as usize
+        }
+    }
+
+    fn fill(&mut self, now: Time, maker: &EndpointId, first: JobId, order: &[JobId]) -> Send {
+        let share = self.share(now);
+        let mut left = self.limits.batch;
+        let mut items = Vec::new();
+        let mut each = Vec::new();
+        let mut booked = 0;
+        for &id in [first]
+            .iter()
+            .chain(order.iter().filter(|&&id| id != first))
+        {
+            let own = id == first;
+            let wanted = self.jobs[&id].waiting();
+            let most = if own || self.is_near(maker, id) {
+                left
+            } else {
+                left.min(share.saturating_sub(items.len()))
+            };
+            let fits = self.fits(now, maker, id).min(most);
+            // Half a job would wait for a second call anyway.
+            if left == 0 || fits == 0 || (wanted > fits && !own) {
+                continue;
+            }
+            let size = self.jobs[&id].job.each;
+            let taken = self.take(now, id, fits);
+            left -= taken.len();
+            booked += size.0 * taken.len() as u64;
+            self.book(maker, Bytes(size.0 * taken.len() as u64));
+            each.extend(taken.iter().map(|_| size));
+            items.extend(taken);
+        }
+        self.start(now, maker, items, each, Bytes(booked))
+    }
+
+    /// Returns the pieces for each call if idle endpoints share what waits.
+    fn share(&self, now: Time) -> usize {
+        let idle = self.makers.values();
+        let idle = idle.filter(|m| m.is_usable() && m.calls < self.limits.slots && m.full <= now);
+        self.waiting().div_ceil(idle.count().max(1))
+    }
+
+    fn is_near(&self, maker: &EndpointId, id: JobId) -> bool {
+        let domain = self.jobs[&id].job.domain.as_ref();
+        domain == Some(&self.makers[maker].entry.domain)
+    }
+
+    fn take(&mut self, now: Time, id: JobId, most: usize) -> Vec<Item> {
+        let Some(held) = self.jobs.get_mut(&id) else {
+            return Vec::new();
+        };
+        let job = &held.job;
+        let waiting = held.pieces.iter_mut().filter(|(_, p)| p.waiting).take(most);
+        let items = waiting.map(|(&piece, state)| {
+            state.waiting = false;
+            state.running += 1;
+            Item {
+                job: id,
+                request: job.request.clone(),
+                stage: job.stage,
+                piece,
+                left: job.due.since(now),
+                work: job.work.clone(),
+                key: job.key.clone(),
+            }
+        });
+        items.collect()
+    }
+
+    fn book(&mut self, maker: &EndpointId, bytes: Bytes) {
+        if let Some(maker) = self.makers.get_mut(maker) {
+            maker.room.book(bytes);
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Time,
+        maker: &EndpointId,
+        items: Vec<Item>,
+        each: Vec<Bytes>,
+        booked: Bytes,
+    ) -> Send {
+        let expected = self.expected(items.len());
+        let Some(maker) = self.makers.get_mut(maker) else {
+            unreachable!("the endpoint was just chosen");
+        };
+        let call = self.next_call;
+        self.next_call += 1;
+        maker.calls += 1;
+        maker.free_at = now + expected.mul_f32(maker.health.slowness(now).max(0.5));
+        let begun = Call {
+            endpoint: maker.entry.id.clone(),
+            items: items.iter().map(|i| (i.job, i.piece)).collect(),
+            booked,
+            each,
+            began: now,
+            expected,
+            overdue: Some(now + expected * OVERDUE + OVERDUE_MORE),
+        };
+        self.calls.insert(call, begun);
+        let longest = items.iter().map(|i| i.left).max().unwrap_or_default();
+        Send {
+            call,
+            entry: maker.entry.clone(),
+            items,
+            expected,
+            limit: longest,
+        }
+    }
+
+    fn expected(&self, pieces: usize) -> Duration {
+        self.limits.call + self.limits.item * pieces as u32
+    }
+}
+
+/// Returns what it costs, in time, to read a job's results from elsewhere.
+fn afar(held: &Held, maker: &Maker) -> Duration {
+    let domain = held.job.domain.as_ref();
+    if domain.is_none_or(|d| *d == maker.entry.domain) {
+        return Duration::ZERO;
+    }
+    let bytes = held.job.each.0 * held.waiting() as u64;
+    AFAR_MB.mul_f64(bytes as f64 / 1e6)
+}
+
+impl Maker {
+    fn new(entry: Entry) -> Self {
+        Self {
+            entry,
+            present: true,
+            calls: 0,
+            free_at: Time::ZERO,
+            full: Time::ZERO,
+            health: Health::default(),
+            room: Room::default(),
+            unneeded: Vec::new(),
+        }
+    }
+
+    const fn is_usable(&self) -> bool {
+        self.present && !self.entry.draining
+    }
+}
--- a/runtime/src/http/body.rs
+++ b/runtime/src/http/body.rs
@@ -23,7 +23,16 @@
 use hyper::body::SizeHint;
 
 /// The body of a reply.
-pub type ReplyBody = UnsyncBoxBody<Bytes, Infallible>;
+pub type ReplyBody = UnsyncBoxBody<Bytes, Cut>;
+
+/// Ends a body early: the connection is closed without the rest.
+///
+/// A body that is cut must not look complete, so its connection can't be used
+/// again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display, Error)]
+#[display("the answer can't be completed: send the request again")]
+pub struct Cut;
 
 /// The reason why a body can't be read.
 #[derive(Debug)]
@@ -52,7 +61,7 @@
 /// Returns a body of known bytes.
 #[must_use]
 pub fn full(bytes: impl Into<Bytes>) -> ReplyBody {
-    Full::new(bytes.into()).boxed_unsync()
+    Full::new(bytes.into()).map_err(never).boxed_unsync()
 }
 
 /// Returns a body without bytes.
@@ -66,10 +75,20 @@
 /// The stream is dropped when the caller's connection closes.
 #[must_use]
 pub fn streamed(pieces: impl Stream<Item = Bytes> + Send + 'static) -> ReplyBody {
-    let frames = pieces.map(|piece| Ok(Frame::data(piece)));
+    cuttable(pieces.map(Ok))
+}
+
+/// Returns a body whose pieces come one by one, and which may be cut.
+#[must_use]
+pub fn cuttable(pieces: impl Stream<Item = Result<Bytes, Cut>> + Send + 'static) -> ReplyBody {
+    let frames = pieces.map(|piece| piece.map(Frame::data));
     StreamBody::new(frames).boxed_unsync()
 }
 
+fn never(error: Infallible) -> Cut {
+    match error {}
+}
+
 /// Reads a whole body of at most `max` bytes.
 ///
 /// # Errors
@@ -105,12 +124,12 @@
 
 impl<T> Body for Holding<T> {
     type Data = Bytes;
-    type Error = Infallible;
+    type Error = Cut;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, Infallible>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
         Pin::new(&mut self.get_mut().body).poll_frame(cx)
     }
 
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -5,8 +5,10 @@
 mod server;
 
 pub use body::BodyError;
+pub use body::Cut;
 pub use body::ReplyBody;
 pub use body::collect;
+pub use body::cuttable;
 pub use body::empty;
 pub use body::full;
 pub use body::holding;
--- a/runtime/src/logs.rs
+++ b/runtime/src/logs.rs
@@ -1,19 +1,23 @@
-//! The log lines of a process: key=value pairs on standard error.
+//! The log lines of a process: key=value pairs.
 
 mod bound;
+mod layout;
 
 use derive_more::Display;
 use derive_more::Error;
+use logforth::Append;
+use logforth::append::Async;
 use logforth::append::Stderr;
+use logforth::append::Stdout;
 use logforth::append::asynchronous::AsyncBuilder;
 use logforth::bridge::log::LogBridge;
 use logforth::core::builder;
 use logforth::filter::rustlog::RustLogFilterBuilder;
-use logforth::layout::LogfmtLayout;
 
 use self::bound::Entry;
 use self::bound::Exit;
 use self::bound::Waiting;
+use self::layout::Pairs;
 
 /// The lines that may wait for standard error.
 ///
@@ -36,19 +40,42 @@
     Taken,
 }
 
-/// Sends log events to standard error, filtered by `filter`.
+/// Where log lines go.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Output {
+    /// Standard output.
+    Stdout,
+    /// Standard error.
+    Stderr,
+}
+
+/// Sends log events to `output`, filtered by `filter`.
 ///
 /// # Errors
 ///
 /// Returns [`LogsError`] for a malformed filter or a second call.
-pub fn install(filter: &str) -> Result<(), LogsError> {
+pub fn install(filter: &str, output: Output) -> Result<(), LogsError> {
     let spec =
         RustLogFilterBuilder::try_from_spec(filter).map_err(|_malformed| LogsError::Filter {
             filter: filter.to_owned(),
         })?;
+    let append = match output {
+        Output::Stdout => queued(Stdout::default().with_layout(Pairs)),
+        Output::Stderr => queued(Stderr::default().with_layout(Pairs)),
+    };
+    let logger = builder()
+        .dispatch(|d| d.filter(spec.build()).append(append))
+        .build();
+    log::set_boxed_logger(Box::new(LogBridge::new(logger))).map_err(|_taken| LogsError::Taken)?;
+    log::set_max_level(log::LevelFilter::Trace);
+    Ok(())
+}
+
+/// Puts a bounded queue, and a thread that empties it, before an output.
+fn queued(output: impl Append) -> Entry<Async> {
     let waiting = Waiting::default();
     let exit = Exit {
-        inner: Stderr::default().with_layout(LogfmtLayout::default()),
+        inner: output,
         waiting: waiting.clone(),
     };
     // The queue has room for every line that the entry lets through, and for
@@ -58,17 +85,11 @@
         .overflow_drop_incoming()
         .append(exit)
         .build();
-    let append = Entry {
+    Entry {
         inner: queue,
         waiting,
         limit: BUFFER_LINES,
-    };
-    let logger = builder()
-        .dispatch(|d| d.filter(spec.build()).append(append))
-        .build();
-    log::set_boxed_logger(Box::new(LogBridge::new(logger))).map_err(|_taken| LogsError::Taken)?;
-    log::set_max_level(log::LevelFilter::Trace);
-    Ok(())
+    }
 }
 
 /// Logs one event whose pairs are only known when it happens.
--- a/runtime/src/program.rs
+++ b/runtime/src/program.rs
@@ -1,19 +1,24 @@
 //! The way every process of the system starts, runs and leaves.
 
 use std::error::Error;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
 
 use argh::FromArgs;
+use async_io::block_on;
+use derive_more::Display;
+use derive_more::Error as DeriveError;
 use futures_lite::FutureExt;
-use futures_lite::future;
 use snipeyoke_lib::drain::Source;
 
 use crate::logs;
+use crate::logs::Output;
 use crate::measures;
 use crate::settings;
 use crate::settings::Checked;
 use crate::signals::Leave;
+use crate::signals::Reload;
 use crate::threads::Execs;
 use crate::threads::Threads;
 
@@ -22,6 +27,9 @@
     /// The name of its binary.
     const NAME: &'static str;
 
+    /// Where its log goes.
+    const LOG: Output = Output::Stderr;
+
     /// Its checked settings.
     type Settings: Checked<Error: 'static>;
 
@@ -41,6 +49,11 @@
     /// Returns what keeps it from starting.
     fn start(settings: Self::Settings, execs: &Execs) -> Result<Self, Self::StartError>;
 
+    /// Takes new settings while it runs; the default keeps the old ones.
+    fn reload(&self, _settings: Self::Settings) {
+        log::info!(event = "settings-kept", remedy = "restart the process to use new settings"; "");
+    }
+
     /// Waits until the host list says that its host leaves.
     fn told_to_leave(&self) -> impl Future<Output = ()>;
 
@@ -52,14 +65,31 @@
 #[derive(Debug)]
 #[derive(FromArgs)]
 struct Args {
-    /// the settings file: JSON with comments
+    /// the settings file: JSON with comments; without it, the one that the
+    /// variable SNIPEYOKE_SETTINGS names
     #[argh(positional)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
     /// check the settings and exit
     #[argh(switch)]
     check: bool,
 }
 
+/// The reason why there is no settings file to read.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display, DeriveError)]
+#[display("no settings file: name one as argument or in {SETTINGS}")]
+pub struct NoSettings;
+
+/// The variable that names the settings file where no argument does.
+const SETTINGS: &str = "SNIPEYOKE_SETTINGS";
+
+impl Args {
+    fn path(&self) -> Result<PathBuf, NoSettings> {
+        let named = std::env::var_os(SETTINGS).map(PathBuf::from);
+        self.settings.clone().or(named).ok_or(NoSettings)
+    }
+}
+
 /// Runs a program to its end, as the body of `main`.
 #[must_use]
 pub fn main<P: Program>() -> ExitCode {
@@ -73,32 +103,50 @@
 }
 
 fn run<P: Program>(args: &Args) -> Result<(), Box<dyn Error>> {
-    let settings: P::Settings = settings::load(&args.settings)?;
+    let path = args.path()?;
+    let settings: P::Settings = settings::load(&path)?;
     if args.check {
-        println!("{}: good", args.settings.display());
+        println!("{}: good", path.display());
         return Ok(());
     }
-    logs::install(P::log_filter(&settings))?;
+    logs::install(P::log_filter(&settings), P::LOG)?;
     measures::install();
     let leave = Leave::register()?;
     let threads = Threads::start(P::thread_count(&settings))?;
     let program = P::start(settings, &threads.execs())?;
-    future::block_on(serve(&program, leave));
+    let reload = Reload::register()?;
+    block_on(serve(&program, leave, reload, &path));
     threads.join();
     log::logger().flush();
     Ok(())
 }
 
-async fn serve(program: &impl Program, mut leave: Leave) {
+async fn serve<P: Program>(program: &P, mut leave: Leave, mut reload: Reload, path: &Path) {
     let signal = async {
         leave.next().await;
         Source::Signal
     };
+    let reloads = async {
+        loop {
+            reload.next().await;
+            load_again(program, path);
+        }
+    };
     let list = async {
         program.told_to_leave().await;
         Source::HostList
     };
-    let source = signal.or(list).await;
+    let source = signal.or(list).or(reloads).await;
     // Another signal is only noted by the system: nothing is cut.
     program.drain(source).await;
 }
+
+// A faulty file must not end a process that serves: the old settings stay.
+fn load_again<P: Program>(program: &P, path: &Path) {
+    match settings::load::<P::Settings>(path) {
+        Ok(settings) => program.reload(settings),
+        Err(error) => {
+            log::error!(event = "settings-refused", error = error.to_string().as_str(), outcome = "the old settings stay in force"; "");
+        }
+    }
+}
--- a/runtime/src/signals.rs
+++ b/runtime/src/signals.rs
@@ -1,4 +1,4 @@
-//! Signals that ask a process to leave.
+//! Signals that ask a process to leave or to read its settings again.
 
 use std::io;
 
@@ -30,3 +30,26 @@
         let _signal = self.signals.next().await;
     }
 }
+
+/// Waits for SIGHUP, again at each call.
+#[derive(Debug)]
+pub struct Reload {
+    signals: Signals,
+}
+
+impl Reload {
+    /// Registers for the signal, which would otherwise end the process.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error if the signal can't be registered.
+    pub fn register() -> io::Result<Self> {
+        let signals = Signals::new([Signal::Hup])?;
+        Ok(Self { signals })
+    }
+
+    /// Waits for the next signal.
+    pub async fn next(&mut self) {
+        let _signal = self.signals.next().await;
+    }
+}
--- a/runtime/src/threads.rs
+++ b/runtime/src/threads.rs
@@ -6,7 +6,7 @@
 use std::thread::JoinHandle;
 
 use async_executor::Executor;
-use futures_lite::future;
+use async_io::block_on;
 
 use crate::flag::Flag;
 
@@ -70,6 +70,8 @@
 fn run(name: &str, exec: &Exec, stop: &Flag) -> io::Result<JoinHandle<()>> {
     let exec = Arc::clone(exec);
     let stop = stop.clone();
-    let body = move || future::block_on(exec.run(stop.wait()));
+    // A thread that waits polls the sockets itself. Left to the reactor's own
+    // thread, each event would wake two threads in place of one.
+    let body = move || block_on(exec.run(stop.wait()));
     thread::Builder::new().name(name.to_owned()).spawn(body)
 }
