--- a/demo/src/main.rs
+++ b/demo/src/main.rs
@@ -12,6 +12,7 @@
 use futures_lite::future;
 use snipeyoke_runtime::http::Client;
 use snipeyoke_runtime::logs;
+use snipeyoke_runtime::logs::Output;
 use snipeyoke_runtime::measures;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::signals::Leave;
@@ -54,7 +55,7 @@
 }
 
 fn run(args: &Args) -> Result<bool, Box<dyn std::error::Error>> {
-    logs::install(&args.log)?;
+    logs::install(&args.log, Output::Stderr)?;
     measures::install();
     let mut leave = Leave::register()?;
     let threads = Threads::start(TRAFFIC_COUNT)?;
--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::call::call;
 use crate::dialect::Answer;
 use crate::dialect::Sending;
+use crate::dialect::Verdict;
 use crate::refusal::Refusal;
 use crate::shared::Shared;
 use crate::ticket::Ticket;
@@ -202,23 +203,9 @@
         shared.directory().reported(now, &endpoint, load);
     }
     let status = call.head.status;
-    if answer.not_run || answer.misled {
+    if answer.verdict != Verdict::Ran {
         ticket.may_have_run = may_have_run;
-        log::info!(event = "endpoint-refused", request = ticket.ask.id.as_str(), endpoint = endpoint.to_string().as_str(), status = status.as_u16(), misled = answer.misled; "");
-    }
-    if answer.misled {
-        shared.directory().mislead(&endpoint);
-        return Tried::NotRun(Refusal::NoEndpoint);
-    }
-    if answer.not_run {
-        if status == StatusCode::CONFLICT {
-            ticket.tried.pop();
-            return Tried::InputsGone;
-        }
-        if let Some(health) = shared.directory().health_mut(&endpoint) {
-            health.failed(now);
-        }
-        return Tried::NotRun(Refusal::Full);
+        return refused(ticket, &endpoint, answer.verdict, status);
     }
     // An endpoint may send a second answer to another request; taken for this
     // one's, the caller would get a stranger's bytes.
@@ -237,6 +224,32 @@
     }))
 }
 
+/// Tells what an endpoint's refusal means for the request.
+fn refused(
+    ticket: &mut Ticket,
+    endpoint: &EndpointId,
+    verdict: Verdict,
+    status: StatusCode,
+) -> Tried {
+    let misled = verdict == Verdict::Misled;
+    log::info!(event = "endpoint-refused", request = ticket.ask.id.as_str(), endpoint = endpoint.to_string().as_str(), status = status.as_u16(), misled; "");
+    let now = ticket.shared.now();
+    let mut directory = ticket.shared.directory();
+    if misled {
+        directory.mislead(endpoint);
+        return Tried::NotRun(Refusal::NoEndpoint);
+    }
+    if status == StatusCode::CONFLICT {
+        drop(directory);
+        ticket.tried.pop();
+        return Tried::InputsGone;
+    }
+    if let Some(health) = directory.health_mut(endpoint) {
+        health.failed(now);
+    }
+    Tried::NotRun(Refusal::Full)
+}
+
 /// Notes an answer's time against what was expected of the service.
 pub(crate) fn note_time(ticket: &Ticket, endpoint: &EndpointId, sent: Time) {
     let shared = &ticket.shared;
--- a/gateway/src/desk/calls.rs
+++ b/gateway/src/desk/calls.rs
@@ -12,6 +12,7 @@
 use crate::call::Call;
 use crate::call::CallError;
 use crate::call::call;
+use crate::dialect::Verdict;
 use crate::shared::Shared;
 
 /// The largest answer to a call for pieces, in bytes.
@@ -47,11 +48,10 @@
 
 async fn read(shared: &Shared, entry: &Entry, mut call: Call) -> PieceResult {
     let answer = shared.dialect.answer(&call.head);
-    if answer.misled {
-        return PieceResult::Misled;
-    }
-    if answer.not_run {
-        return PieceResult::Refused;
+    match answer.verdict {
+        Verdict::Misled => return PieceResult::Misled,
+        Verdict::NotRun => return PieceResult::Refused,
+        Verdict::Ran => {}
     }
     let mut body = Vec::new();
     loop {
--- /dev/null
+++ b/gateway/src/desk/counters.rs
@@ -0,0 +1,170 @@
+//! The queues of the services whose pieces meet at this node.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use async_channel::Sender;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::directory::Endpoint;
+use snipeyoke_lib::serving::pieces::Job;
+use snipeyoke_lib::serving::pieces::JobEnd;
+use snipeyoke_lib::serving::pieces::JobId;
+use snipeyoke_lib::serving::pieces::Outcome;
+use snipeyoke_lib::serving::pieces::PieceQueue;
+use snipeyoke_lib::serving::pieces::Send;
+use snipeyoke_runtime::scope::Scope;
+use snipeyoke_wire::frame::Body;
+
+use super::Done;
+use super::Failure;
+use super::JobNumber;
+use super::Made;
+use super::books;
+use super::calls;
+use super::messages::Message;
+use super::run::Counter;
+use super::run::LOOK_BUSY;
+use super::run::Origin;
+use super::run::State;
+use crate::shared::Shared;
+
+impl State {
+    pub(super) fn queue(&mut self, service: &PoolName, job: Job, origin: Origin) -> Option<JobId> {
+        if !self.counters.contains_key(service) {
+            let catalog = self.shared.catalog.get();
+            let found = catalog.as_ref().as_ref()?.service(service)?.pieces.clone();
+            let mut queue = PieceQueue::new(found?);
+            set_endpoints(&self.shared, service, &mut queue);
+            log::info!(event = "service-owned", service = service.as_str(); "");
+            let counter = Counter {
+                queue,
+                origins: BTreeMap::new(),
+            };
+            self.counters.insert(service.clone(), counter);
+        }
+        let counter = self.counters.get_mut(service)?;
+        let id = counter.queue.submit(job);
+        counter.origins.insert(id, origin);
+        Some(id)
+    }
+
+    pub(super) fn set_endpoints(&mut self) {
+        let catalog = self.shared.catalog.get();
+        for (service, counter) in &mut self.counters {
+            let found = catalog.as_ref().as_ref().and_then(|c| c.service(service));
+            if let Some(limits) = found.and_then(|s| s.pieces.clone()) {
+                counter.queue.set_limits(limits);
+            }
+            set_endpoints(&self.shared, service, &mut counter.queue);
+        }
+    }
+
+    /// Makes the calls that are due and passes on the jobs that ended.
+    pub(super) fn turn(&mut self) {
+        let now = self.shared.now();
+        let mut ends = Vec::new();
+        for (service, counter) in &mut self.counters {
+            for send in counter.queue.poll(now) {
+                start(&self.shared, &self.inbox, &self.scope, service, send);
+            }
+            for (entry, handles) in counter.queue.take_unneeded(now) {
+                let told = calls::give_back(Arc::clone(&self.shared), entry, handles);
+                self.scope.spawn(told);
+            }
+            for end in counter.queue.take_ends() {
+                if let Some(origin) = counter.origins.remove(&end.job) {
+                    ends.push((origin, end));
+                }
+            }
+        }
+        for (origin, end) in ends {
+            self.ended(origin, end);
+        }
+        if now.since(self.looked) >= LOOK_BUSY {
+            self.looked = now;
+            self.look_around(now);
+        }
+    }
+
+    pub(super) fn ended(&mut self, origin: Origin, end: JobEnd) {
+        let made = end.made.into_iter();
+        let made = made.map(|(piece, handle, endpoint)| Made {
+            piece,
+            handle,
+            endpoint,
+        });
+        let number = match origin {
+            Origin::Own(number) => number,
+            Origin::Peer { job, .. } => JobNumber(job),
+        };
+        let done = Done {
+            number,
+            made: made.collect(),
+            failure: end.failure.as_ref().map(failure),
+        };
+        match origin {
+            Origin::Own(_) => self.done(done),
+            Origin::Peer { link, .. } => {
+                if let Some(sender) = self.callers.get(&link) {
+                    let _full = sender.send(Body::PieceJobEnd(books::end_frame(&done)));
+                }
+            }
+        }
+    }
+}
+
+fn start(
+    shared: &Arc<Shared>,
+    inbox: &Sender<Message>,
+    scope: &Scope,
+    service: &PoolName,
+    send: Send,
+) {
+    log::info!(
+        event = "pieces-sent",
+        service = service.as_str(),
+        call = send.call,
+        endpoint = send.entry.id.to_string().as_str(),
+        pieces = send.items.len(),
+        expected_ms = send.expected.as_millis() as u64,
+        requests = requests(&send).as_str();
+        ""
+    );
+    let shared = Arc::clone(shared);
+    let inbox = inbox.clone();
+    let service = service.clone();
+    scope.spawn(async move {
+        let call = send.call;
+        let result = calls::run_pieces(shared, send).await;
+        let ended = Message::CallEnded {
+            service,
+            call,
+            result,
+        };
+        let _closed = inbox.try_send(ended);
+    });
+}
+
+/// Returns the requests of a call, each once.
+fn requests(send: &Send) -> String {
+    let mut names: Vec<&str> = send.items.iter().map(|i| i.request.as_str()).collect();
+    names.dedup();
+    names.join(",")
+}
+
+fn set_endpoints(shared: &Shared, service: &PoolName, queue: &mut PieceQueue) {
+    let directory = shared.directory();
+    let entries = directory
+        .iter()
+        .filter(|e| e.is_open())
+        .map(Endpoint::entry);
+    queue.set_endpoints(entries.filter(|e| e.service == *service));
+}
+
+const fn failure(outcome: &Outcome) -> Failure {
+    match outcome {
+        Outcome::Late => Failure::Late,
+        Outcome::Gone => Failure::Gone,
+        Outcome::Made(_) | Outcome::Full | Outcome::Failed => Failure::Failed,
+    }
+}
--- a/gateway/src/desk/mod.rs
+++ b/gateway/src/desk/mod.rs
@@ -3,10 +3,13 @@
 //! One task of the control thread holds the queues of the services that this
 //! node owns, the jobs that others own, and the links to other nodes.
 
+mod asked;
 mod books;
 mod calls;
+mod counters;
 mod links;
 mod messages;
+mod neighbours;
 mod run;
 
 use std::sync::Arc;
--- /dev/null
+++ b/gateway/src/desk/neighbours.rs
@@ -0,0 +1,148 @@
+//! The links that this node opened, and what comes over them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::time::Time;
+use snipeyoke_wire::Look;
+use snipeyoke_wire::Seen;
+use snipeyoke_wire::frame::Body;
+
+use super::JobNumber;
+use super::books;
+use super::run::Peer;
+use super::run::Place;
+use super::run::State;
+use crate::registry::Topic;
+
+/// The time between two looks at some other node.
+///
+/// A neighbour may know a newer configuration when the registry does not
+/// answer this node; two looks a second bring it well within two seconds.
+const LOOK_ANY: Duration = Duration::from_millis(500);
+
+/// How long a node that was asked may be silent.
+///
+/// Looks are answered within milliseconds, and within some hundred on a slow
+/// host. Beyond this its jobs go to the next owner.
+const SILENCE_MAX: Duration = Duration::from_millis(750);
+
+impl State {
+    pub(super) fn answered(&mut self, peer: SocketAddr, body: Body) {
+        let now = self.shared.now();
+        if let Some(known) = self.peers.get_mut(&peer) {
+            known.asked = None;
+        }
+        self.shared.owners().heard(now, peer);
+        match body {
+            Body::PieceJobEnd(end) => {
+                let held = self.tickets.get(&JobNumber(end.job));
+                if held.is_some_and(|t| t.place == Place::At(peer)) {
+                    self.done(books::done_of(end));
+                }
+            }
+            Body::Seen(seen) => self.take_seen(peer, seen),
+            _ => {
+                log::warn!(event = "frame-unexpected", peer = peer.to_string().as_str(), remedy = "run the same release on all nodes"; "");
+            }
+        }
+    }
+
+    pub(super) fn take_seen(&self, peer: SocketAddr, seen: Seen) {
+        let now = self.shared.now();
+        let mut owners = self.shared.owners();
+        owners.leaves(peer, seen.leaving);
+        for node in seen.nodes.iter().filter_map(|n| n.parse().ok()) {
+            owners.learn(now, node);
+        }
+        let count = owners.count();
+        drop(owners);
+        self.shared.budget().share(count);
+        let source = peer.to_string();
+        let records = seen.config.into_iter().map(books::record_of).collect();
+        self.shared
+            .extend(Topic::Config, records, Offset(seen.config_next), &source);
+        let records = seen.endpoints.into_iter().map(books::record_of).collect();
+        self.shared.extend(
+            Topic::Endpoints,
+            records,
+            Offset(seen.endpoints_next),
+            &source,
+        );
+    }
+
+    /// Looks at the nodes that hold jobs, and at some other one.
+    pub(super) fn look_around(&mut self, now: Time) {
+        let mut busy: Vec<SocketAddr> = Vec::new();
+        for ticket in self.tickets.values() {
+            if let Place::At(owner) = ticket.place
+                && !busy.contains(&owner)
+            {
+                busy.push(owner);
+            }
+        }
+        let silent = |p: &Peer| p.asked.is_some_and(|at| now.since(at) > SILENCE_MAX);
+        let found = self.peers.iter().filter(|(_, p)| silent(p));
+        let lost: Vec<SocketAddr> = found.map(|(&peer, _)| peer).collect();
+        for peer in lost {
+            self.lost(peer, "silent");
+        }
+        for &peer in &busy {
+            self.look(peer);
+        }
+        let live: Vec<SocketAddr> = self.shared.owners().live(now).collect();
+        if live.is_empty() {
+            return;
+        }
+        self.turn = (self.turn + 1) % live.len();
+        let peer = live[self.turn];
+        let due = self
+            .peers
+            .get(&peer)
+            .is_none_or(|p| now.since(p.looked) >= LOOK_ANY);
+        if due && !busy.contains(&peer) {
+            self.look(peer);
+        }
+    }
+
+    pub(super) fn look(&mut self, peer: SocketAddr) {
+        let now = self.shared.now();
+        let replicas = self.shared.replicas();
+        let look = Look {
+            address: self.shared.settings.listen.peers.to_string(),
+            config_next: replicas.config.next().0,
+            endpoints_next: replicas.endpoints.next().0,
+            stale: false,
+        };
+        drop(replicas);
+        let stale = self.shared.is_stale();
+        self.send(peer, Body::Look(Look { stale, ..look }));
+        if let Some(known) = self.peers.get_mut(&peer) {
+            known.looked = now;
+            known.asked.get_or_insert(now);
+        }
+    }
+
+    /// Gives up a link; its jobs go to the next owner.
+    pub(super) fn lost(&mut self, peer: SocketAddr, why: &str) {
+        let now = self.shared.now();
+        if let Some(known) = self.peers.remove(&peer)
+            && let Some(sender) = known.sender
+        {
+            sender.close();
+        }
+        self.shared.owners().silent(now, peer);
+        let held = self
+            .tickets
+            .iter()
+            .filter(|(_, t)| t.place == Place::At(peer));
+        let numbers: Vec<JobNumber> = held.map(|(&n, _)| n).collect();
+        log::info!(event = "node-lost", peer = peer.to_string().as_str(), why, jobs = numbers.len(); "");
+        for number in numbers {
+            if let Some(ticket) = self.tickets.remove(&number) {
+                self.submit(number, ticket.service, ticket.job, ticket.reply);
+            }
+        }
+    }
+}
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -85,6 +85,17 @@
     pub urgency: Option<u8>,
 }
 
+/// What an endpoint's answer says of the request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// It ran, or may have run.
+    Ran,
+    /// The endpoint vouches that it did not run.
+    NotRun,
+    /// Another endpoint than the one meant answered; it did not run.
+    Misled,
+}
+
 /// What the head of an endpoint's answer says.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Answer {
@@ -92,10 +103,8 @@
     pub id: Option<String>,
     /// Whether the endpoint signed it.
     pub signed: bool,
-    /// Whether the endpoint vouches that it did not run the request.
-    pub not_run: bool,
-    /// Whether another endpoint than the one meant answered.
-    pub misled: bool,
+    /// What it says of the request.
+    pub verdict: Verdict,
     /// Whether the body is coded, which no caller asks for.
     pub coded: bool,
     /// The endpoint's load.
--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -18,6 +18,7 @@
 
 use crate::dialect::Ask;
 use crate::plain::plain;
+use crate::plain::refuse;
 use crate::refusal::Refusal;
 use crate::shared::Shared;
 use crate::stages::StageWork;
@@ -54,13 +55,13 @@
         };
         let mut ticket = match self.admit(ask, head, began) {
             Ok(ticket) => ticket,
-            Err(refusal) => return refusal,
+            Err(refused) => return refused.reply(),
         };
         let most = ticket.catalog.limits().body;
         // A declared length is refused before the body comes: the caller would
         // send all of it for nothing.
         if length(&ticket.head).is_some_and(|n| n > most) {
-            return crate::plain::refuse(ticket, Refusal::TooLarge);
+            return refuse(ticket, Refusal::TooLarge);
         }
         match ticket.within(collect(body, most)).await {
             Some(Ok(bytes)) => ticket.body = bytes,
@@ -70,43 +71,56 @@
                 } else {
                     Refusal::BodyBroken
                 };
-                return crate::plain::refuse(ticket, refusal);
+                return refuse(ticket, refusal);
             }
-            None => return crate::plain::refuse(ticket, Refusal::TimeoutNotRun),
+            None => return refuse(ticket, Refusal::TimeoutNotRun),
         }
         self.0.budget().earn(began, &ticket.service);
         drive(ticket).await
     }
 
-    fn admit(&self, ask: Ask, head: request::Parts, began: Time) -> Result<Ticket, Reply> {
+    fn admit(&self, ask: Ask, head: request::Parts, began: Time) -> Result<Ticket, Refused> {
         let catalog = self.0.catalog.get();
         let Some(catalog) = catalog.as_ref() else {
-            return Err(refused(&ask, Refusal::NoConfig, None));
+            return Err(Refused::new(&ask, Refusal::NoConfig, None));
         };
         let host = head.headers.get(HOST).and_then(|h| h.to_str().ok());
         let path = head.uri.path();
         let admitted = catalog.admit(host.unwrap_or_default(), path, ask.key.as_deref());
-        let admitted = match admitted {
-            Ok(admitted) => admitted,
-            Err(Denial::NoRoute) => return Err(refused(&ask, Refusal::NoRoute, Some(catalog))),
-            Err(Denial::NoKey) => return Err(refused(&ask, Refusal::NoKey, Some(catalog))),
-        };
+        let admitted = admitted.map_err(|denial| {
+            let refusal = match denial {
+                Denial::NoRoute => Refusal::NoRoute,
+                Denial::NoKey => Refusal::NoKey,
+            };
+            Refused::new(&ask, refusal, Some(catalog))
+        })?;
+        let none = Refused::new(&ask, Refusal::NoEndpoint, Some(catalog));
         let shared = Arc::clone(&self.0);
-        let none = refused_later(&ask);
         let ticket = Ticket::new(shared, Arc::clone(catalog), ask, head, admitted, began);
-        ticket
-            .ok_or(none)
-            .map_err(|draw| Refusal::NoEndpoint.reply(draw))
+        ticket.ok_or(none)
     }
 }
 
-fn refused_later(ask: &Ask) -> f64 {
-    draw(&ask.id)
+/// A request that is refused before it has a route.
+struct Refused {
+    request: String,
+    refusal: Refusal,
+    version: u64,
 }
 
-fn refused(ask: &Ask, refusal: Refusal, catalog: Option<&Catalog>) -> Reply {
-    log::info!(event = "request-refused", request = ask.id.as_str(), why = refusal.to_string().as_str(), config = catalog.map_or(0, Catalog::version); "");
-    refusal.reply(draw(&ask.id))
+impl Refused {
+    fn new(ask: &Ask, refusal: Refusal, catalog: Option<&Arc<Catalog>>) -> Self {
+        Self {
+            request: ask.id.clone(),
+            refusal,
+            version: catalog.map_or(0, |c| c.version()),
+        }
+    }
+
+    fn reply(&self) -> Reply {
+        log::info!(event = "request-refused", request = self.request.as_str(), why = self.refusal.to_string().as_str(), config = self.version; "");
+        self.refusal.reply(draw(&self.request))
+    }
 }
 
 fn length(head: &request::Parts) -> Option<usize> {
@@ -123,7 +137,7 @@
         Ok(stages) => stages,
         Err(error) => {
             log::info!(event = "request-malformed", request = ticket.ask.id.as_str(), error = error.to_string().as_str(); "");
-            return crate::plain::refuse(ticket, Refusal::Malformed);
+            return refuse(ticket, Refusal::Malformed);
         }
     };
     if ticket.route.kind.is_stream() {
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -35,14 +35,15 @@
         };
         let refusal = match attempt(&mut ticket, &inputs, None).await {
             Tried::Answered(answered) => match take(&mut ticket, *answered).await {
-                Taken::Whole(head, bytes) => return pass_on(ticket, head, full(bytes)),
                 Taken::Long(head, first, rest) => return pass_long(ticket, head, first, rest),
                 Taken::Failed(failed) if may_repeat(&ticket) => {
                     log_again(&ticket, "endpoint-failed");
                     drop(failed);
                     continue;
                 }
-                Taken::Failed(Some((head, bytes))) => return pass_on(ticket, head, full(bytes)),
+                Taken::Whole(head, bytes) | Taken::Failed(Some((head, bytes))) => {
+                    return pass_on(ticket, head, full(bytes));
+                }
                 Taken::Failed(None) => Refusal::AnswerLost,
                 Taken::Timeout => ticket.timeout(),
             },
--- a/gateway/src/program.rs
+++ b/gateway/src/program.rs
@@ -61,7 +61,7 @@
     }
 
     async fn told_to_leave(&self) {
-        future::pending().await
+        future::pending::<()>().await;
     }
 
     async fn drain(&self, _source: Source) {
--- a/load/src/commands.rs
+++ b/load/src/commands.rs
@@ -31,6 +31,7 @@
 use snipeyoke_load::scene::Options;
 use snipeyoke_runtime::http::Client;
 use snipeyoke_runtime::logs;
+use snipeyoke_runtime::logs::Output;
 use snipeyoke_runtime::measures;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::threads::Exec;
@@ -82,7 +83,7 @@
 /// Runs policies, loads and faults side by side.
 pub fn experiment(args: &args::Experiment, exec: Exec) -> Outcome {
     if let Some(level) = &args.log {
-        logs::install(level)?;
+        logs::install(level, Output::Stderr)?;
     }
     measures::install();
     let deployment = Deployment::parse(&file::read_text(&args.deployment)?)?;
--- a/runtime/src/program.rs
+++ b/runtime/src/program.rs
@@ -66,7 +66,7 @@
 #[derive(FromArgs)]
 struct Args {
     /// the settings file: JSON with comments; without it, the one that the
-    /// variable SNIPEYOKE_SETTINGS names
+    /// variable `SNIPEYOKE_SETTINGS` names
     #[argh(positional)]
     settings: Option<PathBuf>,
     /// check the settings and exit
