--- a/gateway/src/desk/asked.rs
+++ b/gateway/src/desk/asked.rs
@@ -60,12 +60,13 @@
     }
 
     pub(super) fn drop_jobs(&mut self, wanted: impl Fn(&Origin) -> bool) {
+        let now = self.shared.now();
         for counter in self.counters.values_mut() {
             let found = counter.origins.iter().filter(|(_, o)| wanted(o));
             let ids: Vec<JobId> = found.map(|(&id, _)| id).collect();
             for id in ids {
                 counter.origins.remove(&id);
-                counter.queue.cancel(id);
+                counter.queue.cancel(now, id);
             }
         }
     }
@@ -74,10 +75,11 @@
         let Ok(service) = frame.service.parse::<PoolName>() else {
             return;
         };
+        let now = self.shared.now();
         if let Some(counter) = self.counters.get_mut(&service) {
             for result in frame.results {
                 if let Ok(endpoint) = result.endpoint.parse() {
-                    counter.queue.give_back(&endpoint, result.handle);
+                    counter.queue.give_back(now, &endpoint, result.handle);
                 }
             }
         }
--- a/gateway/src/desk/run.rs
+++ b/gateway/src/desk/run.rs
@@ -253,11 +253,12 @@
         let Some(ticket) = self.tickets.remove(&number) else {
             return;
         };
+        let now = self.shared.now();
         match ticket.place {
             Place::Here(id) => {
                 if let Some(counter) = self.counters.get_mut(&ticket.service) {
                     counter.origins.remove(&id);
-                    counter.queue.cancel(id);
+                    counter.queue.cancel(now, id);
                 }
             }
             Place::At(owner) => {
@@ -268,11 +269,12 @@
     }
 
     pub(super) fn give_back(&mut self, service: &PoolName, results: Vec<(EndpointId, String)>) {
-        let owner = self.shared.owners().owner(self.shared.now(), service);
+        let now = self.shared.now();
+        let owner = self.shared.owners().owner(now, service);
         if owner == self.shared.settings.listen.peers {
             if let Some(counter) = self.counters.get_mut(service) {
                 for (endpoint, handle) in results {
-                    counter.queue.give_back(&endpoint, handle);
+                    counter.queue.give_back(now, &endpoint, handle);
                 }
             }
             return;
--- a/lib/src/serving/pieces/queue.rs
+++ b/lib/src/serving/pieces/queue.rs
@@ -35,13 +35,20 @@
 /// Results of a few megabytes are worth the wait for about one call.
 const AFAR_MB: Duration = Duration::from_millis(20);
 
-/// The part of an endpoint's memory beyond which results are given back.
+/// How long a result that nobody needs may wait to be given back with others.
 ///
-/// Below it they lapse by themselves, which costs no call.
-const PRESSURE: f64 = 0.4;
+/// About one call: long enough to tell an endpoint of several at once, short
+/// enough that its memory never holds more than the work of two calls.
+const GIVE_BACK_AFTER: Duration = Duration::from_millis(250);
+
+/// The part of an endpoint's memory at which results are given back at once.
+const PRESSURE: f64 = 0.3;
 
 /// How long an endpoint without room is left alone.
-const FULL_PAUSE: Duration = Duration::from_millis(60);
+///
+/// It answers so at once, so that asking again costs it and us more than the
+/// wait for the next result to be read does.
+const FULL_PAUSE: Duration = Duration::from_millis(120);
 
 /// Numbers the jobs of one queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -189,6 +196,8 @@
     health: Health,
     room: Room,
     unneeded: Vec<String>,
+    /// When the first of them was given up.
+    unneeded_since: Option<Time>,
 }
 
 /// The pieces that wait for one service, and the calls under way.
@@ -275,34 +284,40 @@
     }
 
     /// Drops a job that nobody waits for; its results are given back.
-    pub fn cancel(&mut self, id: JobId) {
+    pub fn cancel(&mut self, now: Time, id: JobId) {
         let Some(held) = self.jobs.remove(&id) else {
             return;
         };
         for piece in held.pieces.into_values() {
             if let Some((handle, endpoint)) = piece.made {
-                self.give_back(&endpoint, handle);
+                self.give_back(now, &endpoint, handle);
             }
         }
     }
 
     /// Notes that nobody needs a result any more.
-    pub fn give_back(&mut self, endpoint: &EndpointId, handle: String) {
+    pub fn give_back(&mut self, now: Time, endpoint: &EndpointId, handle: String) {
         if let Some(maker) = self.makers.get_mut(endpoint) {
             maker.unneeded.push(handle);
+            maker.unneeded_since.get_or_insert(now);
         }
     }
 
     /// Returns the results that an endpoint is to be told to drop.
     ///
-    /// Only endpoints that are short of memory are told: other results lapse
-    /// by themselves, and each call has its price.
+    /// A result that is left to lapse takes memory for seconds, also after its
+    /// owner has gone, and the next owner finds endpoints full that nobody
+    /// uses. So all are given back, several at once as long as there is room.
     pub fn take_unneeded(&mut self, now: Time) -> Vec<(Entry, Vec<String>)> {
         let room = self.limits.room.0 as f64;
         let mut out = Vec::new();
         for maker in self.makers.values_mut() {
+            let Some(since) = maker.unneeded_since else {
+                continue;
+            };
             let short = maker.room.taken(now).0 as f64 > PRESSURE * room;
-            if short && !maker.unneeded.is_empty() {
+            if short || now.since(since) >= GIVE_BACK_AFTER {
+                maker.unneeded_since = None;
                 let handles = std::mem::take(&mut maker.unneeded);
                 for handle in &handles {
                     maker.room.free(handle);
@@ -326,7 +341,14 @@
         let due = waiting.map(|h| h.job.due - self.expected(1));
         let full = self.makers.values().map(|m| m.full);
         let full = full.filter(|&at| at > Time::ZERO);
-        overdue.chain(due).chain(full).min().unwrap_or(Time::NEVER)
+        let unneeded = self.makers.values().filter_map(|m| m.unneeded_since);
+        let unneeded = unneeded.map(|since| since + GIVE_BACK_AFTER);
+        overdue
+            .chain(due)
+            .chain(full)
+            .chain(unneeded)
+            .min()
+            .unwrap_or(Time::NEVER)
     }
 
     /// Returns the calls to make now.
@@ -403,7 +425,7 @@
         }
         let Some(held) = self.jobs.get_mut(&id) else {
             if let Outcome::Made(handle) = outcome {
-                self.give_back(&call.endpoint, handle);
+                self.give_back(now, &call.endpoint, handle);
             }
             return;
         };
@@ -413,7 +435,7 @@
         state.running = state.running.saturating_sub(1);
         match outcome {
             Outcome::Made(handle) if state.made.is_some() => {
-                self.give_back(&call.endpoint, handle);
+                self.give_back(now, &call.endpoint, handle);
             }
             Outcome::Made(handle) => {
                 state.made = Some((handle, call.endpoint.clone()));
@@ -594,37 +616,52 @@
 
     fn fill(&mut self, now: Time, maker: &EndpointId, first: JobId, order: &[JobId]) -> Send {
         let share = self.share(now);
-        let mut left = self.limits.batch;
         let mut items = Vec::new();
         let mut each = Vec::new();
         let mut booked = 0;
-        for &id in [first]
-            .iter()
-            .chain(order.iter().filter(|&&id| id != first))
-        {
-            let own = id == first;
-            let wanted = self.jobs[&id].waiting();
-            let most = if own || self.is_near(maker, id) {
-                left
-            } else {
-                left.min(share.saturating_sub(items.len()))
-            };
+        let others = order.iter().copied().filter(|&id| id != first);
+        for id in std::iter::once(first).chain(others) {
+            let most = self.most(maker, id, (first, share), items.len());
             let fits = self.fits(now, maker, id).min(most);
-            // Half a job would wait for a second call anyway.
-            if left == 0 || fits == 0 || (wanted > fits && !own) {
+            if fits == 0 {
                 continue;
             }
             let size = self.jobs[&id].job.each;
             let taken = self.take(now, id, fits);
-            left -= taken.len();
-            booked += size.0 * taken.len() as u64;
-            self.book(maker, Bytes(size.0 * taken.len() as u64));
+            let bytes = size.0 * taken.len() as u64;
+            booked += bytes;
+            self.book(maker, Bytes(bytes));
             each.extend(taken.iter().map(|_| size));
             items.extend(taken);
         }
         self.start(now, maker, items, each, Bytes(booked))
     }
 
+    /// Returns how many pieces of a job a call with `held` pieces takes.
+    ///
+    /// While endpoints are idle a job stays whole and the idle ones share what
+    /// waits. When a batch for each of them waits, calls are filled with parts
+    /// of jobs too: what then counts is the work done for each call.
+    fn most(
+        &self,
+        maker: &EndpointId,
+        id: JobId,
+        (first, share): (JobId, usize),
+        held: usize,
+    ) -> usize {
+        let wanted = self.jobs[&id].waiting();
+        let batch = self.limits.batch;
+        let crowded = share >= batch;
+        let most = if id == first || crowded || self.is_near(maker, id) {
+            batch
+        } else {
+            share.min(batch)
+        };
+        let left = most.saturating_sub(held);
+        let whole = wanted <= left || id == first || crowded;
+        if whole { left } else { 0 }
+    }
+
     /// Returns the pieces for each call if idle endpoints share what waits.
     fn share(&self, now: Time) -> usize {
         let idle = self.makers.values();
@@ -727,6 +764,7 @@
             health: Health::default(),
             room: Room::default(),
             unneeded: Vec::new(),
+            unneeded_since: None,
         }
     }
 
