pieces: order by urgency, refuse early, count room until told

Ruled out: lost jobs (a traced one waited 10 s in the queue of its owner) and lost links.

Tests: lib/tests/test_pieces.rs, 14 of the queue under load and faults.

--- a/gateway/src/desk/books.rs
+++ b/gateway/src/desk/books.rs
@@ -40,6 +40,7 @@
             .as_ref()
             .map(ToString::to_string)
             .unwrap_or_default(),
+        priority: u32::from(job.priority),
     }
 }
 
@@ -61,6 +62,7 @@
         goal: later(frame.goal_us),
         due: later(frame.due_us),
         domain: frame.domain.parse().ok(),
+        priority: u8::try_from(frame.priority).unwrap_or(u8::MAX),
     }
 }
 
--- a/gateway/src/desk/calls.rs
+++ b/gateway/src/desk/calls.rs
@@ -79,8 +79,8 @@
 /// Tells an endpoint that results are not needed any more.
 ///
 /// It is told once: a result that is not dropped lapses by itself.
-pub(super) async fn give_back(shared: Arc<Shared>, entry: Entry, handles: Vec<String>) {
-    let request = shared.dialect.give_back(&handles);
+pub(super) async fn give_back(shared: Arc<Shared>, entry: Entry, handles: &[String]) {
+    let request = shared.dialect.give_back(handles);
     let told = async {
         let Ok(mut call) = call(&shared.traffic, entry.address, request).await else {
             return false;
--- a/gateway/src/desk/counters.rs
+++ b/gateway/src/desk/counters.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_channel::Sender;
 use snipeyoke_lib::ids::PoolName;
@@ -11,6 +12,7 @@
 use snipeyoke_lib::serving::pieces::JobId;
 use snipeyoke_lib::serving::pieces::Outcome;
 use snipeyoke_lib::serving::pieces::PieceQueue;
+use snipeyoke_lib::serving::pieces::PieceResult;
 use snipeyoke_lib::serving::pieces::Send;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_wire::frame::Body;
@@ -64,12 +66,32 @@
         let now = self.shared.now();
         let mut ends = Vec::new();
         for (service, counter) in &mut self.counters {
-            for send in counter.queue.poll(now) {
-                start(&self.shared, &self.inbox, &self.scope, service, send);
+            let sends = counter.queue.poll(now);
+            let waiting = counter.queue.waiting();
+            for send in sends {
+                start(
+                    &self.shared,
+                    &self.inbox,
+                    &self.scope,
+                    service,
+                    send,
+                    waiting,
+                );
             }
             for (entry, handles) in counter.queue.take_unneeded(now) {
-                let told = calls::give_back(Arc::clone(&self.shared), entry, handles);
-                self.scope.spawn(told);
+                let shared = Arc::clone(&self.shared);
+                let inbox = self.inbox.clone();
+                let service = service.clone();
+                self.scope.spawn(async move {
+                    let endpoint = entry.id.clone();
+                    calls::give_back(shared, entry, &handles).await;
+                    let dropped = Message::Dropped {
+                        service,
+                        endpoint,
+                        handles,
+                    };
+                    let _closed = inbox.try_send(dropped);
+                });
             }
             for end in counter.queue.take_ends() {
                 if let Some(origin) = counter.origins.remove(&end.job) {
@@ -119,6 +141,7 @@
     scope: &Scope,
     service: &PoolName,
     send: Send,
+    waiting: usize,
 ) {
     log::info!(
         event = "pieces-sent",
@@ -127,6 +150,7 @@
         endpoint = send.entry.id.to_string().as_str(),
         pieces = send.items.len(),
         expected_ms = send.expected.as_millis() as u64,
+        waiting,
         requests = requests(&send).as_str();
         ""
     );
@@ -135,7 +159,16 @@
     let service = service.clone();
     scope.spawn(async move {
         let call = send.call;
-        let result = calls::run_pieces(shared, send).await;
+        let began = shared.now();
+        let endpoint = send.entry.id.to_string();
+        let result = calls::run_pieces(Arc::clone(&shared), send).await;
+        log_result(
+            &service,
+            call,
+            &endpoint,
+            shared.now().since(began),
+            &result,
+        );
         let ended = Message::CallEnded {
             service,
             call,
@@ -145,6 +178,41 @@
     });
 }
 
+fn log_result(service: &PoolName, call: u64, endpoint: &str, took: Duration, result: &PieceResult) {
+    let (made, full, other) = match result {
+        PieceResult::Answered(outcomes) => {
+            let count =
+                |wanted: fn(&Outcome) -> bool| outcomes.iter().filter(|o| wanted(o)).count();
+            let made = count(|o| matches!(o, Outcome::Made(_)));
+            let full = count(|o| matches!(o, Outcome::Full));
+            (made, full, outcomes.len() - made - full)
+        }
+        PieceResult::Refused | PieceResult::Misled | PieceResult::Broken => (0, 0, 0),
+    };
+    let name = match result {
+        PieceResult::Answered(_) => "answered",
+        PieceResult::Refused => "refused",
+        PieceResult::Misled => "misled",
+        PieceResult::Broken => "broken",
+    };
+    let service = service.as_str();
+    metrics::counter!("snipeyoke_piece_calls_total", "service" => service.to_owned(), "result" => name).increment(1);
+    metrics::histogram!("snipeyoke_piece_call_seconds", "service" => service.to_owned())
+        .record(took);
+    log::info!(
+        event = "pieces-ended",
+        service,
+        call,
+        endpoint,
+        result = name,
+        took_ms = took.as_millis() as u64,
+        made,
+        full,
+        other;
+        ""
+    );
+}
+
 /// Returns the requests of a call, each once.
 fn requests(send: &Send) -> String {
     let mut names: Vec<&str> = send.items.iter().map(|i| i.request.as_str()).collect();
--- a/gateway/src/desk/messages.rs
+++ b/gateway/src/desk/messages.rs
@@ -44,6 +44,12 @@
         call: u64,
         result: PieceResult,
     },
+    /// An endpoint was told to drop results.
+    Dropped {
+        service: PoolName,
+        endpoint: EndpointId,
+        handles: Vec<String>,
+    },
     /// Another node opened a link.
     Accepted {
         link: LinkNumber,
--- a/gateway/src/desk/run.rs
+++ b/gateway/src/desk/run.rs
@@ -149,6 +149,15 @@
                     counter.queue.ended(self.shared.now(), call, result);
                 }
             }
+            Message::Dropped {
+                service,
+                endpoint,
+                handles,
+            } => {
+                if let Some(counter) = self.counters.get_mut(&service) {
+                    counter.queue.dropped(&endpoint, &handles);
+                }
+            }
             Message::Accepted { link, sender } => {
                 self.callers.insert(link, sender);
             }
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -22,11 +22,12 @@
 use crate::refusal::Refusal;
 use crate::ticket::Ticket;
 
-/// The size of all results from which the request follows them.
+/// The bytes of results that are worth as much as one shared token.
 ///
-/// Results of this size take longer on their way than a prefix that is read
-/// again; smaller ones are fetched from anywhere.
-const FOLLOW_MIN: u64 = 500_000;
+/// A request follows its results to their failure domain if they outweigh the
+/// prefix that would be read again there. Both are priced on the platform: a
+/// thousand tokens as much as two to three megabytes.
+const TOKEN_BYTES: u64 = 2_400;
 
 /// The part of the expected time that later work takes at the very least.
 ///
@@ -117,6 +118,7 @@
             goal: later(now, ticket.goal - after),
             due: later(now, ticket.due - after.mul_f64(LEAST)),
             domain: home(ticket),
+            priority: ticket.urgency(),
         };
         let number = self
             .desk
@@ -221,7 +223,8 @@
             *sizes.entry(endpoint.entry().domain.clone()).or_default() += bytes;
         }
         let (domain, size) = sizes.into_iter().max_by_key(|(_, size)| *size)?;
-        (size >= FOLLOW_MIN).then_some(domain)
+        let shared = ticket.ask.prompt.map_or(0, |p| u64::from(p.shared));
+        (size > TOKEN_BYTES * shared).then_some(domain)
     }
 }
 
--- /dev/null
+++ b/lib/src/serving/pieces/fill.rs
@@ -0,0 +1,288 @@
+//! Which pieces leave next, and on which call.
+
+use std::time::Duration;
+
+use super::maker::Maker;
+use super::queue::Call;
+use super::queue::Held;
+use super::queue::Item;
+use super::queue::JobId;
+use super::queue::OVERDUE;
+use super::queue::OVERDUE_MORE;
+use super::queue::PieceQueue;
+use super::queue::Send;
+use crate::ids::EndpointId;
+use crate::time::Time;
+use crate::units::Bytes;
+
+/// What a result's way to another failure domain is worth, for each megabyte.
+///
+/// Results of a few megabytes are worth the wait for about one call.
+const AFAR_MB: Duration = Duration::from_millis(20);
+
+/// The part of an endpoint's memory that is planned for.
+///
+/// Sizes of results are only approximate; a tenth covers the spread of some
+/// dozen of them.
+const ROOM_USED: f64 = 0.9;
+
+/// How far a level of urgency puts a job's goal off.
+///
+/// About two calls: less urgent jobs wait while calls are scarce, and go in
+/// turn as soon as they are not.
+const URGENCY_STEP: Duration = Duration::from_millis(500);
+
+impl PieceQueue {
+    pub(super) fn next_send(&mut self, now: Time) -> Option<Send> {
+        if !self.makers.keys().any(|id| self.is_idle(now, id)) {
+            return None;
+        }
+        let order = self.order(now);
+        for &(_, id) in &order {
+            let maker = self.best(now, id)?;
+            if self.is_idle(now, &maker) && self.fits(now, &maker, id) > 0 {
+                return Some(self.fill(now, &maker, id, &order));
+            }
+        }
+        None
+    }
+
+    /// Returns the jobs with waiting pieces, the most urgent first, and which
+    /// of them are late.
+    ///
+    /// Those that can still be on time go by their goal, put off by a step for
+    /// each level of urgency; the late ones after them, as an answer that is
+    /// late anyway loses less by waiting.
+    fn order(&self, now: Time) -> Vec<(bool, JobId)> {
+        let waiting = self.jobs.iter().filter(|(_, h)| h.waiting() > 0);
+        let mut order: Vec<(bool, Time, JobId)> = waiting
+            .map(|(&id, held)| {
+                let late = self.is_late(now, held);
+                let by = if late { held.job.due } else { held.job.goal };
+                (late, by + URGENCY_STEP * u32::from(held.job.priority), id)
+            })
+            .collect();
+        order.sort();
+        order.into_iter().map(|(late, _, id)| (late, id)).collect()
+    }
+
+    /// Tells whether a job can't be done by its goal any more.
+    pub(super) fn is_late(&self, now: Time, held: &Held) -> bool {
+        now + self.expected(held.waiting()) > held.job.goal
+    }
+
+    /// Returns the time in which all that waits would be done.
+    pub(super) fn clear_time(&self, now: Time) -> Duration {
+        let well = |m: &&Maker| m.is_usable() && !m.health.is_paused(now);
+        let speed = |m: &Maker| 1.0 / f64::from(m.health.slowness(now).max(0.5));
+        let speeds: f64 = self.makers.values().filter(well).map(speed).sum();
+        let calls = self.waiting() as f64 / self.limits.batch as f64;
+        let slots = f64::from(self.limits.slots) * speeds.max(0.1);
+        self.expected(self.limits.batch).mul_f64(calls / slots)
+    }
+
+    /// Returns the endpoint that would have the job done first.
+    fn best(&self, now: Time, id: JobId) -> Option<EndpointId> {
+        let held = self.jobs.get(&id)?;
+        let pieces = held.waiting().min(self.limits.batch);
+        let usable = self.makers.values().filter(|m| m.is_usable());
+        let well: Vec<&Maker> = usable
+            .clone()
+            .filter(|m| !m.health.is_paused(now))
+            .collect();
+        let pool: Vec<&Maker> = if well.is_empty() {
+            usable.collect()
+        } else {
+            well
+        };
+        let done = |m: &Maker| {
+            let begin = if m.calls < self.limits.slots {
+                now
+            } else {
+                m.free_at.max(now)
+            };
+            let begin = begin.max(m.full);
+            let took = self
+                .expected(pieces)
+                .mul_f32(m.health.slowness(now).max(0.5));
+            let failing = took.mul_f32(m.health.failures(now));
+            begin + took + failing + afar(held, m)
+        };
+        let first = pool.into_iter().min_by_key(|m| done(m))?;
+        Some(first.entry.id.clone())
+    }
+
+    fn is_idle(&self, now: Time, id: &EndpointId) -> bool {
+        let maker = &self.makers[id];
+        maker.calls < self.limits.slots && maker.full <= now
+    }
+
+    /// Returns how many results of a job an endpoint has room for.
+    fn fits(&mut self, now: Time, maker: &EndpointId, id: JobId) -> usize {
+        let each = self.jobs[&id].job.each.0.max(1);
+        let Some(maker) = self.makers.get_mut(maker) else {
+            return 0;
+        };
+        let taken = maker.room.taken(now).0;
+        let room = (self.limits.room.0 as f64 * ROOM_USED) as u64;
+        let fits = room.saturating_sub(taken) / each;
+        // A result larger than all of the memory can only be tried.
+        if taken == 0 {
+            fits.max(1) as usize
+        } else {
+            fits as usize
+        }
+    }
+
+    fn fill(
+        &mut self,
+        now: Time,
+        maker: &EndpointId,
+        first: JobId,
+        order: &[(bool, JobId)],
+    ) -> Send {
+        let share = self.share(now);
+        let mut items = Vec::new();
+        let mut each = Vec::new();
+        let mut booked = 0;
+        // Among jobs that are alike late, those whose results are read near
+        // this endpoint go along first; the others have endpoints of their own.
+        let mut others: Vec<(bool, bool, JobId)> = order
+            .iter()
+            .filter(|&&(_, id)| id != first)
+            .map(|&(late, id)| (late, !self.is_near(maker, id), id))
+            .collect();
+        others.sort_by_key(|&(late, afar, _)| (late, afar));
+        let others = others.into_iter().map(|(_, _, id)| id);
+        for id in std::iter::once(first).chain(others) {
+            let most = self.most(maker, id, (first, share), items.len());
+            let fits = self.fits(now, maker, id).min(most);
+            if fits == 0 {
+                continue;
+            }
+            let size = self.jobs[&id].job.each;
+            let taken = self.take(now, id, fits);
+            let bytes = size.0 * taken.len() as u64;
+            booked += bytes;
+            self.book(maker, Bytes(bytes));
+            each.extend(taken.iter().map(|_| size));
+            items.extend(taken);
+        }
+        self.start(now, maker, items, each, Bytes(booked))
+    }
+
+    /// Returns how many pieces of a job a call with `held` pieces takes.
+    ///
+    /// While endpoints are idle a job stays whole and the idle ones share what
+    /// waits. When a batch for each of them waits, calls are filled with parts
+    /// of jobs too: what then counts is the work done for each call.
+    fn most(
+        &self,
+        maker: &EndpointId,
+        id: JobId,
+        (first, share): (JobId, usize),
+        held: usize,
+    ) -> usize {
+        let wanted = self.jobs[&id].waiting();
+        let batch = self.limits.batch.min(self.makers[maker].most);
+        let crowded = share >= batch;
+        let most = if id == first || crowded || self.is_near(maker, id) {
+            batch
+        } else {
+            share.min(batch)
+        };
+        let left = most.saturating_sub(held);
+        let whole = wanted <= left || id == first || crowded;
+        if whole { left } else { 0 }
+    }
+
+    /// Returns the pieces for each call if idle endpoints share what waits.
+    fn share(&self, now: Time) -> usize {
+        let idle = self.makers.values();
+        let idle = idle.filter(|m| m.is_usable() && m.calls < self.limits.slots && m.full <= now);
+        self.waiting().div_ceil(idle.count().max(1))
+    }
+
+    fn is_near(&self, maker: &EndpointId, id: JobId) -> bool {
+        let domain = self.jobs[&id].job.domain.as_ref();
+        domain == Some(&self.makers[maker].entry.domain)
+    }
+
+    fn take(&mut self, now: Time, id: JobId, most: usize) -> Vec<Item> {
+        let Some(held) = self.jobs.get_mut(&id) else {
+            return Vec::new();
+        };
+        let job = &held.job;
+        let waiting = held.pieces.iter_mut().filter(|(_, p)| p.waiting).take(most);
+        let items = waiting.map(|(&piece, state)| {
+            state.waiting = false;
+            state.running += 1;
+            Item {
+                job: id,
+                request: job.request.clone(),
+                stage: job.stage,
+                piece,
+                left: job.due.since(now),
+                work: job.work.clone(),
+                key: job.key.clone(),
+            }
+        });
+        items.collect()
+    }
+
+    fn book(&mut self, maker: &EndpointId, bytes: Bytes) {
+        if let Some(maker) = self.makers.get_mut(maker) {
+            maker.room.book(bytes);
+        }
+    }
+
+    fn start(
+        &mut self,
+        now: Time,
+        maker: &EndpointId,
+        items: Vec<Item>,
+        each: Vec<Bytes>,
+        booked: Bytes,
+    ) -> Send {
+        let expected = self.expected(items.len());
+        let Some(maker) = self.makers.get_mut(maker) else {
+            unreachable!("the endpoint was just chosen");
+        };
+        let call = self.next_call;
+        self.next_call += 1;
+        maker.calls += 1;
+        maker.free_at = now + expected.mul_f32(maker.health.slowness(now).max(0.5));
+        let begun = Call {
+            endpoint: maker.entry.id.clone(),
+            items: items.iter().map(|i| (i.job, i.piece)).collect(),
+            booked,
+            each,
+            began: now,
+            expected,
+            overdue: Some(now + expected * OVERDUE + OVERDUE_MORE),
+        };
+        self.calls.insert(call, begun);
+        let longest = items.iter().map(|i| i.left).max().unwrap_or_default();
+        Send {
+            call,
+            entry: maker.entry.clone(),
+            items,
+            expected,
+            limit: longest,
+        }
+    }
+
+    pub(super) fn expected(&self, pieces: usize) -> Duration {
+        self.limits.call + self.limits.item * pieces as u32
+    }
+}
+
+/// Returns what it costs, in time, to read a job's results from elsewhere.
+fn afar(held: &Held, maker: &Maker) -> Duration {
+    let domain = held.job.domain.as_ref();
+    if domain.is_none_or(|d| *d == maker.entry.domain) {
+        return Duration::ZERO;
+    }
+    let bytes = held.job.each.0 * held.waiting() as u64;
+    AFAR_MB.mul_f64(bytes as f64 / 1e6)
+}
--- a/lib/src/serving/pieces/mod.rs
+++ b/lib/src/serving/pieces/mod.rs
@@ -1,5 +1,7 @@
 //! Stage work in pieces: what a request still needs, and how calls are filled.
 
+mod fill;
+mod maker;
 mod plan;
 mod queue;
 mod room;
--- a/lib/src/serving/pieces/queue.rs
+++ b/lib/src/serving/pieces/queue.rs
@@ -8,13 +8,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::maker::Maker;
 use super::plan::Work;
-use super::room::Room;
 use crate::ids::EndpointId;
 use crate::ids::FailureDomain;
 use crate::serving::catalog::PieceLimits;
 use crate::serving::directory::Entry;
-use crate::serving::health::Health;
 use crate::time::Time;
 use crate::units::Bytes;
 
@@ -22,19 +21,14 @@
 /// given to another endpoint.
 ///
 /// Usual calls stay below one and a half; a stopped endpoint never answers.
-const OVERDUE: u32 = 3;
+pub(super) const OVERDUE: u32 = 3;
 
 /// The time on top of it, for the way there and back.
-const OVERDUE_MORE: Duration = Duration::from_millis(60);
+pub(super) const OVERDUE_MORE: Duration = Duration::from_millis(60);
 
 /// The most times that the pieces of one job are given out again.
 const AGAIN_MAX: u32 = 4;
 
-/// What a result's way to another failure domain is worth, for each megabyte.
-///
-/// Results of a few megabytes are worth the wait for about one call.
-const AFAR_MB: Duration = Duration::from_millis(20);
-
 /// How long a result that nobody needs may wait to be given back with others.
 ///
 /// About one call: long enough to tell an endpoint of several at once, short
@@ -50,6 +44,12 @@
 /// wait for the next result to be read does.
 const FULL_PAUSE: Duration = Duration::from_millis(120);
 
+/// The part of a late job's time within which all that waits must be done.
+///
+/// More urgent work goes on arriving in the meantime, usually about as much as
+/// is done: at a third there is still a fair chance.
+const HOPE: f64 = 0.33;
+
 /// Numbers the jobs of one queue.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(derive_more::Display)]
@@ -74,6 +74,8 @@
     pub goal: Time,
     /// When nobody needs the results any more.
     pub due: Time,
+    /// The request's urgency, 0 is first.
+    pub priority: u8,
     /// Where the results will be read.
     pub domain: Option<FailureDomain>,
 }
@@ -152,21 +154,21 @@
 }
 
 #[derive(Debug, Clone, Default)]
-struct Piece {
-    running: u32,
-    waiting: bool,
-    made: Option<(String, EndpointId)>,
+pub(super) struct Piece {
+    pub(super) running: u32,
+    pub(super) waiting: bool,
+    pub(super) made: Option<(String, EndpointId)>,
 }
 
 #[derive(Debug, Clone)]
-struct Held {
-    job: Job,
-    pieces: BTreeMap<u32, Piece>,
-    again: u32,
+pub(super) struct Held {
+    pub(super) job: Job,
+    pub(super) pieces: BTreeMap<u32, Piece>,
+    pub(super) again: u32,
 }
 
 impl Held {
-    fn waiting(&self) -> usize {
+    pub(super) fn waiting(&self) -> usize {
         self.pieces.values().filter(|p| p.waiting).count()
     }
 
@@ -176,40 +178,26 @@
 }
 
 #[derive(Debug, Clone)]
-struct Call {
-    endpoint: EndpointId,
-    items: Vec<(JobId, u32)>,
-    booked: Bytes,
-    each: Vec<Bytes>,
-    began: Time,
-    expected: Duration,
-    overdue: Option<Time>,
-}
-
-#[derive(Debug, Clone)]
-struct Maker {
-    entry: Entry,
-    present: bool,
-    calls: u32,
-    free_at: Time,
-    full: Time,
-    health: Health,
-    room: Room,
-    unneeded: Vec<String>,
-    /// When the first of them was given up.
-    unneeded_since: Option<Time>,
+pub(super) struct Call {
+    pub(super) endpoint: EndpointId,
+    pub(super) items: Vec<(JobId, u32)>,
+    pub(super) booked: Bytes,
+    pub(super) each: Vec<Bytes>,
+    pub(super) began: Time,
+    pub(super) expected: Duration,
+    pub(super) overdue: Option<Time>,
 }
 
 /// The pieces that wait for one service, and the calls under way.
 #[derive(Debug, Clone)]
 pub struct PieceQueue {
-    limits: PieceLimits,
-    makers: BTreeMap<EndpointId, Maker>,
-    jobs: BTreeMap<JobId, Held>,
-    calls: BTreeMap<u64, Call>,
-    next_job: u64,
-    next_call: u64,
-    ends: Vec<JobEnd>,
+    pub(super) limits: PieceLimits,
+    pub(super) makers: BTreeMap<EndpointId, Maker>,
+    pub(super) jobs: BTreeMap<JobId, Held>,
+    pub(super) calls: BTreeMap<u64, Call>,
+    pub(super) next_job: u64,
+    pub(super) next_call: u64,
+    pub(super) ends: Vec<JobEnd>,
 }
 
 impl PieceQueue {
@@ -319,15 +307,24 @@
             if short || now.since(since) >= GIVE_BACK_AFTER {
                 maker.unneeded_since = None;
                 let handles = std::mem::take(&mut maker.unneeded);
-                for handle in &handles {
-                    maker.room.free(handle);
-                }
                 out.push((maker.entry.clone(), handles));
             }
         }
         out
     }
 
+    /// Notes that an endpoint was told to drop results.
+    ///
+    /// Before this they still take its memory: a call that overtakes the word
+    /// would find no room.
+    pub fn dropped(&mut self, endpoint: &EndpointId, handles: &[String]) {
+        if let Some(maker) = self.makers.get_mut(endpoint) {
+            for handle in handles {
+                maker.room.free(handle);
+            }
+        }
+    }
+
     /// Returns the jobs that ended since the last call.
     pub fn take_ends(&mut self) -> Vec<JobEnd> {
         std::mem::take(&mut self.ends)
@@ -354,7 +351,7 @@
     /// Returns the calls to make now.
     pub fn poll(&mut self, now: Time) -> Vec<Send> {
         self.give_out_overdue(now);
-        self.end_late(now);
+        self.end_hopeless(now);
         for maker in self.makers.values_mut() {
             if maker.full <= now {
                 maker.full = Time::ZERO;
@@ -399,8 +396,13 @@
                 if outcomes.contains(&Outcome::Failed) {
                     maker.health.failed(now);
                 }
+                let made = outcomes.iter().filter(|o| matches!(o, Outcome::Made(_)));
+                let all_made = made.clone().count() == outcomes.len();
                 if outcomes.contains(&Outcome::Full) {
                     maker.full = now + FULL_PAUSE;
+                    maker.most = made.count().max(1);
+                } else if all_made {
+                    maker.most = maker.most.saturating_mul(2);
                 }
             }
             // Someone else's calls fill it; it is not sick.
@@ -517,258 +519,24 @@
         }
     }
 
-    fn end_late(&mut self, now: Time) {
+    /// Ends the jobs that wait and can't be done while anyone needs them.
+    ///
+    /// A request that is held to its end and then refused costs its caller the
+    /// time in which it could have come back. What is known to be too late is
+    /// told at once.
+    fn end_hopeless(&mut self, now: Time) {
         let least = self.expected(1);
-        let late = |h: &Held| {
+        let clear = self.clear_time(now);
+        let hopeless = |h: &Held| {
             let running = h.pieces.values().any(|p| p.running > 0 && p.made.is_none());
-            h.waiting() > 0 && !running && now + least > h.job.due
+            let left = h.job.due.since(now);
+            let late = self.is_late(now, h) && clear > left.mul_f64(HOPE);
+            h.waiting() > 0 && !running && (least > left || late)
         };
-        let ids: Vec<JobId> = self
-            .jobs
-            .iter()
-            .filter(|(_, h)| late(h))
-            .map(|(&id, _)| id)
-            .collect();
+        let found = self.jobs.iter().filter(|(_, h)| hopeless(h));
+        let ids: Vec<JobId> = found.map(|(&id, _)| id).collect();
         for id in ids {
             self.end(id, Some(Outcome::Late));
         }
     }
-
-    fn next_send(&mut self, now: Time) -> Option<Send> {
-        let order = self.order(now);
-        for &id in &order {
-            let maker = self.best(now, id)?;
-            if self.is_idle(now, &maker) && self.fits(now, &maker, id) > 0 {
-                return Some(self.fill(now, &maker, id, &order));
-            }
-        }
-        None
-    }
-
-    /// Returns the jobs with waiting pieces, the most urgent first.
-    ///
-    /// Those that can still be on time go by their goal; the others after
-    /// them, as an answer that is late anyway loses less by waiting.
-    fn order(&self, now: Time) -> Vec<JobId> {
-        let waiting = self.jobs.iter().filter(|(_, h)| h.waiting() > 0);
-        let mut order: Vec<(bool, Time, JobId)> = waiting
-            .map(|(&id, held)| {
-                let late = now + self.expected(held.waiting()) > held.job.goal;
-                let by = if late { held.job.due } else { held.job.goal };
-                (late, by, id)
-            })
-            .collect();
-        order.sort();
-        order.into_iter().map(|(_, _, id)| id).collect()
-    }
-
-    /// Returns the endpoint that would have the job done first.
-    fn best(&self, now: Time, id: JobId) -> Option<EndpointId> {
-        let held = self.jobs.get(&id)?;
-        let pieces = held.waiting().min(self.limits.batch);
-        let usable = self.makers.values().filter(|m| m.is_usable());
-        let well: Vec<&Maker> = usable
-            .clone()
-            .filter(|m| !m.health.is_paused(now))
-            .collect();
-        let pool: Vec<&Maker> = if well.is_empty() {
-            usable.collect()
-        } else {
-            well
-        };
-        let done = |m: &Maker| {
-            let begin = if m.calls < self.limits.slots {
-                now
-            } else {
-                m.free_at.max(now)
-            };
-            let begin = begin.max(m.full);
-            let took = self
-                .expected(pieces)
-                .mul_f32(m.health.slowness(now).max(0.5));
-            let failing = took.mul_f32(m.health.failures(now));
-            begin + took + failing + afar(held, m)
-        };
-        let first = pool.into_iter().min_by_key(|m| done(m))?;
-        Some(first.entry.id.clone())
-    }
-
-    fn is_idle(&self, now: Time, id: &EndpointId) -> bool {
-        let maker = &self.makers[id];
-        maker.calls < self.limits.slots && maker.full <= now
-    }
-
-    /// Returns how many results of a job an endpoint has room for.
-    fn fits(&mut self, now: Time, maker: &EndpointId, id: JobId) -> usize {
-        let each = self.jobs[&id].job.each.0.max(1);
-        let Some(maker) = self.makers.get_mut(maker) else {
-            return 0;
-        };
-        let taken = maker.room.taken(now).0;
-        let fits = self.limits.room.0.saturating_sub(taken) / each;
-        // A result larger than all of the memory can only be tried.
-        if taken == 0 {
-            fits.max(1) as usize
-        } else {
-            fits as usize
-        }
-    }
-
-    fn fill(&mut self, now: Time, maker: &EndpointId, first: JobId, order: &[JobId]) -> Send {
-        let share = self.share(now);
-        let mut items = Vec::new();
-        let mut each = Vec::new();
-        let mut booked = 0;
-        let others = order.iter().copied().filter(|&id| id != first);
-        for id in std::iter::once(first).chain(others) {
-            let most = self.most(maker, id, (first, share), items.len());
-            let fits = self.fits(now, maker, id).min(most);
-            if fits == 0 {
-                continue;
-            }
-            let size = self.jobs[&id].job.each;
-            let taken = self.take(now, id, fits);
-            let bytes = size.0 * taken.len() as u64;
-            booked += bytes;
-            self.book(maker, Bytes(bytes));
-            each.extend(taken.iter().map(|_| size));
-            items.extend(taken);
-        }
-        self.start(now, maker, items, each, Bytes(booked))
-    }
-
-    /// Returns how many pieces of a job a call with `held` pieces takes.
-    ///
-    /// While endpoints are idle a job stays whole and the idle ones share what
-    /// waits. When a batch for each of them waits, calls are filled with parts
-    /// of jobs too: what then counts is the work done for each call.
-    fn most(
-        &self,
-        maker: &EndpointId,
-        id: JobId,
-        (first, share): (JobId, usize),
-        held: usize,
-    ) -> usize {
-        let wanted = self.jobs[&id].waiting();
-        let batch = self.limits.batch;
-        let crowded = share >= batch;
-        let most = if id == first || crowded || self.is_near(maker, id) {
-            batch
-        } else {
-            share.min(batch)
-        };
-        let left = most.saturating_sub(held);
-        let whole = wanted <= left || id == first || crowded;
-        if whole { left } else { 0 }
-    }
-
-    /// Returns the pieces for each call if idle endpoints share what waits.
-    fn share(&self, now: Time) -> usize {
-        let idle = self.makers.values();
-        let idle = idle.filter(|m| m.is_usable() && m.calls < self.limits.slots && m.full <= now);
-        self.waiting().div_ceil(idle.count().max(1))
-    }
-
-    fn is_near(&self, maker: &EndpointId, id: JobId) -> bool {
-        let domain = self.jobs[&id].job.domain.as_ref();
-        domain == Some(&self.makers[maker].entry.domain)
-    }
-
-    fn take(&mut self, now: Time, id: JobId, most: usize) -> Vec<Item> {
-        let Some(held) = self.jobs.get_mut(&id) else {
-            return Vec::new();
-        };
-        let job = &held.job;
-        let waiting = held.pieces.iter_mut().filter(|(_, p)| p.waiting).take(most);
-        let items = waiting.map(|(&piece, state)| {
-            state.waiting = false;
-            state.running += 1;
-            Item {
-                job: id,
-                request: job.request.clone(),
-                stage: job.stage,
-                piece,
-                left: job.due.since(now),
-                work: job.work.clone(),
-                key: job.key.clone(),
-            }
-        });
-        items.collect()
-    }
-
-    fn book(&mut self, maker: &EndpointId, bytes: Bytes) {
-        if let Some(maker) = self.makers.get_mut(maker) {
-            maker.room.book(bytes);
-        }
-    }
-
-    fn start(
-        &mut self,
-        now: Time,
-        maker: &EndpointId,
-        items: Vec<Item>,
-        each: Vec<Bytes>,
-        booked: Bytes,
-    ) -> Send {
-        let expected = self.expected(items.len());
-        let Some(maker) = self.makers.get_mut(maker) else {
-            unreachable!("the endpoint was just chosen");
-        };
-        let call = self.next_call;
-        self.next_call += 1;
-        maker.calls += 1;
-        maker.free_at = now + expected.mul_f32(maker.health.slowness(now).max(0.5));
-        let begun = Call {
-            endpoint: maker.entry.id.clone(),
-            items: items.iter().map(|i| (i.job, i.piece)).collect(),
-            booked,
-            each,
-            began: now,
-            expected,
-            overdue: Some(now + expected * OVERDUE + OVERDUE_MORE),
-        };
-        self.calls.insert(call, begun);
-        let longest = items.iter().map(|i| i.left).max().unwrap_or_default();
-        Send {
-            call,
-            entry: maker.entry.clone(),
-            items,
-            expected,
-            limit: longest,
-        }
-    }
-
-    fn expected(&self, pieces: usize) -> Duration {
-        self.limits.call + self.limits.item * pieces as u32
-    }
-}
-
-/// Returns what it costs, in time, to read a job's results from elsewhere.
-fn afar(held: &Held, maker: &Maker) -> Duration {
-    let domain = held.job.domain.as_ref();
-    if domain.is_none_or(|d| *d == maker.entry.domain) {
-        return Duration::ZERO;
-    }
-    let bytes = held.job.each.0 * held.waiting() as u64;
-    AFAR_MB.mul_f64(bytes as f64 / 1e6)
-}
-
-impl Maker {
-    fn new(entry: Entry) -> Self {
-        Self {
-            entry,
-            present: true,
-            calls: 0,
-            free_at: Time::ZERO,
-            full: Time::ZERO,
-            health: Health::default(),
-            room: Room::default(),
-            unneeded: Vec::new(),
-            unneeded_since: None,
-        }
-    }
-
-    const fn is_usable(&self) -> bool {
-        self.present && !self.entry.draining
-    }
 }
--- /dev/null
+++ b/lib/tests/test_pieces.rs
@@ -0,0 +1,343 @@
+//! The queue of stage pieces under load and faults.
+
+use std::time::Duration;
+
+use snipeyoke_lib::serving::catalog::PieceLimits;
+use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::pieces::Job;
+use snipeyoke_lib::serving::pieces::JobEnd;
+use snipeyoke_lib::serving::pieces::JobId;
+use snipeyoke_lib::serving::pieces::Outcome;
+use snipeyoke_lib::serving::pieces::PieceQueue;
+use snipeyoke_lib::serving::pieces::PieceResult;
+use snipeyoke_lib::serving::pieces::Send;
+use snipeyoke_lib::serving::pieces::Work;
+use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::Bytes;
+
+const CALL: Duration = Duration::from_millis(150);
+const ITEM: Duration = Duration::from_millis(16);
+
+fn at(ms: u64) -> Time {
+    Time::from_millis(1_000 + ms)
+}
+
+fn limits() -> PieceLimits {
+    PieceLimits {
+        slots: 1,
+        batch: 8,
+        call: CALL,
+        item: ITEM,
+        room: Bytes(36_000_000),
+        keep: Duration::from_secs(4),
+    }
+}
+
+fn entry(name: &str, domain: &str) -> Entry {
+    Entry {
+        id: name.parse().expect("a name"),
+        born: None,
+        service: "prep".parse().expect("a name"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: domain.parse().expect("a name"),
+        slots: 1,
+        draining: false,
+    }
+}
+
+fn queue(names: &[(&str, &str)]) -> PieceQueue {
+    queue_with(limits(), names)
+}
+
+fn queue_with(limits: PieceLimits, names: &[(&str, &str)]) -> PieceQueue {
+    let mut queue = PieceQueue::new(limits);
+    let entries: Vec<Entry> = names.iter().map(|(n, d)| entry(n, d)).collect();
+    queue.set_endpoints(entries.iter());
+    queue
+}
+
+fn job(request: &str, pieces: u32, goal: u64, due: u64) -> Job {
+    Job {
+        request: request.to_owned(),
+        stage: 0,
+        pieces: (0..pieces).collect(),
+        work: Work::Key,
+        key: "k".to_owned(),
+        each: Bytes(8_000),
+        goal: at(goal),
+        due: at(due),
+        priority: 0,
+        domain: None,
+    }
+}
+
+fn made(send: &Send) -> PieceResult {
+    let handle = |i: &snipeyoke_lib::serving::pieces::Item| {
+        Outcome::Made(format!(
+            "{}/{}.{}.{}",
+            send.entry.id, i.request, i.stage, i.piece
+        ))
+    };
+    PieceResult::Answered(send.items.iter().map(handle).collect())
+}
+
+fn requests(send: &Send) -> Vec<&str> {
+    send.items.iter().map(|i| i.request.as_str()).collect()
+}
+
+fn failure(ends: &[JobEnd], id: JobId) -> Option<&Outcome> {
+    let end = ends.iter().find(|e| e.job == id).expect("the job ended");
+    end.failure.as_ref()
+}
+
+#[test]
+fn one_piece_leaves_at_once() {
+    // A lone caller waits for nobody: its piece goes out in the same turn.
+    let mut queue = queue(&[("p1", "a")]);
+    queue.submit(job("r1", 1, 500, 3_000));
+    let sends = queue.poll(at(0));
+    assert_eq!(sends.len(), 1);
+    assert_eq!(sends[0].items.len(), 1);
+}
+
+#[test]
+fn what_waits_leaves_in_full_calls() {
+    // In a burst all endpoints are at work. A call costs as much as nine pieces
+    // in it, so pieces that leave one by one would be done at a fifth of the
+    // rate and callers would be late. What waited leaves together.
+    let mut queue = queue(&[("p1", "a")]);
+    queue.submit(job("r0", 1, 500, 3_000));
+    let first = queue.poll(at(0));
+    for n in 1..=4 {
+        queue.submit(job(&format!("r{n}"), 2, 900, 3_000));
+    }
+    assert!(queue.poll(at(1)).is_empty());
+    queue.ended(at(166), first[0].call, made(&first[0]));
+    let next = queue.poll(at(166));
+    assert_eq!(next[0].items.len(), 8);
+}
+
+#[test]
+fn crowded_calls_take_parts_of_jobs() {
+    // Jobs of five pieces leave three places of a batch of eight empty. While a
+    // batch for every endpoint waits these places are a third of the service.
+    let mut queue = queue(&[("p1", "a")]);
+    for n in 0..4 {
+        queue.submit(job(&format!("r{n}"), 5, 2_000, 5_000));
+    }
+    let sends = queue.poll(at(0));
+    assert_eq!(sends[0].items.len(), 8);
+}
+
+#[test]
+fn idle_endpoints_share_what_waits() {
+    // Two jobs and two idle endpoints: in one call the second caller would wait
+    // for the first one's pieces while an endpoint stands idle.
+    let mut queue = queue(&[("p1", "a"), ("p2", "b")]);
+    queue.submit(job("r1", 2, 900, 3_000));
+    queue.submit(job("r2", 2, 900, 3_000));
+    let sends = queue.poll(at(0));
+    assert_eq!(sends.len(), 2);
+}
+
+#[test]
+fn urgent_pieces_go_first_and_late_ones_last() {
+    // Three callers wait for one endpoint: one is late already, one has a
+    // less urgent kind, one is urgent. The late one gains nothing by going
+    // first, the other two are served by urgency.
+    let narrow = PieceLimits {
+        batch: 1,
+        ..limits()
+    };
+    let mut queue = queue_with(narrow, &[("p1", "a")]);
+    queue.submit(job("late", 1, 50, 9_000));
+    let mut second = job("second", 1, 900, 9_000);
+    second.priority = 2;
+    queue.submit(second);
+    queue.submit(job("first", 1, 1_000, 9_000));
+    let mut order = Vec::new();
+    let mut now = 0;
+    for _ in 0..3 {
+        let sends = queue.poll(at(now));
+        order.extend(requests(&sends[0]).iter().map(ToString::to_string));
+        now += 166;
+        queue.ended(at(now), sends[0].call, made(&sends[0]));
+    }
+    assert_eq!(order, ["first", "second", "late"]);
+}
+
+#[test]
+fn no_hope_is_told_at_once() {
+    // The queue holds ten seconds of work and the caller waits two more. Held
+    // to its deadline it would learn nothing and could not come back in time.
+    let mut queue = queue(&[("p1", "a")]);
+    for n in 0..36 {
+        queue.submit(job(&format!("r{n}"), 8, 20_000, 60_000));
+    }
+    let id = queue.submit(job("late", 1, 100, 2_000));
+    queue.poll(at(0));
+    assert_eq!(failure(&queue.take_ends(), id), Some(&Outcome::Late));
+}
+
+#[test]
+fn late_work_with_time_left_is_kept() {
+    // One call is ahead of a caller that is late already but has seconds left:
+    // an answer that is late is still worth something to it.
+    let mut queue = queue(&[("p1", "a")]);
+    queue.submit(job("r1", 8, 900, 3_000));
+    queue.poll(at(0));
+    queue.submit(job("late", 1, 50, 3_000));
+    queue.poll(at(10));
+    assert!(queue.take_ends().is_empty());
+}
+
+#[test]
+fn a_full_endpoint_gets_no_more_than_fits() {
+    // Results of 3 MB fill 36 MB with a dozen. A call beyond that does its work
+    // for nothing: the endpoint answers that there is no room.
+    let mut queue = queue(&[("p1", "a")]);
+    for n in 0..2 {
+        let mut large = job(&format!("r{n}"), 8, 900, 3_000);
+        large.each = Bytes(3_000_000);
+        queue.submit(large);
+    }
+    let first = queue.poll(at(0));
+    assert_eq!(first[0].items.len(), 8);
+    queue.ended(at(278), first[0].call, made(&first[0]));
+    let second = queue.poll(at(278));
+    assert_eq!(
+        second[0].items.len(),
+        2,
+        "nine tenths of 36 MB hold ten results"
+    );
+}
+
+#[test]
+fn results_take_room_until_the_endpoint_was_told() {
+    // The word that drops results and the next call go out together, on two
+    // connections. If the call overtakes the word it finds no room.
+    let mut queue = queue(&[("p1", "a")]);
+    let mut large = job("r0", 8, 900, 3_000);
+    large.each = Bytes(4_000_000);
+    queue.submit(large.clone());
+    let first = queue.poll(at(0));
+    queue.ended(at(278), first[0].call, made(&first[0]));
+    let ends = queue.take_ends();
+    for (_, handle, endpoint) in ends[0].made.clone() {
+        queue.give_back(at(280), &endpoint, handle);
+    }
+    let told = queue.take_unneeded(at(280));
+    assert_eq!(told[0].1.len(), 8);
+    large.request = "r1".to_owned();
+    queue.submit(large);
+    assert!(
+        queue.poll(at(281)).is_empty(),
+        "32 of 36 MB are still taken"
+    );
+    queue.dropped(&told[0].0.id, &told[0].1);
+    assert_eq!(queue.poll(at(285))[0].items.len(), 8);
+}
+
+#[test]
+fn few_results_are_given_back_together() {
+    // A call for each result would cost more than the memory is worth; left to
+    // lapse they would fill the endpoint for its next owner.
+    let mut queue = queue(&[("p1", "a")]);
+    queue.submit(job("r0", 2, 900, 3_000));
+    let first = queue.poll(at(0));
+    queue.ended(at(180), first[0].call, made(&first[0]));
+    let ends = queue.take_ends();
+    for (_, handle, endpoint) in ends[0].made.clone() {
+        queue.give_back(at(200), &endpoint, handle);
+    }
+    assert!(queue.take_unneeded(at(300)).is_empty());
+    assert!(queue.wake() <= at(450));
+    assert_eq!(queue.take_unneeded(at(450))[0].1.len(), 2);
+}
+
+#[test]
+fn a_silent_endpoint_loses_its_pieces_to_another() {
+    // An endpoint is stopped: its connection stays open and no answer comes.
+    // The caller would be late by seconds; after three times the usual time
+    // the pieces go to another endpoint, and the first result is taken.
+    let mut queue = queue(&[("p1", "a"), ("p2", "b")]);
+    let id = queue.submit(job("r1", 1, 3_000, 9_000));
+    let first = queue.poll(at(0));
+    assert!(queue.poll(at(500)).is_empty());
+    let second = queue.poll(at(560));
+    assert_eq!(second.len(), 1);
+    assert_ne!(second[0].entry.id, first[0].entry.id);
+    queue.ended(at(730), second[0].call, made(&second[0]));
+    assert_eq!(failure(&queue.take_ends(), id), None);
+    // The late result of the first one is of no use: it is given back.
+    queue.ended(at(900), first[0].call, made(&first[0]));
+    let told = queue.take_unneeded(at(1_200));
+    assert_eq!(told[0].0.id, first[0].entry.id);
+}
+
+#[test]
+fn a_refused_call_costs_its_pieces_nothing() {
+    // Another owner fills the endpoint; it refuses the call and nothing ran.
+    // The pieces wait for it, as often as it takes while there is time.
+    let mut queue = queue(&[("p1", "a")]);
+    let id = queue.submit(job("r1", 1, 3_000, 9_000));
+    let mut now = 0;
+    for _ in 0..12 {
+        let sends = queue.poll(at(now));
+        queue.ended(at(now + 2), sends[0].call, PieceResult::Refused);
+        now += 200;
+    }
+    let sends = queue.poll(at(now));
+    queue.ended(at(now + 166), sends[0].call, made(&sends[0]));
+    assert_eq!(failure(&queue.take_ends(), id), None);
+}
+
+#[test]
+fn pieces_go_where_their_results_are_read() {
+    // Results of megabytes are dear to carry between failure domains. With the
+    // near endpoint busy for a little, they wait for it; with a long queue
+    // there they go elsewhere.
+    let mut queue = queue(&[("p1", "a"), ("p2", "b")]);
+    for n in 0..2 {
+        let mut near = job(&format!("r{n}"), 5, 5_000, 9_000);
+        near.each = Bytes(3_000_000);
+        near.domain = Some("b".parse().expect("a name"));
+        queue.submit(near);
+        let sends = queue.poll(at(n));
+        if n == 0 {
+            assert_eq!(sends[0].entry.id.as_str(), "p2");
+        } else {
+            assert!(sends.is_empty(), "it waits for p2, which is free in 230 ms");
+        }
+    }
+    for n in 2..8 {
+        let mut near = job(&format!("r{n}"), 3, 5_000, 9_000);
+        near.each = Bytes(1_000);
+        near.domain = Some("b".parse().expect("a name"));
+        queue.submit(near);
+    }
+    let sends = queue.poll(at(10));
+    assert_eq!(
+        sends[0].entry.id.as_str(),
+        "p1",
+        "small results go anywhere"
+    );
+}
+
+#[test]
+fn a_reborn_endpoint_starts_with_empty_hands() {
+    // The endpoint crashed and is back under its name. Its memory is empty and
+    // what it did before is gone; calls are not held back for it.
+    let mut queue = queue(&[("p1", "a")]);
+    let mut large = job("r0", 8, 900, 3_000);
+    large.each = Bytes(4_000_000);
+    queue.submit(large.clone());
+    let first = queue.poll(at(0));
+    queue.ended(at(278), first[0].call, made(&first[0]));
+    let mut again = entry("p1", "a");
+    again.born = Some(7);
+    queue.set_endpoints(std::iter::once(&again));
+    large.request = "r1".to_owned();
+    queue.submit(large);
+    assert_eq!(queue.poll(at(300))[0].items.len(), 8);
+}
