--- /dev/null
+++ b/lib/benches/pieces.rs
@@ -0,0 +1,83 @@
+//! The cost of a look at a crowded queue of pieces.
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use snipeyoke_lib::serving::catalog::PieceLimits;
+use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::pieces::Job;
+use snipeyoke_lib::serving::pieces::PieceQueue;
+use snipeyoke_lib::serving::pieces::Work;
+use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::Bytes;
+
+/// Jobs that wait on a heavy day, each of eight pieces.
+const JOBS: u64 = 60;
+
+fn queue() -> PieceQueue {
+    let mut queue = PieceQueue::new(PieceLimits {
+        slots: 1,
+        batch: 16,
+        call: Duration::from_millis(150),
+        item: Duration::from_millis(8),
+        room: Bytes(2_700_000),
+        keep: Duration::from_secs(4),
+    });
+    let entry = |n: u16| Entry {
+        id: format!("m{n}").parse().expect("a name"),
+        born: None,
+        service: "tiles".parse().expect("a name"),
+        address: ([127, 0, 0, 1], n).into(),
+        domain: format!("d{}", n % 3).parse().expect("a name"),
+        slots: 1,
+        draining: false,
+    };
+    let entries: Vec<Entry> = (1..=5).map(entry).collect();
+    queue.set_endpoints(entries.iter());
+    for n in 0..JOBS {
+        queue.submit(job(n));
+    }
+    queue
+}
+
+fn job(n: u64) -> Job {
+    Job {
+        request: format!("r{n}"),
+        stage: 1,
+        pieces: (0..8).collect(),
+        work: Work::Inputs(vec!["127.0.0.1:1/abc".to_owned()]),
+        key: String::new(),
+        each: Bytes(60_000),
+        goal: Time::from_millis(60_000 + 7 * n),
+        due: Time::from_millis(90_000 + 7 * n),
+        priority: (n % 3) as u8,
+        domain: Some("d1".parse().expect("a name")),
+    }
+}
+
+fn crowded(c: &mut Criterion) {
+    let mut queue = queue();
+    let mut now = Time::from_millis(1_000);
+    queue.poll(now);
+    c.bench_function("look at a crowded queue", |b| {
+        b.iter(|| {
+            now = now + Duration::from_micros(10);
+            black_box(queue.poll(now));
+            black_box(queue.wake());
+        });
+    });
+    c.bench_function("fill five calls of a crowded queue", |b| {
+        let full = self::queue();
+        b.iter_batched(
+            || full.clone(),
+            |mut queue| black_box(queue.poll(Time::from_millis(1_000))),
+            criterion::BatchSize::SmallInput,
+        );
+    });
+}
+
+criterion_group!(benches, crowded);
+criterion_main!(benches);
--- a/lib/src/serving/pieces/queue.rs
+++ b/lib/src/serving/pieces/queue.rs
@@ -172,6 +172,11 @@
         self.pieces.values().filter(|p| p.waiting).count()
     }
 
+    fn is_running(&self) -> bool {
+        let mut pieces = self.pieces.values();
+        pieces.any(|p| p.running > 0 && p.made.is_none())
+    }
+
     fn is_done(&self) -> bool {
         self.pieces.values().all(|p| p.made.is_some())
     }
@@ -334,7 +339,10 @@
     #[must_use]
     pub fn wake(&self) -> Time {
         let overdue = self.calls.values().filter_map(|c| c.overdue);
-        let waiting = self.jobs.values().filter(|h| h.waiting() > 0);
+        // A job with a piece at work ends with that piece, not with its time.
+        // Its time, once over, would ask for a look again and again.
+        let ends = |h: &&Held| h.waiting() > 0 && !h.is_running();
+        let waiting = self.jobs.values().filter(ends);
         let due = waiting.map(|h| h.job.due - self.expected(1));
         let full = self.makers.values().map(|m| m.full);
         let full = full.filter(|&at| at > Time::ZERO);
@@ -528,10 +536,9 @@
         let least = self.expected(1);
         let clear = self.clear_time(now);
         let hopeless = |h: &Held| {
-            let running = h.pieces.values().any(|p| p.running > 0 && p.made.is_none());
             let left = h.job.due.since(now);
             let late = self.is_late(now, h) && clear > left.mul_f64(HOPE);
-            h.waiting() > 0 && !running && (least > left || late)
+            h.waiting() > 0 && !h.is_running() && (least > left || late)
         };
         let found = self.jobs.iter().filter(|(_, h)| hopeless(h));
         let ids: Vec<JobId> = found.map(|(&id, _)| id).collect();
--- a/lib/tests/test_pieces.rs
+++ b/lib/tests/test_pieces.rs
@@ -341,3 +341,22 @@
     queue.submit(large);
     assert_eq!(queue.poll(at(300))[0].items.len(), 8);
 }
+
+#[test]
+fn a_look_that_changes_nothing_is_not_repeated_at_once() {
+    // A job has one piece at work and one waiting when its time is over. The
+    // waiting piece can't end the job and no endpoint is idle. If the queue
+    // asks to be looked at again at once, its owner spins: it answers nobody,
+    // and its neighbours take it for dead.
+    let narrow = PieceLimits {
+        batch: 1,
+        ..limits()
+    };
+    let mut queue = queue_with(narrow, &[("p1", "a")]);
+    queue.submit(job("r1", 2, 200, 300));
+    assert_eq!(queue.poll(at(0)).len(), 1);
+    for now in [10, 150, 200, 300, 301, 400, 620] {
+        queue.poll(at(now));
+        assert!(queue.wake() > at(now), "spins at {now} ms");
+    }
+}
