--- a/gateway/src/desk/mod.rs
+++ b/gateway/src/desk/mod.rs
@@ -1,6 +1,6 @@
 //! The desk: takes stage jobs to the owner of their service, and back.
 //!
-//! One task of the control thread holds the queues of the services that this
+//! One task of the traffic thread holds the queues of the services that this
 //! node owns, the jobs that others own, and the links to other nodes.
 
 mod asked;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -81,6 +81,7 @@
 pub struct Gateway {
     shared: Arc<Shared>,
     callers: Scope,
+    stages: Scope,
     control: Scope,
     served: Flag,
 }
@@ -112,6 +113,7 @@
         }
         let gateway = Self {
             callers: Scope::new(Arc::clone(&execs.traffic)),
+            stages: Scope::new(Arc::clone(&execs.traffic)),
             control: Scope::new(Arc::clone(&execs.control)),
             served: Flag::default(),
             shared,
@@ -167,9 +169,13 @@
         let seed = rapidhash_v3(self.shared.settings.node.as_str().as_bytes());
         let shared = || Arc::clone(&self.shared);
         let scope = &self.control;
-        scope.spawn(desk::run(shared(), messages, scope.clone()));
+        // Stage jobs are traffic: they go from a request to its owner and back
+        // several times a second, which on one thread needs no wake-up of
+        // another, and can't keep the configuration waiting.
+        let traffic = &self.stages;
+        traffic.spawn(desk::run(shared(), messages, traffic.clone()));
         let desk = self.shared.desk.clone();
-        scope.spawn(desk::accept(peers, desk, scope.clone()));
+        traffic.spawn(desk::accept(peers, desk, traffic.clone()));
         scope.spawn(follow::follow(shared(), Topic::Config, seed));
         scope.spawn(follow::follow(shared(), Topic::Endpoints, seed ^ 1));
         scope.spawn(follow::meet(shared(), seed ^ 2));
@@ -203,6 +209,7 @@
         let running = self.callers.len();
         log::info!(event = "stopped", running, took_ms = self.shared.now().since(began).as_millis() as u64; "");
         self.callers.cancel().await;
+        self.stages.cancel_later().await;
         self.control.cancel_later().await;
     }
 }
