pieces: send the next call ahead, begin no job in parts for lack of room

Cause: endpoints of a crowded service stood idle some 30 ms between two calls of 240 ms (22 calls in 2 s where 25 fit), and jobs begun in parts held memory for the rest of them (calls of 8.5 pieces where 16 fit).

--- a/gateway/src/desk/run.rs
+++ b/gateway/src/desk/run.rs
@@ -123,7 +123,8 @@
 
 impl State {
     pub(super) fn wake(&self) -> Time {
-        let queues = self.counters.values().map(|c| c.queue.wake());
+        let now = self.shared.now();
+        let queues = self.counters.values().map(|c| c.queue.wake(now));
         let look = self.looked + LOOK_BUSY;
         queues.fold(look, Time::min)
     }
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -160,6 +160,9 @@
             self.makers.insert(made.handle.clone(), maker);
             self.plan.done(stage, made.piece, made.handle);
         }
+        if let Some(failure) = done.failure {
+            log::info!(event = "stage-failed", request = ticket.ask.id.as_str(), stage, service = service.as_str(), why = failure.to_string().as_str(), left_ms = ticket.left().as_millis() as u64; "");
+        }
         let again = match done.failure {
             None => return Ok(()),
             Some(Failure::Late) => return Err(Refusal::StagesLate),
--- a/lib/src/serving/catalog.rs
+++ b/lib/src/serving/catalog.rs
@@ -112,6 +112,8 @@
 pub struct PieceLimits {
     /// The calls at work at once.
     pub slots: u32,
+    /// The calls that may wait for a slot.
+    pub queue: u32,
     /// The most pieces of one call.
     pub batch: usize,
     /// The time of a call beside its pieces.
--- a/lib/src/serving/pieces/fill.rs
+++ b/lib/src/serving/pieces/fill.rs
@@ -32,6 +32,12 @@
 /// turn as soon as they are not.
 const URGENCY_STEP: Duration = Duration::from_millis(500);
 
+/// How long before the end of a call the next one is sent.
+///
+/// The way there and back, and the time of two busy nodes, are some 30 ms; the
+/// end of a call is known to about as much.
+const LEAD: Duration = Duration::from_millis(50);
+
 impl PieceQueue {
     pub(super) fn next_send(&mut self, now: Time) -> Option<Send> {
         if !self.makers.keys().any(|id| self.is_idle(now, id)) {
@@ -40,7 +46,7 @@
         let order = self.order(now);
         for &(_, id) in &order {
             let maker = self.best(now, id)?;
-            if self.is_idle(now, &maker) && self.fits(now, &maker, id) > 0 {
+            if self.is_idle(now, &maker) && self.fits(now, &maker, id) >= self.least(id) {
                 return Some(self.fill(now, &maker, id, &order));
             }
         }
@@ -112,9 +118,39 @@
         Some(first.entry.id.clone())
     }
 
+    /// Tells whether an endpoint takes a call now, or in a moment.
+    ///
+    /// While whole batches wait, the next call is sent a little before the one
+    /// at work ends: an endpoint that waits for us does nothing meanwhile.
     fn is_idle(&self, now: Time, id: &EndpointId) -> bool {
         let maker = &self.makers[id];
-        maker.calls < self.limits.slots && maker.full <= now
+        if maker.full > now {
+            return false;
+        }
+        maker.calls < self.limits.slots || self.may_lead(maker) && maker.free_at <= now + LEAD
+    }
+
+    fn may_lead(&self, maker: &Maker) -> bool {
+        let queued = self.limits.queue > 0 && maker.calls == self.limits.slots;
+        queued && self.waiting() >= self.limits.batch
+    }
+
+    /// Returns when a call may next be sent ahead of the end of another.
+    pub(super) fn lead(&self) -> Option<Time> {
+        let makers = self.makers.values().filter(|m| self.may_lead(m));
+        makers.map(|m| m.free_at - LEAD).min()
+    }
+
+    /// Returns the pieces of a job that make a call worth while.
+    ///
+    /// A job is not begun in parts for lack of room: its first results would
+    /// take room for as long as the last ones wait for some.
+    fn least(&self, id: JobId) -> usize {
+        let job = &self.jobs[&id];
+        let most = self.limits.room.0 as f64 * ROOM_USED / job.job.each.0.max(1) as f64;
+        job.waiting()
+            .min(self.limits.batch)
+            .min((most as usize).max(1))
     }
 
     /// Returns how many results of a job an endpoint has room for.
@@ -156,8 +192,10 @@
         let others = others.into_iter().map(|(_, _, id)| id);
         for id in std::iter::once(first).chain(others) {
             let most = self.most(maker, id, (first, share), items.len());
-            let fits = self.fits(now, maker, id).min(most);
-            if fits == 0 {
+            let fits = self.fits(now, maker, id);
+            let short_of_room = id != first && fits < most.min(self.least(id));
+            let fits = fits.min(most);
+            if fits == 0 || short_of_room {
                 continue;
             }
             let size = self.jobs[&id].job.each;
@@ -250,16 +288,21 @@
         };
         let call = self.next_call;
         self.next_call += 1;
+        let begin = if maker.calls < self.limits.slots {
+            now
+        } else {
+            maker.free_at.max(now)
+        };
         maker.calls += 1;
-        maker.free_at = now + expected.mul_f32(maker.health.slowness(now).max(0.5));
+        maker.free_at = begin + expected.mul_f32(maker.health.slowness(now).max(0.5));
         let begun = Call {
             endpoint: maker.entry.id.clone(),
             items: items.iter().map(|i| (i.job, i.piece)).collect(),
             booked,
             each,
-            began: now,
+            began: begin,
             expected,
-            overdue: Some(now + expected * OVERDUE + OVERDUE_MORE),
+            overdue: Some(begin + expected * OVERDUE + OVERDUE_MORE),
         };
         self.calls.insert(call, begun);
         let longest = items.iter().map(|i| i.left).max().unwrap_or_default();
--- a/lib/src/serving/pieces/queue.rs
+++ b/lib/src/serving/pieces/queue.rs
@@ -337,7 +337,7 @@
 
     /// Returns when [`Self::poll`] has something to do though nothing happens.
     #[must_use]
-    pub fn wake(&self) -> Time {
+    pub fn wake(&self, now: Time) -> Time {
         let overdue = self.calls.values().filter_map(|c| c.overdue);
         // A job with a piece at work ends with that piece, not with its time.
         // Its time, once over, would ask for a look again and again.
@@ -348,12 +348,9 @@
         let full = full.filter(|&at| at > Time::ZERO);
         let unneeded = self.makers.values().filter_map(|m| m.unneeded_since);
         let unneeded = unneeded.map(|since| since + GIVE_BACK_AFTER);
-        overdue
-            .chain(due)
-            .chain(full)
-            .chain(unneeded)
-            .min()
-            .unwrap_or(Time::NEVER)
+        let lead = self.lead().filter(|&at| at > now);
+        let all = overdue.chain(due).chain(full).chain(unneeded).chain(lead);
+        all.min().unwrap_or(Time::NEVER)
     }
 
     /// Returns the calls to make now.
@@ -396,7 +393,9 @@
         };
         maker.calls = maker.calls.saturating_sub(1);
         maker.room.unbook(call.booked);
-        maker.free_at = now;
+        if maker.calls == 0 {
+            maker.free_at = now;
+        }
         let ratio = now.since(call.began).as_secs_f32() / call.expected.as_secs_f32();
         match result {
             Result::Answered(outcomes) => {
