pieces: free the slot of a call whose answer is lost

Beside it, up to five nodes owned one service at once while nodes left and started: a leaving node named itself, and a starting one knew no other.

Change: at three times its expected time a call gives its slot back, and its endpoint is left alone for a while as for a broken connection; a leaving node owns nothing; a node is ready once another has answered it, or after 1.5 s.

Tests: a_lost_answer_does_not_take_its_endpoint_out, lib/tests/test_owners.rs.

--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -196,6 +196,7 @@
         log::info!(event = "leaving", grace_ms = self.shared.settings.grace.as_millis() as u64; "");
         let began = self.shared.now();
         self.shared.aside.set();
+        self.shared.owners().leave();
         self.shared.desk.leaving();
         Timer::after(ASIDE).await;
         self.shared.drain.set();
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -33,6 +33,11 @@
 /// may know more.
 const FRESH: Duration = Duration::from_millis(1_500);
 
+/// How long a node waits at its start to hear from another one.
+///
+/// Nodes that start together find each other within a second.
+const MEET_MAX: Duration = Duration::from_millis(1_500);
+
 /// What one node knows and shares among its tasks.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -128,10 +133,19 @@
 
     /// Tells whether the node can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
-        let knows = self.catalog.get().is_some();
+        let knows = self.catalog.get().is_some() && self.has_met();
         knows && self.directory().iter().next().is_some() && !self.aside.is_set()
     }
 
+    /// Tells whether the node has heard of the others, or waited for it.
+    ///
+    /// A node that knows no other takes itself for the owner of every service,
+    /// and its calls get in the way of the real owners' calls.
+    fn has_met(&self) -> bool {
+        let waited = self.now().since(Time::ZERO) > MEET_MAX;
+        waited || self.owners().has_heard()
+    }
+
     /// Takes in records of the configuration, wherever they came from.
     pub(crate) fn apply_config(&self, news: &[Record], source: &str) {
         for record in news {
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -26,6 +26,7 @@
 #[derive(Debug, Clone, Copy)]
 struct Peer {
     heard: Time,
+    answered: bool,
     silent: Time,
     leaving: bool,
 }
@@ -34,6 +35,7 @@
 #[derive(Debug, Clone)]
 pub struct Owners {
     own: SocketAddr,
+    leaving: bool,
     peers: BTreeMap<SocketAddr, Peer>,
 }
 
@@ -43,6 +45,7 @@
     pub const fn new(own: SocketAddr) -> Self {
         Self {
             own,
+            leaving: false,
             peers: BTreeMap::new(),
         }
     }
@@ -54,6 +57,7 @@
         }
         let known = Peer {
             heard: now,
+            answered: false,
             silent: Time::ZERO,
             leaving: false,
         };
@@ -66,10 +70,16 @@
         self.learn(now, peer);
         if let Some(known) = self.peers.get_mut(&peer) {
             known.heard = now;
+            known.answered = true;
             known.silent = Time::ZERO;
         }
     }
 
+    /// Notes that this node leaves: it owns nothing if another node can.
+    pub const fn leave(&mut self) {
+        self.leaving = true;
+    }
+
     /// Notes whether a node says that it leaves.
     pub fn leaves(&mut self, peer: SocketAddr, leaving: bool) {
         if let Some(known) = self.peers.get_mut(&peer) {
@@ -85,6 +95,12 @@
         self.peers.retain(|_, p| now.since(p.heard) < FORGOTTEN);
     }
 
+    /// Tells whether any other node has answered.
+    #[must_use]
+    pub fn has_heard(&self) -> bool {
+        self.peers.values().any(|p| p.answered)
+    }
+
     /// Returns the other nodes that are not silent.
     pub fn live(&self, now: Time) -> impl Iterator<Item = SocketAddr> {
         let live = move |p: &Peer| p.silent <= now;
@@ -106,7 +122,8 @@
         let usable = self.peers.iter();
         let usable = usable.filter(|(_, p)| p.silent <= now && !p.leaving);
         let others = usable.map(|(&address, _)| address);
-        let all = others.chain([self.own]);
+        let own = (!self.leaving).then_some(self.own);
+        let all = others.chain(own);
         all.max_by_key(|a| (rank(service, a), *a))
             .unwrap_or(self.own)
     }
--- a/lib/src/serving/pieces/fill.rs
+++ b/lib/src/serving/pieces/fill.rs
@@ -303,6 +303,7 @@
             began: begin,
             expected,
             overdue: Some(begin + expected * OVERDUE + OVERDUE_MORE),
+            given_up: false,
         };
         self.calls.insert(call, begun);
         let longest = items.iter().map(|i| i.left).max().unwrap_or_default();
--- a/lib/src/serving/pieces/queue.rs
+++ b/lib/src/serving/pieces/queue.rs
@@ -191,6 +191,8 @@
     pub(super) began: Time,
     pub(super) expected: Duration,
     pub(super) overdue: Option<Time>,
+    /// Whether its slot was given to other calls.
+    pub(super) given_up: bool,
 }
 
 /// The pieces that wait for one service, and the calls under way.
@@ -391,8 +393,10 @@
         let Some(maker) = self.makers.get_mut(&call.endpoint) else {
             return;
         };
-        maker.calls = maker.calls.saturating_sub(1);
-        maker.room.unbook(call.booked);
+        if !call.given_up {
+            maker.calls = maker.calls.saturating_sub(1);
+            maker.room.unbook(call.booked);
+        }
         if maker.calls == 0 {
             maker.free_at = now;
         }
@@ -510,8 +514,14 @@
             let ratio = now.since(call.began).as_secs_f32() / call.expected.as_secs_f32();
             if let Some(maker) = self.makers.get_mut(&call.endpoint) {
                 maker.health.answered(now, ratio);
-                maker.health.failed(now);
+                maker.health.broke(now);
+                // An answer that was lost on its way never comes: the endpoint
+                // stands idle while its slot looks taken. If it is only slow,
+                // the next call waits in its own queue.
+                maker.calls = maker.calls.saturating_sub(1);
+                maker.room.unbook(call.booked);
             }
+            call.given_up = true;
             given.extend(call.items.iter().copied());
         }
         for (id, piece) in given {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -16,6 +16,7 @@
 mod test_once_scenarios;
 mod test_once_schedules;
 mod test_outcome;
+mod test_owners;
 mod test_pieces;
 mod test_placement;
 mod test_query;
--- /dev/null
+++ b/lib/tests/test_owners.rs
@@ -0,0 +1,73 @@
+//! Which node owns the pieces of a service.
+
+use std::net::SocketAddr;
+
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::owners::Owners;
+use snipeyoke_lib::time::Time;
+
+fn node(n: u16) -> SocketAddr {
+    ([10, 0, 0, 1], n).into()
+}
+
+fn service(n: u16) -> PoolName {
+    format!("s{n}").parse().expect("a name")
+}
+
+fn owners(own: u16, nodes: u16) -> Owners {
+    let mut owners = Owners::new(node(own));
+    for n in 1..=nodes {
+        owners.learn(Time::ZERO, node(n));
+    }
+    owners
+}
+
+#[test]
+fn all_nodes_name_the_same_owner() {
+    // Pieces of one service fill calls only if they meet at one node.
+    let all: Vec<Owners> = (1..=6).map(|n| owners(n, 6)).collect();
+    for n in 0..20 {
+        let named: Vec<SocketAddr> = all
+            .iter()
+            .map(|o| o.owner(Time::ZERO, &service(n)))
+            .collect();
+        assert!(named.iter().all(|&a| a == named[0]));
+    }
+}
+
+#[test]
+fn a_silent_owner_is_passed_over_and_comes_back() {
+    // The owner was killed. Its callers' jobs go to the next node at once, and
+    // back to it once it answers again; other services stay where they are.
+    let mut owners = owners(1, 6);
+    let first = (0..20)
+        .map(service)
+        .find(|s| owners.owner(Time::ZERO, s) == node(3));
+    let first = first.expect("six nodes share twenty services");
+    let other = (0..20)
+        .map(service)
+        .find(|s| owners.owner(Time::ZERO, s) == node(4));
+    let other = other.expect("six nodes share twenty services");
+    owners.silent(Time::from_millis(10), node(3));
+    let next = owners.owner(Time::from_millis(11), &first);
+    assert_ne!(next, node(3));
+    assert_eq!(owners.owner(Time::from_millis(11), &other), node(4));
+    owners.heard(Time::from_millis(900), node(3));
+    assert_eq!(owners.owner(Time::from_millis(901), &first), node(3));
+}
+
+#[test]
+fn a_leaving_node_owns_nothing() {
+    // A node that was told to stop hands its jobs to others while it still
+    // serves: what it owned at its end would be lost with it.
+    let mut owners = owners(3, 6);
+    let own = (0..20)
+        .map(service)
+        .find(|s| owners.owner(Time::ZERO, s) == node(3));
+    let own = own.expect("six nodes share twenty services");
+    owners.leave();
+    assert_ne!(owners.owner(Time::ZERO, &own), node(3));
+    let mut alone = Owners::new(node(3));
+    alone.leave();
+    assert_eq!(alone.owner(Time::ZERO, &own), node(3), "nobody else can");
+}
--- a/lib/tests/test_pieces.rs
+++ b/lib/tests/test_pieces.rs
@@ -386,3 +386,24 @@
     );
     assert!(queue.poll(at(240)).is_empty(), "one call ahead is enough");
 }
+
+#[test]
+fn a_lost_answer_does_not_take_its_endpoint_out() {
+    // The only endpoint works on a piece and its answer is lost: the connection
+    // stays open, nothing comes. The endpoint itself stands idle. Callers who
+    // come later would wait for the first call's end, seconds away.
+    let mut queue = queue(&[("p1", "a")]);
+    queue.submit(job("r0", 1, 3_000, 9_000));
+    queue.poll(at(0));
+    queue.poll(at(560));
+    let later = queue.submit(job("r1", 1, 3_000, 9_000));
+    let mut now = 560;
+    let mut sends = Vec::new();
+    while sends.is_empty() && now < 2_000 {
+        now += 50;
+        sends = queue.poll(at(now));
+    }
+    assert!(now < 1_200, "the endpoint is asked again at {now} ms");
+    queue.ended(at(now + 182), sends[0].call, made(&sends[0]));
+    assert_eq!(failure(&queue.take_ends(), later), None);
+}
