gateway: try a broken link again, give back what gone nodes held

Results of killed nodes took memory until they lapsed (147 pieces of 406 without room in the two seconds after two nodes were killed).

Change: a link that was up is opened again before its node counts as silent; what a node held is given back once it has had no link for 0.8 s.

Tried and dropped: giving back at once when a link ends; nodes whose link was only reset then found their inputs gone (607).

--- a/gateway/src/desk/asked.rs
+++ b/gateway/src/desk/asked.rs
@@ -1,8 +1,12 @@
 //! What other nodes ask of the desk.
 
+use std::net::SocketAddr;
+use std::time::Duration;
+
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::pieces::JobId;
+use snipeyoke_lib::time::Time;
 use snipeyoke_wire::Look;
 use snipeyoke_wire::PieceJob;
 use snipeyoke_wire::PieceUnneeded;
@@ -14,9 +18,15 @@
 use super::JobNumber;
 use super::books;
 use super::messages::LinkNumber;
+use super::run::Delivered;
 use super::run::Origin;
 use super::run::State;
 
+/// How long a node may be without a link before it counts as gone.
+///
+/// A link that was reset is opened again within a connect's time of 400 ms.
+const DEPARTED: Duration = Duration::from_millis(800);
+
 impl State {
     pub(super) fn asked(&mut self, link: LinkNumber, body: Body) {
         match body {
@@ -37,14 +47,16 @@
         let read = books::job_of(self.shared.now(), frame);
         let queued = service.ok().and_then(|s| self.queue(&s, read, origin));
         if queued.is_none()
-            && let Some(sender) = self.callers.get(&link)
+            && let Some(caller) = self.callers.get(&link)
         {
             let refused = Done {
                 number: JobNumber(job),
                 made: Vec::new(),
                 failure: Some(Failure::Failed),
             };
-            let _full = sender.send(Body::PieceJobEnd(books::end_frame(&refused)));
+            let _full = caller
+                .sender
+                .send(Body::PieceJobEnd(books::end_frame(&refused)));
         }
     }
 
@@ -55,10 +67,35 @@
     }
 
     pub(super) fn hung(&mut self, link: LinkNumber) {
-        self.callers.remove(&link);
+        let node = self.callers.remove(&link).and_then(|c| c.node);
+        let gone = |node: &SocketAddr| self.callers.values().all(|c| c.node != Some(*node));
+        if let Some(node) = node.filter(gone) {
+            self.departed.insert(node, self.shared.now());
+        }
         self.drop_jobs(|origin| matches!(origin, Origin::Peer { link: l, .. } if *l == link));
     }
 
+    /// Gives back what nodes held that are gone for good.
+    ///
+    /// A node that was killed gives nothing back: its results would take the
+    /// endpoints' memory until they lapse, and the nodes that live find no
+    /// room. One whose link was reset is back at once and still needs them.
+    pub(super) fn clear_departed(&mut self, now: Time) {
+        let gone = |_: &SocketAddr, at: &mut Time| now.since(*at) > DEPARTED;
+        let departed: Vec<SocketAddr> =
+            self.departed.extract_if(.., gone).map(|(n, _)| n).collect();
+        if departed.is_empty() {
+            return;
+        }
+        for counter in self.counters.values_mut() {
+            let theirs = |_: &String, d: &mut Delivered| departed.contains(&d.node);
+            let found: Vec<_> = counter.delivered.extract_if(.., theirs).collect();
+            for (handle, delivered) in found {
+                counter.queue.give_back(now, &delivered.endpoint, handle);
+            }
+        }
+    }
+
     pub(super) fn drop_jobs(&mut self, wanted: impl Fn(&Origin) -> bool) {
         let now = self.shared.now();
         for counter in self.counters.values_mut() {
@@ -78,6 +115,7 @@
         let now = self.shared.now();
         if let Some(counter) = self.counters.get_mut(&service) {
             for result in frame.results {
+                counter.delivered.remove(&result.handle);
                 if let Ok(endpoint) = result.endpoint.parse() {
                     counter.queue.give_back(now, &endpoint, result.handle);
                 }
@@ -85,14 +123,18 @@
         }
     }
 
-    pub(super) fn asked_look(&self, link: LinkNumber, look: &Look) {
+    pub(super) fn asked_look(&mut self, link: LinkNumber, look: &Look) {
         let now = self.shared.now();
         if let Ok(address) = look.address.parse() {
             self.shared.owners().learn(now, address);
+            self.departed.remove(&address);
+            if let Some(caller) = self.callers.get_mut(&link) {
+                caller.node = Some(address);
+            }
         }
         let seen = self.seen(Some(look));
-        if let Some(sender) = self.callers.get(&link) {
-            let _full = sender.send(Body::Seen(seen));
+        if let Some(caller) = self.callers.get(&link) {
+            let _full = caller.sender.send(Body::Seen(seen));
         }
     }
 
@@ -127,8 +169,8 @@
 
     pub(super) fn tell_leaving(&self) {
         let seen = self.seen(None);
-        for sender in self.callers.values() {
-            let _full = sender.send(Body::Seen(seen.clone()));
+        for caller in self.callers.values() {
+            let _full = caller.sender.send(Body::Seen(seen.clone()));
         }
     }
 }
--- a/gateway/src/desk/counters.rs
+++ b/gateway/src/desk/counters.rs
@@ -1,6 +1,7 @@
 //! The queues of the services whose pieces meet at this node.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -14,6 +15,7 @@
 use snipeyoke_lib::serving::pieces::PieceQueue;
 use snipeyoke_lib::serving::pieces::PieceResult;
 use snipeyoke_lib::serving::pieces::Send;
+use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_wire::frame::Body;
 
@@ -25,11 +27,27 @@
 use super::calls;
 use super::messages::Message;
 use super::run::Counter;
+use super::run::Delivered;
 use super::run::LOOK_BUSY;
 use super::run::Origin;
 use super::run::State;
 use crate::shared::Shared;
 
+impl Counter {
+    fn note_delivered(&mut self, now: Time, node: SocketAddr, end: &JobEnd) {
+        self.delivered.retain(|_, d| d.until > now);
+        let until = now + self.queue.keep();
+        for (_, handle, endpoint) in &end.made {
+            let delivered = Delivered {
+                node,
+                endpoint: endpoint.clone(),
+                until,
+            };
+            self.delivered.insert(handle.clone(), delivered);
+        }
+    }
+}
+
 impl State {
     pub(super) fn queue(&mut self, service: &PoolName, job: Job, origin: Origin) -> Option<JobId> {
         if !self.counters.contains_key(service) {
@@ -41,6 +59,7 @@
             let counter = Counter {
                 queue,
                 origins: BTreeMap::new(),
+                delivered: BTreeMap::new(),
             };
             self.counters.insert(service.clone(), counter);
         }
@@ -95,6 +114,11 @@
             }
             for end in counter.queue.take_ends() {
                 if let Some(origin) = counter.origins.remove(&end.job) {
+                    if let Origin::Peer { link, .. } = origin
+                        && let Some(node) = self.callers.get(&link).and_then(|c| c.node)
+                    {
+                        counter.note_delivered(now, node, &end);
+                    }
                     ends.push((origin, end));
                 }
             }
@@ -104,6 +128,7 @@
         }
         if now.since(self.looked) >= LOOK_BUSY {
             self.looked = now;
+            self.clear_departed(now);
             self.look_around(now);
         }
     }
@@ -127,8 +152,10 @@
         match origin {
             Origin::Own(_) => self.done(done),
             Origin::Peer { link, .. } => {
-                if let Some(sender) = self.callers.get(&link) {
-                    let _full = sender.send(Body::PieceJobEnd(books::end_frame(&done)));
+                if let Some(caller) = self.callers.get(&link) {
+                    let _full = caller
+                        .sender
+                        .send(Body::PieceJobEnd(books::end_frame(&done)));
                 }
             }
         }
--- a/gateway/src/desk/neighbours.rs
+++ b/gateway/src/desk/neighbours.rs
@@ -14,6 +14,7 @@
 use super::run::Peer;
 use super::run::Place;
 use super::run::State;
+use super::run::Ticket;
 use crate::registry::Topic;
 
 /// The time between two looks at some other node.
@@ -124,6 +125,26 @@
         }
     }
 
+    /// Takes the end of a link: of one that was up another one is tried first.
+    ///
+    /// A connection that is reset says nothing about the node behind it. Passed
+    /// over at once by some nodes and not by others, each service would have
+    /// several owners, whose calls get in each other's way.
+    pub(super) fn broken(&mut self, peer: SocketAddr) {
+        let was_up = self.peers.get(&peer).is_some_and(|p| p.sender.is_some());
+        if !was_up {
+            self.lost(peer, "no-link");
+            return;
+        }
+        self.peers.remove(&peer);
+        let holds = |t: &Ticket| t.place == Place::At(peer);
+        let jobs = self.tickets.values().filter(|t| holds(t)).count();
+        log::info!(event = "link-lost", peer = peer.to_string().as_str(), jobs; "");
+        if jobs > 0 {
+            self.begin(peer);
+        }
+    }
+
     /// Gives up a link; its jobs go to the next owner.
     pub(super) fn lost(&mut self, peer: SocketAddr, why: &str) {
         let now = self.shared.now();
--- a/gateway/src/desk/run.rs
+++ b/gateway/src/desk/run.rs
@@ -49,6 +49,8 @@
 pub(super) struct Counter {
     pub(super) queue: PieceQueue,
     pub(super) origins: BTreeMap<JobId, Origin>,
+    /// Results that other nodes have not given back, by handle.
+    pub(super) delivered: BTreeMap<String, Delivered>,
 }
 
 /// A job of one of this node's requests.
@@ -66,6 +68,23 @@
     At(SocketAddr),
 }
 
+/// A link that another node opened.
+#[derive(Debug)]
+pub(super) struct Caller {
+    pub(super) sender: LinkSender,
+    /// The address on which the node is reached, once it told it.
+    pub(super) node: Option<SocketAddr>,
+}
+
+/// A result that was handed to another node.
+#[derive(Debug)]
+pub(super) struct Delivered {
+    /// The node's own address, which outlives its links.
+    pub(super) node: SocketAddr,
+    pub(super) endpoint: EndpointId,
+    pub(super) until: Time,
+}
+
 /// A link to another node.
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -85,6 +104,7 @@
         tickets: BTreeMap::new(),
         peers: BTreeMap::new(),
         callers: BTreeMap::new(),
+        departed: BTreeMap::new(),
         looked: Time::ZERO,
         turn: 0,
     };
@@ -116,7 +136,9 @@
     pub(super) counters: BTreeMap<PoolName, Counter>,
     pub(super) tickets: BTreeMap<JobNumber, Ticket>,
     pub(super) peers: BTreeMap<SocketAddr, Peer>,
-    pub(super) callers: BTreeMap<LinkNumber, LinkSender>,
+    pub(super) callers: BTreeMap<LinkNumber, Caller>,
+    /// Nodes whose last link ended, and when.
+    pub(super) departed: BTreeMap<SocketAddr, Time>,
     pub(super) looked: Time,
     pub(super) turn: usize,
 }
@@ -160,13 +182,14 @@
                 }
             }
             Message::Accepted { link, sender } => {
-                self.callers.insert(link, sender);
+                let node = None;
+                self.callers.insert(link, Caller { sender, node });
             }
             Message::Asked { link, body } => self.asked(link, body),
             Message::Hung { link } => self.hung(link),
             Message::Connected { peer, sender } => self.connected(peer, sender),
             Message::Answered { peer, body } => self.answered(peer, body),
-            Message::Lost { peer } => self.lost(peer, "link-lost"),
+            Message::Lost { peer } => self.broken(peer),
         }
     }
 
@@ -219,7 +242,6 @@
 
     /// Sends a frame to a node, if the link to it is up; begins one if not.
     pub(super) fn send(&mut self, peer: SocketAddr, body: Body) {
-        let now = self.shared.now();
         if let Some(known) = self.peers.get(&peer) {
             if let Some(sender) = &known.sender {
                 // A full queue means a silent peer, which is found by its
@@ -228,6 +250,12 @@
             }
             return;
         }
+        self.begin(peer);
+    }
+
+    /// Begins a link to a node.
+    pub(super) fn begin(&mut self, peer: SocketAddr) {
+        let now = self.shared.now();
         let begun = Peer {
             sender: None,
             asked: Some(now),
--- a/lib/src/serving/pieces/fill.rs
+++ b/lib/src/serving/pieces/fill.rs
@@ -295,7 +295,7 @@
         };
         maker.calls += 1;
         maker.free_at = begin + expected.mul_f32(maker.health.slowness(now).max(0.5));
-        let begun = Call {
+        let sent = Call {
             endpoint: maker.entry.id.clone(),
             items: items.iter().map(|i| (i.job, i.piece)).collect(),
             booked,
@@ -305,7 +305,7 @@
             overdue: Some(begin + expected * OVERDUE + OVERDUE_MORE),
             given_up: false,
         };
-        self.calls.insert(call, begun);
+        self.calls.insert(call, sent);
         let longest = items.iter().map(|i| i.left).max().unwrap_or_default();
         Send {
             call,
--- a/lib/src/serving/pieces/queue.rs
+++ b/lib/src/serving/pieces/queue.rs
@@ -227,6 +227,12 @@
         self.limits = limits;
     }
 
+    /// Returns how long an endpoint keeps a result.
+    #[must_use]
+    pub const fn keep(&self) -> Duration {
+        self.limits.keep
+    }
+
     /// Sets the endpoints that may get calls.
     pub fn set_endpoints<'a>(&mut self, entries: impl Iterator<Item = &'a Entry>) {
         for maker in self.makers.values_mut() {
