--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -2,7 +2,10 @@
 
 use std::pin::Pin;
 use std::sync::Arc;
+use std::time::Duration;
 
+use async_io::Timer;
+use futures_lite::FutureExt;
 use hyper::header::CONNECTION;
 use hyper::header::CONTENT_LENGTH;
 use hyper::header::HOST;
@@ -27,6 +30,12 @@
 use crate::ticket::Ticket;
 use crate::ticket::draw;
 
+/// How long a caller waits for a node's first configuration.
+///
+/// A node that starts has it within a tenth of a second, from the registry or
+/// a neighbour, unless both are away.
+const CONFIG_WAIT: Duration = Duration::from_millis(400);
+
 /// Answers callers.
 pub(crate) struct Door(pub(crate) Arc<Shared>);
 
@@ -58,6 +67,7 @@
                 return Refusal::Malformed.reply(0.0);
             }
         };
+        self.await_config().await;
         let mut ticket = match self.admit(ask, head, began) {
             Ok(ticket) => ticket,
             Err(refused) => return refused.reply(),
@@ -84,6 +94,19 @@
         drive(ticket).await
     }
 
+    // Callers reach a node that has just started when too few others are left.
+    // Its configuration is some milliseconds away: refused, they would come
+    // back, once and later.
+    async fn await_config(&self) {
+        let known = async {
+            self.0.catalog.wait(Option::is_some).await;
+        };
+        let over = async {
+            Timer::after(CONFIG_WAIT).await;
+        };
+        known.or(over).await;
+    }
+
     fn admit(&self, ask: Ask, head: request::Parts, began: Time) -> Result<Ticket, Refused> {
         let catalog = self.0.catalog.get();
         let Some(catalog) = catalog.as_ref() else {
--- a/runtime/src/program.rs
+++ b/runtime/src/program.rs
@@ -4,8 +4,10 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
 
 use argh::FromArgs;
+use async_io::Timer;
 use async_io::block_on;
 use derive_more::Display;
 use derive_more::Error as DeriveError;
@@ -17,6 +19,7 @@
 use crate::measures;
 use crate::settings;
 use crate::settings::Checked;
+use crate::settings::Watch;
 use crate::signals::Leave;
 use crate::signals::Reload;
 use crate::threads::Execs;
@@ -80,6 +83,12 @@
 #[display("no settings file: name one as argument or in {SETTINGS}")]
 pub struct NoSettings;
 
+/// The time between two looks at the settings file.
+///
+/// Operators who change it without a signal expect it in force within seconds;
+/// a look reads a few hundred bytes.
+const LOOK_EVERY: Duration = Duration::from_secs(5);
+
 /// The variable that names the settings file where no argument does.
 const SETTINGS: &str = "SNIPEYOKE_SETTINGS";
 
@@ -127,9 +136,20 @@
         Source::Signal
     };
     let reloads = async {
+        let mut watch = Watch::new(path);
         loop {
-            reload.next().await;
-            load_again(program, path);
+            let signal = async {
+                reload.next().await;
+                true
+            };
+            let look = async {
+                Timer::after(LOOK_EVERY).await;
+                false
+            };
+            let asked = signal.or(look).await;
+            if watch.has_changed() || asked {
+                load_again(program, path);
+            }
         }
     };
     let list = async {
--- a/runtime/src/settings.rs
+++ b/runtime/src/settings.rs
@@ -78,6 +78,39 @@
     fn check(raw: Self::Raw) -> Result<Self, Self::Error>;
 }
 
+/// Notices when a settings file has other text than before.
+///
+/// A file may change without a signal. Its text is compared, as the time of a
+/// file may stay the same over two writes.
+#[derive(Debug)]
+pub struct Watch {
+    path: PathBuf,
+    text: Option<String>,
+}
+
+impl Watch {
+    /// Starts with the text that the file has now.
+    #[must_use]
+    pub fn new(path: &Path) -> Self {
+        Self {
+            path: path.to_owned(),
+            text: fs::read_to_string(path).ok(),
+        }
+    }
+
+    /// Tells whether the text is another one than at the last look.
+    ///
+    /// A file that can't be read now is no change: it may be on its way.
+    pub fn has_changed(&mut self) -> bool {
+        let Ok(text) = fs::read_to_string(&self.path) else {
+            return false;
+        };
+        let changed = self.text.as_ref() != Some(&text);
+        self.text = Some(text);
+        changed
+    }
+}
+
 /// Reads and checks a settings file.
 ///
 /// # Errors
