stages: leave later stages time for their waits

Cause: a stage's goal left only the bare time of what comes after it, so a request could use up all its slack in its first queue and was late by the waits at the others.

Change: the time of later work counts half as much again.

Tests of the plan: lib/tests/test_plan.rs.

--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -29,6 +29,13 @@
 /// thousand tokens as much as two to three megabytes.
 const TOKEN_BYTES: u64 = 2_400;
 
+/// How much longer later work takes than its own time, in a queue.
+///
+/// Without it a request may use up all its slack at its first stage, and is
+/// late by the waits at the others; with half of their time on top each stage
+/// has its share.
+const WAITS: f64 = 1.5;
+
 /// The part of the expected time that later work takes at the very least.
 ///
 /// Used for the moment after which work is useless, where the expected time
@@ -115,7 +122,7 @@
             work: order.work,
             key: ticket.ask.piece_key.clone(),
             each: stage.bytes,
-            goal: later(now, ticket.goal - after),
+            goal: later(now, ticket.goal - after.mul_f64(WAITS)),
             due: later(now, ticket.due - after.mul_f64(LEAST)),
             domain: home(ticket),
             priority: ticket.urgency(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -19,5 +19,6 @@
 mod test_owners;
 mod test_pieces;
 mod test_placement;
+mod test_plan;
 mod test_query;
 mod test_slots;
