--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -54,18 +54,18 @@
 pub(crate) struct Answered {
     pub(crate) call: Call,
     pub(crate) answer: Answer,
-    pub(crate) busy: Busy,
+    pub(crate) flight: InFlight,
     pub(crate) sent: Time,
 }
 
 /// Counts a call at its endpoint until it is dropped.
 #[derive(Debug)]
-pub(crate) struct Busy {
+pub(crate) struct InFlight {
     shared: Arc<Shared>,
     pub(crate) endpoint: EndpointId,
 }
 
-impl Busy {
+impl InFlight {
     fn new(shared: &Arc<Shared>, endpoint: &EndpointId) -> Self {
         shared.directory().began(endpoint);
         Self {
@@ -75,7 +75,7 @@
     }
 }
 
-impl Drop for Busy {
+impl Drop for InFlight {
     fn drop(&mut self) {
         self.shared.directory().ended(&self.endpoint);
     }
@@ -93,7 +93,7 @@
             return Tried::NotRun(Refusal::NoEndpoint);
         };
         log_choice(ticket, &choice);
-        let busy = Busy::new(&ticket.shared, &choice.entry.id);
+        let flight = InFlight::new(&ticket.shared, &choice.entry.id);
         let sent = ticket.shared.now();
         let with = Sending {
             account: ticket.account(),
@@ -115,7 +115,7 @@
             }
             Some(Ok(call)) => {
                 ticket.tried.push(choice.entry.id);
-                return judge(ticket, call, busy, sent, may_have_run);
+                return judge(ticket, call, flight, sent, may_have_run);
             }
             Some(Err(error)) => {
                 note_error(ticket, &choice.entry.id, &error);
@@ -194,11 +194,17 @@
 }
 
 /// Tells what the head of an answer means for the request.
-fn judge(ticket: &mut Ticket, call: Call, busy: Busy, sent: Time, may_have_run: bool) -> Tried {
+fn judge(
+    ticket: &mut Ticket,
+    call: Call,
+    flight: InFlight,
+    sent: Time,
+    may_have_run: bool,
+) -> Tried {
     let shared = Arc::clone(&ticket.shared);
     let answer = shared.dialect.answer(&call.head);
     let now = shared.now();
-    let endpoint = busy.endpoint.clone();
+    let endpoint = flight.endpoint.clone();
     if let Some(load) = answer.load {
         shared.directory().reported(now, &endpoint, load);
     }
@@ -219,7 +225,7 @@
     Tried::Answered(Box::new(Answered {
         call,
         answer,
-        busy,
+        flight,
         sent,
     }))
 }
@@ -231,12 +237,12 @@
     verdict: Verdict,
     status: StatusCode,
 ) -> Tried {
-    let misled = verdict == Verdict::Misled;
-    log::info!(event = "endpoint-refused", request = ticket.ask.id.as_str(), endpoint = endpoint.to_string().as_str(), status = status.as_u16(), misled; "");
+    let replaced = verdict == Verdict::WrongEndpoint;
+    log::info!(event = "endpoint-refused", request = ticket.ask.id.as_str(), endpoint = endpoint.to_string().as_str(), status = status.as_u16(), replaced; "");
     let now = ticket.shared.now();
     let mut directory = ticket.shared.directory();
-    if misled {
-        directory.mislead(endpoint);
+    if replaced {
+        directory.replaced(endpoint);
         return Tried::NotRun(Refusal::NoEndpoint);
     }
     if status == StatusCode::CONFLICT {
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -93,7 +93,7 @@
     /// The endpoint vouches that it did not run.
     NotRun,
     /// Another endpoint than the one meant answered; it did not run.
-    Misled,
+    WrongEndpoint,
 }
 
 /// What the head of an endpoint's answer says.
--- a/gateway/src/desk/asked.rs
+++ b/gateway/src/dispatch/asked.rs
@@ -1,4 +1,4 @@
-//! What other nodes ask of the desk.
+//! What other nodes ask of the dispatcher.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,16 +7,16 @@
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::pieces::JobId;
 use snipeyoke_lib::time::Time;
-use snipeyoke_wire::Look;
 use snipeyoke_wire::PieceJob;
 use snipeyoke_wire::PieceUnneeded;
-use snipeyoke_wire::Seen;
+use snipeyoke_wire::SyncReply;
+use snipeyoke_wire::SyncRequest;
 use snipeyoke_wire::frame::Body;
 
 use super::Done;
 use super::Failure;
 use super::JobNumber;
-use super::books;
+use super::convert;
 use super::messages::LinkNumber;
 use super::run::Delivered;
 use super::run::Origin;
@@ -33,7 +33,7 @@
             Body::PieceJob(frame) => self.asked_job(link, frame),
             Body::PieceCancel(cancel) => self.asked_cancel(link, cancel.job),
             Body::PieceUnneeded(unneeded) => self.asked_unneeded(unneeded),
-            Body::Look(look) => self.asked_look(link, &look),
+            Body::SyncRequest(look) => self.asked_sync(link, &look),
             _ => {
                 log::warn!(event = "frame-unexpected", remedy = "run the same release on all nodes"; "");
             }
@@ -44,7 +44,7 @@
         let job = frame.job;
         let origin = Origin::Peer { link, job };
         let service = frame.service.parse::<PoolName>();
-        let read = books::job_of(self.shared.now(), frame);
+        let read = convert::job_of(self.shared.now(), frame);
         let queued = service.ok().and_then(|s| self.queue(&s, read, origin));
         if queued.is_none()
             && let Some(caller) = self.callers.get(&link)
@@ -56,7 +56,7 @@
             };
             let _full = caller
                 .sender
-                .send(Body::PieceJobEnd(books::end_frame(&refused)));
+                .send(Body::PieceJobEnd(convert::end_frame(&refused)));
         }
     }
 
@@ -87,23 +87,23 @@
         if departed.is_empty() {
             return;
         }
-        for counter in self.counters.values_mut() {
+        for owned in self.queues.values_mut() {
             let theirs = |_: &String, d: &mut Delivered| departed.contains(&d.node);
-            let found: Vec<_> = counter.delivered.extract_if(.., theirs).collect();
+            let found: Vec<_> = owned.delivered.extract_if(.., theirs).collect();
             for (handle, delivered) in found {
-                counter.queue.give_back(now, &delivered.endpoint, handle);
+                owned.queue.give_back(now, &delivered.endpoint, handle);
             }
         }
     }
 
     pub(super) fn drop_jobs(&mut self, wanted: impl Fn(&Origin) -> bool) {
         let now = self.shared.now();
-        for counter in self.counters.values_mut() {
-            let found = counter.origins.iter().filter(|(_, o)| wanted(o));
+        for owned in self.queues.values_mut() {
+            let found = owned.origins.iter().filter(|(_, o)| wanted(o));
             let ids: Vec<JobId> = found.map(|(&id, _)| id).collect();
             for id in ids {
-                counter.origins.remove(&id);
-                counter.queue.cancel(now, id);
+                owned.origins.remove(&id);
+                owned.queue.cancel(now, id);
             }
         }
     }
@@ -113,17 +113,17 @@
             return;
         };
         let now = self.shared.now();
-        if let Some(counter) = self.counters.get_mut(&service) {
+        if let Some(owned) = self.queues.get_mut(&service) {
             for result in frame.results {
-                counter.delivered.remove(&result.handle);
+                owned.delivered.remove(&result.handle);
                 if let Ok(endpoint) = result.endpoint.parse() {
-                    counter.queue.give_back(now, &endpoint, result.handle);
+                    owned.queue.give_back(now, &endpoint, result.handle);
                 }
             }
         }
     }
 
-    pub(super) fn asked_look(&mut self, link: LinkNumber, look: &Look) {
+    pub(super) fn asked_sync(&mut self, link: LinkNumber, look: &SyncRequest) {
         let now = self.shared.now();
         if let Ok(address) = look.address.parse() {
             self.shared.owners().learn(now, address);
@@ -134,21 +134,21 @@
         }
         let seen = self.seen(Some(look));
         if let Some(caller) = self.callers.get(&link) {
-            let _full = caller.sender.send(Body::Seen(seen));
+            let _full = caller.sender.send(Body::SyncReply(seen));
         }
     }
 
-    pub(super) fn seen(&self, look: Option<&Look>) -> Seen {
+    pub(super) fn seen(&self, look: Option<&SyncRequest>) -> SyncReply {
         let nodes = self
             .shared
             .owners()
             .live(self.shared.now())
             .map(|a| a.to_string())
             .collect();
-        let mut seen = Seen {
+        let mut seen = SyncReply {
             leaving: self.shared.aside.is_set(),
             nodes,
-            ..Seen::default()
+            ..SyncReply::default()
         };
         let Some(look) = look else {
             return seen;
@@ -156,12 +156,12 @@
         let replicas = self.shared.replicas();
         if replicas.config.next() > Offset(look.config_next) {
             let records = replicas.config.since(Offset(look.config_next));
-            seen.config = records.into_iter().map(books::record_frame).collect();
+            seen.config = records.into_iter().map(convert::record_frame).collect();
             seen.config_next = replicas.config.next().0;
         }
         if look.stale && replicas.endpoints.next() > Offset(look.endpoints_next) {
             let records = replicas.endpoints.since(Offset(look.endpoints_next));
-            seen.endpoints = records.into_iter().map(books::record_frame).collect();
+            seen.endpoints = records.into_iter().map(convert::record_frame).collect();
             seen.endpoints_next = replicas.endpoints.next().0;
         }
         seen
@@ -170,7 +170,7 @@
     pub(super) fn tell_leaving(&self) {
         let seen = self.seen(None);
         for caller in self.callers.values() {
-            let _full = caller.sender.send(Body::Seen(seen.clone()));
+            let _full = caller.sender.send(Body::SyncReply(seen.clone()));
         }
     }
 }
--- a/gateway/src/desk/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -6,8 +6,8 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use snipeyoke_lib::serving::directory::Entry;
-use snipeyoke_lib::serving::pieces::PieceResult;
-use snipeyoke_lib::serving::pieces::Send;
+use snipeyoke_lib::serving::pieces::CallResult;
+use snipeyoke_lib::serving::pieces::PieceCall;
 
 use crate::call::Call;
 use crate::call::CallError;
@@ -25,7 +25,7 @@
 const WAY: Duration = Duration::from_millis(200);
 
 /// Makes a call for pieces.
-pub(super) async fn run_pieces(shared: Arc<Shared>, send: Send) -> PieceResult {
+pub(super) async fn run_pieces(shared: Arc<Shared>, send: PieceCall) -> CallResult {
     let request = shared.dialect.run_pieces(&send.entry.id, &send.items);
     let answered = async {
         match call(&shared.traffic, send.entry.address, request).await {
@@ -36,21 +36,21 @@
     let over = async {
         Timer::after(send.limit + WAY).await;
         log::warn!(event = "pieces-silent", endpoint = send.entry.id.to_string().as_str(), pieces = send.items.len(); "");
-        PieceResult::Broken
+        CallResult::Broken
     };
     answered.or(over).await
 }
 
-fn broken(entry: &Entry, error: &CallError) -> PieceResult {
+fn broken(entry: &Entry, error: &CallError) -> CallResult {
     log::warn!(event = "pieces-failed", endpoint = entry.id.to_string().as_str(), error = error.to_string().as_str(); "");
-    PieceResult::Broken
+    CallResult::Broken
 }
 
-async fn read(shared: &Shared, entry: &Entry, mut call: Call) -> PieceResult {
+async fn read(shared: &Shared, entry: &Entry, mut call: Call) -> CallResult {
     let answer = shared.dialect.answer(&call.head);
     match answer.verdict {
-        Verdict::Misled => return PieceResult::Misled,
-        Verdict::NotRun => return PieceResult::Refused,
+        Verdict::WrongEndpoint => return CallResult::WrongEndpoint,
+        Verdict::NotRun => return CallResult::Refused,
         Verdict::Ran => {}
     }
     let mut body = Vec::new();
@@ -60,19 +60,19 @@
                 body.extend_from_slice(&bytes);
             }
             Ok(None) => break,
-            Ok(Some(_)) | Err(_) => return PieceResult::Broken,
+            Ok(Some(_)) | Err(_) => return CallResult::Broken,
         }
     }
     if !call.head.status.is_success() {
-        return PieceResult::Broken;
+        return CallResult::Broken;
     }
     let outcomes = shared.dialect.piece_outcomes(&body);
     outcomes.map_or_else(
         || {
             log::warn!(event = "pieces-unreadable", endpoint = entry.id.to_string().as_str(); "");
-            PieceResult::Broken
+            CallResult::Broken
         },
-        PieceResult::Answered,
+        CallResult::Answered,
     )
 }
 
--- a/gateway/src/desk/links.rs
+++ b/gateway/src/dispatch/links.rs
@@ -12,7 +12,7 @@
 use snipeyoke_runtime::link::LinkReader;
 use snipeyoke_runtime::scope::Scope;
 
-use super::Desk;
+use super::Dispatcher;
 use super::messages::LinkNumber;
 use super::messages::Message;
 
@@ -25,14 +25,19 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Takes links from other nodes.
-pub(crate) async fn accept(listener: Async<TcpListener>, desk: Desk, scope: Scope) {
+pub(crate) async fn accept(listener: Async<TcpListener>, dispatcher: Dispatcher, scope: Scope) {
     let mut next = 0;
     loop {
         match listener.accept().await {
             Ok((stream, _peer)) => {
                 let number = LinkNumber(next);
                 next += 1;
-                scope.spawn(serve(stream, number, desk.inbox.clone(), scope.clone()));
+                scope.spawn(serve(
+                    stream,
+                    number,
+                    dispatcher.inbox.clone(),
+                    scope.clone(),
+                ));
             }
             Err(error) => {
                 log::warn!(event = "accept-failed", error = error.to_string().as_str(), remedy = "raise the descriptor limit"; "");
--- a/gateway/src/desk/messages.rs
+++ b/gateway/src/dispatch/messages.rs
@@ -1,12 +1,12 @@
-//! What the desk's task is told.
+//! What the dispatcher's task is told.
 
 use std::net::SocketAddr;
 
 use async_channel::Sender;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::pieces::CallResult;
 use snipeyoke_lib::serving::pieces::Job;
-use snipeyoke_lib::serving::pieces::PieceResult;
 use snipeyoke_runtime::link::LinkSender;
 use snipeyoke_wire::frame::Body;
 
@@ -17,7 +17,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct LinkNumber(pub(crate) u64);
 
-/// An event for the desk.
+/// An event for the dispatcher.
 #[derive(Debug)]
 pub(crate) enum Message {
     /// A request of this node hands in a job.
@@ -42,7 +42,7 @@
     CallEnded {
         service: PoolName,
         call: u64,
-        result: PieceResult,
+        result: CallResult,
     },
     /// An endpoint was told to drop results.
     Dropped {
--- a/gateway/src/desk/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -1,15 +1,15 @@
-//! The desk: takes stage jobs to the owner of their service, and back.
+//! The dispatcher: takes stage jobs to the owner of their service, and back.
 //!
 //! One task of the traffic thread holds the queues of the services that this
 //! node owns, the jobs that others own, and the links to other nodes.
 
 mod asked;
-mod books;
 mod calls;
-mod counters;
+mod convert;
 mod links;
 mod messages;
 mod neighbours;
+mod queues;
 mod run;
 
 use std::sync::Arc;
@@ -61,15 +61,15 @@
     pub(crate) failure: Option<Failure>,
 }
 
-/// Where requests hand in their jobs; clones share the desk.
+/// Where requests hand in their jobs; clones share the dispatcher.
 #[derive(Debug, Clone)]
-pub(crate) struct Desk {
+pub(crate) struct Dispatcher {
     inbox: Sender<Message>,
     next: Arc<AtomicU64>,
 }
 
-impl Desk {
-    /// Builds a desk and the messages that its task takes.
+impl Dispatcher {
+    /// Builds a dispatcher and the messages that its task takes.
     pub(crate) fn new() -> (Self, Receiver<Message>) {
         let (inbox, messages) = async_channel::unbounded();
         let next = Arc::default();
@@ -109,7 +109,7 @@
     }
 
     fn tell(&self, message: Message) {
-        // The desk is gone only when the process ends; nobody waits then.
+        // The dispatcher is gone only when the process ends; nobody waits then.
         let _closed = self.inbox.try_send(message);
     }
 }
--- a/gateway/src/desk/neighbours.rs
+++ b/gateway/src/dispatch/neighbours.rs
@@ -5,23 +5,23 @@
 
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::time::Time;
-use snipeyoke_wire::Look;
-use snipeyoke_wire::Seen;
+use snipeyoke_wire::SyncReply;
+use snipeyoke_wire::SyncRequest;
 use snipeyoke_wire::frame::Body;
 
 use super::JobNumber;
-use super::books;
+use super::convert;
 use super::run::Peer;
+use super::run::PendingJob;
 use super::run::Place;
 use super::run::State;
-use super::run::Ticket;
 use crate::registry::Topic;
 
 /// The time between two looks at some other node.
 ///
 /// A neighbour may know a newer configuration when the registry does not
 /// answer this node; two looks a second bring it well within two seconds.
-const LOOK_ANY: Duration = Duration::from_millis(500);
+const SYNC_ANY: Duration = Duration::from_millis(500);
 
 /// How long a node that was asked may be silent.
 ///
@@ -38,19 +38,19 @@
         self.shared.owners().heard(now, peer);
         match body {
             Body::PieceJobEnd(end) => {
-                let held = self.tickets.get(&JobNumber(end.job));
+                let held = self.pending.get(&JobNumber(end.job));
                 if held.is_some_and(|t| t.place == Place::At(peer)) {
-                    self.done(books::done_of(end));
+                    self.done(convert::done_of(end));
                 }
             }
-            Body::Seen(seen) => self.take_seen(peer, seen),
+            Body::SyncReply(seen) => self.take_sync(peer, seen),
             _ => {
                 log::warn!(event = "frame-unexpected", peer = peer.to_string().as_str(), remedy = "run the same release on all nodes"; "");
             }
         }
     }
 
-    pub(super) fn take_seen(&self, peer: SocketAddr, seen: Seen) {
+    pub(super) fn take_sync(&self, peer: SocketAddr, seen: SyncReply) {
         let now = self.shared.now();
         let mut owners = self.shared.owners();
         owners.leaves(peer, seen.leaving);
@@ -61,10 +61,10 @@
         drop(owners);
         self.shared.budget().share(count);
         let source = peer.to_string();
-        let records = seen.config.into_iter().map(books::record_of).collect();
+        let records = seen.config.into_iter().map(convert::record_of).collect();
         self.shared
             .extend(Topic::Config, records, Offset(seen.config_next), &source);
-        let records = seen.endpoints.into_iter().map(books::record_of).collect();
+        let records = seen.endpoints.into_iter().map(convert::record_of).collect();
         self.shared.extend(
             Topic::Endpoints,
             records,
@@ -74,9 +74,9 @@
     }
 
     /// Looks at the nodes that hold jobs, and at some other one.
-    pub(super) fn look_around(&mut self, now: Time) {
+    pub(super) fn sync_around(&mut self, now: Time) {
         let mut busy: Vec<SocketAddr> = Vec::new();
-        for ticket in self.tickets.values() {
+        for ticket in self.pending.values() {
             if let Place::At(owner) = ticket.place
                 && !busy.contains(&owner)
             {
@@ -90,7 +90,7 @@
             self.lost(peer, "silent");
         }
         for &peer in &busy {
-            self.look(peer);
+            self.sync(peer);
         }
         let live: Vec<SocketAddr> = self.shared.owners().live(now).collect();
         if live.is_empty() {
@@ -101,16 +101,16 @@
         let due = self
             .peers
             .get(&peer)
-            .is_none_or(|p| now.since(p.looked) >= LOOK_ANY);
+            .is_none_or(|p| now.since(p.synced) >= SYNC_ANY);
         if due && !busy.contains(&peer) {
-            self.look(peer);
+            self.sync(peer);
         }
     }
 
-    pub(super) fn look(&mut self, peer: SocketAddr) {
+    pub(super) fn sync(&mut self, peer: SocketAddr) {
         let now = self.shared.now();
         let replicas = self.shared.replicas();
-        let look = Look {
+        let look = SyncRequest {
             address: self.shared.settings.listen.peers.to_string(),
             config_next: replicas.config.next().0,
             endpoints_next: replicas.endpoints.next().0,
@@ -118,9 +118,9 @@
         };
         drop(replicas);
         let stale = self.shared.is_stale();
-        self.send(peer, Body::Look(Look { stale, ..look }));
+        self.send(peer, Body::SyncRequest(SyncRequest { stale, ..look }));
         if let Some(known) = self.peers.get_mut(&peer) {
-            known.looked = now;
+            known.synced = now;
             known.asked.get_or_insert(now);
         }
     }
@@ -137,8 +137,8 @@
             return;
         }
         self.peers.remove(&peer);
-        let holds = |t: &Ticket| t.place == Place::At(peer);
-        let jobs = self.tickets.values().filter(|t| holds(t)).count();
+        let holds = |t: &PendingJob| t.place == Place::At(peer);
+        let jobs = self.pending.values().filter(|t| holds(t)).count();
         log::info!(event = "link-lost", peer = peer.to_string().as_str(), jobs; "");
         if jobs > 0 {
             self.begin(peer);
@@ -155,13 +155,13 @@
         }
         self.shared.owners().silent(now, peer);
         let held = self
-            .tickets
+            .pending
             .iter()
             .filter(|(_, t)| t.place == Place::At(peer));
         let numbers: Vec<JobNumber> = held.map(|(&n, _)| n).collect();
         log::info!(event = "node-lost", peer = peer.to_string().as_str(), why, jobs = numbers.len(); "");
         for number in numbers {
-            if let Some(ticket) = self.tickets.remove(&number) {
+            if let Some(ticket) = self.pending.remove(&number) {
                 self.submit(number, ticket.service, ticket.job, ticket.reply);
             }
         }
--- a/gateway/src/desk/counters.rs
+++ b/gateway/src/dispatch/queues.rs
@@ -8,13 +8,13 @@
 use async_channel::Sender;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::directory::Endpoint;
+use snipeyoke_lib::serving::pieces::CallResult;
 use snipeyoke_lib::serving::pieces::Job;
 use snipeyoke_lib::serving::pieces::JobEnd;
 use snipeyoke_lib::serving::pieces::JobId;
 use snipeyoke_lib::serving::pieces::Outcome;
+use snipeyoke_lib::serving::pieces::PieceCall;
 use snipeyoke_lib::serving::pieces::PieceQueue;
-use snipeyoke_lib::serving::pieces::PieceResult;
-use snipeyoke_lib::serving::pieces::Send;
 use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_wire::frame::Body;
@@ -23,17 +23,17 @@
 use super::Failure;
 use super::JobNumber;
 use super::Made;
-use super::books;
 use super::calls;
+use super::convert;
 use super::messages::Message;
-use super::run::Counter;
 use super::run::Delivered;
-use super::run::LOOK_BUSY;
 use super::run::Origin;
+use super::run::SYNC_BUSY;
+use super::run::ServiceQueue;
 use super::run::State;
 use crate::shared::Shared;
 
-impl Counter {
+impl ServiceQueue {
     fn note_delivered(&mut self, now: Time, node: SocketAddr, end: &JobEnd) {
         self.delivered.retain(|_, d| d.until > now);
         let until = now + self.queue.keep();
@@ -50,33 +50,33 @@
 
 impl State {
     pub(super) fn queue(&mut self, service: &PoolName, job: Job, origin: Origin) -> Option<JobId> {
-        if !self.counters.contains_key(service) {
+        if !self.queues.contains_key(service) {
             let catalog = self.shared.catalog.get();
             let found = catalog.as_ref().as_ref()?.service(service)?.pieces.clone();
             let mut queue = PieceQueue::new(found?);
             set_endpoints(&self.shared, service, &mut queue);
             log::info!(event = "service-owned", service = service.as_str(); "");
-            let counter = Counter {
+            let owned = ServiceQueue {
                 queue,
                 origins: BTreeMap::new(),
                 delivered: BTreeMap::new(),
             };
-            self.counters.insert(service.clone(), counter);
+            self.queues.insert(service.clone(), owned);
         }
-        let counter = self.counters.get_mut(service)?;
-        let id = counter.queue.submit(job);
-        counter.origins.insert(id, origin);
+        let owned = self.queues.get_mut(service)?;
+        let id = owned.queue.submit(job);
+        owned.origins.insert(id, origin);
         Some(id)
     }
 
     pub(super) fn set_endpoints(&mut self) {
         let catalog = self.shared.catalog.get();
-        for (service, counter) in &mut self.counters {
+        for (service, owned) in &mut self.queues {
             let found = catalog.as_ref().as_ref().and_then(|c| c.service(service));
             if let Some(limits) = found.and_then(|s| s.pieces.clone()) {
-                counter.queue.set_limits(limits);
+                owned.queue.set_limits(limits);
             }
-            set_endpoints(&self.shared, service, &mut counter.queue);
+            set_endpoints(&self.shared, service, &mut owned.queue);
         }
     }
 
@@ -84,9 +84,9 @@
     pub(super) fn turn(&mut self) {
         let now = self.shared.now();
         let mut ends = Vec::new();
-        for (service, counter) in &mut self.counters {
-            let sends = counter.queue.poll(now);
-            let waiting = counter.queue.waiting();
+        for (service, owned) in &mut self.queues {
+            let sends = owned.queue.poll(now);
+            let waiting = owned.queue.waiting();
             for send in sends {
                 start(
                     &self.shared,
@@ -97,7 +97,7 @@
                     waiting,
                 );
             }
-            for (entry, handles) in counter.queue.take_unneeded(now) {
+            for (entry, handles) in owned.queue.take_unneeded(now) {
                 let shared = Arc::clone(&self.shared);
                 let inbox = self.inbox.clone();
                 let service = service.clone();
@@ -112,12 +112,12 @@
                     let _closed = inbox.try_send(dropped);
                 });
             }
-            for end in counter.queue.take_ends() {
-                if let Some(origin) = counter.origins.remove(&end.job) {
+            for end in owned.queue.take_ends() {
+                if let Some(origin) = owned.origins.remove(&end.job) {
                     if let Origin::Peer { link, .. } = origin
                         && let Some(node) = self.callers.get(&link).and_then(|c| c.node)
                     {
-                        counter.note_delivered(now, node, &end);
+                        owned.note_delivered(now, node, &end);
                     }
                     ends.push((origin, end));
                 }
@@ -126,10 +126,10 @@
         for (origin, end) in ends {
             self.ended(origin, end);
         }
-        if now.since(self.looked) >= LOOK_BUSY {
-            self.looked = now;
+        if now.since(self.synced) >= SYNC_BUSY {
+            self.synced = now;
             self.clear_departed(now);
-            self.look_around(now);
+            self.sync_around(now);
         }
     }
 
@@ -155,7 +155,7 @@
                 if let Some(caller) = self.callers.get(&link) {
                     let _full = caller
                         .sender
-                        .send(Body::PieceJobEnd(books::end_frame(&done)));
+                        .send(Body::PieceJobEnd(convert::end_frame(&done)));
                 }
             }
         }
@@ -167,7 +167,7 @@
     inbox: &Sender<Message>,
     scope: &Scope,
     service: &PoolName,
-    send: Send,
+    send: PieceCall,
     waiting: usize,
 ) {
     log::info!(
@@ -205,22 +205,22 @@
     });
 }
 
-fn log_result(service: &PoolName, call: u64, endpoint: &str, took: Duration, result: &PieceResult) {
+fn log_result(service: &PoolName, call: u64, endpoint: &str, took: Duration, result: &CallResult) {
     let (made, full, other) = match result {
-        PieceResult::Answered(outcomes) => {
+        CallResult::Answered(outcomes) => {
             let count =
                 |wanted: fn(&Outcome) -> bool| outcomes.iter().filter(|o| wanted(o)).count();
             let made = count(|o| matches!(o, Outcome::Made(_)));
             let full = count(|o| matches!(o, Outcome::Full));
             (made, full, outcomes.len() - made - full)
         }
-        PieceResult::Refused | PieceResult::Misled | PieceResult::Broken => (0, 0, 0),
+        CallResult::Refused | CallResult::WrongEndpoint | CallResult::Broken => (0, 0, 0),
     };
     let name = match result {
-        PieceResult::Answered(_) => "answered",
-        PieceResult::Refused => "refused",
-        PieceResult::Misled => "misled",
-        PieceResult::Broken => "broken",
+        CallResult::Answered(_) => "answered",
+        CallResult::Refused => "refused",
+        CallResult::WrongEndpoint => "replaced",
+        CallResult::Broken => "broken",
     };
     let service = service.as_str();
     metrics::counter!("snipeyoke_piece_calls_total", "service" => service.to_owned(), "result" => name).increment(1);
@@ -241,7 +241,7 @@
 }
 
 /// Returns the requests of a call, each once.
-fn requests(send: &Send) -> String {
+fn requests(send: &PieceCall) -> String {
     let mut names: Vec<&str> = send.items.iter().map(|i| i.request.as_str()).collect();
     names.dedup();
     names.join(",")
--- a/gateway/src/desk/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -1,4 +1,4 @@
-//! The desk's task.
+//! The dispatcher's task.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -25,16 +25,16 @@
 use super::Done;
 use super::Failure;
 use super::JobNumber;
-use super::books;
+use super::convert;
 use super::links;
 use super::messages::LinkNumber;
 use super::messages::Message;
 use crate::shared::Shared;
 
 /// The time between two looks at a node that holds this node's jobs.
-pub(super) const LOOK_BUSY: Duration = Duration::from_millis(250);
+pub(super) const SYNC_BUSY: Duration = Duration::from_millis(250);
 
-/// The most messages that are taken before the queues are looked at.
+/// The most messages that are taken before the queues are synced at.
 const BURST: usize = 64;
 
 /// Where a job came from.
@@ -46,7 +46,7 @@
 
 /// The queue of a service whose pieces meet here.
 #[derive(Debug)]
-pub(super) struct Counter {
+pub(super) struct ServiceQueue {
     pub(super) queue: PieceQueue,
     pub(super) origins: BTreeMap<JobId, Origin>,
     /// Results that other nodes have not given back, by handle.
@@ -55,7 +55,7 @@
 
 /// A job of one of this node's requests.
 #[derive(Debug)]
-pub(super) struct Ticket {
+pub(super) struct PendingJob {
     pub(super) service: PoolName,
     pub(super) job: Job,
     pub(super) reply: Sender<Done>,
@@ -91,21 +91,21 @@
     pub(super) sender: Option<LinkSender>,
     /// When the first look was sent that no frame has followed.
     pub(super) asked: Option<Time>,
-    pub(super) looked: Time,
+    pub(super) synced: Time,
 }
 
-/// Runs the desk until the process ends.
+/// Runs the dispatcher until the process ends.
 pub(crate) async fn run(shared: Arc<Shared>, messages: Receiver<Message>, scope: Scope) {
     let mut state = State {
-        inbox: shared.desk.inbox.clone(),
+        inbox: shared.dispatcher.inbox.clone(),
         shared,
         scope,
-        counters: BTreeMap::new(),
-        tickets: BTreeMap::new(),
+        queues: BTreeMap::new(),
+        pending: BTreeMap::new(),
         peers: BTreeMap::new(),
         callers: BTreeMap::new(),
         departed: BTreeMap::new(),
-        looked: Time::ZERO,
+        synced: Time::ZERO,
         turn: 0,
     };
     loop {
@@ -133,21 +133,21 @@
     pub(super) shared: Arc<Shared>,
     pub(super) inbox: Sender<Message>,
     pub(super) scope: Scope,
-    pub(super) counters: BTreeMap<PoolName, Counter>,
-    pub(super) tickets: BTreeMap<JobNumber, Ticket>,
+    pub(super) queues: BTreeMap<PoolName, ServiceQueue>,
+    pub(super) pending: BTreeMap<JobNumber, PendingJob>,
     pub(super) peers: BTreeMap<SocketAddr, Peer>,
     pub(super) callers: BTreeMap<LinkNumber, Caller>,
     /// Nodes whose last link ended, and when.
     pub(super) departed: BTreeMap<SocketAddr, Time>,
-    pub(super) looked: Time,
+    pub(super) synced: Time,
     pub(super) turn: usize,
 }
 
 impl State {
     pub(super) fn wake(&self) -> Time {
         let now = self.shared.now();
-        let queues = self.counters.values().map(|c| c.queue.wake(now));
-        let look = self.looked + LOOK_BUSY;
+        let queues = self.queues.values().map(|c| c.queue.wake(now));
+        let look = self.synced + SYNC_BUSY;
         queues.fold(look, Time::min)
     }
 
@@ -168,8 +168,8 @@
                 call,
                 result,
             } => {
-                if let Some(counter) = self.counters.get_mut(&service) {
-                    counter.queue.ended(self.shared.now(), call, result);
+                if let Some(owned) = self.queues.get_mut(&service) {
+                    owned.queue.ended(self.shared.now(), call, result);
                 }
             }
             Message::Dropped {
@@ -177,8 +177,8 @@
                 endpoint,
                 handles,
             } => {
-                if let Some(counter) = self.counters.get_mut(&service) {
-                    counter.queue.dropped(&endpoint, &handles);
+                if let Some(owned) = self.queues.get_mut(&service) {
+                    owned.queue.dropped(&endpoint, &handles);
                 }
             }
             Message::Accepted { link, sender } => {
@@ -216,7 +216,7 @@
         } else {
             Place::At(owner)
         };
-        let ticket = Ticket {
+        let ticket = PendingJob {
             service,
             job,
             reply,
@@ -225,18 +225,18 @@
         if place == Place::At(owner) {
             self.send_job(owner, number, &ticket);
         }
-        self.tickets.insert(number, ticket);
+        self.pending.insert(number, ticket);
     }
 
-    pub(super) fn send_job(&mut self, owner: SocketAddr, number: JobNumber, ticket: &Ticket) {
+    pub(super) fn send_job(&mut self, owner: SocketAddr, number: JobNumber, ticket: &PendingJob) {
         let now = self.shared.now();
-        let frame = books::job_frame(now, number, ticket.service.as_str(), &ticket.job);
+        let frame = convert::job_frame(now, number, ticket.service.as_str(), &ticket.job);
         log::debug!(event = "pieces-handed-over", request = ticket.job.request.as_str(), stage = ticket.job.stage, owner = owner.to_string().as_str(); "");
         // Without a link yet, the job goes out once it is there.
         self.send(owner, Body::PieceJob(frame));
-        let looked = self.peers.get(&owner).map_or(now, |p| p.looked);
-        if now.since(looked) >= LOOK_BUSY {
-            self.look(owner);
+        let synced = self.peers.get(&owner).map_or(now, |p| p.synced);
+        if now.since(synced) >= SYNC_BUSY {
+            self.sync(owner);
         }
     }
 
@@ -259,7 +259,7 @@
         let begun = Peer {
             sender: None,
             asked: Some(now),
-            looked: now,
+            synced: now,
         };
         self.peers.insert(peer, begun);
         let dial = links::dial(peer, self.inbox.clone(), self.scope.clone());
@@ -275,28 +275,28 @@
         known.sender = Some(sender);
         known.asked = None;
         let waiting = self
-            .tickets
+            .pending
             .iter()
             .filter(|(_, t)| t.place == Place::At(peer));
         let frames: Vec<PieceJob> = waiting
-            .map(|(&n, t)| books::job_frame(now, n, t.service.as_str(), &t.job))
+            .map(|(&n, t)| convert::job_frame(now, n, t.service.as_str(), &t.job))
             .collect();
         for frame in frames {
             self.send(peer, Body::PieceJob(frame));
         }
-        self.look(peer);
+        self.sync(peer);
     }
 
     pub(super) fn cancel(&mut self, number: JobNumber) {
-        let Some(ticket) = self.tickets.remove(&number) else {
+        let Some(ticket) = self.pending.remove(&number) else {
             return;
         };
         let now = self.shared.now();
         match ticket.place {
             Place::Here(id) => {
-                if let Some(counter) = self.counters.get_mut(&ticket.service) {
-                    counter.origins.remove(&id);
-                    counter.queue.cancel(now, id);
+                if let Some(owned) = self.queues.get_mut(&ticket.service) {
+                    owned.origins.remove(&id);
+                    owned.queue.cancel(now, id);
                 }
             }
             Place::At(owner) => {
@@ -310,9 +310,9 @@
         let now = self.shared.now();
         let owner = self.shared.owners().owner(now, service);
         if owner == self.shared.settings.listen.peers {
-            if let Some(counter) = self.counters.get_mut(service) {
+            if let Some(owned) = self.queues.get_mut(service) {
                 for (endpoint, handle) in results {
-                    counter.queue.give_back(now, &endpoint, handle);
+                    owned.queue.give_back(now, &endpoint, handle);
                 }
             }
             return;
@@ -332,7 +332,7 @@
     }
 
     pub(super) fn done(&mut self, done: Done) {
-        if let Some(ticket) = self.tickets.remove(&done.number) {
+        if let Some(ticket) = self.pending.remove(&done.number) {
             let _gone = ticket.reply.try_send(done);
         }
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,8 +6,8 @@
 
 mod attempt;
 mod call;
-mod desk;
 pub mod dialect;
+mod dispatch;
 mod door;
 mod follow;
 mod node;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -19,9 +19,9 @@
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::threads::Execs;
 
-use crate::desk;
-use crate::desk::Desk;
 use crate::dialect::Dialect;
+use crate::dispatch;
+use crate::dispatch::Dispatcher;
 use crate::door::Door;
 use crate::follow;
 use crate::ready::Metrics;
@@ -103,10 +103,10 @@
         let ready_at = bind(listen.ready)?;
         let peers_at = bind(listen.peers)?;
         let metrics_at = listen.metrics.map(bind).transpose()?;
-        let (desk, messages) = Desk::new();
+        let (dispatcher, messages) = Dispatcher::new();
         let traffic = Arc::clone(&execs.traffic);
         let seeds = settings.seeds.clone();
-        let shared = Shared::new(settings, dialect, registry, traffic, desk);
+        let shared = Shared::new(settings, dialect, registry, traffic, dispatcher);
         let shared = Arc::new(shared);
         for seed in seeds {
             shared.owners().learn(shared.now(), seed);
@@ -164,7 +164,7 @@
     fn run_control(
         &self,
         peers: Async<TcpListener>,
-        messages: async_channel::Receiver<crate::desk::Message>,
+        messages: async_channel::Receiver<crate::dispatch::Message>,
     ) {
         let seed = rapidhash_v3(self.shared.settings.node.as_str().as_bytes());
         let shared = || Arc::clone(&self.shared);
@@ -173,9 +173,9 @@
         // several times a second, which on one thread needs no wake-up of
         // another, and can't keep the configuration waiting.
         let traffic = &self.stages;
-        traffic.spawn(desk::run(shared(), messages, traffic.clone()));
-        let desk = self.shared.desk.clone();
-        traffic.spawn(desk::accept(peers, desk, traffic.clone()));
+        traffic.spawn(dispatch::run(shared(), messages, traffic.clone()));
+        let dispatcher = self.shared.dispatcher.clone();
+        traffic.spawn(dispatch::accept(peers, dispatcher, traffic.clone()));
         scope.spawn(follow::follow(shared(), Topic::Config, seed));
         scope.spawn(follow::follow(shared(), Topic::Endpoints, seed ^ 1));
         scope.spawn(follow::meet(shared(), seed ^ 2));
@@ -197,7 +197,7 @@
         let began = self.shared.now();
         self.shared.aside.set();
         self.shared.owners().leave();
-        self.shared.desk.leaving();
+        self.shared.dispatcher.leaving();
         Timer::after(ASIDE).await;
         self.shared.drain.set();
         self.shared.end.set();
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -87,28 +87,10 @@
     } else {
         refusal
     };
-    ticket.end(refusal.status(), name(refusal));
+    ticket.end(refusal.status(), refusal.name());
     refusal.reply(ticket.draw())
 }
 
-const fn name(refusal: Refusal) -> &'static str {
-    match refusal {
-        Refusal::NoConfig => "no-config",
-        Refusal::Malformed => "malformed",
-        Refusal::NoRoute => "no-route",
-        Refusal::NoKey => "no-key",
-        Refusal::TooLarge => "too-large",
-        Refusal::BodyBroken => "body-broken",
-        Refusal::NoEndpoint => "no-endpoint",
-        Refusal::Full => "full",
-        Refusal::StagesLate => "stages-late",
-        Refusal::StageFailed => "stage-failed",
-        Refusal::TimeoutNotRun => "timeout-not-run",
-        Refusal::Timeout => "timeout",
-        Refusal::AnswerLost => "answer-lost",
-    }
-}
-
 /// The head of an endpoint's answer.
 pub(crate) type Head = (StatusCode, hyper::HeaderMap);
 
@@ -129,8 +111,8 @@
             Some(Ok(Some(bytes))) => kept.extend_from_slice(&bytes),
             Some(Ok(None)) => break,
             Some(Err(error)) => {
-                log::warn!(event = "answer-broken", request = ticket.ask.id.as_str(), endpoint = answered.busy.endpoint.to_string().as_str(), error = error.to_string().as_str(); "");
-                note_failure(ticket, &answered.busy.endpoint);
+                log::warn!(event = "answer-broken", request = ticket.ask.id.as_str(), endpoint = answered.flight.endpoint.to_string().as_str(), error = error.to_string().as_str(); "");
+                note_failure(ticket, &answered.flight.endpoint);
                 return Taken::Failed(None);
             }
         }
@@ -138,12 +120,12 @@
             return Taken::Long((status, headers), kept.freeze(), Box::new(answered));
         }
     }
-    ticket.story.first = Some(ticket.shared.now());
+    ticket.timeline.first = Some(ticket.shared.now());
     if status.is_success() && answered.answer.signed {
-        note_time(ticket, &answered.busy.endpoint, answered.sent);
+        note_time(ticket, &answered.flight.endpoint, answered.sent);
         return Taken::Whole((status, headers), kept.freeze());
     }
-    note_failure(ticket, &answered.busy.endpoint);
+    note_failure(ticket, &answered.flight.endpoint);
     let usable = !status.is_success() && !is_promise(status);
     Taken::Failed(usable.then(|| ((status, headers), kept.freeze())))
 }
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -17,49 +17,56 @@
 /// Why a request ends without an endpoint's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(derive_more::Display)]
+#[display("{}", self.name())]
 pub(crate) enum Refusal {
     /// No configuration is known yet.
-    #[display("no-config")]
     NoConfig,
     /// The head can't be read.
-    #[display("malformed")]
     Malformed,
     /// No route fits.
-    #[display("no-route")]
     NoRoute,
     /// The key is missing or unknown.
-    #[display("no-key")]
     NoKey,
     /// The body is larger than allowed.
-    #[display("too-large")]
     TooLarge,
     /// The body did not come whole.
-    #[display("body-broken")]
     BodyBroken,
     /// No endpoint takes work.
-    #[display("no-endpoint")]
     NoEndpoint,
     /// The endpoints are full.
-    #[display("full")]
     Full,
     /// The stages can't be done in time.
-    #[display("stages-late")]
     StagesLate,
     /// A stage failed.
-    #[display("stage-failed")]
     StageFailed,
     /// Time is over, and nothing was sent.
-    #[display("timeout-not-run")]
     TimeoutNotRun,
     /// Time is over, and the request may have run.
-    #[display("timeout")]
     Timeout,
     /// The endpoint's answer was lost or can't be used.
-    #[display("answer-lost")]
     AnswerLost,
 }
 
 impl Refusal {
+    /// Returns its name in logs and metrics.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::NoConfig => "no-config",
+            Self::Malformed => "malformed",
+            Self::NoRoute => "no-route",
+            Self::NoKey => "no-key",
+            Self::TooLarge => "too-large",
+            Self::BodyBroken => "body-broken",
+            Self::NoEndpoint => "no-endpoint",
+            Self::Full => "full",
+            Self::StagesLate => "stages-late",
+            Self::StageFailed => "stage-failed",
+            Self::TimeoutNotRun => "timeout-not-run",
+            Self::Timeout => "timeout",
+            Self::AnswerLost => "answer-lost",
+        }
+    }
+
     /// Returns the status that says what is known: 503 only if nothing ran.
     pub(crate) const fn status(self) -> StatusCode {
         match self {
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -21,8 +21,8 @@
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::threads::Exec;
 
-use crate::desk::Desk;
 use crate::dialect::Dialect;
+use crate::dispatch::Dispatcher;
 use crate::registry::Registry;
 use crate::registry::Topic;
 use crate::settings::Settings;
@@ -46,7 +46,7 @@
     pub(crate) dialect: Arc<dyn Dialect>,
     pub(crate) registry: Arc<dyn Registry>,
     pub(crate) traffic: Exec,
-    pub(crate) desk: Desk,
+    pub(crate) dispatcher: Dispatcher,
     /// The configuration in force; `None` until one is known.
     pub(crate) catalog: Fact<Option<Arc<Catalog>>>,
     /// Wakes those who wait for an endpoint.
@@ -79,7 +79,7 @@
         dialect: Arc<dyn Dialect>,
         registry: Arc<dyn Registry>,
         traffic: Exec,
-        desk: Desk,
+        dispatcher: Dispatcher,
     ) -> Self {
         Self {
             clock: Clock::start(),
@@ -97,7 +97,7 @@
             dialect,
             registry,
             traffic,
-            desk,
+            dispatcher,
         }
     }
 
@@ -184,7 +184,7 @@
         }
         if changed {
             self.changed.notify(usize::MAX);
-            self.desk.endpoints_changed();
+            self.dispatcher.endpoints_changed();
         }
     }
 
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -15,10 +15,10 @@
 use snipeyoke_lib::serving::pieces::PlanError;
 use snipeyoke_lib::time::Time;
 
-use crate::desk::Desk;
-use crate::desk::Done;
-use crate::desk::Failure;
-use crate::desk::JobNumber;
+use crate::dispatch::Dispatcher;
+use crate::dispatch::Done;
+use crate::dispatch::Failure;
+use crate::dispatch::JobNumber;
 use crate::refusal::Refusal;
 use crate::ticket::Ticket;
 
@@ -48,7 +48,7 @@
 /// nobody needs are given back.
 #[derive(Debug)]
 pub(crate) struct StageWork {
-    desk: Desk,
+    dispatcher: Dispatcher,
     plan: Plan,
     makers: BTreeMap<String, (PoolName, EndpointId)>,
     open: BTreeMap<JobNumber, (usize, Vec<u32>)>,
@@ -63,7 +63,7 @@
         }
         let plan = Plan::new(&ticket.route.stages, &ticket.ask.pieces)?;
         Ok(Some(Self {
-            desk: ticket.shared.desk.clone(),
+            dispatcher: ticket.shared.dispatcher.clone(),
             plan,
             makers: BTreeMap::new(),
             open: BTreeMap::new(),
@@ -92,8 +92,8 @@
             let unneeded = work.plan.unneeded();
             work.give_back_all(unneeded);
         }
-        if ticket.story.staged.is_none() {
-            ticket.story.staged = Some(ticket.shared.now());
+        if ticket.timeline.staged.is_none() {
+            ticket.timeline.staged = Some(ticket.shared.now());
         }
         let inputs = work.plan.inputs();
         ticket.domain = work.domain(ticket, &inputs);
@@ -128,7 +128,7 @@
             priority: ticket.urgency(),
         };
         let number = self
-            .desk
+            .dispatcher
             .submit(stage.service.clone(), job, self.ends.0.clone());
         self.open.insert(number, (order.stage, order.pieces));
     }
@@ -215,7 +215,7 @@
             }
         }
         for (service, results) in by_service {
-            self.desk.give_back(service, results);
+            self.dispatcher.give_back(service, results);
         }
     }
 
@@ -241,7 +241,7 @@
 impl Drop for StageWork {
     fn drop(&mut self) {
         for &number in self.open.keys() {
-            self.desk.cancel(number);
+            self.dispatcher.cancel(number);
         }
         self.give_back();
     }
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -110,7 +110,7 @@
     if status.is_success() && answered.answer.signed {
         return Ok(Box::new(answered));
     }
-    note_failure(ticket, &answered.busy.endpoint);
+    note_failure(ticket, &answered.flight.endpoint);
     if status.is_success() || is_promise(status) {
         return Err(None);
     }
@@ -169,12 +169,12 @@
 
     fn note_first(&mut self) {
         let now = self.ticket.shared.now();
-        if self.ticket.story.first.is_some() {
+        if self.ticket.timeline.first.is_some() {
             return;
         }
-        self.ticket.story.first = Some(now);
+        self.ticket.timeline.first = Some(now);
         if let Some(answered) = &self.answered {
-            note_time(&self.ticket, &answered.busy.endpoint, answered.sent);
+            note_time(&self.ticket, &answered.flight.endpoint, answered.sent);
         }
         // The endpoint read the stages' results before the prompt.
         if let Some(stages) = &mut self.stages {
@@ -185,9 +185,9 @@
     /// Goes on at another endpoint after the last event, inside the same answer.
     async fn go_on(&mut self, why: &str) -> bool {
         if let Some(answered) = self.answered.take() {
-            let endpoint = answered.busy.endpoint.to_string();
+            let endpoint = answered.flight.endpoint.to_string();
             log::warn!(event = "stream-broken", request = self.ticket.ask.id.as_str(), endpoint = endpoint.as_str(), events = self.events.count(), why; "");
-            note_failure(&self.ticket, &answered.busy.endpoint);
+            note_failure(&self.ticket, &answered.flight.endpoint);
         }
         self.events.drop_rest();
         if !may_go_on(&self.ticket) {
@@ -204,7 +204,7 @@
 
     fn finish(&mut self, outcome: &'static str) {
         self.answered = None;
-        self.ticket.story.events = self.events.count();
+        self.ticket.timeline.events = self.events.count();
         self.ticket.end(StatusCode::OK, outcome);
     }
 }
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -44,12 +44,12 @@
     pub(crate) tried: Vec<EndpointId>,
     /// Whether an endpoint may have run it.
     pub(crate) may_have_run: bool,
-    pub(crate) story: Story,
+    pub(crate) timeline: Timeline,
 }
 
 /// What the log tells of a request at its end.
 #[derive(Debug, Default)]
-pub(crate) struct Story {
+pub(crate) struct Timeline {
     /// When its stages were done.
     pub(crate) staged: Option<Time>,
     /// When its first event, or its answer, came.
@@ -85,7 +85,7 @@
             domain: None,
             tried: Vec::new(),
             may_have_run: false,
-            story: Story::default(),
+            timeline: Timeline::default(),
         })
     }
 
@@ -136,7 +136,7 @@
 
     /// Notes how the request ended, for the log.
     pub(crate) const fn end(&mut self, status: StatusCode, outcome: &'static str) {
-        self.story.ended = Some((status.as_u16(), outcome));
+        self.timeline.ended = Some((status.as_u16(), outcome));
     }
 }
 
@@ -148,7 +148,7 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         let now = self.shared.now();
-        let (status, outcome) = self.story.ended.unwrap_or((0, "caller-gone"));
+        let (status, outcome) = self.timeline.ended.unwrap_or((0, "caller-gone"));
         let took = now.since(self.began);
         metrics::counter!("snipeyoke_requests_total", "route" => self.route.name.clone(), "outcome" => outcome).increment(1);
         metrics::histogram!("snipeyoke_request_seconds", "outcome" => outcome).record(took);
@@ -162,9 +162,9 @@
             status,
             outcome,
             took_ms = took.as_millis() as u64,
-            staged_ms = since(self.story.staged),
-            first_ms = since(self.story.first),
-            events = self.story.events,
+            staged_ms = since(self.timeline.staged),
+            first_ms = since(self.timeline.first),
+            events = self.timeline.events,
             tries = self.tried.len(),
             endpoint = endpoint.as_deref().unwrap_or("-"),
             config = self.catalog.version();
--- a/lib/src/serving/directory.rs
+++ b/lib/src/serving/directory.rs
@@ -83,7 +83,7 @@
     others: u32,
     reported: Time,
     health: Health,
-    misled: bool,
+    replaced: bool,
 }
 
 impl Endpoint {
@@ -94,7 +94,7 @@
             others: 0,
             reported: Time::ZERO,
             health: Health::default(),
-            misled: false,
+            replaced: false,
         }
     }
 
@@ -113,7 +113,7 @@
     /// Tells whether it may get new calls.
     #[must_use]
     pub const fn is_open(&self) -> bool {
-        !self.entry.draining && !self.misled
+        !self.entry.draining && !self.replaced
     }
 
     /// Returns the calls that it is taken to have now.
@@ -302,9 +302,9 @@
     /// Notes that another endpoint answers at this one's address.
     ///
     /// It gets no more calls until it says something new of itself.
-    pub fn mislead(&mut self, id: &EndpointId) {
+    pub fn replaced(&mut self, id: &EndpointId) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
-            endpoint.misled = true;
+            endpoint.replaced = true;
         }
     }
 }
--- a/lib/src/serving/pieces/fill.rs
+++ b/lib/src/serving/pieces/fill.rs
@@ -9,8 +9,8 @@
 use super::queue::JobId;
 use super::queue::OVERDUE;
 use super::queue::OVERDUE_MORE;
+use super::queue::PieceCall;
 use super::queue::PieceQueue;
-use super::queue::Send;
 use crate::ids::EndpointId;
 use crate::time::Time;
 use crate::units::Bytes;
@@ -39,7 +39,7 @@
 const LEAD: Duration = Duration::from_millis(50);
 
 impl PieceQueue {
-    pub(super) fn next_send(&mut self, now: Time) -> Option<Send> {
+    pub(super) fn next_send(&mut self, now: Time) -> Option<PieceCall> {
         if !self.makers.keys().any(|id| self.is_idle(now, id)) {
             return None;
         }
@@ -176,7 +176,7 @@
         maker: &EndpointId,
         first: JobId,
         order: &[(bool, JobId)],
-    ) -> Send {
+    ) -> PieceCall {
         let share = self.share(now);
         let mut items = Vec::new();
         let mut each = Vec::new();
@@ -281,7 +281,7 @@
         items: Vec<Item>,
         each: Vec<Bytes>,
         booked: Bytes,
-    ) -> Send {
+    ) -> PieceCall {
         let expected = self.expected(items.len());
         let Some(maker) = self.makers.get_mut(maker) else {
             unreachable!("the endpoint was just chosen");
@@ -307,7 +307,7 @@
         };
         self.calls.insert(call, sent);
         let longest = items.iter().map(|i| i.left).max().unwrap_or_default();
-        Send {
+        PieceCall {
             call,
             entry: maker.entry.clone(),
             items,
--- a/lib/src/serving/pieces/queue.rs
+++ b/lib/src/serving/pieces/queue.rs
@@ -27,7 +27,7 @@
 pub(super) const OVERDUE_MORE: Duration = Duration::from_millis(60);
 
 /// The most times that the pieces of one job are given out again.
-const AGAIN_MAX: u32 = 4;
+pub(super) const AGAIN_MAX: u32 = 4;
 
 /// How long a result that nobody needs may wait to be given back with others.
 ///
@@ -42,7 +42,7 @@
 ///
 /// It answers so at once, so that asking again costs it and us more than the
 /// wait for the next result to be read does.
-const FULL_PAUSE: Duration = Duration::from_millis(120);
+pub(super) const FULL_PAUSE: Duration = Duration::from_millis(120);
 
 /// The part of a late job's time within which all that waits must be done.
 ///
@@ -101,7 +101,7 @@
 
 /// A call that is to be made.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Send {
+pub struct PieceCall {
     /// The number of the call in this queue.
     pub call: u64,
     /// The endpoint.
@@ -131,13 +131,13 @@
 
 /// What became of a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Result {
+pub enum CallResult {
     /// The endpoint answered, piece by piece.
     Answered(Vec<Outcome>),
     /// The endpoint did not take the call.
     Refused,
     /// Another endpoint has this one's address; nothing ran.
-    Misled,
+    WrongEndpoint,
     /// The connection failed or was silent.
     Broken,
 }
@@ -177,7 +177,7 @@
         pieces.any(|p| p.running > 0 && p.made.is_none())
     }
 
-    fn is_done(&self) -> bool {
+    pub(super) fn is_done(&self) -> bool {
         self.pieces.values().all(|p| p.made.is_some())
     }
 }
@@ -362,7 +362,7 @@
     }
 
     /// Returns the calls to make now.
-    pub fn poll(&mut self, now: Time) -> Vec<Send> {
+    pub fn poll(&mut self, now: Time) -> Vec<PieceCall> {
         self.give_out_overdue(now);
         self.end_hopeless(now);
         for maker in self.makers.values_mut() {
@@ -378,137 +378,23 @@
     }
 
     /// Takes in what became of a call.
-    pub fn ended(&mut self, now: Time, call: u64, result: Result) {
+    pub fn ended(&mut self, now: Time, call: u64, result: CallResult) {
         let Some(call) = self.calls.remove(&call) else {
             return;
         };
         self.note_maker(now, &call, &result);
         match result {
-            Result::Answered(outcomes) if outcomes.len() == call.items.len() => {
+            CallResult::Answered(outcomes) if outcomes.len() == call.items.len() => {
                 let items = call.items.iter().zip(&call.each).zip(outcomes);
                 for ((&(job, piece), &each), outcome) in items {
                     self.piece_ended(now, &call, (job, piece), each, outcome);
                 }
             }
-            Result::Answered(_) | Result::Broken => self.again(&call, true),
-            Result::Refused | Result::Misled => self.again(&call, false),
+            CallResult::Answered(_) | CallResult::Broken => self.again(&call, true),
+            CallResult::Refused | CallResult::WrongEndpoint => self.again(&call, false),
         }
     }
 
-    fn note_maker(&mut self, now: Time, call: &Call, result: &Result) {
-        let Some(maker) = self.makers.get_mut(&call.endpoint) else {
-            return;
-        };
-        if !call.given_up {
-            maker.calls = maker.calls.saturating_sub(1);
-            maker.room.unbook(call.booked);
-        }
-        if maker.calls == 0 {
-            maker.free_at = now;
-        }
-        let ratio = now.since(call.began).as_secs_f32() / call.expected.as_secs_f32();
-        match result {
-            Result::Answered(outcomes) => {
-                maker.health.answered(now, ratio);
-                if outcomes.contains(&Outcome::Failed) {
-                    maker.health.failed(now);
-                }
-                let made = outcomes.iter().filter(|o| matches!(o, Outcome::Made(_)));
-                let all_made = made.clone().count() == outcomes.len();
-                if outcomes.contains(&Outcome::Full) {
-                    maker.full = now + FULL_PAUSE;
-                    maker.most = made.count().max(1);
-                } else if all_made {
-                    maker.most = maker.most.saturating_mul(2);
-                }
-            }
-            // Someone else's calls fill it; it is not sick.
-            Result::Refused => maker.full = now + FULL_PAUSE,
-            Result::Misled => maker.present = false,
-            Result::Broken => maker.health.broke(now),
-        }
-    }
-
-    fn piece_ended(
-        &mut self,
-        now: Time,
-        call: &Call,
-        (id, piece): (JobId, u32),
-        each: Bytes,
-        outcome: Outcome,
-    ) {
-        if let Outcome::Made(handle) = &outcome
-            && let Some(maker) = self.makers.get_mut(&call.endpoint)
-        {
-            maker.room.hold(now, handle.clone(), each, self.limits.keep);
-        }
-        let Some(held) = self.jobs.get_mut(&id) else {
-            if let Outcome::Made(handle) = outcome {
-                self.give_back(now, &call.endpoint, handle);
-            }
-            return;
-        };
-        let Some(state) = held.pieces.get_mut(&piece) else {
-            return;
-        };
-        state.running = state.running.saturating_sub(1);
-        match outcome {
-            Outcome::Made(handle) if state.made.is_some() => {
-                self.give_back(now, &call.endpoint, handle);
-            }
-            Outcome::Made(handle) => {
-                state.made = Some((handle, call.endpoint.clone()));
-                state.waiting = false;
-                if held.is_done() {
-                    self.end(id, None);
-                }
-            }
-            _ if state.made.is_some() || state.running > 0 => {}
-            Outcome::Full | Outcome::Failed if held.again < AGAIN_MAX => {
-                held.again += 1;
-                state.waiting = true;
-            }
-            failure => self.end(id, Some(failure)),
-        }
-    }
-
-    /// Gives the pieces of a call that did not answer to another endpoint.
-    fn again(&mut self, call: &Call, counted: bool) {
-        let mut exhausted = Vec::new();
-        for &(id, piece) in &call.items {
-            let Some(held) = self.jobs.get_mut(&id) else {
-                continue;
-            };
-            let Some(state) = held.pieces.get_mut(&piece) else {
-                continue;
-            };
-            state.running = state.running.saturating_sub(1);
-            if state.made.is_none() && state.running == 0 && !state.waiting {
-                state.waiting = true;
-                held.again += u32::from(counted);
-            }
-            if held.again > AGAIN_MAX * held.pieces.len() as u32 {
-                exhausted.push(id);
-            }
-        }
-        for id in exhausted {
-            self.end(id, Some(Outcome::Failed));
-        }
-    }
-
-    fn end(&mut self, id: JobId, failure: Option<Outcome>) {
-        let Some(held) = self.jobs.remove(&id) else {
-            return;
-        };
-        let made = held.pieces.into_iter();
-        let made = made.filter_map(|(p, s)| s.made.map(|(handle, e)| (p, handle, e)));
-        self.ends.push(JobEnd {
-            job: id,
-            made: made.collect(),
-            failure,
-        });
-    }
-
     // A stopped endpoint keeps its connection open and never answers. Waiting
     // for it loses the request although others could do the piece in time; the
     // first result is taken, a second one is given back.
--- a/lib/tests/test_pieces.rs
+++ b/lib/tests/test_pieces.rs
@@ -4,13 +4,13 @@
 
 use snipeyoke_lib::serving::catalog::PieceLimits;
 use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::pieces::CallResult;
 use snipeyoke_lib::serving::pieces::Job;
 use snipeyoke_lib::serving::pieces::JobEnd;
 use snipeyoke_lib::serving::pieces::JobId;
 use snipeyoke_lib::serving::pieces::Outcome;
+use snipeyoke_lib::serving::pieces::PieceCall;
 use snipeyoke_lib::serving::pieces::PieceQueue;
-use snipeyoke_lib::serving::pieces::PieceResult;
-use snipeyoke_lib::serving::pieces::Send;
 use snipeyoke_lib::serving::pieces::Work;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Bytes;
@@ -72,17 +72,17 @@
     }
 }
 
-fn made(send: &Send) -> PieceResult {
+fn made(send: &PieceCall) -> CallResult {
     let handle = |i: &snipeyoke_lib::serving::pieces::Item| {
         Outcome::Made(format!(
             "{}/{}.{}.{}",
             send.entry.id, i.request, i.stage, i.piece
         ))
     };
-    PieceResult::Answered(send.items.iter().map(handle).collect())
+    CallResult::Answered(send.items.iter().map(handle).collect())
 }
 
-fn requests(send: &Send) -> Vec<&str> {
+fn requests(send: &PieceCall) -> Vec<&str> {
     send.items.iter().map(|i| i.request.as_str()).collect()
 }
 
@@ -289,7 +289,7 @@
     let mut now = 0;
     for _ in 0..12 {
         let sends = queue.poll(at(now));
-        queue.ended(at(now + 2), sends[0].call, PieceResult::Refused);
+        queue.ended(at(now + 2), sends[0].call, CallResult::Refused);
         now += 200;
     }
     let sends = queue.poll(at(now));
--- a/wire/tests/frames.rs
+++ b/wire/tests/frames.rs
@@ -16,8 +16,13 @@
 use snipeyoke_wire::FrameCodec;
 use snipeyoke_wire::Heartbeat;
 use snipeyoke_wire::Hello;
+use snipeyoke_wire::KeyedRecord;
 use snipeyoke_wire::Load;
+use snipeyoke_wire::PieceJob;
+use snipeyoke_wire::PieceJobEnd;
+use snipeyoke_wire::PieceResult;
 use snipeyoke_wire::Reply;
+use snipeyoke_wire::SyncReply;
 use snipeyoke_wire::frame::Body;
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
@@ -62,6 +67,28 @@
             reason: "overload".to_owned(),
             ..Reply::default()
         }),
+        Body::PieceJob(PieceJob {
+            job: 5,
+            service: "prep".to_owned(),
+            pieces: vec![0, 1, 7],
+            inputs: vec!["10.1.64.9:8080/5c1e".to_owned()],
+            ..PieceJob::default()
+        }),
+        Body::PieceJobEnd(PieceJobEnd {
+            job: 5,
+            made: vec![PieceResult::default()],
+            failure: "late".to_owned(),
+        }),
+        Body::SyncReply(SyncReply {
+            leaving: true,
+            nodes: vec!["10.1.0.41:8628".to_owned()],
+            config: vec![KeyedRecord {
+                key: "config".to_owned(),
+                value: Some(b"{}".to_vec().into()),
+                offset: 4,
+            }],
+            ..SyncReply::default()
+        }),
         Body::ConfigOffer(ConfigOffer {
             next: 9,
             records: vec![b"{}".to_vec().into()],
