pieces: wait longer for an endpoint near the results' reader

Cause: 20 ms a megabyte sent work to another failure domain in bursts that the near endpoint would have done in time; its results crossed, and the far endpoints then were busy for their own.

--- a/lib/src/serving/pieces/fill.rs
+++ b/lib/src/serving/pieces/fill.rs
@@ -17,8 +17,8 @@
 
 /// What a result's way to another failure domain is worth, for each megabyte.
 ///
-/// Results of a few megabytes are worth the wait for about one call.
-const AFAR_MB: Duration = Duration::from_millis(20);
+/// Results of a few megabytes are worth the wait for one or two calls.
+const AFAR_MB: Duration = Duration::from_millis(40);
 
 /// The part of an endpoint's memory that is planned for.
 ///
