gateway: one place for the tries of a request

Plain requests and streams had the same loop over tries twice, with two names for the same question. gateway/src/retry.rs has it once.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod ready;
 mod refusal;
 pub mod registry;
+mod retry;
 pub mod settings;
 mod shared;
 mod stages;
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -11,12 +11,13 @@
 use snipeyoke_runtime::http::full;
 
 use crate::attempt::Answered;
-use crate::attempt::Tried;
-use crate::attempt::attempt;
 use crate::attempt::is_promise;
 use crate::attempt::note_failure;
 use crate::attempt::note_time;
 use crate::refusal::Refusal;
+use crate::retry::Step;
+use crate::retry::may_repeat;
+use crate::retry::step;
 use crate::stages::StageWork;
 use crate::ticket::Ticket;
 
@@ -29,54 +30,24 @@
 /// Drives a request to its one answer.
 pub(crate) async fn plain(mut ticket: Ticket, mut stages: Option<StageWork>) -> Reply {
     loop {
-        let inputs = match StageWork::inputs(stages.as_mut(), &mut ticket).await {
-            Ok(inputs) => inputs,
-            Err(refusal) => return refuse(ticket, refusal),
+        let answered = match step(&mut ticket, &mut stages, None).await {
+            Step::Answered(answered) => answered,
+            Step::Again => continue,
+            Step::Refused(refusal) => return refuse(ticket, refusal),
         };
-        let refusal = match attempt(&mut ticket, &inputs, None).await {
-            Tried::Answered(answered) => match take(&mut ticket, *answered).await {
-                Taken::Long(head, first, rest) => return pass_long(ticket, head, first, rest),
-                Taken::Failed(failed) if may_repeat(&ticket) => {
-                    log_again(&ticket, "endpoint-failed");
-                    drop(failed);
-                    continue;
-                }
-                Taken::Whole(head, bytes) | Taken::Failed(Some((head, bytes))) => {
-                    return pass_on(ticket, head, full(bytes));
-                }
-                Taken::Failed(None) => Refusal::AnswerLost,
-                Taken::Timeout => ticket.timeout(),
-            },
-            Tried::InputsGone => match stages.as_mut().map(StageWork::results_gone) {
-                Some(Ok(())) => continue,
-                _ => Refusal::StageFailed,
-            },
-            Tried::NotRun(refusal) => {
-                if ticket.may_try_again() {
-                    continue;
-                }
-                refusal
-            }
-            Tried::Unknown(refusal) => {
-                if may_repeat(&ticket) {
-                    log_again(&ticket, "answer-lost");
-                    continue;
-                }
-                refusal
+        let refusal = match take(&mut ticket, *answered).await {
+            Taken::Long(head, first, rest) => return pass_long(ticket, head, first, rest),
+            Taken::Failed(_) if may_repeat(&ticket, "endpoint-failed") => continue,
+            Taken::Whole(head, bytes) | Taken::Failed(Some((head, bytes))) => {
+                return pass_on(ticket, head, full(bytes));
             }
+            Taken::Failed(None) => Refusal::AnswerLost,
+            Taken::Timeout => ticket.timeout(),
         };
         return refuse(ticket, refusal);
     }
 }
 
-fn may_repeat(ticket: &Ticket) -> bool {
-    ticket.route.kind.may_repeat() && ticket.may_try_again()
-}
-
-pub(crate) fn log_again(ticket: &Ticket, why: &str) {
-    log::info!(event = "retry", request = ticket.ask.id.as_str(), why, tries = ticket.tried.len(), left_ms = ticket.left().as_millis() as u64; "");
-}
-
 /// Answers with a refusal that is true for what happened so far.
 pub(crate) fn refuse(mut ticket: Ticket, refusal: Refusal) -> Reply {
     let promises = refusal.status() == StatusCode::SERVICE_UNAVAILABLE;
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -10,17 +10,17 @@
 use snipeyoke_runtime::http::full;
 
 use crate::attempt::Answered;
-use crate::attempt::Tried;
-use crate::attempt::attempt;
 use crate::attempt::is_promise;
 use crate::attempt::note_failure;
 use crate::attempt::note_time;
 use crate::plain::Head;
-use crate::plain::log_again;
 use crate::plain::pass_on;
 use crate::plain::refuse;
 use crate::plain::reply;
 use crate::refusal::Refusal;
+use crate::retry::Step;
+use crate::retry::may_repeat;
+use crate::retry::step;
 use crate::stages::StageWork;
 use crate::ticket::Ticket;
 
@@ -57,50 +57,20 @@
 /// Tries endpoints until one begins, or goes on with, the stream.
 async fn begin(ticket: &mut Ticket, stages: &mut Option<StageWork>, events: &Events) -> Begun {
     loop {
-        let inputs = match StageWork::inputs(stages.as_mut(), ticket).await {
-            Ok(inputs) => inputs,
-            Err(refusal) => return Begun::Refused(refusal),
+        let answered = match step(ticket, stages, events.last()).await {
+            Step::Answered(answered) => answered,
+            Step::Again => continue,
+            Step::Refused(refusal) => return Begun::Refused(refusal),
         };
-        let refusal = match attempt(ticket, &inputs, events.last()).await {
-            Tried::Answered(answered) => match opened(ticket, *answered).await {
-                Ok(answered) => return Begun::Stream(answered),
-                Err(failure) => {
-                    if may_go_on(ticket) {
-                        log_again(ticket, "endpoint-failed");
-                        continue;
-                    }
-                    match failure {
-                        Some((head, bytes)) => return Begun::Failure(head, bytes),
-                        None => Refusal::AnswerLost,
-                    }
-                }
-            },
-            Tried::InputsGone => match stages.as_mut().map(StageWork::results_gone) {
-                Some(Ok(())) => continue,
-                _ => Refusal::StageFailed,
-            },
-            Tried::NotRun(refusal) => {
-                if ticket.may_try_again() {
-                    continue;
-                }
-                refusal
-            }
-            Tried::Unknown(refusal) => {
-                if may_go_on(ticket) {
-                    log_again(ticket, "answer-lost");
-                    continue;
-                }
-                refusal
-            }
-        };
-        return Begun::Refused(refusal);
+        match opened(ticket, *answered).await {
+            Ok(answered) => return Begun::Stream(answered),
+            Err(_) if may_repeat(ticket, "endpoint-failed") => {}
+            Err(Some((head, bytes))) => return Begun::Failure(head, bytes),
+            Err(None) => return Begun::Refused(Refusal::AnswerLost),
+        }
     }
 }
 
-fn may_go_on(ticket: &Ticket) -> bool {
-    ticket.route.kind.may_repeat() && ticket.may_try_again()
-}
-
 /// Takes an answer as a stream, or returns the failure that it is.
 async fn opened(
     ticket: &Ticket,
@@ -190,7 +160,7 @@
             note_failure(&self.ticket, &answered.flight.endpoint);
         }
         self.events.drop_rest();
-        if !may_go_on(&self.ticket) {
+        if !may_repeat(&self.ticket, "stream-broken") {
             return false;
         }
         match begin(&mut self.ticket, &mut self.stages, &self.events).await {
