--- /dev/null
+++ b/lib/tests/test_directory.rs
@@ -0,0 +1,123 @@
+//! The choice of an endpoint.
+
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::serving::directory::Directory;
+use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::directory::Wanted;
+use snipeyoke_lib::time::Time;
+
+const NOW: Time = Time::from_millis(1_000);
+
+fn entry(name: &str, domain: &str) -> Entry {
+    Entry {
+        id: name.parse().expect("a name"),
+        born: Some(1),
+        service: "llm".parse().expect("a name"),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: domain.parse().expect("a name"),
+        slots: 64,
+        draining: false,
+    }
+}
+
+fn directory() -> Directory {
+    let mut directory = Directory::default();
+    for n in 0..9 {
+        directory.set(entry(&format!("m{n}"), &format!("d{}", n % 3)));
+    }
+    directory
+}
+
+fn choose(directory: &Directory, prefix: Option<u64>) -> EndpointId {
+    let service = "llm".parse().expect("a name");
+    let domain = "d1".parse().expect("a name");
+    let wanted = Wanted {
+        service: &service,
+        avoid: &[],
+        domain: Some(&domain),
+        strict: false,
+        prefix,
+    };
+    directory
+        .choose(NOW, wanted)
+        .expect("nine are there")
+        .entry
+        .id
+}
+
+#[test]
+fn a_prefix_keeps_to_its_endpoint_while_nothing_is_wrong() {
+    // Every node ranks alike, so a shared prefix is read once and not nine times.
+    let mut directory = directory();
+    let home = choose(&directory, Some(7));
+    for _ in 0..3 {
+        directory.began(&home);
+        assert_eq!(choose(&directory, Some(7)), home);
+    }
+}
+
+#[test]
+fn a_hot_prefix_spills_to_its_next_endpoint_only() {
+    // One key gets much of the traffic. What its endpoint can't take goes to
+    // the next of its rank, not to all: each would read the prefix again.
+    let mut directory = directory();
+    let mut used = Vec::new();
+    for _ in 0..16 {
+        let id = choose(&directory, Some(7));
+        directory.began(&id);
+        if !used.contains(&id) {
+            used.push(id);
+        }
+    }
+    assert_eq!(used.len(), 2);
+}
+
+#[test]
+fn plain_calls_spread_by_load_and_stay_near() {
+    let mut directory = directory();
+    let first = choose(&directory, None);
+    assert_eq!(
+        directory.get(&first).map(|e| e.entry().domain.as_str()),
+        Some("d1")
+    );
+    for _ in 0..2 {
+        directory.began(&first);
+    }
+    assert_ne!(choose(&directory, None), first);
+}
+
+#[test]
+fn a_reborn_endpoint_is_a_new_one() {
+    // It crashed under load and is back under its name: neither its calls nor
+    // its failures of before count.
+    let mut directory = directory();
+    let id: EndpointId = "m0".parse().expect("a name");
+    directory.began(&id);
+    if let Some(health) = directory.health_mut(&id) {
+        health.broke(NOW);
+    }
+    let mut again = entry("m0", "d0");
+    assert!(!directory.set(again.clone()), "the same life");
+    again.born = Some(2);
+    assert!(directory.set(again));
+    let endpoint = directory.get(&id).expect("it is there");
+    assert!(!endpoint.health().is_paused(NOW));
+    assert!(endpoint.calls(NOW) < 0.5);
+}
+
+#[test]
+fn failing_and_paused_endpoints_are_left_while_others_are_well() {
+    let mut directory = directory();
+    let home = choose(&directory, Some(7));
+    if let Some(health) = directory.health_mut(&home) {
+        health.broke(NOW);
+    }
+    assert_ne!(choose(&directory, Some(7)), home);
+    for n in 0..9 {
+        let id = format!("m{n}").parse().expect("a name");
+        if let Some(health) = directory.health_mut(&id) {
+            health.broke(NOW);
+        }
+    }
+    choose(&directory, Some(7));
+}
--- /dev/null
+++ b/lib/tests/test_serving.rs
@@ -0,0 +1,149 @@
+//! Replicas, budgets, health and event streams of the serving parts.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::budget::BudgetLimits;
+use snipeyoke_lib::serving::budget::SharedBudget;
+use snipeyoke_lib::serving::events::Events;
+use snipeyoke_lib::serving::health::Health;
+use snipeyoke_lib::serving::replica::Record;
+use snipeyoke_lib::serving::replica::Replica;
+use snipeyoke_lib::time::Time;
+
+fn record(key: &str, value: Option<&[u8]>, offset: u64) -> Record {
+    Record {
+        key: key.to_owned(),
+        value: value.map(Arc::from),
+        offset: Offset(offset),
+    }
+}
+
+#[test]
+fn an_older_record_changes_nothing_whoever_brings_it() {
+    // A neighbour that was cut off tells of a key that was revoked since.
+    let mut replica = Replica::default();
+    replica.extend(vec![record("k", None, 7)], Offset(8));
+    let news = replica.extend(vec![record("k", Some(b"old"), 3)], Offset(4));
+    assert!(news.is_empty());
+    assert_eq!(replica.get("k").and_then(|r| r.value.clone()), None);
+    assert_eq!(replica.next(), Offset(8));
+}
+
+#[test]
+fn a_list_drops_what_it_lacks_but_not_what_is_newer() {
+    // History is gone, and with it the record that dropped a key. The list of
+    // all keys lacks it. A key that was written after the list stays.
+    let mut replica = Replica::default();
+    let held = vec![
+        record("gone", Some(b"1"), 2),
+        record("newer", Some(b"2"), 9),
+    ];
+    replica.extend(held, Offset(10));
+    let listed = vec![record("kept", Some(b"3"), 4)];
+    let news = replica.replace(listed, Offset(6));
+    let keys: Vec<&str> = news.iter().map(|r| r.key.as_str()).collect();
+    assert_eq!(keys, ["gone", "kept"]);
+    assert!(replica.get("newer").is_some_and(|r| r.value.is_some()));
+    assert_eq!(
+        replica.since(Offset(5)).len(),
+        2,
+        "the drop passes on to neighbours"
+    );
+}
+
+#[test]
+fn the_sum_over_all_nodes_keeps_the_bound() {
+    // Six nodes get ten requests each in a window and would repeat all of them.
+    // Together they may repeat a fifth of the requests and 58 more.
+    let limits = BudgetLimits {
+        ratio: 0.2,
+        window: Duration::from_secs(10),
+        extra: 58.0,
+    };
+    let service: PoolName = "desk".parse().expect("a name");
+    let mut taken = 0;
+    for _ in 0..6 {
+        let mut budget = SharedBudget::new(limits);
+        budget.share(6);
+        for n in 0..10 {
+            let now = Time::from_millis(1_000 + n);
+            budget.earn(now, &service);
+            taken += (0..5).filter(|_| budget.take(now, &service)).count();
+        }
+    }
+    assert!(taken <= 12 + 58, "{taken} repeats");
+    assert!(taken > 30, "most of it can be spent: {taken}");
+}
+
+#[test]
+fn broken_connections_are_avoided_longer_and_longer() {
+    let mut health = Health::default();
+    health.broke(Time::from_millis(1_000));
+    assert!(health.is_paused(Time::from_millis(1_300)));
+    assert!(!health.is_paused(Time::from_millis(1_500)));
+    health.broke(Time::from_millis(1_500));
+    assert!(health.is_paused(Time::from_millis(2_200)));
+    health.answered(Time::from_millis(2_300), 1.0);
+    assert!(!health.is_paused(Time::from_millis(2_300)));
+}
+
+#[test]
+fn slowness_is_forgotten_when_nothing_new_is_heard() {
+    // An endpoint that is avoided gets no answers that could clear it.
+    let mut health = Health::default();
+    for n in 0..10 {
+        health.answered(Time::from_millis(n), 6.0);
+    }
+    assert!(health.slowness(Time::from_millis(10)) > 4.0);
+    assert!(health.slowness(Time::from_millis(20_000)) < 1.3);
+}
+
+#[test]
+fn events_pass_whole_once_and_in_order_however_they_are_cut() {
+    // An endpoint's bytes come in any pieces, and a second run begins again
+    // before the last event. The caller sees each event once and whole.
+    let stream = |from: u64| -> Vec<u8> {
+        let events = (from..=20).map(|n| format!("id: {n}\ndata: piece {n}\n\n"));
+        events.collect::<String>().into_bytes()
+    };
+    let config = Config {
+        cases: 2_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let cuts = (vec(1..40_usize, 1..30), 1..20_u64, any::<usize>());
+    let outcome = TestRunner::new_with_rng(config, rng).run(&cuts, |(cuts, again, stop)| {
+        let first = stream(1);
+        let first = &first[..stop % (first.len() + 1)];
+        let mut events = Events::after(None);
+        let mut out = Vec::new();
+        for bytes in [first.to_vec(), stream(again)] {
+            // The second run goes on at or before what was passed on.
+            if bytes != first && events.last().is_none_or(|last| again > last + 1) {
+                return Ok(());
+            }
+            events.drop_rest();
+            let mut rest = bytes.as_slice();
+            let mut sizes = cuts.iter().cycle();
+            while !rest.is_empty() {
+                let size = sizes.next().copied().unwrap_or(1).min(rest.len());
+                out.extend(events.push(&rest[..size]).expect("short events"));
+                rest = &rest[size..];
+            }
+        }
+        assert_eq!(out, stream(1));
+        assert_eq!(events.count(), 20);
+        Ok(())
+    });
+    outcome.expect("each event passes once");
+}
