owners: strong hosts own services while one of them lives

Change: a setting says the processor, nodes tell it to each other and in their record, and only nodes with at least half of the strongest one's power own a service. A wire field is replaced: nodes of the release before learn of others from the store only.

Test: strong_hosts_own_services_while_one_of_them_lives, written with it.

--- a/gateway/src/dispatch/asked.rs
+++ b/gateway/src/dispatch/asked.rs
@@ -7,6 +7,7 @@
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::pieces::JobId;
 use snipeyoke_lib::time::Time;
+use snipeyoke_wire::KnownNode;
 use snipeyoke_wire::PieceJob;
 use snipeyoke_wire::PieceUnneeded;
 use snipeyoke_wire::SyncReply;
@@ -18,6 +19,7 @@
 use super::JobNumber;
 use super::convert;
 use super::messages::LinkNumber;
+use super::neighbours::learn;
 use super::run::Delivered;
 use super::run::Origin;
 use super::run::State;
@@ -126,7 +128,11 @@
     pub(super) fn asked_sync(&mut self, link: LinkNumber, look: &SyncRequest) {
         let now = self.shared.now();
         if let Ok(address) = look.address.parse() {
-            self.shared.owners().learn(now, address);
+            let known = KnownNode {
+                address: look.address.clone(),
+                power: look.power,
+            };
+            learn(&mut self.shared.owners(), now, &known);
             self.departed.remove(&address);
             if let Some(caller) = self.callers.get_mut(&link) {
                 caller.node = Some(address);
@@ -139,15 +145,19 @@
     }
 
     pub(super) fn seen(&self, look: Option<&SyncRequest>) -> SyncReply {
-        let nodes = self
-            .shared
-            .owners()
-            .live(self.shared.now())
-            .map(|a| a.to_string())
-            .collect();
+        let settings = &self.shared.settings;
+        let own = (settings.listen.peers, Some(settings.power));
+        let owners = self.shared.owners();
+        let live = owners.live(self.shared.now()).chain([own]);
+        let known = live.map(|(address, power)| KnownNode {
+            address: address.to_string(),
+            power: power.map_or(0, |p| p.0),
+        });
+        let known = known.collect();
+        drop(owners);
         let mut seen = SyncReply {
             leaving: self.shared.aside.is_set(),
-            nodes,
+            known,
             ..SyncReply::default()
         };
         let Some(look) = look else {
--- a/gateway/src/dispatch/neighbours.rs
+++ b/gateway/src/dispatch/neighbours.rs
@@ -4,7 +4,10 @@
 use std::time::Duration;
 
 use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::serving::owners::Owners;
 use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::MilliCores;
+use snipeyoke_wire::KnownNode;
 use snipeyoke_wire::SyncReply;
 use snipeyoke_wire::SyncRequest;
 use snipeyoke_wire::frame::Body;
@@ -54,8 +57,8 @@
         let now = self.shared.now();
         let mut owners = self.shared.owners();
         owners.leaves(peer, seen.leaving);
-        for node in seen.nodes.iter().filter_map(|n| n.parse().ok()) {
-            owners.learn(now, node);
+        for known in &seen.known {
+            learn(&mut owners, now, known);
         }
         let count = owners.count();
         drop(owners);
@@ -92,7 +95,9 @@
         for &peer in &busy {
             self.sync(peer);
         }
-        let live: Vec<SocketAddr> = self.shared.owners().live(now).collect();
+        let owners = self.shared.owners();
+        let live: Vec<SocketAddr> = owners.live(now).map(|(a, _)| a).collect();
+        drop(owners);
         if live.is_empty() {
             return;
         }
@@ -115,6 +120,7 @@
             config_next: replicas.config.next().0,
             endpoints_next: replicas.endpoints.next().0,
             stale: false,
+            power: self.shared.settings.power.0,
         };
         drop(replicas);
         let stale = self.shared.is_stale();
@@ -167,3 +173,14 @@
         }
     }
 }
+
+/// Takes in a node that another one knows.
+pub(super) fn learn(owners: &mut Owners, now: Time, known: &KnownNode) {
+    let Ok(address) = known.address.parse() else {
+        return;
+    };
+    owners.learn(now, address);
+    if known.power > 0 {
+        owners.has_power(address, MilliCores(known.power));
+    }
+}
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -6,6 +6,7 @@
 use async_io::Timer;
 use snipeyoke_lib::log::Backoff;
 
+use crate::registry::NodeEntry;
 use crate::registry::Page;
 use crate::registry::Topic;
 use crate::registry::Update;
@@ -127,8 +128,11 @@
 pub(crate) async fn meet(shared: Arc<Shared>, seed: u64) {
     let mut backoff = Backoff::new(seed);
     let node = shared.settings.node.clone();
-    let address = shared.settings.listen.peers;
-    while !shared.registry.announce(&node, address).await {
+    let own = NodeEntry {
+        address: shared.settings.listen.peers,
+        power: Some(shared.settings.power),
+    };
+    while !shared.registry.announce(&node, own).await {
         Timer::after(backoff.failed()).await;
     }
     for pause in NODES_PAUSES {
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -12,6 +12,7 @@
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::replica::Record;
+use snipeyoke_lib::units::MilliCores;
 
 /// The topics of a registry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -67,6 +68,15 @@
     },
 }
 
+/// What a node registers of itself.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct NodeEntry {
+    /// Where other nodes reach it.
+    pub address: SocketAddr,
+    /// The power of its host; a writer of another release may not say it.
+    pub power: Option<MilliCores>,
+}
+
 /// Where routes, endpoints and nodes are registered.
 ///
 /// An implementation makes one try for each call.
@@ -78,7 +88,7 @@
     fn read(&self, topic: Topic, from: Offset, wait: Duration) -> LogCall<'_, Update>;
 
     /// Registers this node; tells whether it is registered for sure.
-    fn announce(&self, node: &NodeId, address: SocketAddr) -> LogCall<'_, bool>;
+    fn announce(&self, node: &NodeId, entry: NodeEntry) -> LogCall<'_, bool>;
 
     /// Reads a record of the configuration; `None` if its key is another one.
     ///
@@ -94,6 +104,6 @@
     /// Returns [`RecordError`] if it can't be used.
     fn entry(&self, key: &str, value: &[u8]) -> Result<Entry, RecordError>;
 
-    /// Reads the address in a node's record.
-    fn node(&self, value: &[u8]) -> Option<SocketAddr>;
+    /// Reads a node's record.
+    fn node(&self, value: &[u8]) -> Option<NodeEntry>;
 }
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -10,6 +10,7 @@
 use snipeyoke_lib::ids::NodeId;
 use snipeyoke_lib::ids::Region;
 use snipeyoke_lib::serving::budget::BudgetLimits;
+use snipeyoke_lib::units::MilliCores;
 use snipeyoke_runtime::settings::Checked;
 
 /// The longest grace that is taken, in seconds.
@@ -33,6 +34,9 @@
     pub seeds: Vec<SocketAddr>,
     /// The registry's address.
     pub registry: SocketAddr,
+    /// The processor that this process has.
+    #[serde(default)]
+    pub processor: Processor,
     /// The time between SIGTERM and SIGKILL, in seconds.
     pub grace_s: f64,
     /// The bound on retries over all nodes.
@@ -62,6 +66,26 @@
     pub metrics: Option<SocketAddr>,
 }
 
+/// The processor that a process has.
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Processor {
+    /// The share of a core.
+    pub share: f64,
+    /// How many times as fast as a usual core it is.
+    pub speed: f64,
+}
+
+impl Default for Processor {
+    fn default() -> Self {
+        Self {
+            share: 1.0,
+            speed: 1.0,
+        }
+    }
+}
+
 /// The bound on retries over all nodes.
 #[derive(Debug, Clone, Copy)]
 #[derive(Deserialize)]
@@ -88,6 +112,8 @@
     pub seeds: Vec<SocketAddr>,
     /// The registry's address.
     pub registry: SocketAddr,
+    /// The processor power of this process.
+    pub power: MilliCores,
     /// The time between SIGTERM and SIGKILL.
     pub grace: Duration,
     /// The bound on retries over all nodes.
@@ -123,6 +149,8 @@
             }
         };
         check("grace_s", raw.grace_s, 1.0, GRACE_MAX);
+        check("share", raw.processor.share, 0.001, 1_024.0);
+        check("speed", raw.processor.speed, 0.01, 100.0);
         check("ratio", raw.retries.ratio, 0.0, 10.0);
         check("window_s", raw.retries.window_s, 0.1, 3_600.0);
         check("extra", raw.retries.extra, 0.0, 1e6);
@@ -135,6 +163,7 @@
             listen: raw.listen,
             seeds: raw.seeds,
             registry: raw.registry,
+            power: MilliCores((raw.processor.share * raw.processor.speed * 1_000.0) as u32),
             grace: Duration::from_secs_f64(raw.grace_s),
             retries: BudgetLimits {
                 ratio: raw.retries.ratio,
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -85,7 +85,7 @@
             clock: Clock::start(),
             directory: Mutex::default(),
             budget: Mutex::new(SharedBudget::new(settings.retries)),
-            owners: Mutex::new(Owners::new(settings.listen.peers)),
+            owners: Mutex::new(Owners::new(settings.listen.peers, settings.power)),
             paces: Mutex::default(),
             replicas: Mutex::default(),
             catalog: Fact::new(None),
@@ -270,10 +270,13 @@
 
     fn learn_nodes(&self, records: &[Record]) {
         let values = records.iter().filter_map(|r| r.value.as_ref());
-        let addresses = values.filter_map(|v| self.registry.node(v));
+        let nodes = values.filter_map(|v| self.registry.node(v));
         let mut owners = self.owners();
-        for address in addresses {
-            owners.learn(self.now(), address);
+        for node in nodes {
+            owners.learn(self.now(), node.address);
+            if let Some(power) = node.power {
+                owners.has_power(node.address, power);
+            }
         }
         self.budget().share(owners.count());
     }
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -4,6 +4,9 @@
 //! service meet at one of them without messages. A node that does not answer
 //! is passed over, by each node for itself; two owners at once only fill their
 //! calls less well.
+//!
+//! Hosts differ in processor power. An owner does the work of a whole service,
+//! so only nodes on strong hosts own one while any of them lives.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -14,6 +17,7 @@
 
 use crate::ids::PoolName;
 use crate::time::Time;
+use crate::units::MilliCores;
 
 /// How long a silent node is passed over before it is tried again.
 const SILENT: Duration = Duration::from_millis(1_500);
@@ -21,10 +25,18 @@
 /// How long a node that was not heard of is remembered.
 const FORGOTTEN: Duration = Duration::from_mins(1);
 
+/// The part of the strongest node's power from which a node may own services.
+///
+/// Half: hosts of one kind, said a little differently, stay together, and a
+/// host of a fifth of the others' power stays out.
+const STRONG: f64 = 0.5;
+
 const SECRETS: RapidSecrets = RapidSecrets::seed(0);
 
 #[derive(Debug, Clone, Copy)]
 struct Peer {
+    /// The power of its host, once it is known.
+    power: Option<MilliCores>,
     heard: Time,
     answered: bool,
     silent: Time,
@@ -35,6 +47,7 @@
 #[derive(Debug, Clone)]
 pub struct Owners {
     own: SocketAddr,
+    power: MilliCores,
     leaving: bool,
     peers: BTreeMap<SocketAddr, Peer>,
 }
@@ -42,9 +55,10 @@
 impl Owners {
     /// Starts with this node alone.
     #[must_use]
-    pub const fn new(own: SocketAddr) -> Self {
+    pub const fn new(own: SocketAddr, power: MilliCores) -> Self {
         Self {
             own,
+            power,
             leaving: false,
             peers: BTreeMap::new(),
         }
@@ -56,6 +70,7 @@
             return false;
         }
         let known = Peer {
+            power: None,
             heard: now,
             answered: false,
             silent: Time::ZERO,
@@ -65,6 +80,13 @@
         true
     }
 
+    /// Notes the power of a node's host.
+    pub fn has_power(&mut self, peer: SocketAddr, power: MilliCores) {
+        if let Some(known) = self.peers.get_mut(&peer) {
+            known.power = Some(power);
+        }
+    }
+
     /// Notes that a node answered.
     pub fn heard(&mut self, now: Time, peer: SocketAddr) {
         self.learn(now, peer);
@@ -101,13 +123,13 @@
         self.peers.values().any(|p| p.answered)
     }
 
-    /// Returns the other nodes that are not silent.
-    pub fn live(&self, now: Time) -> impl Iterator<Item = SocketAddr> {
+    /// Returns the other nodes that are not silent, and their hosts' power.
+    pub fn live(&self, now: Time) -> impl Iterator<Item = (SocketAddr, Option<MilliCores>)> {
         let live = move |p: &Peer| p.silent <= now;
         self.peers
             .iter()
             .filter(move |(_, p)| live(p))
-            .map(|(&a, _)| a)
+            .map(|(&a, p)| (a, p.power))
     }
 
     /// Returns the number of nodes known, this one included.
@@ -121,11 +143,18 @@
     pub fn owner(&self, now: Time, service: &PoolName) -> SocketAddr {
         let usable = self.peers.iter();
         let usable = usable.filter(|(_, p)| p.silent <= now && !p.leaving);
-        let others = usable.map(|(&address, _)| address);
-        let own = (!self.leaving).then_some(self.own);
-        let all = others.chain(own);
-        all.max_by_key(|a| (rank(service, a), *a))
-            .unwrap_or(self.own)
+        // One of unknown power is taken for as strong as this node: a node that
+        // has just been heard of says its power with its first answer.
+        let others = usable.map(|(&address, p)| (address, p.power.unwrap_or(self.power)));
+        let own = (!self.leaving).then_some((self.own, self.power));
+        let all: Vec<(SocketAddr, MilliCores)> = others.chain(own).collect();
+        let most = all.iter().map(|(_, power)| power.0).max();
+        let least = f64::from(most.unwrap_or_default()) * STRONG;
+        let strong = all.iter().filter(|(_, power)| f64::from(power.0) >= least);
+        let first = strong
+            .map(|(a, _)| *a)
+            .max_by_key(|a| (rank(service, a), *a));
+        first.unwrap_or(self.own)
     }
 }
 
--- a/lib/src/units.rs
+++ b/lib/src/units.rs
@@ -29,6 +29,11 @@
     Bytes(u64),
     "{}"
 );
+unit!(
+    /// Processor power, in thousandths of a core.
+    MilliCores(u32),
+    "{}"
+);
 unit!(
     /// Requests a second.
     RequestRate(f64),
--- a/lib/tests/test_owners.rs
+++ b/lib/tests/test_owners.rs
@@ -5,6 +5,7 @@
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::owners::Owners;
 use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::MilliCores;
 
 fn node(n: u16) -> SocketAddr {
     ([10, 0, 0, 1], n).into()
@@ -15,7 +16,7 @@
 }
 
 fn owners(own: u16, nodes: u16) -> Owners {
-    let mut owners = Owners::new(node(own));
+    let mut owners = Owners::new(node(own), MilliCores(190));
     for n in 1..=nodes {
         owners.learn(Time::ZERO, node(n));
     }
@@ -71,3 +72,29 @@
     alone.leave();
     assert_eq!(alone.owner(Time::ZERO, &own), node(3), "nobody else can");
 }
+
+#[test]
+fn strong_hosts_own_services_while_one_of_them_lives() {
+    // Most hosts have a fifth of the others' power. One of them that owned a
+    // service would be late with every call of it; all nodes, weak ones too,
+    // name a strong one, and a weak one only when no strong one is left.
+    let power = |n: u16| MilliCores(if n <= 2 { 500 } else { 90 });
+    let mut all: Vec<Owners> = (1..=6).map(|n| Owners::new(node(n), power(n))).collect();
+    for owners in &mut all {
+        for n in 1..=6 {
+            owners.learn(Time::ZERO, node(n));
+            owners.has_power(node(n), power(n));
+        }
+    }
+    for n in 0..20 {
+        let named = all.iter().map(|o| o.owner(Time::ZERO, &service(n)));
+        let named: Vec<SocketAddr> = named.collect();
+        assert!(named[0] == node(1) || named[0] == node(2));
+        assert!(named.iter().all(|&a| a == named[0]));
+    }
+    let weak = &mut all[5];
+    weak.silent(Time::from_millis(10), node(1));
+    weak.silent(Time::from_millis(10), node(2));
+    let named = weak.owner(Time::from_millis(11), &service(0));
+    assert!(named != node(1) && named != node(2));
+}
