refusals: callers come back when the backlog is done

Change: the end of a job says how long what waits at its owner takes, and Retry-After is that time, spread by half and at most 0.3 of the time left.

--- a/gateway/src/dispatch/asked.rs
+++ b/gateway/src/dispatch/asked.rs
@@ -55,6 +55,7 @@
                 number: JobNumber(job),
                 made: Vec::new(),
                 failure: Some(Failure::Failed),
+                backlog: Duration::ZERO,
             };
             let _full = caller
                 .sender
--- a/gateway/src/dispatch/convert.rs
+++ b/gateway/src/dispatch/convert.rs
@@ -77,6 +77,7 @@
         job: done.number.0,
         made: made.collect(),
         failure: done.failure.map(|f| f.to_string()).unwrap_or_default(),
+        backlog_ms: done.backlog.as_millis() as u64,
     }
 }
 
@@ -97,6 +98,7 @@
         number: JobNumber(frame.job),
         made: made.collect(),
         failure,
+        backlog: Duration::from_millis(frame.backlog_ms),
     }
 }
 
--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -15,6 +15,7 @@
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use async_channel::Receiver;
 use async_channel::Sender;
@@ -59,6 +60,8 @@
     pub(crate) number: JobNumber,
     pub(crate) made: Vec<Made>,
     pub(crate) failure: Option<Failure>,
+    /// How long what waits at the owner takes, if that is why.
+    pub(crate) backlog: Duration,
 }
 
 /// Where requests hand in their jobs; clones share the dispatcher.
--- a/gateway/src/dispatch/queues.rs
+++ b/gateway/src/dispatch/queues.rs
@@ -148,6 +148,7 @@
             number,
             made: made.collect(),
             failure: end.failure.as_ref().map(failure),
+            backlog: end.backlog,
         };
         match origin {
             Origin::Own(_) => self.done(done),
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -209,6 +209,7 @@
                     number,
                     made,
                     failure,
+                    backlog: Duration::ZERO,
                 });
                 return;
             };
--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -24,6 +24,7 @@
 use crate::plain::plain;
 use crate::plain::refuse;
 use crate::refusal::Refusal;
+use crate::refusal::come_back;
 use crate::shared::Shared;
 use crate::stages::StageWork;
 use crate::stream::stream;
@@ -64,7 +65,7 @@
             Ok(ask) => ask,
             Err(error) => {
                 log::info!(event = "request-malformed", error = error.to_string().as_str(); "");
-                return Refusal::Malformed.reply(0.0);
+                return Refusal::Malformed.reply(Duration::ZERO);
             }
         };
         self.await_config().await;
@@ -147,7 +148,8 @@
 
     fn reply(&self) -> Reply {
         log::info!(event = "request-refused", request = self.request.as_str(), why = self.refusal.to_string().as_str(), config = self.version; "");
-        self.refusal.reply(draw(&self.request))
+        let wait = come_back(Duration::ZERO, Duration::ZERO, draw(&self.request));
+        self.refusal.reply(wait)
     }
 }
 
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -15,6 +15,7 @@
 use crate::attempt::note_failure;
 use crate::attempt::note_time;
 use crate::refusal::Refusal;
+use crate::refusal::come_back;
 use crate::retry::Step;
 use crate::retry::may_repeat;
 use crate::retry::step;
@@ -59,7 +60,7 @@
         refusal
     };
     ticket.end(refusal.status(), refusal.name());
-    refusal.reply(ticket.draw())
+    refusal.reply(come_back(ticket.backlog, ticket.left(), ticket.draw()))
 }
 
 /// The head of an endpoint's answer.
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -14,6 +14,23 @@
 /// About one call of a stage: sooner, nothing has changed.
 const COME_BACK: Duration = Duration::from_millis(250);
 
+/// The part of its time left after which a caller comes back at the latest.
+///
+/// Callers wait for up to a third of it; with a little less the answer to the
+/// second try still has two thirds.
+const COME_BACK_PART: f64 = 0.3;
+
+/// Returns when a refused caller should come back; `draw` in `0..1` spreads
+/// those who were refused together.
+///
+/// Before the backlog is done it would only be refused again, so that it has
+/// waited in vain and its next try too.
+pub(crate) fn come_back(backlog: Duration, left: Duration, draw: f64) -> Duration {
+    let longest = left.mul_f64(COME_BACK_PART).max(COME_BACK);
+    let wait = backlog.mul_f64(1.0 + draw / 2.0).min(longest);
+    wait.max(COME_BACK.mul_f64(1.0 + draw))
+}
+
 /// Why a request ends without an endpoint's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(derive_more::Display)]
@@ -85,15 +102,14 @@
         }
     }
 
-    /// Builds the answer; `draw` in `0..1` spreads those who come back.
-    pub(crate) fn reply(self, draw: f64) -> Reply {
+    /// Builds the answer; a caller may come back after `wait`.
+    pub(crate) fn reply(self, wait: Duration) -> Reply {
         let status = self.status();
         let mut reply = Reply::new(full(format!("{self}\n")));
         *reply.status_mut() = status;
         let headers = reply.headers_mut();
         headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
         if status == StatusCode::SERVICE_UNAVAILABLE {
-            let wait = COME_BACK.mul_f64(1.0 + draw);
             let text = format!("{:.2}", wait.as_secs_f64());
             if let Ok(value) = HeaderValue::from_str(&text) {
                 headers.insert(RETRY_AFTER, value);
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -128,7 +128,7 @@
         StageTimes::new(&ticket.route.stages, &self.plan.counts(), model, limits)
     }
 
-    fn take(&mut self, ticket: &Ticket, done: Done) -> Result<(), Refusal> {
+    fn take(&mut self, ticket: &mut Ticket, done: Done) -> Result<(), Refusal> {
         let Some((stage, pieces)) = self.open.remove(&done.number) else {
             return Ok(());
         };
@@ -139,7 +139,8 @@
             self.plan.done(stage, made.piece, made.handle);
         }
         if let Some(failure) = done.failure {
-            log::info!(event = "stage-failed", request = ticket.ask.id.as_str(), stage, service = service.as_str(), why = failure.to_string().as_str(), left_ms = ticket.left().as_millis() as u64; "");
+            log::info!(event = "stage-failed", request = ticket.ask.id.as_str(), stage, service = service.as_str(), why = failure.to_string().as_str(), left_ms = ticket.left().as_millis() as u64, backlog_ms = done.backlog.as_millis() as u64; "");
+            ticket.backlog = done.backlog;
         }
         let again = match done.failure {
             None => return Ok(()),
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -44,6 +44,8 @@
     pub(crate) tried: Vec<EndpointId>,
     /// Whether an endpoint may have run it.
     pub(crate) may_have_run: bool,
+    /// How long what waits before it takes, where that was told.
+    pub(crate) backlog: Duration,
     pub(crate) timeline: Timeline,
 }
 
@@ -85,6 +87,7 @@
             domain: None,
             tried: Vec::new(),
             may_have_run: false,
+            backlog: Duration::ZERO,
             timeline: Timeline::default(),
         })
     }
--- a/lib/src/serving/pieces/queue.rs
+++ b/lib/src/serving/pieces/queue.rs
@@ -151,6 +151,8 @@
     pub made: Vec<(u32, String, EndpointId)>,
     /// Why the others are not; `None` if all are done.
     pub failure: Option<Outcome>,
+    /// How long what waits takes, if that is why it failed.
+    pub backlog: Duration,
 }
 
 #[derive(Debug, Clone, Default)]
@@ -456,7 +458,7 @@
         let found = self.jobs.iter().filter(|(_, h)| hopeless(h));
         let ids: Vec<JobId> = found.map(|(&id, _)| id).collect();
         for id in ids {
-            self.end(id, Some(Outcome::Late));
+            self.end(id, Some(Outcome::Late), clear);
         }
     }
 }
--- a/lib/src/serving/pieces/settle.rs
+++ b/lib/src/serving/pieces/settle.rs
@@ -1,5 +1,7 @@
 //! What the end of a call means for its endpoint, its pieces and their jobs.
 
+use std::time::Duration;
+
 use super::queue::AGAIN_MAX;
 use super::queue::Call;
 use super::queue::CallResult;
@@ -78,7 +80,7 @@
                 state.made = Some((handle, call.endpoint.clone()));
                 state.waiting = false;
                 if held.is_done() {
-                    self.end(id, None);
+                    self.end(id, None, Duration::ZERO);
                 }
             }
             _ if state.made.is_some() || state.running > 0 => {}
@@ -86,7 +88,7 @@
                 held.again += 1;
                 state.waiting = true;
             }
-            failure => self.end(id, Some(failure)),
+            failure => self.end(id, Some(failure), Duration::ZERO),
         }
     }
 
@@ -110,11 +112,11 @@
             }
         }
         for id in exhausted {
-            self.end(id, Some(Outcome::Failed));
+            self.end(id, Some(Outcome::Failed), Duration::ZERO);
         }
     }
 
-    pub(super) fn end(&mut self, id: JobId, failure: Option<Outcome>) {
+    pub(super) fn end(&mut self, id: JobId, failure: Option<Outcome>, backlog: Duration) {
         let Some(held) = self.jobs.remove(&id) else {
             return;
         };
@@ -124,6 +126,7 @@
             job: id,
             made: made.collect(),
             failure,
+            backlog,
         });
     }
 }
