lib: when a refused caller comes back, with its tests

The tests of the library did not compile since the owners' power came in: one of the owners' tests was left without it, and a filter over the output hid the error.

--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -24,12 +24,12 @@
 use crate::plain::plain;
 use crate::plain::refuse;
 use crate::refusal::Refusal;
-use crate::refusal::come_back;
 use crate::shared::Shared;
 use crate::stages::StageWork;
 use crate::stream::stream;
 use crate::ticket::Ticket;
 use crate::ticket::draw;
+use snipeyoke_lib::serving::come_back::come_back;
 
 /// How long a caller waits for a node's first configuration.
 ///
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -15,12 +15,12 @@
 use crate::attempt::note_failure;
 use crate::attempt::note_time;
 use crate::refusal::Refusal;
-use crate::refusal::come_back;
 use crate::retry::Step;
 use crate::retry::may_repeat;
 use crate::retry::step;
 use crate::stages::StageWork;
 use crate::ticket::Ticket;
+use snipeyoke_lib::serving::come_back::come_back;
 
 /// The most bytes of an answer that are kept before it is passed on.
 ///
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -9,28 +9,6 @@
 use snipeyoke_runtime::http::Reply;
 use snipeyoke_runtime::http::full;
 
-/// The shortest time after which a refused caller may come back.
-///
-/// About one call of a stage: sooner, nothing has changed.
-const COME_BACK: Duration = Duration::from_millis(250);
-
-/// The part of its time left after which a caller comes back at the latest.
-///
-/// Callers wait for up to a third of it; with a little less the answer to the
-/// second try still has two thirds.
-const COME_BACK_PART: f64 = 0.3;
-
-/// Returns when a refused caller should come back; `draw` in `0..1` spreads
-/// those who were refused together.
-///
-/// Before the backlog is done it would only be refused again, so that it has
-/// waited in vain and its next try too.
-pub(crate) fn come_back(backlog: Duration, left: Duration, draw: f64) -> Duration {
-    let longest = left.mul_f64(COME_BACK_PART).max(COME_BACK);
-    let wait = backlog.mul_f64(1.0 + draw / 2.0).min(longest);
-    wait.max(COME_BACK.mul_f64(1.0 + draw))
-}
-
 /// Why a request ends without an endpoint's answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(derive_more::Display)]
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod budget;
 pub mod catalog;
+pub mod come_back;
 pub mod directory;
 pub mod events;
 pub mod health;
--- a/lib/tests/test_owners.rs
+++ b/lib/tests/test_owners.rs
@@ -68,7 +68,7 @@
     let own = own.expect("six nodes share twenty services");
     owners.leave();
     assert_ne!(owners.owner(Time::ZERO, &own), node(3));
-    let mut alone = Owners::new(node(3));
+    let mut alone = Owners::new(node(3), MilliCores(190));
     alone.leave();
     assert_eq!(alone.owner(Time::ZERO, &own), node(3), "nobody else can");
 }
--- a/lib/tests/test_pieces.rs
+++ b/lib/tests/test_pieces.rs
@@ -177,7 +177,11 @@
     }
     let id = queue.submit(job("late", 1, 100, 2_000));
     queue.poll(at(0));
-    assert_eq!(failure(&queue.take_ends(), id), Some(&Outcome::Late));
+    let ends = queue.take_ends();
+    assert_eq!(failure(&ends, id), Some(&Outcome::Late));
+    let backlog = ends[0].backlog;
+    assert!(backlog > Duration::from_secs(9), "{backlog:?}");
+    assert!(backlog < Duration::from_secs(11), "{backlog:?}");
 }
 
 #[test]
--- a/lib/tests/test_serving.rs
+++ b/lib/tests/test_serving.rs
@@ -13,6 +13,7 @@
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::budget::BudgetLimits;
 use snipeyoke_lib::serving::budget::SharedBudget;
+use snipeyoke_lib::serving::come_back::come_back;
 use snipeyoke_lib::serving::events::Events;
 use snipeyoke_lib::serving::health::Health;
 use snipeyoke_lib::serving::replica::Record;
@@ -147,3 +148,17 @@
     });
     outcome.expect("each event passes once");
 }
+
+#[test]
+fn a_refused_caller_comes_back_when_the_backlog_is_done() {
+    // Three seconds of work wait before a caller that has twelve left. Told to
+    // come back at once, its second try is refused like the first one; told to
+    // come back after all its time, it has none left for the answer.
+    let [none, second] = [0, 1].map(Duration::from_secs);
+    let left = 12 * second;
+    assert!(come_back(3 * second, left, 0.0) >= 3 * second);
+    assert!(come_back(3 * second, left, 0.9) > come_back(3 * second, left, 0.1));
+    assert!(come_back(60 * second, left, 0.5) <= left / 3);
+    let soon = come_back(none, none, 0.5);
+    assert!(soon > none && soon < second);
+}
