--- a/wire/tests/frames.rs
+++ b/wire/tests/frames.rs
@@ -17,6 +17,7 @@
 use snipeyoke_wire::Heartbeat;
 use snipeyoke_wire::Hello;
 use snipeyoke_wire::KeyedRecord;
+use snipeyoke_wire::KnownNode;
 use snipeyoke_wire::Load;
 use snipeyoke_wire::PieceJob;
 use snipeyoke_wire::PieceJobEnd;
@@ -78,10 +79,14 @@
             job: 5,
             made: vec![PieceResult::default()],
             failure: "late".to_owned(),
+            backlog_ms: 1_500,
         }),
         Body::SyncReply(SyncReply {
             leaving: true,
-            nodes: vec!["10.1.0.41:8628".to_owned()],
+            known: vec![KnownNode {
+                address: "10.1.0.41:8628".to_owned(),
+                power: 190,
+            }],
             config: vec![KeyedRecord {
                 key: "config".to_owned(),
                 value: Some(b"{}".to_vec().into()),
