follow: make a lost read of the configuration again

Version 6 was acknowledged at 8.44 s and no node had it before 18 s.

Cause: the store was silent until 7.97 s. Every node's read that waits for changes had been given up at 7.53 s, and the next one went out into the silence: it waits up to 21 s for an answer that never comes. All nodes were alike, so no neighbour could tell. Ruled out: the nodes' processors (reads of the endpoints were well again at 8.65 s on each of them).

Change: when a read that does not wait works again, the one that waits is made again.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use futures_lite::FutureExt;
+use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::Backoff;
 
 use crate::registry::NodeEntry;
@@ -95,11 +97,15 @@
             Topic::Config => shared.replicas().config.next(),
             Topic::Endpoints | Topic::Nodes => shared.replicas().endpoints.next(),
         };
-        match shared.registry.read(topic, from, wait).await {
+        let Some(update) = read(shared, topic, from, wait).await else {
+            continue;
+        };
+        match update {
             Update::Records { records, next } => {
                 backoff.succeeded();
                 if std::mem::take(&mut failing) {
                     log::info!(event = "registry-regained", topic = topic.to_string().as_str(); "");
+                    shared.regained.notify(usize::MAX);
                 }
                 shared.extend(topic, records, next, "registry");
                 note_read(shared, topic);
@@ -118,6 +124,25 @@
     }
 }
 
+/// Reads once; `None` if a read that waits has to be made again.
+///
+/// While the registry is silent it may swallow the read, which then waits for
+/// an answer that never comes: a change made in the meantime would be in force
+/// only when the read is given up, on all nodes. The reads that don't wait tell
+/// when the registry answers again.
+async fn read(shared: &Shared, topic: Topic, from: Offset, wait: Duration) -> Option<Update> {
+    let update = async { Some(shared.registry.read(topic, from, wait).await) };
+    if wait.is_zero() {
+        return update.await;
+    }
+    let regained = async {
+        shared.regained.listen().await;
+        log::info!(event = "registry-asked-again", topic = topic.to_string().as_str(), from = from.0; "");
+        None
+    };
+    update.or(regained).await
+}
+
 fn note_read(shared: &Shared, topic: Topic) {
     if topic == Topic::Endpoints {
         shared.replicas().read = Some(shared.now());
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -51,6 +51,8 @@
     pub(crate) catalog: Fact<Option<Arc<Catalog>>>,
     /// Wakes those who wait for an endpoint.
     pub(crate) changed: Event,
+    /// Tells that the registry answers again after it did not.
+    pub(crate) regained: Event,
     /// Set once the balancer is asked to pass this node over.
     pub(crate) aside: Flag,
     /// Set once callers' idle connections are closed.
@@ -90,6 +92,7 @@
             replicas: Mutex::default(),
             catalog: Fact::new(None),
             changed: Event::new(),
+            regained: Event::new(),
             aside: Flag::default(),
             drain: Flag::default(),
             end: Flag::default(),
