pieces: do work where its inputs lie

Work was placed by where its own results are read; but each of sixteen pieces reads all results of the stage before, eight megabytes, while it makes a hundred kilobytes. A result's size was also looked up by service, which is wrong where two stages share one.

Change: a job says where most of its inputs lie and what a piece reads of them, and the way is weighed for both, up to 250 ms; a result remembers the size that its stage says.

Test: pieces_go_where_their_inputs_lie, written with it.

--- a/gateway/src/dispatch/convert.rs
+++ b/gateway/src/dispatch/convert.rs
@@ -24,6 +24,7 @@
         Work::Key => Vec::new(),
         Work::Inputs(inputs) => inputs.clone(),
     };
+    let near = job.inputs.as_ref().map(|(domain, _)| domain);
     PieceJob {
         job: number.0,
         service: service.to_owned(),
@@ -41,6 +42,8 @@
             .map(ToString::to_string)
             .unwrap_or_default(),
         priority: u32::from(job.priority),
+        inputs_domain: near.map(ToString::to_string).unwrap_or_default(),
+        inputs_bytes: job.inputs.as_ref().map_or(0, |(_, bytes)| bytes.0),
     }
 }
 
@@ -52,6 +55,7 @@
     } else {
         Work::Inputs(frame.inputs)
     };
+    let near = frame.inputs_domain.parse().ok();
     Job {
         request: frame.request,
         stage: frame.stage as usize,
@@ -63,6 +67,7 @@
         due: later(frame.due_us),
         domain: frame.domain.parse().ok(),
         priority: u8::try_from(frame.priority).unwrap_or(u8::MAX),
+        inputs: near.map(|domain| (domain, Bytes(frame.inputs_bytes))),
     }
 }
 
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -12,7 +12,9 @@
 use snipeyoke_lib::serving::pieces::Plan;
 use snipeyoke_lib::serving::pieces::PlanError;
 use snipeyoke_lib::serving::pieces::StageTimes;
+use snipeyoke_lib::serving::pieces::Work;
 use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::Bytes;
 
 use crate::dispatch::Dispatcher;
 use crate::dispatch::Done;
@@ -28,6 +30,14 @@
 /// thousand tokens as much as two to three megabytes.
 const TOKEN_BYTES: u64 = 2_400;
 
+/// A result that this request has.
+#[derive(Debug)]
+struct Made {
+    service: PoolName,
+    endpoint: EndpointId,
+    size: Bytes,
+}
+
 /// The stage work of one request.
 ///
 /// What is still under way when this is dropped is cancelled, and results that
@@ -36,7 +46,7 @@
 pub(crate) struct StageWork {
     dispatcher: Dispatcher,
     plan: Plan,
-    makers: BTreeMap<String, (PoolName, EndpointId)>,
+    makers: BTreeMap<String, Made>,
     open: BTreeMap<JobNumber, (usize, Vec<u32>)>,
     ends: (Sender<Done>, Receiver<Done>),
 }
@@ -101,6 +111,10 @@
     fn submit(&mut self, ticket: &Ticket, times: &StageTimes, order: Order) {
         let stage = &ticket.route.stages[order.stage];
         let now = ticket.shared.now();
+        let inputs = match &order.work {
+            Work::Key => None,
+            Work::Inputs(handles) => self.most(ticket, handles),
+        };
         let job = Job {
             request: ticket.ask.id.clone(),
             stage: order.stage,
@@ -112,6 +126,7 @@
             due: later(now, times.due(order.stage, ticket.due)),
             domain: home(ticket),
             priority: ticket.urgency(),
+            inputs,
         };
         let number = self
             .dispatcher
@@ -134,8 +149,12 @@
         };
         let service = &ticket.route.stages[stage].service;
         for made in done.made {
-            let maker = (service.clone(), made.endpoint);
-            self.makers.insert(made.handle.clone(), maker);
+            let result = Made {
+                service: service.clone(),
+                endpoint: made.endpoint,
+                size: ticket.route.stages[stage].bytes,
+            };
+            self.makers.insert(made.handle.clone(), result);
             self.plan.done(stage, made.piece, made.handle);
         }
         if let Some(failure) = done.failure {
@@ -179,11 +198,11 @@
     fn give_back_all(&mut self, handles: Vec<String>) {
         let mut by_service: BTreeMap<PoolName, Vec<(EndpointId, String)>> = BTreeMap::new();
         for handle in handles {
-            if let Some((service, endpoint)) = self.makers.remove(&handle) {
+            if let Some(result) = self.makers.remove(&handle) {
                 by_service
-                    .entry(service)
+                    .entry(result.service)
                     .or_default()
-                    .push((endpoint, handle));
+                    .push((result.endpoint, handle));
             }
         }
         for (service, results) in by_service {
@@ -191,22 +210,28 @@
         }
     }
 
-    /// Returns where the results lie, if that is worth following.
+    /// Returns where the request should run to be near its results, if that is
+    /// worth following.
     fn domain(&self, ticket: &Ticket, inputs: &[String]) -> Option<FailureDomain> {
+        let (domain, size) = self.most(ticket, inputs)?;
+        let shared = ticket.ask.prompt.map_or(0, |p| u64::from(p.shared));
+        (size.0 > TOKEN_BYTES * shared).then_some(domain)
+    }
+
+    /// Returns where most of some results lie, and how much.
+    fn most(&self, ticket: &Ticket, handles: &[String]) -> Option<(FailureDomain, Bytes)> {
         let mut sizes: BTreeMap<FailureDomain, u64> = BTreeMap::new();
         let directory = ticket.shared.directory();
-        for handle in inputs {
-            let (service, id) = self.makers.get(handle)?;
-            let Some(endpoint) = directory.get(id) else {
+        for handle in handles {
+            let result = self.makers.get(handle)?;
+            let Some(endpoint) = directory.get(&result.endpoint) else {
                 continue;
             };
-            let stage = ticket.route.stages.iter().find(|s| s.service == *service);
-            let bytes = stage.map_or(0, |s| s.bytes.0);
-            *sizes.entry(endpoint.entry().domain.clone()).or_default() += bytes;
+            let domain = endpoint.entry().domain.clone();
+            *sizes.entry(domain).or_default() += result.size.0;
         }
         let (domain, size) = sizes.into_iter().max_by_key(|(_, size)| *size)?;
-        let shared = ticket.ask.prompt.map_or(0, |p| u64::from(p.shared));
-        (size > TOKEN_BYTES * shared).then_some(domain)
+        Some((domain, Bytes(size)))
     }
 }
 
--- a/lib/benches/pieces.rs
+++ b/lib/benches/pieces.rs
@@ -56,6 +56,7 @@
         due: Time::from_millis(90_000 + 7 * n),
         priority: (n % 3) as u8,
         domain: Some("d1".parse().expect("a name")),
+        inputs: None,
     }
 }
 
--- a/lib/src/serving/pieces/fill.rs
+++ b/lib/src/serving/pieces/fill.rs
@@ -12,6 +12,7 @@
 use super::queue::PieceCall;
 use super::queue::PieceQueue;
 use crate::ids::EndpointId;
+use crate::ids::FailureDomain;
 use crate::time::Time;
 use crate::units::Bytes;
 
@@ -20,6 +21,11 @@
 /// Results of a few megabytes are worth the wait for one or two calls.
 const AFAR_MB: Duration = Duration::from_millis(40);
 
+/// The most that it is worth.
+///
+/// About a call: for more than that a request loses more by its delay.
+const AFAR_MAX: Duration = Duration::from_millis(250);
+
 /// The part of an endpoint's memory that is planned for.
 ///
 /// Sizes of results are only approximate; a tenth covers the spread of some
@@ -289,8 +295,9 @@
     }
 
     fn is_near(&self, maker: &EndpointId, id: JobId) -> bool {
-        let domain = self.jobs[&id].job.domain.as_ref();
-        domain == Some(&self.makers[maker].entry.domain)
+        let job = &self.jobs[&id].job;
+        let inputs = job.inputs.as_ref().map(|(domain, _)| domain);
+        inputs.or(job.domain.as_ref()) == Some(&self.makers[maker].entry.domain)
     }
 
     fn take(&mut self, now: Time, id: JobId, most: usize) -> Vec<Item> {
@@ -375,12 +382,18 @@
     URGENCY_STEP * u32::from(held.job.priority)
 }
 
-/// Returns what it costs, in time, to read a job's results from elsewhere.
+/// Returns what it costs, in time, to read a job's inputs and results across
+/// failure domains.
+///
+/// Each piece reads all inputs of its job: what a job reads is often many times
+/// what it makes.
 fn afar(held: &Held, maker: &Maker) -> Duration {
-    let domain = held.job.domain.as_ref();
-    if domain.is_none_or(|d| *d == maker.entry.domain) {
-        return Duration::ZERO;
-    }
-    let bytes = held.job.each.0 * held.waiting() as u64;
-    AFAR_MB.mul_f64(bytes as f64 / 1e6)
+    let job = &held.job;
+    let away = |domain: &FailureDomain| *domain != maker.entry.domain;
+    let results = job.domain.as_ref().filter(|d| away(d));
+    let results = results.map_or(0, |_| job.each.0);
+    let inputs = job.inputs.as_ref().filter(|(d, _)| away(d));
+    let inputs = inputs.map_or(0, |(_, bytes)| bytes.0);
+    let bytes = (results + inputs) * held.waiting() as u64;
+    AFAR_MB.mul_f64(bytes as f64 / 1e6).min(AFAR_MAX)
 }
--- a/lib/src/serving/pieces/queue.rs
+++ b/lib/src/serving/pieces/queue.rs
@@ -78,6 +78,8 @@
     pub priority: u8,
     /// Where the results will be read.
     pub domain: Option<FailureDomain>,
+    /// Where most of its inputs lie, and how much of them each piece reads.
+    pub inputs: Option<(FailureDomain, Bytes)>,
 }
 
 /// One piece of a call.
--- a/lib/tests/pipeline_world.rs
+++ b/lib/tests/pipeline_world.rs
@@ -218,6 +218,7 @@
                 due: times.due(order.stage, due).max(self.now),
                 priority: spec.priority,
                 domain: None,
+                inputs: None,
             };
             let id = self.queues[service].submit(job);
             self.origins.insert((service, id), number);
--- a/lib/tests/test_pieces.rs
+++ b/lib/tests/test_pieces.rs
@@ -69,6 +69,7 @@
         due: at(due),
         priority: 0,
         domain: None,
+        inputs: None,
     }
 }
 
@@ -411,3 +412,23 @@
     queue.ended(at(now + 182), sends[0].call, made(&sends[0]));
     assert_eq!(failure(&queue.take_ends(), later), None);
 }
+
+#[test]
+fn pieces_go_where_their_inputs_lie() {
+    // Sixteen pieces read half a megabyte each and make a few kilobytes. Done
+    // in another failure domain, eight megabytes cross; their results, which
+    // are read there, don't weigh that much.
+    let mut queue = queue(&[("p1", "a"), ("p2", "b")]);
+    let reading = |request: &str, domain: &str| Job {
+        domain: Some("a".parse().expect("a name")),
+        inputs: Some((domain.parse().expect("a name"), Bytes(480_000))),
+        ..job(request, 8, 2_000, 5_000)
+    };
+    queue.submit(reading("r1", "b"));
+    let sends = queue.poll(at(0));
+    assert_eq!(sends[0].entry.id.as_str(), "p2");
+    // The one nearby is at work for a while longer than the way costs.
+    queue.submit(reading("r2", "b"));
+    let sends = queue.poll(at(1));
+    assert_eq!(sends[0].entry.id.as_str(), "p1");
+}
