--- a/lib/src/serving/pieces/mod.rs
+++ b/lib/src/serving/pieces/mod.rs
@@ -3,6 +3,7 @@
 mod fill;
 mod maker;
 mod on_time;
+mod place;
 mod plan;
 mod queue;
 mod room;
