pieces: a pause between bursts is not slowness

Cause: an endpoint's pace was learned from the time between the ends of two calls, also when it had nothing to do for a minute in between.

Change: what is longer than results are kept is no sample: memory, which is part of the pace, is not short for longer.

--- a/lib/src/serving/pieces/on_time.rs
+++ b/lib/src/serving/pieces/on_time.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use super::fill::step;
+use super::maker::Maker;
 use super::queue::Call;
 use super::queue::Held;
 use super::queue::JobId;
@@ -93,6 +94,7 @@
         late
     }
 
+    /// Returns the jobs with waiting pieces, in the order in which they leave.
     fn turns(&self) -> Vec<(Time, JobId)> {
         let waiting = self.jobs.iter().filter(|(_, h)| h.waiting() > 0);
         let turn = |(&id, h): (&JobId, &Held)| (h.job.goal + step(h), id);
@@ -111,7 +113,7 @@
     /// Returns how long it takes until half of the endpoints are free.
     fn until_free(&self, now: Time) -> Duration {
         let usable = self.makers.values().filter(|m| m.is_usable());
-        let busy = |m: &super::maker::Maker| {
+        let busy = |m: &Maker| {
             if m.calls < self.limits.slots {
                 Duration::ZERO
             } else {
@@ -136,7 +138,11 @@
             return;
         }
         maker.last_end = Some(now);
-        let Some(before) = before.filter(|&at| at < now) else {
+        // Room is short for no longer than results are kept: after a longer
+        // time the endpoint had nothing to do.
+        let keep = self.limits.keep;
+        let recent = |at: &Time| *at < now && now.since(*at) <= keep;
+        let Some(before) = before.filter(recent) else {
             return;
         };
         let pace = call.items.len() as f64 / now.since(before).as_secs_f64();
--- a/lib/tests/test_pieces.rs
+++ b/lib/tests/test_pieces.rs
@@ -432,3 +432,25 @@
     let sends = queue.poll(at(1));
     assert_eq!(sends[0].entry.id.as_str(), "p1");
 }
+
+#[test]
+fn a_pause_between_bursts_is_not_taken_for_slowness() {
+    // The last call of a burst ends, and its endpoint has nothing to do for a
+    // minute. Counted as a part of the next burst's first call, the pause would
+    // make the endpoint look slow; in the next burst callers that can be on
+    // time together would be taken for late, and go in the wrong order.
+    let mut queue = queue(&[("p1", "a")]);
+    let call_at = |queue: &mut PieceQueue, ms: u64| {
+        let sends = queue.poll(at(ms));
+        queue.ended(at(ms + 278), sends[0].call, made(&sends[0]));
+        requests(&sends[0])[0].to_owned()
+    };
+    for minute in 0..30 {
+        let start = minute * 60_000;
+        let submit = |n: u64| job(&format!("r{n}"), 8, start + 1_100 + n, start + 5_000);
+        let ids = [0, 1, 2].map(|n| queue.submit(submit(n)));
+        assert_eq!(call_at(&mut queue, start), "r0", "in minute {minute}");
+        assert_eq!(call_at(&mut queue, start + 300), "r1", "in minute {minute}");
+        queue.cancel(at(start + 600), ids[2]);
+    }
+}
