--- a/lib/tests/pipeline_world.rs
+++ b/lib/tests/pipeline_world.rs
@@ -242,7 +242,7 @@
             Event::Answer(service, call, result) => {
                 self.queues[service].ended(self.now, call, result);
             }
-            Event::First(number) => self.finish(number, None),
+            Event::First(number) => self.finish(number, false),
             Event::Drop(service, endpoint, handles) => {
                 let worker = self.workers.get_mut(&endpoint).expect("a known endpoint");
                 for handle in &handles {
@@ -315,7 +315,7 @@
                     request.plan.done(stage, piece, handle);
                 }
                 if end.failure.is_some() {
-                    self.finish(number, Some(()));
+                    self.finish(number, true);
                     continue;
                 }
                 let unneeded = request.plan.unneeded();
@@ -325,14 +325,14 @@
         }
     }
 
-    fn finish(&mut self, number: usize, refused: Option<()>) {
+    fn finish(&mut self, number: usize, refused: bool) {
         let Some(mut request) = self.requests.remove(&number) else {
             return;
         };
         let spec = &self.kinds[request.kind];
         let tally = &mut self.tallies[request.kind];
         let took = self.now.since(request.began);
-        if refused.is_some() {
+        if refused {
             tally.refused += 1;
         } else if took <= spec.aim {
             tally.on_time += 1;
