gateway: answer what waits before a leaving node's grace period ends

The log shows "stopped" at 7.6 s with one task left and the process killed at 8.0 s: the connections' tasks live in a scope of their own that nobody cancelled, the cancels that followed waited 2 x 0.3 s one after the other, and SIGKILL came first. A request that waits for its stages or for the model's head got nothing.

Change: requests without an answer are given up at 0.86 of the grace, 503 "leaving" if nothing ran, 504 if something may have; streams under way are cut at 0.93 and their connections cancelled. A leaving node refuses at once, with Retry-After of at most 50 ms, what it can't expect to end before that, by the mean and twice the deviation of the route's answers.

Ruled out: the listener's queue (the request had been read whole), the deadline (13 s were left).

--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -91,6 +91,9 @@
             }
             None => return refuse(ticket, Refusal::TimeoutNotRun),
         }
+        if self.0.leaves_before(&ticket.route.name) {
+            return refuse(ticket, Refusal::Leaving);
+        }
         self.0.budget().earn(began, &ticket.service);
         drive(ticket).await
     }
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -11,7 +11,9 @@
 use derive_more::Display;
 use derive_more::Error;
 use futures_lite::FutureExt;
+use futures_lite::future;
 use rapidhash::v3::rapidhash_v3;
+use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Bounds;
@@ -37,10 +39,17 @@
 /// over after two seconds at most, and its last connections have come.
 const ASIDE: Duration = Duration::from_millis(2_300);
 
-/// The part of the grace after which what still runs is left to its end.
+/// The part of the grace after which requests without an answer are given up.
 ///
-/// A clean end before SIGKILL closes every connection in an orderly way.
-const GRACE_USED: f64 = 0.95;
+/// Answers that come later than this would be cut; what is left is ample for
+/// the last refusals to leave, also on a host with a tenth of a core.
+const ANSWERED_BY: f64 = 0.86;
+
+/// The part of the grace after which answers under way are cut.
+///
+/// A clean end before SIGKILL closes every connection in an orderly way. Last
+/// frames take up to 0.3 s after it, which fits from a grace of 5 s on.
+const GRACE_USED: f64 = 0.93;
 
 /// The connections of callers at once.
 ///
@@ -81,6 +90,7 @@
 pub struct Gateway {
     shared: Arc<Shared>,
     callers: Scope,
+    conns: Scope,
     stages: Scope,
     control: Scope,
     served: Flag,
@@ -113,6 +123,7 @@
         }
         let gateway = Self {
             callers: Scope::new(Arc::clone(&execs.traffic)),
+            conns: Scope::new(Arc::clone(&execs.traffic)),
             stages: Scope::new(Arc::clone(&execs.traffic)),
             control: Scope::new(Arc::clone(&execs.control)),
             served: Flag::default(),
@@ -140,7 +151,7 @@
             head_time: HEAD_TIME,
             conns: CONNS,
         };
-        let scope = Scope::new(self.callers.exec());
+        let scope = self.conns.clone();
         let drain = self.shared.drain.clone();
         let end = self.shared.end.clone();
         let served = self.served.clone();
@@ -195,23 +206,31 @@
     pub async fn drain(&self) {
         log::info!(event = "leaving", grace_ms = self.shared.settings.grace.as_millis() as u64; "");
         let began = self.shared.now();
+        let grace = self.shared.settings.grace;
+        let cut = began + grace.mul_f64(GRACE_USED);
+        // Only the first call to leave counts.
+        let _earlier = self.shared.cut.set(cut);
         self.shared.aside.set();
         self.shared.owners().leave();
         self.shared.dispatcher.leaving();
         Timer::after(ASIDE).await;
         self.shared.drain.set();
         self.shared.end.set();
-        let left = self.shared.settings.grace.mul_f64(GRACE_USED);
         let over = async {
-            let spent = self.shared.now().since(began);
-            Timer::after(left.saturating_sub(spent)).await;
+            self.until(began + grace.mul_f64(ANSWERED_BY)).await;
+            self.shared.overtime.set();
+            self.until(cut).await;
         };
         self.served.wait().or(over).await;
-        let running = self.callers.len();
+        let running = self.conns.len();
         log::info!(event = "stopped", running, took_ms = self.shared.now().since(began).as_millis() as u64; "");
         self.callers.cancel().await;
-        self.stages.cancel_later().await;
-        self.control.cancel_later().await;
+        self.conns.cancel().await;
+        future::zip(self.stages.cancel_later(), self.control.cancel_later()).await;
+    }
+
+    async fn until(&self, at: Time) {
+        Timer::after(at.since(self.shared.now())).await;
     }
 }
 
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -21,6 +21,7 @@
 use crate::stages::StageWork;
 use crate::ticket::Ticket;
 use snipeyoke_lib::serving::come_back::come_back;
+use snipeyoke_lib::serving::come_back::elsewhere;
 
 /// The most bytes of an answer that are kept before it is passed on.
 ///
@@ -60,7 +61,12 @@
         refusal
     };
     ticket.end(refusal.status(), refusal.name());
-    refusal.reply(come_back(ticket.backlog, ticket.left(), ticket.draw()))
+    let wait = if refusal == Refusal::Leaving {
+        elsewhere(ticket.draw())
+    } else {
+        come_back(ticket.backlog, ticket.left(), ticket.draw())
+    };
+    refusal.reply(wait)
 }
 
 /// The head of an endpoint's answer.
@@ -126,7 +132,7 @@
         if let Some(first) = first {
             return Some((Ok(first), Some((ticket, rest, None))));
         }
-        match ticket.within(rest.call.next()).await {
+        match ticket.in_time(rest.call.next()).await {
             Some(Ok(Some(bytes))) => Some((Ok(bytes), Some((ticket, rest, None)))),
             Some(Ok(None)) => {
                 ticket.end(status, "answered");
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -36,6 +36,8 @@
     StageFailed,
     /// Time is over, and nothing was sent.
     TimeoutNotRun,
+    /// The node leaves before the answer would end, and nothing was sent.
+    Leaving,
     /// Time is over, and the request may have run.
     Timeout,
     /// The endpoint's answer was lost or can't be used.
@@ -57,6 +59,7 @@
             Self::StagesLate => "stages-late",
             Self::StageFailed => "stage-failed",
             Self::TimeoutNotRun => "timeout-not-run",
+            Self::Leaving => "leaving",
             Self::Timeout => "timeout",
             Self::AnswerLost => "answer-lost",
         }
@@ -76,7 +79,8 @@
             | Self::Full
             | Self::StagesLate
             | Self::StageFailed
-            | Self::TimeoutNotRun => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::TimeoutNotRun
+            | Self::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
+use std::sync::OnceLock;
 use std::sync::PoisonError;
 use std::time::Duration;
 
@@ -11,6 +12,7 @@
 use snipeyoke_lib::serving::budget::SharedBudget;
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::directory::Directory;
+use snipeyoke_lib::serving::durations::Durations;
 use snipeyoke_lib::serving::owners::Owners;
 use snipeyoke_lib::serving::pace::Paces;
 use snipeyoke_lib::serving::replica::Record;
@@ -59,10 +61,15 @@
     pub(crate) drain: Flag,
     /// Set once nothing new is answered.
     pub(crate) end: Flag,
+    /// Set once requests that wait for an answer are given up.
+    pub(crate) overtime: Flag,
+    /// When a leaving node cuts what still runs; set when it begins to leave.
+    pub(crate) cut: OnceLock<Time>,
     directory: Mutex<Directory>,
     budget: Mutex<SharedBudget>,
     owners: Mutex<Owners>,
     paces: Mutex<Paces>,
+    durations: Mutex<Durations>,
     replicas: Mutex<Replicas>,
 }
 
@@ -89,6 +96,7 @@
             budget: Mutex::new(SharedBudget::new(settings.retries)),
             owners: Mutex::new(Owners::new(settings.listen.peers, settings.power)),
             paces: Mutex::default(),
+            durations: Mutex::default(),
             replicas: Mutex::default(),
             catalog: Fact::new(None),
             changed: Event::new(),
@@ -96,6 +104,8 @@
             aside: Flag::default(),
             drain: Flag::default(),
             end: Flag::default(),
+            overtime: Flag::default(),
+            cut: OnceLock::new(),
             settings,
             dialect,
             registry,
@@ -124,6 +134,10 @@
         lock(&self.paces)
     }
 
+    pub(crate) fn durations(&self) -> MutexGuard<'_, Durations> {
+        lock(&self.durations)
+    }
+
     pub(crate) fn replicas(&self) -> MutexGuard<'_, Replicas> {
         lock(&self.replicas)
     }
@@ -140,6 +154,18 @@
         knows && self.directory().iter().next().is_some() && !self.aside.is_set()
     }
 
+    /// Tells whether a request of a route is better begun at another node.
+    ///
+    /// Cut at the end of the grace period, it would have to be done again from
+    /// its start, with less time.
+    pub(crate) fn leaves_before(&self, route: &str) -> bool {
+        let Some(cut) = self.cut.get() else {
+            return false;
+        };
+        let bound = self.durations().bound(route).unwrap_or_default();
+        self.now() + bound > *cut
+    }
+
     /// Tells whether the node has heard of the others, or waited for it.
     ///
     /// A node that knows no other takes itself for the owner of every service,
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -110,7 +110,7 @@
             let Some(answered) = &mut self.answered else {
                 return None;
             };
-            let why = match self.ticket.within(answered.call.next()).await {
+            let why = match self.ticket.in_time(answered.call.next()).await {
                 None => {
                     self.finish("timeout");
                     return Some((Err(Cut), self));
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -107,8 +107,20 @@
         self.due.since(self.shared.now())
     }
 
-    /// Waits for a future as long as the request has time.
+    /// Waits for a future as long as the request has time, and the node.
+    ///
+    /// For what comes before an answer begins: a leaving node gives it up while
+    /// it can still tell the caller.
     pub(crate) async fn within<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let overtime = async {
+            self.shared.overtime.wait().await;
+            None
+        };
+        self.in_time(future).or(overtime).await
+    }
+
+    /// Waits for a future as long as the request has time.
+    pub(crate) async fn in_time<T>(&self, future: impl Future<Output = T>) -> Option<T> {
         let over = async {
             Timer::after(self.left()).await;
             None
@@ -120,13 +132,16 @@
     pub(crate) fn may_try_again(&self) -> bool {
         let more = (self.tried.len() as u32) < self.route.attempts;
         let now = self.shared.now();
-        more && now < self.due && self.shared.budget().take(now, &self.service)
+        let time = now < self.due && !self.shared.overtime.is_set();
+        more && time && self.shared.budget().take(now, &self.service)
     }
 
-    /// Returns the refusal for a request whose time is over.
-    pub(crate) const fn timeout(&self) -> Refusal {
+    /// Returns the refusal for a request whose time, or the node's, is over.
+    pub(crate) fn timeout(&self) -> Refusal {
         if self.may_have_run {
             Refusal::Timeout
+        } else if self.shared.overtime.is_set() {
+            Refusal::Leaving
         } else {
             Refusal::TimeoutNotRun
         }
@@ -155,6 +170,9 @@
         let took = now.since(self.began);
         metrics::counter!("snipeyoke_requests_total", "route" => self.route.name.clone(), "outcome" => outcome).increment(1);
         metrics::histogram!("snipeyoke_request_seconds", "outcome" => outcome).record(took);
+        if outcome == "answered" {
+            self.shared.durations().observe(&self.route.name, took);
+        }
         let since = |at: Option<Time>| at.map_or(0, |at| at.since(self.began).as_millis() as u64);
         let endpoint = self.tried.last().map(ToString::to_string);
         log::info!(
--- a/lib/src/serving/come_back.rs
+++ b/lib/src/serving/come_back.rs
@@ -13,6 +13,12 @@
 /// second try still has two thirds.
 const COME_BACK_PART: f64 = 0.3;
 
+/// The longest wait before a caller tries another node.
+///
+/// Another node can serve it at once; the spread keeps those who were refused
+/// together from arriving in the same millisecond.
+const ELSEWHERE: Duration = Duration::from_millis(50);
+
 /// Returns when a refused caller should come back; `draw` in `0..1` spreads
 /// those who were refused together.
 ///
@@ -24,3 +30,10 @@
     let wait = backlog.mul_f64(1.0 + draw / 2.0).min(longest);
     wait.max(COME_BACK.mul_f64(1.0 + draw))
 }
+
+/// Returns when a caller should try another node that has no backlog; `draw`
+/// in `0..1` spreads those who were refused together.
+#[must_use]
+pub fn elsewhere(draw: f64) -> Duration {
+    ELSEWHERE.mul_f64(draw)
+}
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -8,6 +8,7 @@
 pub mod catalog;
 pub mod come_back;
 pub mod directory;
+pub mod durations;
 pub mod events;
 pub mod health;
 pub mod owners;
--- a/lib/tests/test_serving.rs
+++ b/lib/tests/test_serving.rs
@@ -14,6 +14,8 @@
 use snipeyoke_lib::serving::budget::BudgetLimits;
 use snipeyoke_lib::serving::budget::SharedBudget;
 use snipeyoke_lib::serving::come_back::come_back;
+use snipeyoke_lib::serving::come_back::elsewhere;
+use snipeyoke_lib::serving::durations::Durations;
 use snipeyoke_lib::serving::events::Events;
 use snipeyoke_lib::serving::health::Health;
 use snipeyoke_lib::serving::replica::Record;
@@ -162,3 +164,38 @@
     let soon = come_back(none, none, 0.5);
     assert!(soon > none && soon < second);
 }
+
+#[test]
+fn nearly_all_answers_of_a_route_end_within_its_bound() {
+    // Chats last from one to six seconds. A node with three seconds left must
+    // not begin one, and may still take a lookup of some milliseconds.
+    let mut durations = Durations::default();
+    assert_eq!(durations.bound("chat"), None, "nothing is known yet");
+    for n in 0..200_u64 {
+        durations.observe("chat", Duration::from_millis(1_000 + n * 1_733 % 5_000));
+        durations.observe("lookup", Duration::from_millis(60 + n * 37 % 40));
+    }
+    let bound = |route| durations.bound(route).expect("answers were seen");
+    assert!(bound("chat") > Duration::from_secs(5));
+    assert!(bound("lookup") < Duration::from_millis(300));
+}
+
+#[test]
+fn the_bound_follows_a_route_that_became_slower() {
+    let mut durations = Durations::default();
+    for _ in 0..50 {
+        durations.observe("draft", Duration::from_millis(500));
+    }
+    for _ in 0..12 {
+        durations.observe("draft", Duration::from_secs(4));
+    }
+    let bound = durations.bound("draft").expect("answers were seen");
+    assert!(bound >= Duration::from_secs(4));
+}
+
+#[test]
+fn callers_sent_elsewhere_do_not_arrive_together() {
+    let waits = [0.0, 0.5, 1.0].map(elsewhere);
+    assert!(waits[0] < waits[1] && waits[1] < waits[2]);
+    assert!(waits[2] < Duration::from_millis(100));
+}
