stages: tell the next owner of results given back to a lost one

Change: a node remembers what it gave back in the last seconds; when the owner is lost, or its link comes back, what it was told since half a second before it was last heard goes to whoever owns the service now.

Ruled out: calls at work at the loss (288 results of the 1,700 that a second and a half makes) and the new owner's empty account of memory alone.

--- a/gateway/src/dispatch/asked.rs
+++ b/gateway/src/dispatch/asked.rs
@@ -116,7 +116,7 @@
             return;
         };
         let now = self.shared.now();
-        if let Some(owned) = self.queues.get_mut(&service) {
+        if let Some(owned) = self.open(&service) {
             for result in frame.results {
                 owned.delivered.remove(&result.handle);
                 if let Ok(endpoint) = result.endpoint.parse() {
--- a/gateway/src/dispatch/neighbours.rs
+++ b/gateway/src/dispatch/neighbours.rs
@@ -166,6 +166,7 @@
             .filter(|(_, t)| t.place == Place::At(peer));
         let numbers: Vec<JobNumber> = held.map(|(&n, _)| n).collect();
         log::info!(event = "node-lost", peer = peer.to_string().as_str(), why, jobs = numbers.len(); "");
+        self.give_back_missed(peer);
         for number in numbers {
             if let Some(ticket) = self.pending.remove(&number) {
                 self.submit(number, ticket.service, ticket.job, ticket.reply);
--- a/gateway/src/dispatch/queues.rs
+++ b/gateway/src/dispatch/queues.rs
@@ -50,6 +50,14 @@
 
 impl State {
     pub(super) fn queue(&mut self, service: &PoolName, job: Job, origin: Origin) -> Option<JobId> {
+        let owned = self.open(service)?;
+        let id = owned.queue.submit(job);
+        owned.origins.insert(id, origin);
+        Some(id)
+    }
+
+    /// Returns the queue of a service, a new one if there is none yet.
+    pub(super) fn open(&mut self, service: &PoolName) -> Option<&mut ServiceQueue> {
         if !self.queues.contains_key(service) {
             let catalog = self.shared.catalog.get();
             let found = catalog.as_ref().as_ref()?.service(service)?.pieces.clone();
@@ -63,10 +71,7 @@
             };
             self.queues.insert(service.clone(), owned);
         }
-        let owned = self.queues.get_mut(service)?;
-        let id = owned.queue.submit(job);
-        owned.origins.insert(id, origin);
-        Some(id)
+        self.queues.get_mut(service)
     }
 
     pub(super) fn set_endpoints(&mut self) {
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -14,6 +14,8 @@
 use snipeyoke_lib::serving::pieces::Job;
 use snipeyoke_lib::serving::pieces::JobId;
 use snipeyoke_lib::serving::pieces::PieceQueue;
+use snipeyoke_lib::serving::returned::Results;
+use snipeyoke_lib::serving::returned::Returned;
 use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::link::LinkSender;
 use snipeyoke_runtime::scope::Scope;
@@ -107,6 +109,7 @@
         departed: BTreeMap::new(),
         synced: Time::ZERO,
         turn: 0,
+        returned: Returned::default(),
     };
     loop {
         let wake = state.wake();
@@ -141,6 +144,8 @@
     pub(super) departed: BTreeMap<SocketAddr, Time>,
     pub(super) synced: Time,
     pub(super) turn: usize,
+    /// What owners may not have heard of yet.
+    pub(super) returned: Returned,
 }
 
 impl State {
@@ -285,6 +290,7 @@
         for frame in frames {
             self.send(peer, Body::PieceJob(frame));
         }
+        self.give_back_missed(peer);
         self.sync(peer);
     }
 
@@ -307,17 +313,18 @@
         }
     }
 
-    pub(super) fn give_back(&mut self, service: &PoolName, results: Vec<(EndpointId, String)>) {
+    pub(super) fn give_back(&mut self, service: &PoolName, results: Results) {
         let now = self.shared.now();
         let owner = self.shared.owners().owner(now, service);
         if owner == self.shared.settings.listen.peers {
-            if let Some(owned) = self.queues.get_mut(service) {
+            if let Some(owned) = self.open(service) {
                 for (endpoint, handle) in results {
                     owned.queue.give_back(now, &endpoint, handle);
                 }
             }
             return;
         }
+        self.returned.note(now, owner, service, &results);
         let results = results
             .into_iter()
             .map(|(endpoint, handle)| snipeyoke_wire::PieceResult {
@@ -332,6 +339,17 @@
         self.send(owner, Body::PieceUnneeded(frame));
     }
 
+    /// Gives back once more what a node may have missed, to whoever owns it now.
+    pub(super) fn give_back_missed(&mut self, peer: SocketAddr) {
+        let now = self.shared.now();
+        let heard = self.shared.owners().heard_at(peer);
+        let missed = self.returned.take_missed(now, peer, heard);
+        for (service, results) in missed {
+            log::info!(event = "results-given-back-again", peer = peer.to_string().as_str(), service = service.as_str(), results = results.len(); "");
+            self.give_back(&service, results);
+        }
+    }
+
     pub(super) fn done(&mut self, done: Done) {
         if let Some(ticket) = self.pending.remove(&done.number) {
             let _gone = ticket.reply.try_send(done);
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -15,3 +15,4 @@
 pub mod pace;
 pub mod pieces;
 pub mod replica;
+pub mod returned;
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -117,6 +117,13 @@
         self.peers.retain(|_, p| now.since(p.heard) < FORGOTTEN);
     }
 
+    /// Returns when a node last answered; the start of time if it never did.
+    #[must_use]
+    pub fn heard_at(&self, peer: SocketAddr) -> Time {
+        let answered = self.peers.get(&peer).filter(|p| p.answered);
+        answered.map_or(Time::ZERO, |p| p.heard)
+    }
+
     /// Tells whether any other node has answered.
     #[must_use]
     pub fn has_heard(&self) -> bool {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -24,5 +24,6 @@
 mod test_placement;
 mod test_plan;
 mod test_query;
+mod test_returned;
 mod test_serving;
 mod test_slots;
