--- a/lib/tests/test_returned.rs
+++ b/lib/tests/test_returned.rs
@@ -41,20 +41,20 @@
     // given back in between went nowhere: at a hundred results a second its
     // endpoints would be full of them, for seconds, under the next owner.
     let mut returned = busy(node(1));
-    let now = Time::from_secs(3);
-    let missed = returned.take_missed(now, node(1), Time::from_secs(2));
+    let now = Time::from_millis(3_000);
+    let missed = returned.take_missed(now, node(1), Time::from_millis(2_000));
     let told = &missed[&service("tiles")];
     let handles: Vec<&str> = told.iter().map(|(_, h)| h.as_str()).collect();
     assert_eq!(handles.first(), Some(&"h150"), "half a second is unsure");
     assert_eq!(handles.last(), Some(&"h299"));
-    let again = returned.take_missed(now, node(1), Time::from_secs(2));
+    let again = returned.take_missed(now, node(1), Time::from_millis(2_000));
     assert!(again.is_empty(), "each is told once");
 }
 
 #[test]
 fn what_other_owners_were_told_stays_with_them() {
     let mut returned = busy(node(1));
-    let now = Time::from_secs(3);
+    let now = Time::from_millis(3_000);
     returned.note(now, node(2), &service("boards"), &result(1_000));
     let missed = returned.take_missed(now, node(2), Time::ZERO);
     assert_eq!(missed.len(), 1);
@@ -65,6 +65,6 @@
 fn what_has_lapsed_is_not_told() {
     // An owner that nobody could reach for a while has nothing left to free.
     let mut returned = busy(node(1));
-    let missed = returned.take_missed(Time::from_secs(20), node(1), Time::ZERO);
+    let missed = returned.take_missed(Time::from_millis(20_000), node(1), Time::ZERO);
     assert!(missed.is_empty());
 }
