stages: what comes back is due from its first time on

A caller that comes back is late already, yet got a goal of its own as if it were new, and went before others that could be on time.

Change: the queue of a service remembers the goal of each request's key for as long as its caller waits, and a job for the same stage and key keeps the first.

The test of the burst fails without the change.

--- a/lib/src/serving/pieces/mod.rs
+++ b/lib/src/serving/pieces/mod.rs
@@ -1,6 +1,7 @@
 //! Stage work in pieces: what a request still needs, and how calls are filled.
 
 mod fill;
+mod first_goals;
 mod maker;
 mod on_time;
 mod place;
--- a/lib/src/serving/pieces/queue.rs
+++ b/lib/src/serving/pieces/queue.rs
@@ -8,6 +8,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::first_goals::FirstGoals;
 use super::maker::Maker;
 use super::plan::Work;
 use crate::ids::EndpointId;
@@ -213,6 +214,7 @@
     pub(super) next_job: u64,
     pub(super) next_call: u64,
     pub(super) ends: Vec<JobEnd>,
+    first_goals: FirstGoals,
     /// The pieces that an endpoint does in a second while many wait.
     pub(super) pace: Option<f64>,
     /// When it was last looked at which jobs can be on time.
@@ -222,7 +224,7 @@
 impl PieceQueue {
     /// Starts empty, without endpoints.
     #[must_use]
-    pub const fn new(limits: PieceLimits) -> Self {
+    pub fn new(limits: PieceLimits) -> Self {
         Self {
             limits,
             makers: BTreeMap::new(),
@@ -231,6 +233,7 @@
             next_job: 0,
             next_call: 0,
             ends: Vec::new(),
+            first_goals: FirstGoals::default(),
             pace: None,
             sorted: Time::ZERO,
         }
@@ -281,7 +284,8 @@
     }
 
     /// Takes in a job.
-    pub fn submit(&mut self, job: Job) -> JobId {
+    pub fn submit(&mut self, mut job: Job) -> JobId {
+        job.goal = self.first_goals.goal(&job);
         let id = JobId(self.next_job);
         self.next_job += 1;
         let waiting = Piece {
@@ -378,6 +382,7 @@
 
     /// Returns the calls to make now.
     pub fn poll(&mut self, now: Time) -> Vec<PieceCall> {
+        self.first_goals.sweep(now);
         self.give_out_overdue(now);
         self.sort_out(now);
         self.end_hopeless(now);
--- a/lib/tests/pipeline_world.rs
+++ b/lib/tests/pipeline_world.rs
@@ -212,7 +212,7 @@
                 stage: order.stage,
                 pieces: order.pieces,
                 work: order.work,
-                key: "k".to_owned(),
+                key: number.to_string(),
                 each: stage.bytes,
                 goal: times.goal(order.stage, goal).max(self.now),
                 due: times.due(order.stage, due).max(self.now),
--- a/lib/tests/test_pieces.rs
+++ b/lib/tests/test_pieces.rs
@@ -63,7 +63,7 @@
         stage: 0,
         pieces: (0..pieces).collect(),
         work: Work::Key,
-        key: "k".to_owned(),
+        key: request.to_owned(),
         each: Bytes(8_000),
         goal: at(goal),
         due: at(due),
@@ -454,3 +454,34 @@
         queue.cancel(at(start + 600), ids[2]);
     }
 }
+
+#[test]
+fn what_comes_back_is_due_from_its_first_time_on() {
+    // A burst: the caller of r0 was refused and is back two seconds later. Its
+    // answer is late already; r1, which is new and less urgent by its own word,
+    // can still be on time and must not wait behind it.
+    let mut queue = queue(&[("i-1", "a")]);
+    let first = queue.submit(job("r0", 8, 600, 9_000));
+    queue.cancel(at(10), first);
+    assert!(queue.poll(at(10)).is_empty());
+    let mut back = job("r0", 8, 2_600, 9_000);
+    back.request = "r0 again".to_owned();
+    queue.submit(back);
+    queue.submit(job("r1", 8, 2_700, 9_000));
+    let sent = queue.poll(at(2_000));
+    assert_eq!(sent[0].items[0].request, "r1");
+}
+
+#[test]
+fn a_key_is_forgotten_with_its_caller() {
+    // Nobody comes back after its time is over; who then uses the same key is
+    // somebody else.
+    let mut queue = queue(&[("i-1", "a")]);
+    let first = queue.submit(job("r0", 8, 600, 3_000));
+    queue.cancel(at(10), first);
+    queue.poll(at(4_500));
+    queue.submit(job("r0", 8, 5_100, 9_000));
+    queue.submit(job("r1", 8, 5_200, 9_000));
+    let sent = queue.poll(at(4_600));
+    assert_eq!(sent[0].items[0].request, "r0");
+}
