--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -19,13 +19,6 @@
 /// Each read has its price, and changes are minutes apart.
 const CONFIG_WAIT: Duration = Duration::from_secs(20);
 
-/// The pause between two reads of the endpoints.
-///
-/// Endpoints write many times a second together, so waiting for the next
-/// record would read without end. A leaving endpoint must get nothing new
-/// two seconds after it says so; two reads fit in, one of them may fail.
-const ENDPOINTS_PAUSE: Duration = Duration::from_millis(800);
-
 /// The pauses between the looks at the other nodes.
 ///
 /// Nodes start together, so the first looks come soon; later ones only find
@@ -90,8 +83,10 @@
     };
     let mut failing = false;
     loop {
+        // Endpoints write many times a second together: a read that waits for
+        // the next record would never wait.
         if topic == Topic::Endpoints && !failing {
-            Timer::after(ENDPOINTS_PAUSE).await;
+            Timer::after(shared.settings.read_pause()).await;
         }
         let from = match topic {
             Topic::Config => shared.replicas().config.next(),
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -16,6 +16,16 @@
 /// The longest grace that is taken, in seconds.
 const GRACE_MAX: f64 = 3_600.0;
 
+/// The longest notice that is taken, in milliseconds.
+///
+/// Endpoints that are gone without a word are found by these reads, too.
+const NOTICE_MAX: f64 = 60_000.0;
+
+/// The time of the notice that is kept for a read's own way and answer.
+///
+/// Reads take some milliseconds, and some hundred from a slow registry.
+const READ_TIME: Duration = Duration::from_millis(400);
+
 /// The settings as they stand in the file.
 #[derive(Debug, Clone)]
 #[derive(Deserialize)]
@@ -39,6 +49,10 @@
     pub processor: Processor,
     /// The time between SIGTERM and SIGKILL, in seconds.
     pub grace_s: f64,
+    /// The time within which a leaving endpoint gets its last request, in
+    /// milliseconds.
+    #[serde(default = "notice_ms")]
+    pub notice_ms: f64,
     /// The bound on retries over all nodes.
     pub retries: Retries,
     /// The log filter: `LEVEL` or `TARGET=LEVEL,…`.
@@ -46,6 +60,10 @@
     pub log: String,
 }
 
+const fn notice_ms() -> f64 {
+    2_000.0
+}
+
 fn info() -> String {
     "info".to_owned()
 }
@@ -116,6 +134,8 @@
     pub power: MilliCores,
     /// The time between SIGTERM and SIGKILL.
     pub grace: Duration,
+    /// The time within which a leaving endpoint gets its last request.
+    pub notice: Duration,
     /// The bound on retries over all nodes.
     pub retries: BudgetLimits,
     /// The log filter.
@@ -149,6 +169,7 @@
             }
         };
         check("grace_s", raw.grace_s, 1.0, GRACE_MAX);
+        check("notice_ms", raw.notice_ms, 1_000.0, NOTICE_MAX);
         check("share", raw.processor.share, 0.001, 1_024.0);
         check("speed", raw.processor.speed, 0.01, 100.0);
         check("ratio", raw.retries.ratio, 0.0, 10.0);
@@ -165,6 +186,7 @@
             registry: raw.registry,
             power: MilliCores((raw.processor.share * raw.processor.speed * 1_000.0) as u32),
             grace: Duration::from_secs_f64(raw.grace_s),
+            notice: Duration::from_secs_f64(raw.notice_ms / 1_000.0),
             retries: BudgetLimits {
                 ratio: raw.retries.ratio,
                 window: Duration::from_secs_f64(raw.retries.window_s),
@@ -175,6 +197,17 @@
     }
 }
 
+impl Settings {
+    /// Returns the pause between two reads of the endpoints.
+    ///
+    /// Two reads fit into the notice, so that one of them may fail. Each read
+    /// has its price: more of them would find nothing that is due earlier.
+    #[must_use]
+    pub fn read_pause(&self) -> Duration {
+        self.notice.saturating_sub(READ_TIME) / 2
+    }
+}
+
 impl Checked for Settings {
     type Raw = Raw;
     type Error = ValueError;
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -29,11 +29,10 @@
 use crate::registry::Topic;
 use crate::settings::Settings;
 
-/// How long the endpoints' records count as fresh after a read.
+/// The pauses between reads after which the endpoints' records are not fresh.
 ///
-/// Reads are under a second apart; beyond this one has failed, and a neighbour
-/// may know more.
-const FRESH: Duration = Duration::from_millis(1_500);
+/// One read has failed then, and a neighbour may know more.
+const FRESH_PAUSES: u32 = 2;
 
 /// How long a node waits at its start to hear from another one.
 ///
@@ -145,7 +144,8 @@
     /// Tells whether the registry can't be read now.
     pub(crate) fn is_stale(&self) -> bool {
         let read = self.replicas().read;
-        read.is_none_or(|at| self.now().since(at) > FRESH)
+        let fresh = FRESH_PAUSES * self.settings.read_pause();
+        read.is_none_or(|at| self.now().since(at) > fresh)
     }
 
     /// Tells whether the node can serve callers.
