follow: tell how reads of the registry end, and how large copies are

Logs could not tell why a configuration came late: not how long the waiting read had waited nor how it ended, not why a call failed, not the size of a configuration, nor how often nodes passed it on to one another. No decision changes.

--- a/gateway/src/dispatch/asked.rs
+++ b/gateway/src/dispatch/asked.rs
@@ -167,6 +167,13 @@
         let replicas = self.shared.replicas();
         if replicas.config.next() > Offset(look.config_next) {
             let records = replicas.config.since(Offset(look.config_next));
+            let bytes: usize = records
+                .iter()
+                .filter_map(|r| r.value.as_ref())
+                .map(|v| v.len())
+                .sum();
+            log::info!(event = "config-passed-on", node = look.address.as_str(), from = look.config_next, bytes; "");
+            metrics::counter!("snipeyoke_config_passed_on_bytes_total").increment(bytes as u64);
             seen.config = records.into_iter().map(convert::record_frame).collect();
             seen.config_next = replicas.config.next().0;
         }
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -7,7 +7,9 @@
 use futures_lite::FutureExt;
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::Backoff;
+use snipeyoke_lib::serving::replica::Record;
 
+use crate::registry::Failure;
 use crate::registry::NodeEntry;
 use crate::registry::Page;
 use crate::registry::Topic;
@@ -41,24 +43,22 @@
 /// Reads the whole list, as often as it takes.
 async fn list(shared: &Shared, topic: Topic, backoff: &mut Backoff) {
     loop {
-        if let Some((records, end)) = pages(shared, topic).await {
-            backoff.succeeded();
-            shared.replace(topic, records, end);
-            note_read(shared, topic);
-            return;
+        match pages(shared, topic).await {
+            Ok((records, end)) => {
+                backoff.succeeded();
+                shared.replace(topic, records, end);
+                note_read(shared, topic);
+                return;
+            }
+            Err(failure) => {
+                log::warn!(event = "registry-failed", topic = topic.to_string().as_str(), call = "list", why = failure.to_string().as_str(); "");
+            }
         }
-        log::warn!(event = "registry-failed", topic = topic.to_string().as_str(), call = "list"; "");
         Timer::after(backoff.failed()).await;
     }
 }
 
-async fn pages(
-    shared: &Shared,
-    topic: Topic,
-) -> Option<(
-    Vec<snipeyoke_lib::serving::replica::Record>,
-    snipeyoke_lib::ids::Offset,
-)> {
+async fn pages(shared: &Shared, topic: Topic) -> Result<(Vec<Record>, Offset), Failure> {
     let mut all = Vec::new();
     // Pages are no snapshot: reading goes on from where the first one ended.
     let mut first_end = None;
@@ -69,7 +69,7 @@
         let end = *first_end.get_or_insert(end);
         match more {
             Some(key) => after = Some(key),
-            None => return Some((all, end)),
+            None => return Ok((all, end)),
         }
     }
 }
@@ -109,9 +109,9 @@
                 log::info!(event = "registry-history-gone", topic = topic.to_string().as_str(), from = from.0; "");
                 return;
             }
-            Update::Failed => {
+            Update::Failed(failure) => {
                 if !std::mem::replace(&mut failing, true) {
-                    log::warn!(event = "registry-lost", topic = topic.to_string().as_str(), from = from.0; "");
+                    log::warn!(event = "registry-lost", topic = topic.to_string().as_str(), from = from.0, why = failure.to_string().as_str(); "");
                 }
                 Timer::after(backoff.failed()).await;
             }
@@ -126,16 +126,28 @@
 /// only when the read is given up, on all nodes. The reads that don't wait tell
 /// when the registry answers again.
 async fn read(shared: &Shared, topic: Topic, from: Offset, wait: Duration) -> Option<Update> {
+    let begun = shared.now();
     let update = async { Some(shared.registry.read(topic, from, wait).await) };
     if wait.is_zero() {
         return update.await;
     }
+    log::info!(event = "registry-asked", topic = topic.to_string().as_str(), from = from.0, wait_ms = wait.as_millis() as u64; "");
     let regained = async {
         shared.regained.listen().await;
         log::info!(event = "registry-asked-again", topic = topic.to_string().as_str(), from = from.0; "");
         None
     };
-    update.or(regained).await
+    let update = update.or(regained).await;
+    let ended = match &update {
+        Some(Update::Records { records, .. }) if records.is_empty() => "nothing-new",
+        Some(Update::Records { .. }) => "records",
+        Some(Update::Gone) => "gone",
+        Some(Update::Failed(_)) => "failed",
+        None => "given-up",
+    };
+    let took = shared.now().since(begun).as_millis() as u64;
+    log::info!(event = "registry-answered", topic = topic.to_string().as_str(), from = from.0, took_ms = took, ended; "");
+    update
 }
 
 fn note_read(shared: &Shared, topic: Topic) {
@@ -157,8 +169,11 @@
     }
     for pause in NODES_PAUSES {
         Timer::after(pause).await;
-        if let Some((records, end)) = pages(&shared, Topic::Nodes).await {
-            shared.replace(Topic::Nodes, records, end);
+        match pages(&shared, Topic::Nodes).await {
+            Ok((records, end)) => shared.replace(Topic::Nodes, records, end),
+            Err(failure) => {
+                log::warn!(event = "registry-failed", topic = "nodes", call = "list", why = failure.to_string().as_str(); "");
+            }
         }
     }
 }
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -53,7 +53,37 @@
     /// The records asked for are no longer kept: the list has to be read.
     Gone,
     /// No answer, or a failure.
-    Failed,
+    Failed(Failure),
+}
+
+/// Why a call to the registry brought nothing.
+#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Display, Error)]
+pub enum Failure {
+    /// No connection, or one that failed.
+    #[display("the connection failed: {what}; look at the way to the registry")]
+    Connection {
+        /// What was found.
+        what: String,
+    },
+    /// No answer began in time.
+    #[display("no answer began in time; look whether the registry is overloaded")]
+    Silent,
+    /// An answer began and was not complete in time.
+    #[display("the answer was not complete in time after {read} bytes; look at the link's load")]
+    Slow {
+        /// The bytes that came.
+        read: usize,
+    },
+    /// The registry refused.
+    #[display("the registry answered {status}; look at its limits on calls")]
+    Refused {
+        /// The status.
+        status: u16,
+    },
+    /// The answer can't be read.
+    #[display("the answer is no list of records; look whether the registry's release is known")]
+    Unreadable,
 }
 
 /// Why a record can't be used.
@@ -82,7 +112,7 @@
 /// An implementation makes one try for each call.
 pub trait Registry: Debug + Send + Sync + 'static {
     /// Reads a page of the newest records of a topic, after a key.
-    fn newest(&self, topic: Topic, after: Option<String>) -> LogCall<'_, Option<Page>>;
+    fn newest(&self, topic: Topic, after: Option<String>) -> LogCall<'_, Result<Page, Failure>>;
 
     /// Reads the records from an offset on, or waits for one.
     fn read(&self, topic: Topic, from: Offset, wait: Duration) -> LogCall<'_, Update>;
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -181,8 +181,14 @@
             let Some(value) = &record.value else {
                 continue;
             };
+            let begun = self.now();
             match self.registry.catalog(&record.key, value) {
-                Some(Ok(catalog)) => self.put_in_force(catalog, record, source),
+                Some(Ok(catalog)) => {
+                    let took = self.now().since(begun).as_millis() as u64;
+                    let version = catalog.version();
+                    log::info!(event = "config-read", version, bytes = value.len(), took_ms = took, source; "");
+                    self.put_in_force(catalog, record, source);
+                }
                 Some(Err(error)) => {
                     log::error!(event = "config-refused", offset = record.offset.0, error = error.to_string().as_str(); "");
                 }
--- a/runtime/src/http/body.rs
+++ b/runtime/src/http/body.rs
@@ -95,7 +95,25 @@
 ///
 /// Returns [`BodyError`] if it is larger or its connection fails.
 pub async fn collect(body: Incoming, max: usize) -> Result<Bytes, BodyError> {
-    match Limited::new(body, max).collect().await {
+    collect_noting(body, max, |_piece| ()).await
+}
+
+/// Reads a whole body and tells the size of each piece as it comes.
+///
+/// # Errors
+///
+/// Returns [`BodyError`] if it is larger than `max` bytes or its connection
+/// fails.
+pub async fn collect_noting(
+    body: Incoming,
+    max: usize,
+    mut note: impl FnMut(usize),
+) -> Result<Bytes, BodyError> {
+    let noted = body.map_frame(|frame| {
+        note(frame.data_ref().map_or(0, Bytes::len));
+        frame
+    });
+    match Limited::new(noted, max).collect().await {
         Ok(collected) => Ok(collected.to_bytes()),
         Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge { max }),
         Err(error) => match error.downcast::<hyper::Error>() {
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -8,6 +8,7 @@
 pub use body::Cut;
 pub use body::ReplyBody;
 pub use body::collect;
+pub use body::collect_noting;
 pub use body::cuttable;
 pub use body::empty;
 pub use body::full;
