platform: judge an answer on its way by what comes, not by its whole time

What callers saw: a node that is never ready, or a change that never comes, where the configuration takes more than 0.9 s over a node's link.

Cause: one limit bounded a call from its start to the end of its body. It suits short answers; a long one was thrown away just before its end, and made again. Ruled out: the store, which sent it each time.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -64,7 +64,7 @@
     let mut first_end = None;
     let mut after = None;
     loop {
-        let Page { records, more, end } = shared.registry.newest(topic, after).await?;
+        let Page { records, more, end } = shared.registry.newest(topic, after, &|| ()).await?;
         all.extend(records);
         let end = *first_end.get_or_insert(end);
         match more {
@@ -127,7 +127,7 @@
 /// when the registry answers again.
 async fn read(shared: &Shared, topic: Topic, from: Offset, wait: Duration) -> Option<Update> {
     let begun = shared.now();
-    let update = async { Some(shared.registry.read(topic, from, wait).await) };
+    let update = async { Some(shared.registry.read(topic, from, wait, &|| ()).await) };
     if wait.is_zero() {
         return update.await;
     }
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -69,8 +69,8 @@
     /// No answer began in time.
     #[display("no answer began in time; look whether the registry is overloaded")]
     Silent,
-    /// An answer began and was not complete in time.
-    #[display("the answer was not complete in time after {read} bytes; look at the link's load")]
+    /// An answer began and came no further.
+    #[display("the answer came no further after {read} bytes; look at the link's load")]
     Slow {
         /// The bytes that came.
         read: usize,
@@ -107,15 +107,33 @@
     pub power: Option<MilliCores>,
 }
 
+/// Told of each piece of an answer's body as it comes.
+///
+/// A large answer takes seconds over a slow or full link. Who waits for it can
+/// tell from its pieces that it is on its way, and need not ask again.
+pub type Came<'a> = &'a (dyn Fn() + Send + Sync);
+
 /// Where routes, endpoints and nodes are registered.
 ///
-/// An implementation makes one try for each call.
+/// An implementation makes one try for each call. It gives a call up when no
+/// answer begins in time, or when one that began comes no further.
 pub trait Registry: Debug + Send + Sync + 'static {
     /// Reads a page of the newest records of a topic, after a key.
-    fn newest(&self, topic: Topic, after: Option<String>) -> LogCall<'_, Result<Page, Failure>>;
+    fn newest<'a>(
+        &'a self,
+        topic: Topic,
+        after: Option<String>,
+        came: Came<'a>,
+    ) -> LogCall<'a, Result<Page, Failure>>;
 
     /// Reads the records from an offset on, or waits for one.
-    fn read(&self, topic: Topic, from: Offset, wait: Duration) -> LogCall<'_, Update>;
+    fn read<'a>(
+        &'a self,
+        topic: Topic,
+        from: Offset,
+        wait: Duration,
+        came: Came<'a>,
+    ) -> LogCall<'a, Update>;
 
     /// Registers this node; tells whether it is registered for sure.
     fn announce(&self, node: &NodeId, entry: NodeEntry) -> LogCall<'_, bool>;
