follow: do not drop an answer that is on its way

Cause: a read that waits was made again whenever a short read worked after one that had failed, to find waiting reads that a silent registry had swallowed. A read whose answer has begun to come is not lost. On a full link short reads fail and work again every second, and each time the answer began anew. Ruled out: the limit of the call, which is 20.9 s here.

Test: an_answer_on_its_way_is_not_begun_anew, 700 KB at 200 KB/s beside reads that fail every other time; never before, within 4 s now. An answer that stops coming is still found, by the call's own limit.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -1,6 +1,8 @@
 //! Follows the registry's topics.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -127,13 +129,21 @@
 /// when the registry answers again.
 async fn read(shared: &Shared, topic: Topic, from: Offset, wait: Duration) -> Option<Update> {
     let begun = shared.now();
-    let update = async { Some(shared.registry.read(topic, from, wait, &|| ()).await) };
+    let coming = AtomicBool::new(false);
+    let came = || coming.store(true, Ordering::Relaxed);
+    let update = async { Some(shared.registry.read(topic, from, wait, &came).await) };
     if wait.is_zero() {
         return update.await;
     }
     log::info!(event = "registry-asked", topic = topic.to_string().as_str(), from = from.0, wait_ms = wait.as_millis() as u64; "");
     let regained = async {
         shared.regained.listen().await;
+        // What is on its way was not lost. On a full link short reads fail and
+        // work again every second: a large answer that is dropped each time
+        // begins anew each time, and fills the link for nothing.
+        while coming.load(Ordering::Relaxed) {
+            shared.regained.listen().await;
+        }
         log::info!(event = "registry-asked-again", topic = topic.to_string().as_str(), from = from.0; "");
         None
     };
