gateway: one copy of the configuration at a time, in slices, and only if needed

What callers saw: 404 by an older version on small hosts, up to 7 s after a change was confirmed; stage work that moves from owner to owner; half of all requests lost.

Cause: a node that lacked the newest configuration was sent the whole of it with each answer to its looks, by all neighbours in turn, since nothing remembered that a copy was on its way. At 780 KB and 10 Mbit/s copies fill the link for up to 20 s. Short answers came late behind them, neighbours were taken for silent, links closed with a copy half received, and each new link began with another copy. A copy beyond one frame was never sent at all. Ruled out: processor time (1 to 4 in 100 of a core, 12 to 90 ms to read one).

Now an answer to a look only says up to where the sender is complete. A copy is asked of a neighbour if the registry's answer is not on its way (lib, catch_up), of one at a time, slice by slice (lib, slices), so that it can go on at another one. A waiting read whose records came another way is dropped. What neighbours know of endpoints is asked of one at a time, too.

Why it holds: at most one copy from a neighbour is on its way by construction, it is asked for bit by bit, and none while the registry's own comes.

--- a/gateway/src/dispatch/asked.rs
+++ b/gateway/src/dispatch/asked.rs
@@ -36,6 +36,7 @@
             Body::PieceCancel(cancel) => self.asked_cancel(link, cancel.job),
             Body::PieceUnneeded(unneeded) => self.asked_unneeded(unneeded),
             Body::SyncRequest(look) => self.asked_sync(link, &look),
+            Body::RecordAsk(ask) => self.asked_record(link, &ask),
             _ => {
                 log::warn!(event = "frame-unexpected", remedy = "run the same release on all nodes"; "");
             }
@@ -135,6 +136,8 @@
             };
             learn(&mut self.shared.owners(), now, &known);
             self.departed.remove(&address);
+            let next = Offset(look.config_next);
+            self.shared.catch_up().told(now, address, next);
             if let Some(caller) = self.callers.get_mut(&link) {
                 caller.node = Some(address);
             }
@@ -165,18 +168,7 @@
             return seen;
         };
         let replicas = self.shared.replicas();
-        if replicas.config.next() > Offset(look.config_next) {
-            let records = replicas.config.since(Offset(look.config_next));
-            let bytes: usize = records
-                .iter()
-                .filter_map(|r| r.value.as_ref())
-                .map(|v| v.len())
-                .sum();
-            log::info!(event = "config-passed-on", node = look.address.as_str(), from = look.config_next, bytes; "");
-            metrics::counter!("snipeyoke_config_passed_on_bytes_total").increment(bytes as u64);
-            seen.config = records.into_iter().map(convert::record_frame).collect();
-            seen.config_next = replicas.config.next().0;
-        }
+        seen.config_next = replicas.config.next().0;
         if look.stale && replicas.endpoints.next() > Offset(look.endpoints_next) {
             let records = replicas.endpoints.since(Offset(look.endpoints_next));
             seen.endpoints = records.into_iter().map(convert::record_frame).collect();
--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -6,6 +6,7 @@
 mod asked;
 mod calls;
 mod convert;
+mod copies;
 mod links;
 mod messages;
 mod neighbours;
--- a/gateway/src/dispatch/neighbours.rs
+++ b/gateway/src/dispatch/neighbours.rs
@@ -47,13 +47,14 @@
                 }
             }
             Body::SyncReply(seen) => self.take_sync(peer, seen),
+            Body::RecordSlice(slice) => self.take_slice(peer, slice),
             _ => {
                 log::warn!(event = "frame-unexpected", peer = peer.to_string().as_str(), remedy = "run the same release on all nodes"; "");
             }
         }
     }
 
-    pub(super) fn take_sync(&self, peer: SocketAddr, seen: SyncReply) {
+    pub(super) fn take_sync(&mut self, peer: SocketAddr, seen: SyncReply) {
         let now = self.shared.now();
         let mut owners = self.shared.owners();
         owners.leaves(peer, seen.leaving);
@@ -63,10 +64,12 @@
         let count = owners.count();
         drop(owners);
         self.shared.budget().share(count);
+        let next = Offset(seen.config_next);
+        self.shared.catch_up().told(now, peer, next);
+        if self.endpoints_asked.is_some_and(|(node, _)| node == peer) {
+            self.endpoints_asked = None;
+        }
         let source = peer.to_string();
-        let records = seen.config.into_iter().map(convert::record_of).collect();
-        self.shared
-            .extend(Topic::Config, records, Offset(seen.config_next), &source);
         let records = seen.endpoints.into_iter().map(convert::record_of).collect();
         self.shared.extend(
             Topic::Endpoints,
@@ -123,7 +126,10 @@
             power: self.shared.settings.power.0,
         };
         drop(replicas);
-        let stale = self.shared.is_stale();
+        let stale = self.shared.is_stale() && self.may_ask_endpoints(now);
+        if stale {
+            self.endpoints_asked = Some((peer, now));
+        }
         self.send(peer, Body::SyncRequest(SyncRequest { stale, ..look }));
         if let Some(known) = self.peers.get_mut(&peer) {
             known.synced = now;
@@ -131,6 +137,15 @@
         }
     }
 
+    /// Tells whether no neighbour's answer about endpoints is on its way.
+    ///
+    /// Hundreds of endpoints fill a frame of a hundred kilobytes. Asked of all
+    /// neighbours in turn before the first answer is there, they fill the link.
+    fn may_ask_endpoints(&self, now: Time) -> bool {
+        let waits = |(_, at): (SocketAddr, Time)| now.since(at) < SILENCE_MAX;
+        !self.endpoints_asked.is_some_and(waits)
+    }
+
     /// Takes the end of a link: of one that was up another one is tried first.
     ///
     /// A connection that is reset says nothing about the node behind it. Passed
@@ -160,6 +175,10 @@
             sender.close();
         }
         self.shared.owners().silent(now, peer);
+        self.shared.catch_up().forget(peer);
+        if self.endpoints_asked.is_some_and(|(node, _)| node == peer) {
+            self.endpoints_asked = None;
+        }
         let held = self
             .pending
             .iter()
--- a/gateway/src/dispatch/queues.rs
+++ b/gateway/src/dispatch/queues.rs
@@ -88,6 +88,7 @@
     /// Makes the calls that are due and passes on the jobs that ended.
     pub(super) fn turn(&mut self) {
         let now = self.shared.now();
+        self.catch_up();
         let mut ends = Vec::new();
         for (service, owned) in &mut self.queues {
             let sends = owned.queue.poll(now);
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -16,6 +16,7 @@
 use snipeyoke_lib::serving::pieces::PieceQueue;
 use snipeyoke_lib::serving::returned::Results;
 use snipeyoke_lib::serving::returned::Returned;
+use snipeyoke_lib::serving::slices::Assembly;
 use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::link::LinkSender;
 use snipeyoke_runtime::scope::Scope;
@@ -110,6 +111,8 @@
         synced: Time::ZERO,
         turn: 0,
         returned: Returned::default(),
+        assembly: Assembly::default(),
+        endpoints_asked: None,
     };
     loop {
         let wake = state.wake();
@@ -146,6 +149,10 @@
     pub(super) turn: usize,
     /// What owners may not have heard of yet.
     pub(super) returned: Returned,
+    /// The record that comes in slices from a neighbour.
+    pub(super) assembly: Assembly,
+    /// The neighbour that was asked for what it knows of endpoints, and when.
+    pub(super) endpoints_asked: Option<(SocketAddr, Time)>,
 }
 
 impl State {
@@ -153,7 +160,8 @@
         let now = self.shared.now();
         let queues = self.queues.values().map(|c| c.queue.wake(now));
         let look = self.synced + SYNC_BUSY;
-        queues.fold(look, Time::min)
+        let copy = self.shared.catch_up().wake();
+        queues.fold(look.min(copy), Time::min)
     }
 
     pub(super) fn take(&mut self, message: Message) {
@@ -292,6 +300,7 @@
         }
         self.give_back_missed(peer);
         self.sync(peer);
+        self.ask_once_connected(peer);
     }
 
     pub(super) fn cancel(&mut self, number: JobNumber) {
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -53,6 +53,7 @@
                 return;
             }
             Err(failure) => {
+                shared.catch_up().registry(true);
                 log::warn!(event = "registry-failed", topic = topic.to_string().as_str(), call = "list", why = failure.to_string().as_str(); "");
             }
         }
@@ -66,7 +67,10 @@
     let mut first_end = None;
     let mut after = None;
     loop {
-        let Page { records, more, end } = shared.registry.newest(topic, after, &|| ()).await?;
+        let Page { records, more, end } = shared
+            .registry
+            .newest(topic, after, &|| note_came(shared, topic))
+            .await?;
         all.extend(records);
         let end = *first_end.get_or_insert(end);
         match more {
@@ -100,6 +104,7 @@
         match update {
             Update::Records { records, next } => {
                 backoff.succeeded();
+                shared.catch_up().registry(false);
                 if std::mem::take(&mut failing) {
                     log::info!(event = "registry-regained", topic = topic.to_string().as_str(); "");
                     shared.regained.notify(usize::MAX);
@@ -112,6 +117,7 @@
                 return;
             }
             Update::Failed(failure) => {
+                shared.catch_up().registry(true);
                 if !std::mem::replace(&mut failing, true) {
                     log::warn!(event = "registry-lost", topic = topic.to_string().as_str(), from = from.0, why = failure.to_string().as_str(); "");
                 }
@@ -130,7 +136,10 @@
 async fn read(shared: &Shared, topic: Topic, from: Offset, wait: Duration) -> Option<Update> {
     let begun = shared.now();
     let coming = AtomicBool::new(false);
-    let came = || coming.store(true, Ordering::Relaxed);
+    let came = || {
+        coming.store(true, Ordering::Relaxed);
+        note_came(shared, topic);
+    };
     let update = async { Some(shared.registry.read(topic, from, wait, &came).await) };
     if wait.is_zero() {
         return update.await;
@@ -147,7 +156,17 @@
         log::info!(event = "registry-asked-again", topic = topic.to_string().as_str(), from = from.0; "");
         None
     };
-    let update = update.or(regained).await;
+    // The same records would come a second time, over a link that may be full.
+    let overtaken = async {
+        loop {
+            let grown = shared.grown.listen();
+            if shared.replicas().config.next() > from {
+                return None;
+            }
+            grown.await;
+        }
+    };
+    let update = update.or(regained).or(overtaken).await;
     let ended = match &update {
         Some(Update::Records { records, .. }) if records.is_empty() => "nothing-new",
         Some(Update::Records { .. }) => "records",
@@ -160,6 +179,13 @@
     update
 }
 
+/// Notes that a piece of an answer came.
+fn note_came(shared: &Shared, topic: Topic) {
+    if topic == Topic::Config {
+        shared.catch_up().came(shared.now());
+    }
+}
+
 fn note_read(shared: &Shared, topic: Topic) {
     if topic == Topic::Endpoints {
         shared.replicas().read = Some(shared.now());
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -11,6 +11,7 @@
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::serving::budget::SharedBudget;
 use snipeyoke_lib::serving::catalog::Catalog;
+use snipeyoke_lib::serving::catch_up::CatchUp;
 use snipeyoke_lib::serving::directory::Directory;
 use snipeyoke_lib::serving::durations::Durations;
 use snipeyoke_lib::serving::owners::Owners;
@@ -54,6 +55,8 @@
     pub(crate) changed: Event,
     /// Tells that the registry answers again after it did not.
     pub(crate) regained: Event,
+    /// Tells that the copy of the configuration has grown.
+    pub(crate) grown: Event,
     /// Set once the balancer is asked to pass this node over.
     pub(crate) aside: Flag,
     /// Set once callers' idle connections are closed.
@@ -70,6 +73,7 @@
     paces: Mutex<Paces>,
     durations: Mutex<Durations>,
     replicas: Mutex<Replicas>,
+    catch_up: Mutex<CatchUp>,
 }
 
 /// The copies of the registry's topics.
@@ -97,9 +101,11 @@
             paces: Mutex::default(),
             durations: Mutex::default(),
             replicas: Mutex::default(),
+            catch_up: Mutex::new(CatchUp::new(settings.listen.peers)),
             catalog: Fact::new(None),
             changed: Event::new(),
             regained: Event::new(),
+            grown: Event::new(),
             aside: Flag::default(),
             drain: Flag::default(),
             end: Flag::default(),
@@ -141,6 +147,10 @@
         lock(&self.replicas)
     }
 
+    pub(crate) fn catch_up(&self) -> MutexGuard<'_, CatchUp> {
+        lock(&self.catch_up)
+    }
+
     /// Tells whether the registry can't be read now.
     pub(crate) fn is_stale(&self) -> bool {
         let read = self.replicas().read;
@@ -175,8 +185,15 @@
         waited || self.owners().has_heard()
     }
 
+    fn config_grew(&self, news: &[Record], source: &str) {
+        let have = self.replicas().config.next();
+        self.catch_up().has(have);
+        self.apply_config(news, source);
+        self.grown.notify(usize::MAX);
+    }
+
     /// Takes in records of the configuration, wherever they came from.
-    pub(crate) fn apply_config(&self, news: &[Record], source: &str) {
+    fn apply_config(&self, news: &[Record], source: &str) {
         for record in news {
             let Some(value) = &record.value else {
                 continue;
@@ -273,7 +290,7 @@
         match topic {
             Topic::Config => {
                 let news = self.replicas().config.extend(records, next);
-                self.apply_config(&news, source);
+                self.config_grew(&news, source);
             }
             Topic::Endpoints => {
                 let news = self.replicas().endpoints.extend(records, next);
@@ -293,7 +310,7 @@
         match topic {
             Topic::Config => {
                 let news = self.replicas().config.replace(records, end);
-                self.apply_config(&news, "registry");
+                self.config_grew(&news, "registry");
             }
             Topic::Endpoints => {
                 let news = self.replicas().endpoints.replace(records, end);
--- /dev/null
+++ b/lib/src/serving/catch_up.rs
@@ -0,0 +1,198 @@
+//! Where a node that lacks the newest configuration gets it from.
+//!
+//! Every node reads the registry, and is told by its neighbours up to which
+//! offset they are complete. A configuration may have a megabyte: over a link of
+//! 10 Mbit/s one copy takes a second, and several at once come late together.
+//! So a copy is asked of a neighbour only if the registry's answer is not on its
+//! way, and of one neighbour at a time.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use rapidhash::v3::RapidSecrets;
+use rapidhash::v3::rapidhash_v3_seeded;
+
+use crate::ids::Offset;
+use crate::time::Time;
+use crate::units::MilliCores;
+
+/// How long the registry may take to begin its answer before a neighbour is
+/// asked.
+///
+/// Neighbours tell of a change within some hundred milliseconds of it. The
+/// registry's own answer begins within milliseconds, and within some hundred
+/// when it is slow.
+pub const PATIENCE: Duration = Duration::from_millis(600);
+
+/// The same for a node that has no configuration at all.
+///
+/// It refuses every caller until it has one, and its first read went out before
+/// it heard of any neighbour.
+pub const PATIENCE_EMPTY: Duration = Duration::from_millis(100);
+
+/// How long a copy may come no further before another source is tried.
+///
+/// As long as a neighbour may be silent: a slice takes 52 ms over an idle link
+/// of 10 Mbit/s.
+pub const STALL: Duration = Duration::from_millis(750);
+
+const SECRETS: RapidSecrets = RapidSecrets::seed(0);
+
+/// A copy on its way from a neighbour.
+#[derive(Debug, Clone, Copy)]
+struct Copy {
+    node: SocketAddr,
+    moved: Time,
+}
+
+/// Decides whom to ask for the newest configuration, and when.
+#[derive(Debug, Clone)]
+pub struct CatchUp {
+    own: SocketAddr,
+    have: Offset,
+    /// Up to where each neighbour said that it is complete, if that is further.
+    holders: BTreeMap<SocketAddr, Offset>,
+    behind: Option<Time>,
+    /// When a piece of an answer last came from the registry.
+    came: Option<Time>,
+    /// Whether the registry's last call failed.
+    failed: bool,
+    copy: Option<Copy>,
+}
+
+impl CatchUp {
+    /// Starts without a configuration.
+    #[must_use]
+    pub const fn new(own: SocketAddr) -> Self {
+        Self {
+            own,
+            have: Offset(0),
+            holders: BTreeMap::new(),
+            behind: None,
+            came: None,
+            failed: false,
+            copy: None,
+        }
+    }
+
+    /// Notes the offset up to which this node is complete.
+    pub fn has(&mut self, have: Offset) {
+        self.have = self.have.max(have);
+        self.holders.retain(|_, next| *next > self.have);
+        if self.holders.is_empty() {
+            self.behind = None;
+            self.copy = None;
+        }
+    }
+
+    /// Notes up to where a neighbour is complete; tells whether this node has
+    /// just learned that it lacks something.
+    pub fn told(&mut self, now: Time, node: SocketAddr, next: Offset) -> bool {
+        if next <= self.have {
+            self.forget(node);
+            return false;
+        }
+        self.holders.insert(node, next);
+        let news = self.behind.is_none();
+        self.behind.get_or_insert(now);
+        news
+    }
+
+    /// Notes that a piece of an answer came from the registry.
+    pub const fn came(&mut self, now: Time) {
+        self.came = Some(now);
+        self.failed = false;
+    }
+
+    /// Notes whether a call to the registry failed.
+    pub const fn registry(&mut self, failed: bool) {
+        self.failed = failed;
+    }
+
+    /// Notes that a neighbour is lost or holds nothing newer.
+    pub fn forget(&mut self, node: SocketAddr) {
+        self.holders.remove(&node);
+        if self.copy.is_some_and(|c| c.node == node) {
+            self.copy = None;
+        }
+        if self.holders.is_empty() {
+            self.behind = None;
+        }
+    }
+
+    /// Notes that a slice came from a neighbour; tells whether it was asked.
+    pub fn moved(&mut self, now: Time, node: SocketAddr) -> bool {
+        let Some(copy) = self.copy.as_mut().filter(|c| c.node == node) else {
+            return false;
+        };
+        copy.moved = now;
+        true
+    }
+
+    /// Returns since when this node knows that it lacks something.
+    #[must_use]
+    pub const fn behind(&self) -> Option<Time> {
+        self.behind
+    }
+
+    /// Tells whether an answer of the registry is on its way.
+    #[must_use]
+    pub fn is_coming(&self, now: Time) -> bool {
+        self.came.is_some_and(|at| now.since(at) < STALL)
+    }
+
+    /// Returns when to ask for the next decision; never, if nothing is missing.
+    #[must_use]
+    pub fn wake(&self) -> Time {
+        let Some(behind) = self.behind else {
+            return Time::NEVER;
+        };
+        let patience = behind + self.patience();
+        let came = self.came.map_or(Time::ZERO, |at| at + STALL);
+        let moved = self.copy.map_or(Time::ZERO, |c| c.moved + STALL);
+        patience.max(came).max(moved)
+    }
+
+    /// Returns the neighbour to ask for a copy now, if one is to be asked.
+    ///
+    /// `live` are the nodes that answer and their hosts' power.
+    pub fn choose(
+        &mut self,
+        now: Time,
+        live: impl Iterator<Item = (SocketAddr, Option<MilliCores>)>,
+    ) -> Option<SocketAddr> {
+        if self.wake() > now {
+            return None;
+        }
+        let stalled = self.copy.take().map(|c| c.node);
+        let node = self.best(live, stalled)?;
+        self.copy = Some(Copy { node, moved: now });
+        Some(node)
+    }
+
+    const fn patience(&self) -> Duration {
+        match (self.failed, self.have.0) {
+            (true, _) => Duration::ZERO,
+            (false, 0) => PATIENCE_EMPTY,
+            (false, _) => PATIENCE,
+        }
+    }
+
+    /// Returns the strongest holder, the one that stalled last of all.
+    ///
+    /// Among equals each node has an order of its own, so that nodes that lag
+    /// together don't all ask the same one.
+    fn best(
+        &self,
+        live: impl Iterator<Item = (SocketAddr, Option<MilliCores>)>,
+        stalled: Option<SocketAddr>,
+    ) -> Option<SocketAddr> {
+        let holds = live.filter(|(node, _)| self.holders.contains_key(node));
+        let best = holds.max_by_key(|&(node, power)| {
+            let order = rapidhash_v3_seeded(format!("{} {node}", self.own).as_bytes(), &SECRETS);
+            (Some(node) != stalled, power.map(|p| p.0), order)
+        });
+        best.map(|(node, _)| node)
+    }
+}
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod budget;
 pub mod catalog;
+pub mod catch_up;
 pub mod come_back;
 pub mod directory;
 pub mod durations;
@@ -16,3 +17,4 @@
 pub mod pieces;
 pub mod replica;
 pub mod returned;
+pub mod slices;
--- a/lib/src/serving/replica.rs
+++ b/lib/src/serving/replica.rs
@@ -77,6 +77,13 @@
         self.extend(news, end)
     }
 
+    /// Returns the oldest record that someone who is complete up to `from` lacks.
+    #[must_use]
+    pub fn first_from(&self, from: Offset) -> Option<&Record> {
+        let newer = self.records.values().filter(|r| r.offset >= from);
+        newer.min_by_key(|r| r.offset)
+    }
+
     /// Returns the records that someone who is complete up to `from` lacks.
     #[must_use]
     pub fn since(&self, from: Offset) -> Vec<Record> {
--- /dev/null
+++ b/lib/tests/test_slices.rs
@@ -0,0 +1,142 @@
+//! Records in slices: from several holders, lost on the way and overtaken.
+
+use std::sync::Arc;
+
+use proptest::collection::vec;
+use proptest::prelude::*;
+use proptest::test_runner::Config as Runs;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::serving::replica::Record;
+use snipeyoke_lib::serving::replica::Replica;
+use snipeyoke_lib::serving::slices::Assembly;
+use snipeyoke_lib::serving::slices::RECORD_MAX;
+use snipeyoke_lib::serving::slices::SLICE_MAX;
+use snipeyoke_lib::serving::slices::Slice;
+
+/// The records of the topic.
+const RECORDS: u64 = 12;
+
+/// Returns the topic: two keys, values of none to three slices, some dropped.
+fn topic() -> Vec<Record> {
+    let record = |offset: u64| {
+        let bytes = (offset as usize * 7_919 * 5) % (3 * SLICE_MAX);
+        let byte = offset as u8;
+        let value: Option<Arc<[u8]>> = Some(vec![byte; bytes].into());
+        Record {
+            key: format!("k{}", offset % 3 / 2),
+            value: value.filter(|_| offset % 5 != 4),
+            offset: Offset(offset),
+        }
+    };
+    (0..RECORDS).map(record).collect()
+}
+
+/// Returns the copies of those who have read the topic up to each offset.
+fn copies(topic: &[Record]) -> Vec<Replica> {
+    let copy = |next: u64| {
+        let mut replica = Replica::default();
+        replica.extend(topic[..next as usize].to_vec(), Offset(next));
+        replica
+    };
+    (0..=RECORDS).map(copy).collect()
+}
+
+/// A slice asked of a holder, and whether its answer is lost.
+#[derive(Debug, Clone, Copy)]
+struct Step {
+    holder: u64,
+    lost: bool,
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let lost = prop::bool::weighted(0.2);
+    (0..=RECORDS, lost).prop_map(|(holder, lost)| Step { holder, lost })
+}
+
+/// The reader's copy must be that of someone who read the topic itself.
+fn check(topic: &[Record], copies: &[Replica], steps: &[Step]) -> Result<(), TestCaseError> {
+    let mut reader = Replica::default();
+    let mut assembly = Assembly::default();
+    for &Step { holder, lost } in steps {
+        let slice = copies[holder as usize].slice(assembly.ask(reader.next()));
+        let Some(slice) = slice.filter(|_| !lost) else {
+            continue;
+        };
+        prop_assert!(slice.data.len() <= SLICE_MAX);
+        if let Some(record) = assembly.take(slice) {
+            let next = record.offset.next();
+            reader.extend(vec![record], next);
+        }
+        for key in ["k0", "k1"] {
+            let held = reader.get(key);
+            let same = held.map(|h| &topic[h.offset.0 as usize]);
+            prop_assert_eq!(held, same);
+            let newest = copies[RECORDS as usize].get(key);
+            let passed = newest.filter(|r| r.offset < reader.next());
+            prop_assert!(passed.is_none_or(|r| Some(r) == held));
+        }
+    }
+    Ok(())
+}
+
+#[test]
+fn a_copy_from_several_holders_is_that_of_the_topic() {
+    // Holders are complete up to different offsets, answers are lost, and a
+    // record is overtaken by a newer one while it comes. Slices of two records
+    // never mix, and no record that was passed by is missing.
+    let runs = Runs {
+        cases: 2_000,
+        failure_persistence: None,
+        ..Runs::default()
+    };
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(runs, rng);
+    let topic = topic();
+    let copies = copies(&topic);
+    let result = runner.run(&vec(step(), 1..60), |steps| check(&topic, &copies, &steps));
+    result.expect("every schedule holds");
+}
+
+#[test]
+fn another_holder_goes_on_where_a_lost_one_stopped() {
+    // The first holder dies when half of a large record has come. The rest
+    // comes from the second one; nothing comes twice.
+    let mut holder = Replica::default();
+    let value: Arc<[u8]> = (0..4 * SLICE_MAX).map(|n| (n % 251) as u8).collect();
+    let record = Record {
+        key: "config".to_owned(),
+        value: Some(value),
+        offset: Offset(4),
+    };
+    holder.extend(vec![record.clone()], Offset(5));
+    let other = holder.clone();
+    let mut assembly = Assembly::default();
+    let mut come = 0;
+    let mut taken = None;
+    for holder in [&holder, &holder, &other, &other] {
+        let slice = holder.slice(assembly.ask(Offset(3))).expect("it is newer");
+        come += slice.data.len();
+        taken = assembly.take(slice);
+    }
+    assert_eq!(taken, Some(record));
+    assert_eq!(come, 4 * SLICE_MAX);
+}
+
+#[test]
+fn a_record_beyond_the_bound_is_not_begun() {
+    // A faulty sender names a size that would take the reader's memory.
+    let mut assembly = Assembly::default();
+    let before = assembly.ask(Offset(0));
+    let slice = Slice {
+        key: "config".to_owned(),
+        offset: Offset(1),
+        at: 0,
+        total: Some(RECORD_MAX + 1),
+        data: vec![0; SLICE_MAX],
+    };
+    assert_eq!(assembly.take(slice), None);
+    assert_eq!(assembly.ask(Offset(0)), before);
+}
--- a/wire/tests/frames.rs
+++ b/wire/tests/frames.rs
@@ -22,6 +22,7 @@
 use snipeyoke_wire::PieceJob;
 use snipeyoke_wire::PieceJobEnd;
 use snipeyoke_wire::PieceResult;
+use snipeyoke_wire::RecordSlice;
 use snipeyoke_wire::Reply;
 use snipeyoke_wire::SyncReply;
 use snipeyoke_wire::frame::Body;
@@ -87,13 +88,21 @@
                 address: "10.1.0.41:8628".to_owned(),
                 power: 190,
             }],
-            config: vec![KeyedRecord {
-                key: "config".to_owned(),
+            endpoints: vec![KeyedRecord {
+                key: "i-7f3a91c2".to_owned(),
                 value: Some(b"{}".to_vec().into()),
                 offset: 4,
             }],
             ..SyncReply::default()
         }),
+        Body::RecordSlice(RecordSlice {
+            next: 5,
+            offset: Some(4),
+            key: "config".to_owned(),
+            at: 65_536,
+            total: Some(780_983),
+            data: b"{}".to_vec().into(),
+        }),
         Body::ConfigOffer(ConfigOffer {
             next: 9,
             records: vec![b"{}".to_vec().into()],
