gateway: bound the time for which a confirmed change can stay unknown

What callers saw: 404, an old service or a revoked key for up to 20 s after a change was confirmed, on all nodes, with no call failed and nothing in the logs.

Cause: the configuration was learned by one read a node that waits for a change. A read that the registry lost, or did not wake, looks like one that has nothing to tell; the next one went out after 20 s, and on all nodes at once, since they start together and all waited alike. Neighbours knew no more. Only a failed call of another topic gave the read up.

Now a node knows a moment up to which its copy held all that was confirmed (lib, freshness): one node, by rank, reads without waiting at a quarter of the bound, and the others look at it at a fifth. A node that learns of no moment within six tenths reads for itself. One that hears of a newer offset reads 0.2 s later. Waits are drawn from 15 to 25 s. After an answer that did not hold everything the list is read, since only the newest configuration counts.

Weighed: shorter waits (22 nodes would read 22 times a second for one second's bound); every node's own short reads (15 a second at 22 nodes, 226 at 340); ages from any neighbour in turn (2 s until all know, over the bound).

Why it holds: the bound needs no call that waits, no other node and no link between nodes; only a registry that answers the node's own read.

--- a/gateway/src/dispatch/asked.rs
+++ b/gateway/src/dispatch/asked.rs
@@ -137,7 +137,7 @@
             learn(&mut self.shared.owners(), now, &known);
             self.departed.remove(&address);
             let next = Offset(look.config_next);
-            self.shared.catch_up().told(now, address, next);
+            self.shared.told_config(address, next);
             if let Some(caller) = self.callers.get_mut(&link) {
                 caller.node = Some(address);
             }
@@ -149,21 +149,17 @@
     }
 
     pub(super) fn seen(&self, look: Option<&SyncRequest>) -> SyncReply {
-        let settings = &self.shared.settings;
-        let own = (settings.listen.peers, Some(settings.power));
-        let owners = self.shared.owners();
-        let live = owners.live(self.shared.now()).chain([own]);
-        let known = live.map(|(address, power)| KnownNode {
-            address: address.to_string(),
-            power: power.map_or(0, |p| p.0),
-        });
-        let known = known.collect();
-        drop(owners);
+        let now = self.shared.now();
+        let age = self.shared.freshness().age(now);
         let mut seen = SyncReply {
             leaving: self.shared.aside.is_set(),
-            known,
+            config_age_us: age.map(|a| a.as_micros() as u64),
+            stamp: look.map_or(0, |l| l.stamp),
             ..SyncReply::default()
         };
+        if !look.is_some_and(|l| l.brief) {
+            seen.known = self.known(now);
+        }
         let Some(look) = look else {
             return seen;
         };
@@ -177,6 +173,19 @@
         seen
     }
 
+    /// Returns this node and those that it knows.
+    fn known(&self, now: Time) -> Vec<KnownNode> {
+        let settings = &self.shared.settings;
+        let own = (settings.listen.peers, Some(settings.power));
+        let owners = self.shared.owners();
+        let live = owners.live(now).chain([own]);
+        let known = live.map(|(address, power)| KnownNode {
+            address: address.to_string(),
+            power: power.map_or(0, |p| p.0),
+        });
+        known.collect()
+    }
+
     pub(super) fn tell_leaving(&self) {
         let seen = self.seen(None);
         for caller in self.callers.values() {
--- a/gateway/src/dispatch/copies.rs
+++ b/gateway/src/dispatch/copies.rs
@@ -76,13 +76,11 @@
     /// Takes in a slice and asks for the next one.
     pub(super) fn take_slice(&mut self, peer: SocketAddr, frame: RecordSlice) {
         let now = self.shared.now();
-        let mut catch_up = self.shared.catch_up();
-        catch_up.told(now, peer, Offset(frame.next));
+        self.shared.told_config(peer, Offset(frame.next));
         // A slice that was asked of a neighbour given up since.
-        if !catch_up.moved(now, peer) {
+        if !self.shared.catch_up().moved(now, peer) {
             return;
         }
-        drop(catch_up);
         let from = self.shared.replicas().config.next();
         let before = self.assembly.ask(from);
         let record = slice_of(frame).and_then(|slice| self.assembly.take(slice));
--- a/gateway/src/dispatch/neighbours.rs
+++ b/gateway/src/dispatch/neighbours.rs
@@ -65,7 +65,12 @@
         drop(owners);
         self.shared.budget().share(count);
         let next = Offset(seen.config_next);
-        self.shared.catch_up().told(now, peer, next);
+        self.shared.told_config(peer, next);
+        if seen.stamp > 0 {
+            let sent = Time::from_micros(seen.stamp);
+            let age = seen.config_age_us.map(Duration::from_micros);
+            self.take_age(peer, sent, age, next);
+        }
         if self.endpoints_asked.is_some_and(|(node, _)| node == peer) {
             self.endpoints_asked = None;
         }
@@ -79,6 +84,43 @@
         );
     }
 
+    /// Takes in how recent a neighbour's configuration is known to be.
+    ///
+    /// `sent` is when it was asked. What it knew, it knew at least as long before
+    /// that as it said.
+    fn take_age(&mut self, peer: SocketAddr, sent: Time, age: Option<Duration>, next: Offset) {
+        let now = self.shared.now();
+        let has = self.shared.replicas().config.next() >= next;
+        let mut freshness = self.shared.freshness();
+        let unread = freshness.is_unread(age);
+        if let Some(age) = age.filter(|_| has) {
+            freshness.confirm(sent.min(now) - age);
+        }
+        drop(freshness);
+        let mut owners = self.shared.owners();
+        if unread && owners.reader(now) == peer {
+            self.looked = Time::ZERO;
+        }
+        owners.unread(now, peer, unread);
+    }
+
+    /// Looks at the node that reads the registry for all, if it is time.
+    pub(super) fn look_at_reader(&mut self, now: Time) {
+        if now < self.look_at() {
+            return;
+        }
+        self.looked = now;
+        let reader = self.shared.owners().reader(now);
+        if reader != self.shared.settings.listen.peers {
+            self.look(reader, true);
+        }
+    }
+
+    /// Returns when to look at the node that reads for all.
+    pub(super) fn look_at(&self) -> Time {
+        self.looked + self.shared.freshness().look_pause()
+    }
+
     /// Looks at the nodes that hold jobs, and at some other one.
     pub(super) fn sync_around(&mut self, now: Time) {
         let mut busy: Vec<SocketAddr> = Vec::new();
@@ -116,6 +158,10 @@
     }
 
     pub(super) fn sync(&mut self, peer: SocketAddr) {
+        self.look(peer, false);
+    }
+
+    fn look(&mut self, peer: SocketAddr, brief: bool) {
         let now = self.shared.now();
         let replicas = self.shared.replicas();
         let look = SyncRequest {
@@ -124,15 +170,19 @@
             endpoints_next: replicas.endpoints.next().0,
             stale: false,
             power: self.shared.settings.power.0,
+            brief,
+            stamp: now.as_micros(),
         };
         drop(replicas);
-        let stale = self.shared.is_stale() && self.may_ask_endpoints(now);
+        let stale = !brief && self.shared.is_stale() && self.may_ask_endpoints(now);
         if stale {
             self.endpoints_asked = Some((peer, now));
         }
         self.send(peer, Body::SyncRequest(SyncRequest { stale, ..look }));
         if let Some(known) = self.peers.get_mut(&peer) {
-            known.synced = now;
+            if !brief {
+                known.synced = now;
+            }
             known.asked.get_or_insert(now);
         }
     }
@@ -175,6 +225,8 @@
             sender.close();
         }
         self.shared.owners().silent(now, peer);
+        // It may have been the one that reads for all.
+        self.looked = Time::ZERO;
         self.shared.catch_up().forget(peer);
         if self.endpoints_asked.is_some_and(|(node, _)| node == peer) {
             self.endpoints_asked = None;
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -112,6 +112,7 @@
         turn: 0,
         returned: Returned::default(),
         assembly: Assembly::default(),
+        looked: Time::ZERO,
         endpoints_asked: None,
     };
     loop {
@@ -151,6 +152,8 @@
     pub(super) returned: Returned,
     /// The record that comes in slices from a neighbour.
     pub(super) assembly: Assembly,
+    /// When this node last looked at the one that reads for all.
+    pub(super) looked: Time,
     /// The neighbour that was asked for what it knows of endpoints, and when.
     pub(super) endpoints_asked: Option<(SocketAddr, Time)>,
 }
@@ -161,7 +164,8 @@
         let queues = self.queues.values().map(|c| c.queue.wake(now));
         let look = self.synced + SYNC_BUSY;
         let copy = self.shared.catch_up().wake();
-        queues.fold(look.min(copy), Time::min)
+        let due = look.min(copy).min(self.look_at());
+        queues.fold(due, Time::min)
     }
 
     pub(super) fn take(&mut self, message: Message) {
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -9,7 +9,9 @@
 use futures_lite::FutureExt;
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::Backoff;
+use snipeyoke_lib::serving::freshness::Waits;
 use snipeyoke_lib::serving::replica::Record;
+use snipeyoke_lib::time::Time;
 
 use crate::registry::Failure;
 use crate::registry::NodeEntry;
@@ -17,11 +19,7 @@
 use crate::registry::Topic;
 use crate::registry::Update;
 use crate::shared::Shared;
-
-/// How long a read of the configuration may wait for a change.
-///
-/// Each read has its price, and changes are minutes apart.
-const CONFIG_WAIT: Duration = Duration::from_secs(20);
+use crate::watch::watch;
 
 /// The pauses between the looks at the other nodes.
 ///
@@ -33,23 +31,42 @@
     Duration::from_secs(15),
 ];
 
-/// Follows one topic until the process ends.
-pub(crate) async fn follow(shared: Arc<Shared>, topic: Topic, seed: u64) {
+/// Follows the configuration until the process ends.
+pub(crate) async fn follow_config(shared: Arc<Shared>, seed: u64) {
+    let mut backoff = Backoff::new(seed);
+    let mut waits = Waits::new(seed);
+    loop {
+        list(&shared, Topic::Config, &mut backoff).await;
+        let wait = wait_for_changes(&shared, &mut backoff, &mut waits);
+        wait.or(watch(&shared, seed ^ 3)).await;
+    }
+}
+
+/// Follows the endpoints until the process ends.
+pub(crate) async fn follow_endpoints(shared: Arc<Shared>, seed: u64) {
     let mut backoff = Backoff::new(seed);
     loop {
-        list(&shared, topic, &mut backoff).await;
-        read_on(&shared, topic, &mut backoff).await;
+        list(&shared, Topic::Endpoints, &mut backoff).await;
+        read_on(&shared, &mut backoff).await;
     }
 }
 
 /// Reads the whole list, as often as it takes.
+///
+/// It ends as well when a neighbour has told what the list would.
 async fn list(shared: &Shared, topic: Topic, backoff: &mut Backoff) {
+    let from = shared.next_of(topic);
     loop {
-        match pages(shared, topic).await {
+        let sent = shared.now();
+        let pages = pages(shared, topic).await;
+        if topic == Topic::Config {
+            shared.catch_up().ended();
+        }
+        match pages {
             Ok((records, end)) => {
                 backoff.succeeded();
                 shared.replace(topic, records, end);
-                note_read(shared, topic);
+                note_read(shared, topic, sent);
                 return;
             }
             Err(failure) => {
@@ -58,6 +75,9 @@
             }
         }
         Timer::after(backoff.failed()).await;
+        if shared.next_of(topic) > from {
+            return;
+        }
     }
 }
 
@@ -80,60 +100,114 @@
     }
 }
 
-/// Reads new records until some of them are no longer kept.
-async fn read_on(shared: &Shared, topic: Topic, backoff: &mut Backoff) {
-    let wait = if topic == Topic::Config {
-        CONFIG_WAIT
-    } else {
-        Duration::ZERO
-    };
+/// Reads the endpoints again and again until some records are no longer kept.
+///
+/// Endpoints write many times a second together: a read that waits for the next
+/// record would never wait.
+async fn read_on(shared: &Shared, backoff: &mut Backoff) {
+    let topic = Topic::Endpoints;
     let mut failing = false;
     loop {
-        // Endpoints write many times a second together: a read that waits for
-        // the next record would never wait.
-        if topic == Topic::Endpoints && !failing {
-            Timer::after(shared.settings.read_pause()).await;
-        }
-        let from = match topic {
-            Topic::Config => shared.replicas().config.next(),
-            Topic::Endpoints | Topic::Nodes => shared.replicas().endpoints.next(),
+        let pause = if failing {
+            backoff.failed()
+        } else {
+            backoff.succeeded();
+            shared.settings.read_pause()
         };
+        Timer::after(pause).await;
+        let sent = shared.now();
+        let from = shared.next_of(topic);
+        let update = shared.registry.read(topic, from, Duration::ZERO, &|| ());
+        if !take(shared, topic, sent, update.await, &mut failing) {
+            return;
+        }
+    }
+}
+
+/// Waits for changes of the configuration until its history is gone.
+async fn wait_for_changes(shared: &Shared, backoff: &mut Backoff, waits: &mut Waits) {
+    let topic = Topic::Config;
+    let mut failing = false;
+    loop {
+        let sent = shared.now();
+        let from = shared.next_of(topic);
+        let wait = waits.draw();
         let Some(update) = read(shared, topic, from, wait).await else {
             continue;
         };
-        match update {
-            Update::Records { records, next } => {
-                backoff.succeeded();
-                shared.catch_up().registry(false);
-                if std::mem::take(&mut failing) {
-                    log::info!(event = "registry-regained", topic = topic.to_string().as_str(); "");
-                    shared.regained.notify(usize::MAX);
-                }
-                shared.extend(topic, records, next, "registry");
-                note_read(shared, topic);
+        if !take(shared, topic, sent, update, &mut failing) {
+            return;
+        }
+        if failing {
+            Timer::after(backoff.failed()).await;
+        } else {
+            backoff.succeeded();
+        }
+    }
+}
+
+/// Takes in the end of a read that was sent at `sent`.
+///
+/// Tells whether reading goes on from there; if not, the list has to be read.
+pub(crate) fn take(
+    shared: &Shared,
+    topic: Topic,
+    sent: Time,
+    update: Update,
+    failing: &mut bool,
+) -> bool {
+    match update {
+        Update::Records { records, next, end } => {
+            shared.catch_up().registry(false);
+            if std::mem::take(failing) {
+                log::info!(event = "registry-regained", topic = topic.to_string().as_str(); "");
+                shared.regained.notify(usize::MAX);
             }
-            Update::Gone => {
-                log::info!(event = "registry-history-gone", topic = topic.to_string().as_str(), from = from.0; "");
-                return;
+            shared.extend(topic, records, next, "registry");
+            if next >= end {
+                note_read(shared, topic, sent);
             }
-            Update::Failed(failure) => {
-                shared.catch_up().registry(true);
-                if !std::mem::replace(&mut failing, true) {
-                    log::warn!(event = "registry-lost", topic = topic.to_string().as_str(), from = from.0, why = failure.to_string().as_str(); "");
-                }
-                Timer::after(backoff.failed()).await;
+            !is_far(topic, next, end)
+        }
+        Update::Gone => {
+            let from = shared.next_of(topic).0;
+            log::info!(event = "registry-history-gone", topic = topic.to_string().as_str(), from; "");
+            false
+        }
+        Update::Failed(failure) => {
+            shared.catch_up().registry(true);
+            if !std::mem::replace(failing, true) {
+                let from = shared.next_of(topic).0;
+                log::warn!(event = "registry-lost", topic = topic.to_string().as_str(), from, why = failure.to_string().as_str(); "");
             }
+            true
         }
     }
 }
 
-/// Reads once; `None` if a read that waits has to be made again.
+/// Tells whether the list brings a node further than reading on.
 ///
-/// While the registry is silent it may swallow the read, which then waits for
-/// an answer that never comes: a change made in the meantime would be in force
-/// only when the read is given up, on all nodes. The reads that don't wait tell
-/// when the registry answers again.
-async fn read(shared: &Shared, topic: Topic, from: Offset, wait: Duration) -> Option<Update> {
+/// One answer carries a megabyte, and only the newest configuration counts: the
+/// list has it alone, while reading on brings all that it has replaced.
+fn is_far(topic: Topic, next: Offset, end: Offset) -> bool {
+    let far = topic == Topic::Config && next < end;
+    if far {
+        log::info!(event = "registry-far-ahead", topic = topic.to_string().as_str(), next = next.0, end = end.0; "");
+    }
+    far
+}
+
+/// Reads the configuration once; `None` if the read was given up for another.
+///
+/// While the registry is silent it may swallow a read that waits, which then
+/// waits for an answer that never comes. The reads that don't wait tell when the
+/// registry answers again.
+pub(crate) async fn read(
+    shared: &Shared,
+    topic: Topic,
+    from: Offset,
+    wait: Duration,
+) -> Option<Update> {
     let begun = shared.now();
     let coming = AtomicBool::new(false);
     let came = || {
@@ -141,32 +215,15 @@
         note_came(shared, topic);
     };
     let update = async { Some(shared.registry.read(topic, from, wait, &came).await) };
+    let update = update.or(overtaken(shared, from));
     if wait.is_zero() {
-        return update.await;
+        let update = update.await;
+        shared.catch_up().ended();
+        return update;
     }
     log::info!(event = "registry-asked", topic = topic.to_string().as_str(), from = from.0, wait_ms = wait.as_millis() as u64; "");
-    let regained = async {
-        shared.regained.listen().await;
-        // What is on its way was not lost. On a full link short reads fail and
-        // work again every second: a large answer that is dropped each time
-        // begins anew each time, and fills the link for nothing.
-        while coming.load(Ordering::Relaxed) {
-            shared.regained.listen().await;
-        }
-        log::info!(event = "registry-asked-again", topic = topic.to_string().as_str(), from = from.0; "");
-        None
-    };
-    // The same records would come a second time, over a link that may be full.
-    let overtaken = async {
-        loop {
-            let grown = shared.grown.listen();
-            if shared.replicas().config.next() > from {
-                return None;
-            }
-            grown.await;
-        }
-    };
-    let update = update.or(regained).or(overtaken).await;
+    let update = update.or(lost(shared, from, &coming)).await;
+    shared.catch_up().ended();
     let ended = match &update {
         Some(Update::Records { records, .. }) if records.is_empty() => "nothing-new",
         Some(Update::Records { .. }) => "records",
@@ -179,6 +236,33 @@
     update
 }
 
+/// Ends when the records from an offset on have come another way.
+///
+/// The same records would come a second time, over a link that may be full.
+async fn overtaken(shared: &Shared, from: Offset) -> Option<Update> {
+    loop {
+        let grown = shared.grown.listen();
+        if shared.next_of(Topic::Config) > from {
+            return None;
+        }
+        grown.await;
+    }
+}
+
+/// Ends when the registry answers again and may have lost a read that waits.
+///
+/// What is on its way was not lost. On a full link short reads fail and work
+/// again every second: a large answer that is dropped each time begins anew each
+/// time, and fills the link for nothing.
+async fn lost(shared: &Shared, from: Offset, coming: &AtomicBool) -> Option<Update> {
+    shared.regained.listen().await;
+    while coming.load(Ordering::Relaxed) {
+        shared.regained.listen().await;
+    }
+    log::info!(event = "registry-asked-again", topic = "config", from = from.0; "");
+    None
+}
+
 /// Notes that a piece of an answer came.
 fn note_came(shared: &Shared, topic: Topic) {
     if topic == Topic::Config {
@@ -186,9 +270,12 @@
     }
 }
 
-fn note_read(shared: &Shared, topic: Topic) {
-    if topic == Topic::Endpoints {
-        shared.replicas().read = Some(shared.now());
+/// Notes that all records up to the moment of `sent` are there.
+fn note_read(shared: &Shared, topic: Topic, sent: Time) {
+    match topic {
+        Topic::Config => shared.freshness().confirm(sent),
+        Topic::Endpoints => shared.replicas().read = Some(shared.now()),
+        Topic::Nodes => {}
     }
 }
 
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod stages;
 mod stream;
 mod ticket;
+mod watch;
 
 pub use node::Gateway;
 pub use node::StartError;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -29,7 +29,6 @@
 use crate::ready::Metrics;
 use crate::ready::Readiness;
 use crate::registry::Registry;
-use crate::registry::Topic;
 use crate::settings::Settings;
 use crate::shared::Shared;
 
@@ -187,8 +186,8 @@
         traffic.spawn(dispatch::run(shared(), messages, traffic.clone()));
         let dispatcher = self.shared.dispatcher.clone();
         traffic.spawn(dispatch::accept(peers, dispatcher, traffic.clone()));
-        scope.spawn(follow::follow(shared(), Topic::Config, seed));
-        scope.spawn(follow::follow(shared(), Topic::Endpoints, seed ^ 1));
+        scope.spawn(follow::follow_config(shared(), seed));
+        scope.spawn(follow::follow_endpoints(shared(), seed ^ 1));
         scope.spawn(follow::meet(shared(), seed ^ 2));
     }
 
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -49,6 +49,8 @@
         records: Vec<Record>,
         /// The offset after them.
         next: Offset,
+        /// The offset after the newest record of the topic.
+        end: Offset,
     },
     /// The records asked for are no longer kept: the list has to be read.
     Gone,
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -21,6 +21,15 @@
 /// Endpoints that are gone without a word are found by these reads, too.
 const NOTICE_MAX: f64 = 60_000.0;
 
+/// The shortest time for a change that is taken, in milliseconds.
+///
+/// A node reads at six tenths of it; a slow registry answers in some hundred
+/// milliseconds.
+const CHANGE_MIN: f64 = 1_000.0;
+
+/// The longest time for a change that is taken, in milliseconds.
+const CHANGE_MAX: f64 = 60_000.0;
+
 /// The time of the notice that is kept for a read's own way and answer.
 ///
 /// Reads take some milliseconds, and some hundred from a slow registry.
@@ -53,6 +62,10 @@
     /// milliseconds.
     #[serde(default = "notice_ms")]
     pub notice_ms: f64,
+    /// The time within which a confirmed change of the configuration is in
+    /// force, in milliseconds.
+    #[serde(default = "change_ms")]
+    pub change_ms: f64,
     /// The bound on retries over all nodes.
     pub retries: Retries,
     /// The log filter: `LEVEL` or `TARGET=LEVEL,…`.
@@ -64,6 +77,10 @@
     2_000.0
 }
 
+const fn change_ms() -> f64 {
+    2_000.0
+}
+
 fn info() -> String {
     "info".to_owned()
 }
@@ -136,6 +153,8 @@
     pub grace: Duration,
     /// The time within which a leaving endpoint gets its last request.
     pub notice: Duration,
+    /// The time within which a confirmed change is in force.
+    pub change: Duration,
     /// The bound on retries over all nodes.
     pub retries: BudgetLimits,
     /// The log filter.
@@ -170,6 +189,7 @@
         };
         check("grace_s", raw.grace_s, 1.0, GRACE_MAX);
         check("notice_ms", raw.notice_ms, 1_000.0, NOTICE_MAX);
+        check("change_ms", raw.change_ms, CHANGE_MIN, CHANGE_MAX);
         check("share", raw.processor.share, 0.001, 1_024.0);
         check("speed", raw.processor.speed, 0.01, 100.0);
         check("ratio", raw.retries.ratio, 0.0, 10.0);
@@ -187,6 +207,7 @@
             power: MilliCores((raw.processor.share * raw.processor.speed * 1_000.0) as u32),
             grace: Duration::from_secs_f64(raw.grace_s),
             notice: Duration::from_secs_f64(raw.notice_ms / 1_000.0),
+            change: Duration::from_secs_f64(raw.change_ms / 1_000.0),
             retries: BudgetLimits {
                 ratio: raw.retries.ratio,
                 window: Duration::from_secs_f64(raw.retries.window_s),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -1,5 +1,6 @@
 //! The blackboard of a gateway: what controllers write and traffic reads.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -9,11 +10,13 @@
 
 use event_listener::Event;
 use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::serving::budget::SharedBudget;
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::catch_up::CatchUp;
 use snipeyoke_lib::serving::directory::Directory;
 use snipeyoke_lib::serving::durations::Durations;
+use snipeyoke_lib::serving::freshness::Freshness;
 use snipeyoke_lib::serving::owners::Owners;
 use snipeyoke_lib::serving::pace::Paces;
 use snipeyoke_lib::serving::replica::Record;
@@ -57,6 +60,8 @@
     pub(crate) regained: Event,
     /// Tells that the copy of the configuration has grown.
     pub(crate) grown: Event,
+    /// Tells that this node has learned that it lacks a configuration.
+    pub(crate) behind: Event,
     /// Set once the balancer is asked to pass this node over.
     pub(crate) aside: Flag,
     /// Set once callers' idle connections are closed.
@@ -74,6 +79,7 @@
     durations: Mutex<Durations>,
     replicas: Mutex<Replicas>,
     catch_up: Mutex<CatchUp>,
+    freshness: Mutex<Freshness>,
 }
 
 /// The copies of the registry's topics.
@@ -101,11 +107,13 @@
             paces: Mutex::default(),
             durations: Mutex::default(),
             replicas: Mutex::default(),
+            freshness: Mutex::new(Freshness::new(settings.change)),
             catch_up: Mutex::new(CatchUp::new(settings.listen.peers)),
             catalog: Fact::new(None),
             changed: Event::new(),
             regained: Event::new(),
             grown: Event::new(),
+            behind: Event::new(),
             aside: Flag::default(),
             drain: Flag::default(),
             end: Flag::default(),
@@ -151,6 +159,26 @@
         lock(&self.catch_up)
     }
 
+    pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
+        lock(&self.freshness)
+    }
+
+    /// Takes in up to where a neighbour has the configuration.
+    pub(crate) fn told_config(&self, node: SocketAddr, next: Offset) {
+        if self.catch_up().told(self.now(), node, next) {
+            log::info!(event = "config-behind", node = node.to_string().as_str(), next = next.0; "");
+            self.behind.notify(usize::MAX);
+        }
+    }
+
+    /// Returns the offset from which a topic is read on.
+    pub(crate) fn next_of(&self, topic: Topic) -> Offset {
+        match topic {
+            Topic::Config => self.replicas().config.next(),
+            Topic::Endpoints | Topic::Nodes => self.replicas().endpoints.next(),
+        }
+    }
+
     /// Tells whether the registry can't be read now.
     pub(crate) fn is_stale(&self) -> bool {
         let read = self.replicas().read;
@@ -280,13 +308,7 @@
     }
 
     /// Takes in what a neighbour or the registry said of one topic.
-    pub(crate) fn extend(
-        &self,
-        topic: Topic,
-        records: Vec<Record>,
-        next: snipeyoke_lib::ids::Offset,
-        source: &str,
-    ) {
+    pub(crate) fn extend(&self, topic: Topic, records: Vec<Record>, next: Offset, source: &str) {
         match topic {
             Topic::Config => {
                 let news = self.replicas().config.extend(records, next);
@@ -301,12 +323,7 @@
     }
 
     /// Takes in a list of all keys of one topic.
-    pub(crate) fn replace(
-        &self,
-        topic: Topic,
-        records: Vec<Record>,
-        end: snipeyoke_lib::ids::Offset,
-    ) {
+    pub(crate) fn replace(&self, topic: Topic, records: Vec<Record>, end: Offset) {
         match topic {
             Topic::Config => {
                 let news = self.replicas().config.replace(records, end);
--- a/lib/src/serving/catch_up.rs
+++ b/lib/src/serving/catch_up.rs
@@ -17,6 +17,13 @@
 use crate::time::Time;
 use crate::units::MilliCores;
 
+/// How long a node that lacks something waits for the answer of the read that
+/// waits for changes, before it reads anew.
+///
+/// All nodes' waiting reads are answered together; the word of a neighbour may
+/// come before this node's own answer.
+pub const GRACE: Duration = Duration::from_millis(200);
+
 /// How long the registry may take to begin its answer before a neighbour is
 /// asked.
 ///
@@ -58,6 +65,8 @@
     came: Option<Time>,
     /// Whether the registry's last call failed.
     failed: bool,
+    /// Whether the registry was read since this node lacks something.
+    read: bool,
     copy: Option<Copy>,
 }
 
@@ -72,6 +81,7 @@
             behind: None,
             came: None,
             failed: false,
+            read: false,
             copy: None,
         }
     }
@@ -94,9 +104,12 @@
             return false;
         }
         self.holders.insert(node, next);
-        let news = self.behind.is_none();
-        self.behind.get_or_insert(now);
-        news
+        if self.behind.is_some() {
+            return false;
+        }
+        self.behind = Some(now);
+        self.read = false;
+        true
     }
 
     /// Notes that a piece of an answer came from the registry.
@@ -105,6 +118,25 @@
         self.failed = false;
     }
 
+    /// Notes that the registry's answer has ended, or is given up.
+    pub const fn ended(&mut self) {
+        self.came = None;
+    }
+
+    /// Notes that the registry is read for what this node may lack.
+    pub const fn reads(&mut self) {
+        self.read = true;
+    }
+
+    /// Returns when the registry is to be read for what this node lacks.
+    ///
+    /// Once for each time that it falls behind; [`Self::coming_until`] bounds it.
+    #[must_use]
+    pub fn read_at(&self) -> Time {
+        let behind = self.behind.filter(|_| !self.read);
+        behind.map_or(Time::NEVER, |at| at + GRACE)
+    }
+
     /// Notes whether a call to the registry failed.
     pub const fn registry(&mut self, failed: bool) {
         self.failed = failed;
@@ -130,16 +162,10 @@
         true
     }
 
-    /// Returns since when this node knows that it lacks something.
+    /// Returns until when an answer of the registry counts as on its way.
     #[must_use]
-    pub const fn behind(&self) -> Option<Time> {
-        self.behind
-    }
-
-    /// Tells whether an answer of the registry is on its way.
-    #[must_use]
-    pub fn is_coming(&self, now: Time) -> bool {
-        self.came.is_some_and(|at| now.since(at) < STALL)
+    pub fn coming_until(&self) -> Time {
+        self.came.map_or(Time::ZERO, |at| at + STALL)
     }
 
     /// Returns when to ask for the next decision; never, if nothing is missing.
@@ -149,7 +175,7 @@
             return Time::NEVER;
         };
         let patience = behind + self.patience();
-        let came = self.came.map_or(Time::ZERO, |at| at + STALL);
+        let came = self.coming_until();
         let moved = self.copy.map_or(Time::ZERO, |c| c.moved + STALL);
         patience.max(came).max(moved)
     }
@@ -166,7 +192,12 @@
             return None;
         }
         let stalled = self.copy.take().map(|c| c.node);
-        let node = self.best(live, stalled)?;
+        let Some(node) = self.best(live, stalled) else {
+            // None of them answers. They say anew what they have once they do.
+            self.holders.clear();
+            self.behind = None;
+            return None;
+        };
         self.copy = Some(Copy { node, moved: now });
         Some(node)
     }
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -11,6 +11,7 @@
 pub mod directory;
 pub mod durations;
 pub mod events;
+pub mod freshness;
 pub mod health;
 pub mod owners;
 pub mod pace;
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -22,6 +22,12 @@
 /// How long a silent node is passed over before it is tried again.
 const SILENT: Duration = Duration::from_millis(1_500);
 
+/// How long a node that can't read the registry is passed over as a reader.
+///
+/// Without this all nodes read for themselves while the first one is cut off:
+/// 18 reads a second at 22 nodes, and 280 at 340.
+const UNREAD: Duration = Duration::from_secs(5);
+
 /// How long a node that was not heard of is remembered.
 const FORGOTTEN: Duration = Duration::from_mins(1);
 
@@ -31,6 +37,9 @@
 /// host of a fifth of the others' power stays out.
 const STRONG: f64 = 0.5;
 
+/// What nodes are ranked by to read for all; no service has such a name.
+const READER: &str = "configuration, of all nodes";
+
 const SECRETS: RapidSecrets = RapidSecrets::seed(0);
 
 #[derive(Debug, Clone, Copy)]
@@ -40,6 +49,8 @@
     heard: Time,
     answered: bool,
     silent: Time,
+    /// Until when it is not asked to read the registry for others.
+    unread: Time,
     leaving: bool,
 }
 
@@ -74,6 +85,7 @@
             heard: now,
             answered: false,
             silent: Time::ZERO,
+            unread: Time::ZERO,
             leaving: false,
         };
         self.peers.insert(peer, known);
@@ -117,6 +129,13 @@
         self.peers.retain(|_, p| now.since(p.heard) < FORGOTTEN);
     }
 
+    /// Notes whether a node can't read the registry itself.
+    pub fn unread(&mut self, now: Time, peer: SocketAddr, unread: bool) {
+        if let Some(known) = self.peers.get_mut(&peer) {
+            known.unread = if unread { now + UNREAD } else { Time::ZERO };
+        }
+    }
+
     /// Returns when a node last answered; the start of time if it never did.
     #[must_use]
     pub fn heard_at(&self, peer: SocketAddr) -> Time {
@@ -148,8 +167,18 @@
     /// Returns the owner of a service's pieces as of now.
     #[must_use]
     pub fn owner(&self, now: Time, service: &PoolName) -> SocketAddr {
+        self.first(now, service.as_str(), |_| true)
+    }
+
+    /// Returns the node that reads the registry for all, as of now.
+    #[must_use]
+    pub fn reader(&self, now: Time) -> SocketAddr {
+        self.first(now, READER, |p| p.unread <= now)
+    }
+
+    fn first(&self, now: Time, subject: &str, fits: impl Fn(&Peer) -> bool) -> SocketAddr {
         let usable = self.peers.iter();
-        let usable = usable.filter(|(_, p)| p.silent <= now && !p.leaving);
+        let usable = usable.filter(|(_, p)| p.silent <= now && !p.leaving && fits(p));
         // One of unknown power is taken for as strong as this node: a node that
         // has just been heard of says its power with its first answer.
         let others = usable.map(|(&address, p)| (address, p.power.unwrap_or(self.power)));
@@ -160,12 +189,12 @@
         let strong = all.iter().filter(|(_, power)| f64::from(power.0) >= least);
         let first = strong
             .map(|(a, _)| *a)
-            .max_by_key(|a| (rank(service, a), *a));
+            .max_by_key(|a| (rank(subject, a), *a));
         first.unwrap_or(self.own)
     }
 }
 
-fn rank(service: &PoolName, peer: &SocketAddr) -> u64 {
-    let text = format!("{service} {peer}");
+fn rank(subject: &str, peer: &SocketAddr) -> u64 {
+    let text = format!("{subject} {peer}");
     rapidhash_v3_seeded(text.as_bytes(), &SECRETS)
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_directory;
 mod test_drain;
 mod test_fleet;
+mod test_freshness;
 mod test_journal;
 mod test_limits;
 mod test_membership;
--- a/lib/tests/test_catch_up.rs
+++ b/lib/tests/test_catch_up.rs
@@ -5,6 +5,7 @@
 
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::serving::catch_up::CatchUp;
+use snipeyoke_lib::serving::catch_up::GRACE;
 use snipeyoke_lib::serving::catch_up::PATIENCE;
 use snipeyoke_lib::serving::catch_up::STALL;
 use snipeyoke_lib::serving::slices::SLICE_MAX;
@@ -153,3 +154,36 @@
     assert!(asked.iter().all(|a| a.port() <= 8), "{asked:?}");
     assert!(asked.len() >= 4, "{asked:?}");
 }
+
+#[test]
+fn with_no_holder_left_nothing_is_due() {
+    // The only neighbour that had more has died. A decision that stays due would
+    // keep the node busy for nothing.
+    let mut catch_up = CatchUp::new(node(99));
+    catch_up.registry(true);
+    assert!(catch_up.told(Time::ZERO, node(50), Offset(7)));
+    assert_eq!(catch_up.choose(Time::ZERO, live()), None);
+    assert_eq!(catch_up.wake(), Time::NEVER);
+    assert!(catch_up.told(Time::ZERO, node(3), Offset(7)));
+    assert_eq!(catch_up.choose(Time::ZERO, live()), Some(node(3)));
+}
+
+#[test]
+fn the_registry_is_read_once_for_what_is_lacking() {
+    // A neighbour tells of a change before this node's own read is answered. The
+    // node waits for it, then reads once; what comes then is not asked again.
+    let mut catch_up = CatchUp::new(node(99));
+    let told = Time::from_millis(1_000);
+    catch_up.told(told, node(3), Offset(7));
+    catch_up.told(told + LOOK, node(4), Offset(7));
+    assert_eq!(catch_up.read_at(), told + GRACE);
+    catch_up.reads();
+    assert_eq!(catch_up.read_at(), Time::NEVER);
+    catch_up.came(told + GRACE);
+    assert_eq!(catch_up.coming_until(), told + GRACE + STALL);
+    catch_up.ended();
+    assert_eq!(catch_up.coming_until(), Time::ZERO);
+    catch_up.has(Offset(7));
+    catch_up.told(told + STALL, node(3), Offset(8));
+    assert_eq!(catch_up.read_at(), told + STALL + GRACE);
+}
