--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod plain;
 mod program;
 mod ready;
+mod records;
 mod refusal;
 pub mod registry;
 mod retry;
