gateway: reads of the configuration in modules of their own

Cause: follow.rs had grown to 302 lines, and one function made both the reads that wait and those that don't, with a topic that was always the same.

--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -1,15 +1,11 @@
 //! Follows the registry's topics.
 
 use std::sync::Arc;
-use std::sync::atomic::AtomicBool;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
-use futures_lite::FutureExt;
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::Backoff;
-use snipeyoke_lib::serving::freshness::Waits;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::time::Time;
 
@@ -19,7 +15,6 @@
 use crate::registry::Topic;
 use crate::registry::Update;
 use crate::shared::Shared;
-use crate::watch::watch;
 
 /// The pauses between the looks at the other nodes.
 ///
@@ -31,17 +26,6 @@
     Duration::from_secs(15),
 ];
 
-/// Follows the configuration until the process ends.
-pub(crate) async fn follow_config(shared: Arc<Shared>, seed: u64) {
-    let mut backoff = Backoff::new(seed);
-    let mut waits = Waits::new(seed);
-    loop {
-        list(&shared, Topic::Config, &mut backoff).await;
-        let wait = wait_for_changes(&shared, &mut backoff, &mut waits);
-        wait.or(watch(&shared, seed ^ 3)).await;
-    }
-}
-
 /// Follows the endpoints until the process ends.
 pub(crate) async fn follow_endpoints(shared: Arc<Shared>, seed: u64) {
     let mut backoff = Backoff::new(seed);
@@ -54,7 +38,7 @@
 /// Reads the whole list, as often as it takes.
 ///
 /// It ends as well when a neighbour has told what the list would.
-async fn list(shared: &Shared, topic: Topic, backoff: &mut Backoff) {
+pub(crate) async fn list(shared: &Shared, topic: Topic, backoff: &mut Backoff) {
     let from = shared.next_of(topic);
     loop {
         let sent = shared.now();
@@ -70,7 +54,7 @@
                 return;
             }
             Err(failure) => {
-                shared.catch_up().registry(true);
+                shared.catch_up().registry_fails(true);
                 log::warn!(event = "registry-failed", topic = topic.to_string().as_str(), call = "list", why = failure.to_string().as_str(); "");
             }
         }
@@ -124,28 +108,6 @@
     }
 }
 
-/// Waits for changes of the configuration until its history is gone.
-async fn wait_for_changes(shared: &Shared, backoff: &mut Backoff, waits: &mut Waits) {
-    let topic = Topic::Config;
-    let mut failing = false;
-    loop {
-        let sent = shared.now();
-        let from = shared.next_of(topic);
-        let wait = waits.draw();
-        let Some(update) = read(shared, topic, from, wait).await else {
-            continue;
-        };
-        if !take(shared, topic, sent, update, &mut failing) {
-            return;
-        }
-        if failing {
-            Timer::after(backoff.failed()).await;
-        } else {
-            backoff.succeeded();
-        }
-    }
-}
-
 /// Takes in the end of a read that was sent at `sent`.
 ///
 /// Tells whether reading goes on from there; if not, the list has to be read.
@@ -158,7 +120,7 @@
 ) -> bool {
     match update {
         Update::Records { records, next, end } => {
-            shared.catch_up().registry(false);
+            shared.catch_up().registry_fails(false);
             if std::mem::take(failing) {
                 log::info!(event = "registry-regained", topic = topic.to_string().as_str(); "");
                 shared.regained.notify(usize::MAX);
@@ -175,7 +137,7 @@
             false
         }
         Update::Failed(failure) => {
-            shared.catch_up().registry(true);
+            shared.catch_up().registry_fails(true);
             if !std::mem::replace(failing, true) {
                 let from = shared.next_of(topic).0;
                 log::warn!(event = "registry-lost", topic = topic.to_string().as_str(), from, why = failure.to_string().as_str(); "");
@@ -197,74 +159,8 @@
     far
 }
 
-/// Reads the configuration once; `None` if the read was given up for another.
-///
-/// While the registry is silent it may swallow a read that waits, which then
-/// waits for an answer that never comes. The reads that don't wait tell when the
-/// registry answers again.
-pub(crate) async fn read(
-    shared: &Shared,
-    topic: Topic,
-    from: Offset,
-    wait: Duration,
-) -> Option<Update> {
-    let begun = shared.now();
-    let coming = AtomicBool::new(false);
-    let came = || {
-        coming.store(true, Ordering::Relaxed);
-        note_came(shared, topic);
-    };
-    let update = async { Some(shared.registry.read(topic, from, wait, &came).await) };
-    let update = update.or(overtaken(shared, from));
-    if wait.is_zero() {
-        let update = update.await;
-        shared.catch_up().ended();
-        return update;
-    }
-    log::info!(event = "registry-asked", topic = topic.to_string().as_str(), from = from.0, wait_ms = wait.as_millis() as u64; "");
-    let update = update.or(lost(shared, from, &coming)).await;
-    shared.catch_up().ended();
-    let ended = match &update {
-        Some(Update::Records { records, .. }) if records.is_empty() => "nothing-new",
-        Some(Update::Records { .. }) => "records",
-        Some(Update::Gone) => "gone",
-        Some(Update::Failed(_)) => "failed",
-        None => "given-up",
-    };
-    let took = shared.now().since(begun).as_millis() as u64;
-    log::info!(event = "registry-answered", topic = topic.to_string().as_str(), from = from.0, took_ms = took, ended; "");
-    update
-}
-
-/// Ends when the records from an offset on have come another way.
-///
-/// The same records would come a second time, over a link that may be full.
-async fn overtaken(shared: &Shared, from: Offset) -> Option<Update> {
-    loop {
-        let grown = shared.grown.listen();
-        if shared.next_of(Topic::Config) > from {
-            return None;
-        }
-        grown.await;
-    }
-}
-
-/// Ends when the registry answers again and may have lost a read that waits.
-///
-/// What is on its way was not lost. On a full link short reads fail and work
-/// again every second: a large answer that is dropped each time begins anew each
-/// time, and fills the link for nothing.
-async fn lost(shared: &Shared, from: Offset, coming: &AtomicBool) -> Option<Update> {
-    shared.regained.listen().await;
-    while coming.load(Ordering::Relaxed) {
-        shared.regained.listen().await;
-    }
-    log::info!(event = "registry-asked-again", topic = "config", from = from.0; "");
-    None
-}
-
-/// Notes that a piece of an answer came.
-fn note_came(shared: &Shared, topic: Topic) {
+/// Notes that more of an answer came.
+pub(crate) fn note_came(shared: &Shared, topic: Topic) {
     if topic == Topic::Config {
         shared.catch_up().came(shared.now());
     }
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod attempt;
 mod call;
+mod changes;
 pub mod dialect;
 mod dispatch;
 mod door;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -21,6 +21,7 @@
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::threads::Execs;
 
+use crate::changes;
 use crate::dialect::Dialect;
 use crate::dispatch;
 use crate::dispatch::Dispatcher;
@@ -186,7 +187,7 @@
         traffic.spawn(dispatch::run(shared(), messages, traffic.clone()));
         let dispatcher = self.shared.dispatcher.clone();
         traffic.spawn(dispatch::accept(peers, dispatcher, traffic.clone()));
-        scope.spawn(follow::follow_config(shared(), seed));
+        scope.spawn(changes::follow(shared(), seed));
         scope.spawn(follow::follow_endpoints(shared(), seed ^ 1));
         scope.spawn(follow::meet(shared(), seed ^ 2));
     }
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -109,10 +109,10 @@
     pub power: Option<MilliCores>,
 }
 
-/// Told of each piece of an answer's body as it comes.
+/// Told each time that more of an answer's body has come.
 ///
 /// A large answer takes seconds over a slow or full link. Who waits for it can
-/// tell from its pieces that it is on its way, and need not ask again.
+/// tell by this that it is on its way, and need not ask again.
 pub type Came<'a> = &'a (dyn Fn() + Send + Sync);
 
 /// Where routes, endpoints and nodes are registered.
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -4,11 +4,13 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
+use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::Backoff;
 use snipeyoke_lib::time::Time;
 
 use crate::follow;
 use crate::registry::Topic;
+use crate::registry::Update;
 use crate::shared::Shared;
 
 /// Reads the configuration whenever it is due, until its history is gone.
@@ -28,7 +30,7 @@
         shared.catch_up().reads();
         pause = Duration::ZERO;
         // What has grown meanwhile is read on from there.
-        let Some(update) = follow::read(shared, Topic::Config, from, Duration::ZERO).await else {
+        let Some(update) = read(shared, from).await else {
             continue;
         };
         if !follow::take(shared, Topic::Config, sent, update, &mut failing) {
@@ -42,6 +44,31 @@
     }
 }
 
+/// Reads once without waiting; `None` if the records have come another way.
+async fn read(shared: &Shared, from: Offset) -> Option<Update> {
+    let came = || follow::note_came(shared, Topic::Config);
+    let answer = shared
+        .registry
+        .read(Topic::Config, from, Duration::ZERO, &came);
+    let update = async { Some(answer.await) };
+    let update = update.or(overtaken(shared, from)).await;
+    shared.catch_up().ended();
+    update
+}
+
+/// Ends when the records from an offset on have come another way.
+///
+/// The same records would come a second time, over a link that may be full.
+pub(crate) async fn overtaken(shared: &Shared, from: Offset) -> Option<Update> {
+    loop {
+        let grown = shared.grown.listen();
+        if shared.next_of(Topic::Config) > from {
+            return None;
+        }
+        grown.await;
+    }
+}
+
 /// Waits until the configuration has to be read.
 async fn due(shared: &Shared, sight: &mut Sight, not_before: Time) {
     loop {
--- a/lib/src/serving/catch_up.rs
+++ b/lib/src/serving/catch_up.rs
@@ -61,7 +61,7 @@
     /// Up to where each neighbour said that it is complete, if that is further.
     holders: BTreeMap<SocketAddr, Offset>,
     behind: Option<Time>,
-    /// When a piece of an answer last came from the registry.
+    /// When more of an answer last came from the registry.
     came: Option<Time>,
     /// Whether the registry's last call failed.
     failed: bool,
@@ -112,7 +112,7 @@
         true
     }
 
-    /// Notes that a piece of an answer came from the registry.
+    /// Notes that more of an answer came from the registry.
     pub const fn came(&mut self, now: Time) {
         self.came = Some(now);
         self.failed = false;
@@ -138,8 +138,8 @@
     }
 
     /// Notes whether a call to the registry failed.
-    pub const fn registry(&mut self, failed: bool) {
-        self.failed = failed;
+    pub const fn registry_fails(&mut self, fails: bool) {
+        self.failed = fails;
     }
 
     /// Notes that a neighbour is lost or holds nothing newer.
--- a/lib/tests/test_catch_up.rs
+++ b/lib/tests/test_catch_up.rs
@@ -133,7 +133,7 @@
 fn without_the_registry_a_neighbour_is_asked_at_once() {
     // The registry turns this node away. There is nothing to wait for.
     let mut lagging = Lagging::new();
-    lagging.catch_up.registry(true);
+    lagging.catch_up.registry_fails(true);
     lagging.catch_up.told(lagging.now, node(3), Offset(7));
     assert_eq!(lagging.catch_up.choose(lagging.now, live()), Some(node(3)));
 }
@@ -145,7 +145,7 @@
     let mut asked = std::collections::BTreeSet::new();
     for own in 100..114 {
         let mut catch_up = CatchUp::new(node(own));
-        catch_up.registry(true);
+        catch_up.registry_fails(true);
         for holder in 1..=NODES {
             catch_up.told(Time::ZERO, node(holder), Offset(7));
         }
@@ -160,7 +160,7 @@
     // The only neighbour that had more has died. A decision that stays due would
     // keep the node busy for nothing.
     let mut catch_up = CatchUp::new(node(99));
-    catch_up.registry(true);
+    catch_up.registry_fails(true);
     assert!(catch_up.told(Time::ZERO, node(50), Offset(7)));
     assert_eq!(catch_up.choose(Time::ZERO, live()), None);
     assert_eq!(catch_up.wake(), Time::NEVER);
--- a/runtime/src/http/body.rs
+++ b/runtime/src/http/body.rs
@@ -95,10 +95,10 @@
 ///
 /// Returns [`BodyError`] if it is larger or its connection fails.
 pub async fn collect(body: Incoming, max: usize) -> Result<Bytes, BodyError> {
-    collect_noting(body, max, |_piece| ()).await
+    collect_noting(body, max, |_bytes| ()).await
 }
 
-/// Reads a whole body and tells the size of each piece as it comes.
+/// Reads a whole body and tells the bytes of each frame as it comes.
 ///
 /// # Errors
 ///
