runtime: tell where a process dies of a fatal signal

What callers saw: connections of one entry host closed, and of the process nothing but the status 139, seen once. The program printed nothing when it died of a memory fault, so no hypothesis could be told from another.

crash-handler puts a handler of the six fatal signals in place, with an alternate stack for each thread. It tells program, thread, signal, code, address, instruction and likely return addresses in two writes, without allocation, and lets the process end as it would have: overflows of a stack still go to the standard library's handler (abort), everything else to the default action.

The test of the program failed before: it went on after a first SIGSEGV that was sent to it, and told nothing. runtime/tests/faults faults on purpose in the main, the control and a traffic thread: a write, a jump, an overflow, an abort, a signal sent.

A library rather than a handler of our own: the alternate stacks of all threads and the chain to earlier handlers are its work. Our one unsafe block is the promise that the closure is safe in a signal handler.

--- /dev/null
+++ b/runtime/src/faults.rs
@@ -0,0 +1,299 @@
+//! Tells on standard error where a process dies of a fatal signal.
+//!
+//! What runs in the handler neither allocates nor takes a lock of this
+//! process: the fault may have happened inside the allocator.
+
+use std::ffi::CStr;
+use std::fmt;
+use std::fmt::Write;
+use std::fs;
+use std::io;
+use std::path::Path;
+
+use crash_handler::CrashContext;
+use crash_handler::CrashEventResult;
+use crash_handler::CrashHandler;
+use rustix::fs::Mode;
+use rustix::fs::OFlags;
+use rustix::io::Errno;
+use rustix::time::ClockId;
+
+/// The longest line in bytes.
+const LINE: usize = 1_024;
+
+/// The bytes of the stack that are searched for return addresses.
+const STACK: usize = 4 * 1_024;
+
+/// The size of a page of memory in bytes, or a part of it.
+const PAGE: u64 = 4_096;
+
+/// The most return addresses that are told.
+const FRAMES: usize = 16;
+
+/// Reports fatal signals of this process from now until its end.
+///
+/// The process ends as it would have without the report.
+///
+/// # Errors
+///
+/// Returns the library's error if no handler can be put in place.
+pub fn install(program: &'static str) -> Result<(), crash_handler::Error> {
+    let report = Report {
+        program,
+        objects: objects().unwrap_or_else(|error| {
+            eprintln!("{program}: /proc/self/maps: {error}; a fatal signal will be told without the names of programs and libraries");
+            Vec::new()
+        }),
+    };
+    // SAFETY: the closure only formats into memory of its own stack and makes
+    // system calls that are safe in a signal handler.
+    let event = unsafe { crash_handler::make_crash_event(move |context| report.tell(context)) };
+    // Dropped, the handler would be taken away again; threads may still fault
+    // while the process exits.
+    std::mem::forget(CrashHandler::attach(event)?);
+    Ok(())
+}
+
+/// What is known before a fault, since a handler can't find it out.
+#[derive(Debug)]
+struct Report {
+    program: &'static str,
+    objects: Vec<Object>,
+}
+
+/// The executable part of a program or library in memory.
+#[derive(Debug)]
+struct Object {
+    name: String,
+    /// The address to which the object's own address 0 is mapped.
+    base: u64,
+    start: u64,
+    end: u64,
+}
+
+impl Report {
+    fn tell(&self, context: &CrashContext) -> CrashEventResult {
+        let signal = Fatal::from(context);
+        let mut line = Line::default();
+        // Writing beyond the end of a line cuts it, and fails otherwise never.
+        let _cut = self.describe(&mut line, &signal, context.tid);
+        line.write_out();
+        let mut line = Line::default();
+        let _cut = self.describe_stack(&mut line, signal.stack_pointer);
+        line.write_out();
+        // The standard library's handler tells an overflow of the stack and
+        // aborts. It takes a signal that another process sent for handled.
+        CrashEventResult::Handled(signal.is_sent)
+    }
+
+    fn describe(&self, line: &mut Line, signal: &Fatal, tid: i32) -> fmt::Result {
+        let now = rustix::time::clock_gettime(ClockId::Realtime);
+        let millis = now.tv_sec * 1_000 + now.tv_nsec / 1_000_000;
+        let mut name = [0; 32];
+        let thread = thread_name(&mut name).unwrap_or("unknown");
+        write!(
+            line,
+            "unix_ms={millis} level=ERROR event=fatal-signal program={} tid={tid} thread={thread} signal={} code={}",
+            self.program, signal.number, signal.code,
+        )?;
+        if signal.is_sent {
+            write!(line, " sender={}", signal.detail & u64::from(u32::MAX))?;
+        } else {
+            write!(line, " address={:#x}", signal.detail)?;
+        }
+        write!(line, " instruction=")?;
+        self.describe_address(line, signal.instruction)?;
+        write!(line, " stack={:#x}", signal.stack_pointer)
+    }
+
+    fn describe_address(&self, line: &mut Line, address: u64) -> fmt::Result {
+        match self.object_of(address) {
+            Some(object) => write!(line, "{}+{:#x}", object.name, address - object.base),
+            None => write!(line, "unmapped+{address:#x}"),
+        }
+    }
+
+    // Words on the stack that point into code are its return addresses, among
+    // a few leftovers of earlier calls.
+    fn describe_stack(&self, line: &mut Line, pointer: u64) -> fmt::Result {
+        let mut bytes = [0; STACK];
+        // A stack that overflowed ends on a page that can't be read.
+        let next_page = (pointer | (PAGE - 1)) + 1;
+        let length = read_own_memory(&mut bytes, pointer)
+            .or_else(|_unmapped| read_own_memory(&mut bytes, next_page))
+            .unwrap_or(0);
+        write!(line, "event=fatal-signal-stack frames=")?;
+        let words = bytes[..length].chunks_exact(8);
+        let mut told = 0;
+        for word in words.map(|w| u64::from_ne_bytes(w.try_into().unwrap_or_default())) {
+            if told == FRAMES {
+                break;
+            }
+            if self.object_of(word).is_some() {
+                if told > 0 {
+                    write!(line, ",")?;
+                }
+                self.describe_address(line, word)?;
+                told += 1;
+            }
+        }
+        Ok(())
+    }
+
+    fn object_of(&self, address: u64) -> Option<&Object> {
+        let holds = |o: &&Object| (o.start..o.end).contains(&address);
+        self.objects.iter().find(holds)
+    }
+}
+
+/// A signal that ends the process.
+#[derive(Debug)]
+struct Fatal {
+    number: u32,
+    code: i32,
+    /// Whether a process sent it; otherwise an instruction caused it.
+    is_sent: bool,
+    /// The address that could not be accessed, or the sender's process id.
+    detail: u64,
+    instruction: u64,
+    stack_pointer: u64,
+}
+
+impl From<&CrashContext> for Fatal {
+    fn from(context: &CrashContext) -> Self {
+        let info = &context.siginfo;
+        // The library copies the kernel's `siginfo_t` over this structure: bytes
+        // 16 to 24 hold the address of a fault, or the id of the sender.
+        let detail = u64::from(info.ssi_uid) | u64::from(info.ssi_fd.cast_unsigned()) << 32;
+        let (instruction, stack_pointer) = registers(context);
+        Self {
+            number: info.ssi_signo,
+            code: info.ssi_code,
+            is_sent: info.ssi_code <= 0,
+            detail,
+            instruction,
+            stack_pointer,
+        }
+    }
+}
+
+/// Returns the instruction pointer and the stack pointer.
+#[cfg(target_arch = "x86_64")]
+fn registers(context: &CrashContext) -> (u64, u64) {
+    // The places of RIP and RSP in the kernel's array of registers.
+    let [instruction, stack] = [16, 15].map(|r| context.context.uc_mcontext.gregs[r]);
+    (instruction.cast_unsigned(), stack.cast_unsigned())
+}
+
+#[cfg(target_arch = "aarch64")]
+fn registers(context: &CrashContext) -> (u64, u64) {
+    let registers = &context.context.uc_mcontext;
+    (registers.pc, registers.sp)
+}
+
+/// Returns the code that is mapped into this process.
+fn objects() -> io::Result<Vec<Object>> {
+    let maps = fs::read_to_string("/proc/self/maps")?;
+    let mut objects = Vec::new();
+    let mut base = (0, "");
+    for mapping in maps.lines().filter_map(Mapping::parse) {
+        if mapping.offset == 0 && mapping.path != base.1 {
+            base = (mapping.start, mapping.path);
+        }
+        if mapping.is_code && mapping.path == base.1 {
+            let name = Path::new(mapping.path).file_name();
+            objects.push(Object {
+                name: name.map_or_else(String::new, |n| n.to_string_lossy().into_owned()),
+                base: base.0,
+                start: mapping.start,
+                end: mapping.end,
+            });
+        }
+    }
+    Ok(objects)
+}
+
+/// A line of `/proc/self/maps`, as proc(5) describes it.
+#[derive(Debug)]
+struct Mapping<'a> {
+    start: u64,
+    end: u64,
+    offset: u64,
+    is_code: bool,
+    path: &'a str,
+}
+
+impl<'a> Mapping<'a> {
+    /// Returns the mapping of a file, and none for other memory.
+    fn parse(line: &'a str) -> Option<Self> {
+        let mut fields = line.split_ascii_whitespace();
+        let hex = |text| u64::from_str_radix(text, 16).ok();
+        let (start, end) = fields.next()?.split_once('-')?;
+        let access = fields.next()?;
+        let offset = fields.next()?;
+        Some(Self {
+            start: hex(start)?,
+            end: hex(end)?,
+            offset: hex(offset)?,
+            is_code: access.contains('x'),
+            path: fields.nth(2)?,
+        })
+    }
+}
+
+/// Returns the name of the calling thread.
+fn thread_name(buffer: &mut [u8]) -> Option<&str> {
+    let length = read(c"/proc/thread-self/comm", buffer, 0).ok()?;
+    let name = std::str::from_utf8(buffer.get(..length)?).ok()?;
+    Some(name.trim_end())
+}
+
+/// Reads memory of this process; what is not mapped ends the read.
+fn read_own_memory(buffer: &mut [u8], from: u64) -> Result<usize, Errno> {
+    read(c"/proc/self/mem", buffer, from)
+}
+
+fn read(path: &CStr, buffer: &mut [u8], from: u64) -> Result<usize, Errno> {
+    let flags = OFlags::RDONLY | OFlags::CLOEXEC;
+    let file = rustix::fs::open(path, flags, Mode::empty())?;
+    rustix::io::pread(&file, buffer, from)
+}
+
+/// One line of text of bounded length, on the stack.
+#[derive(Debug)]
+struct Line {
+    bytes: [u8; LINE],
+    length: usize,
+}
+
+impl Default for Line {
+    fn default() -> Self {
+        Self {
+            bytes: [0; LINE],
+            length: 0,
+        }
+    }
+}
+
+impl Line {
+    fn write_out(&mut self) {
+        self.bytes[self.length.min(LINE - 1)] = b'\n';
+        let length = (self.length + 1).min(LINE);
+        // Nothing is left to be done if standard error is gone.
+        let _written = rustix::io::write(rustix::stdio::stderr(), &self.bytes[..length]);
+    }
+}
+
+impl Write for Line {
+    fn write_str(&mut self, s: &str) -> fmt::Result {
+        let room = &mut self.bytes[self.length..LINE - 1];
+        let taken = s.len().min(room.len());
+        room[..taken].copy_from_slice(&s.as_bytes()[..taken]);
+        self.length += taken;
+        if taken == s.len() {
+            Ok(())
+        } else {
+            Err(fmt::Error)
+        }
+    }
+}
--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod board;
 pub mod book;
 pub mod clock;
+pub mod faults;
 pub mod flag;
 pub mod http;
 pub mod link;
--- a/runtime/src/program.rs
+++ b/runtime/src/program.rs
@@ -14,6 +14,7 @@
 use futures_lite::FutureExt;
 use snipeyoke_lib::drain::Source;
 
+use crate::faults;
 use crate::logs;
 use crate::logs::Output;
 use crate::measures;
@@ -112,6 +113,7 @@
 }
 
 fn run<P: Program>(args: &Args) -> Result<(), Box<dyn Error>> {
+    faults::install(P::NAME)?;
     let path = args.path()?;
     let settings: P::Settings = settings::load(&path)?;
     if args.check {
--- /dev/null
+++ b/runtime/tests/faults/main.rs
@@ -0,0 +1,165 @@
+//! Processes that die of fatal signals, and what they tell.
+//!
+//! Each case runs this program again, which faults on purpose.
+
+use std::os::unix::process::ExitStatusExt;
+use std::process::Command;
+use std::process::ExitCode;
+use std::process::Output;
+use std::sync::Arc;
+
+use futures_lite::future;
+use rustix::process::Signal;
+use snipeyoke_runtime::faults;
+use snipeyoke_runtime::threads::Threads;
+
+/// The variable that tells a run of this program how to fault.
+const FAULT: &str = "SNIPEYOKE_TEST_FAULT";
+
+/// The variable that tells it in which thread.
+const THREAD: &str = "SNIPEYOKE_TEST_THREAD";
+
+/// The threads of a process of the system that the test can fault in.
+const THREADS: &[&str] = &["main", "control", "traffic"];
+
+fn main() -> ExitCode {
+    if let (Ok(fault), Ok(thread)) = (std::env::var(FAULT), std::env::var(THREAD)) {
+        die(&fault, &thread);
+    }
+    let mut failed = 0;
+    let mut passed = 0;
+    for (fault, signal, threads) in FAULTS {
+        for thread in *threads {
+            match check(fault, *signal, thread) {
+                Ok(()) => passed += 1,
+                Err(why) => {
+                    println!("{fault} in thread {thread}: {why}");
+                    failed += 1;
+                }
+            }
+        }
+    }
+    println!("{passed} passed, {failed} failed");
+    if failed == 0 {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    }
+}
+
+/// The faults, each with the signal that ends its process, and the threads.
+///
+/// The main thread gets a signal that is sent to a process, if it takes it.
+const FAULTS: &[(&str, Signal, &[&str])] = &[
+    ("write", Signal::SEGV, THREADS),
+    ("execute", Signal::SEGV, THREADS),
+    ("overflow", Signal::ABORT, THREADS),
+    ("abort", Signal::ABORT, THREADS),
+    ("sent", Signal::SEGV, &["main"]),
+];
+
+/// Guards against a process that dies of a memory fault without a word.
+fn check(fault: &str, signal: Signal, thread: &str) -> Result<(), String> {
+    let own = std::env::current_exe().expect("the test has a path");
+    let mut child = Command::new(own);
+    let child = child.env(FAULT, fault).env(THREAD, thread);
+    let output = child.output().expect("the test starts again");
+    let told = String::from_utf8_lossy(&output.stderr).into_owned();
+    let ended = output.status.signal();
+    if ended != Some(signal.as_raw()) {
+        return Err(format!("ended with {}: {told}", output.status));
+    }
+    let expected = expected(fault, thread, &output);
+    if let Some(missing) = expected.iter().find(|pair| !told.contains(*pair)) {
+        return Err(format!("no {missing:?} in: {told}"));
+    }
+    let frames = told
+        .lines()
+        .find(|l| l.starts_with("event=fatal-signal-stack"));
+    if !frames.is_some_and(|l| l.contains(&format!("{}+0x", own_name()))) {
+        return Err(format!("no frame of the program in: {told}"));
+    }
+    Ok(())
+}
+
+/// Returns the pairs that a report must have.
+fn expected(fault: &str, thread: &str, output: &Output) -> Vec<String> {
+    let own = own_name();
+    // The kernel cuts the name of a thread after 15 bytes.
+    let main = &own[..own.len().min(15)];
+    let name = if thread == "main" { main } else { thread };
+    let mut pairs = vec![
+        "event=fatal-signal program=faults ".to_owned(),
+        format!(" thread={name} "),
+    ];
+    match fault {
+        "write" => pairs.extend([" address=0x10 ".into(), format!(" instruction={own}+0x")]),
+        "execute" => pairs.push(" address=0x2000 instruction=unmapped+0x2000 ".into()),
+        "overflow" => pairs.push("has overflowed its stack".into()),
+        "abort" => pairs.push(" signal=6 ".into()),
+        _ => pairs.push(" sender=".into()),
+    }
+    assert!(
+        output.stdout.is_empty(),
+        "a report belongs to standard error"
+    );
+    pairs
+}
+
+fn own_name() -> String {
+    let path = std::env::current_exe().expect("the test has a path");
+    let name = path.file_name().expect("it has a name");
+    name.to_string_lossy().into_owned()
+}
+
+/// Faults in the named thread, as a process of the system would.
+fn die(fault: &str, thread: &str) {
+    faults::install("faults").expect("a handler can be put in place");
+    let threads = Threads::start(1).expect("threads start");
+    let execs = threads.execs();
+    let exec = match thread {
+        "control" => Arc::clone(&execs.control),
+        "traffic" => Arc::clone(&execs.traffic),
+        _ => return act(fault),
+    };
+    let fault = fault.to_owned();
+    let task = exec.spawn(async move { act(&fault) });
+    future::block_on(task);
+}
+
+fn act(fault: &str) {
+    match fault {
+        "write" => write(),
+        "execute" => execute(),
+        "overflow" => assert_ne!(overflow(1), 0),
+        "abort" => std::process::abort(),
+        _ => send(),
+    }
+}
+
+fn write() {
+    let address = std::hint::black_box(0x10) as *mut u8;
+    // SAFETY: none; the page is never mapped, and the fault is the purpose.
+    unsafe { address.write_volatile(1) };
+}
+
+fn execute() {
+    let address = std::hint::black_box(0x2000) as *const ();
+    // SAFETY: none; the page is never mapped, and the fault is the purpose.
+    let function = unsafe { std::mem::transmute::<*const (), fn()>(address) };
+    function();
+}
+
+#[expect(unconditional_recursion, reason = "the overflow is the purpose")]
+fn overflow(depth: u64) -> u64 {
+    let frame = std::hint::black_box([depth; 64]);
+    overflow(depth + 1).wrapping_add(frame[1])
+}
+
+fn send() {
+    let own = rustix::process::getpid();
+    rustix::process::kill_process(own, Signal::SEGV).expect("a process may signal itself");
+    loop {
+        std::thread::park();
+    }
+}
