runtime: outlive the report of a fatal signal by a moment

Of eight programs with the same fault and different ends of the report those that slept for 1, 20 or 200 ms after it, or aborted again, were heard; those that ended at once, yielded, wrote once more or read memory were not. What passes standard error on there loses the last lines of a process that dies by a signal.

The handler now sleeps for 5 ms before it lets the signal take its course. Other threads run on meanwhile, as they do while the report is written.

--- a/runtime/src/faults.rs
+++ b/runtime/src/faults.rs
@@ -9,6 +9,8 @@
 use std::fs;
 use std::io;
 use std::path::Path;
+use std::thread;
+use std::time::Duration;
 
 use crash_handler::CrashContext;
 use crash_handler::CrashEventResult;
@@ -24,6 +26,12 @@
 /// The bytes of the stack that are searched for return addresses.
 const STACK: usize = 4 * 1_024;
 
+/// How long the process outlives its report.
+///
+/// Where standard error is passed on by whoever runs the process, lines
+/// written in its last instant are lost with it.
+const LAST_WORDS: Duration = Duration::from_millis(5);
+
 /// The size of a page of memory in bytes, or a part of it.
 const PAGE: u64 = 4_096;
 
@@ -81,6 +89,7 @@
         let mut line = Line::default();
         let _cut = self.describe_stack(&mut line, signal.stack_pointer);
         line.write_out();
+        thread::sleep(LAST_WORDS);
         // The standard library's handler tells an overflow of the stack and
         // aborts. It takes a signal that another process sent for handled.
         CrashEventResult::Handled(signal.is_sent)
