runtime: keep signals that come before the settings are read

What callers saw: connections refused by an entry host whose process was told to reload or leave in its first moment and ended by the signal instead, with 129 or 143. A platform that counts ends of a process's own counts these too.

Cause: SIGTERM and SIGINT were registered for after the settings, the log and the metrics were set up, SIGHUP only after the program had started. Until then their default action ends the process.

Both are now the first things that a process registers for. What is left is the time before main begins, in which no program can have a handler.

--- a/runtime/src/program.rs
+++ b/runtime/src/program.rs
@@ -113,6 +113,9 @@
 }
 
 fn run<P: Program>(args: &Args) -> Result<(), Box<dyn Error>> {
+    // First of all: until then these signals end the process at once.
+    let leave = Leave::register()?;
+    let reload = Reload::register()?;
     faults::install(P::NAME)?;
     let path = args.path()?;
     let settings: P::Settings = settings::load(&path)?;
@@ -122,10 +125,8 @@
     }
     logs::install(P::log_filter(&settings), P::LOG)?;
     measures::install();
-    let leave = Leave::register()?;
     let threads = Threads::start(P::thread_count(&settings))?;
     let program = P::start(settings, &threads.execs())?;
-    let reload = Reload::register()?;
     block_on(serve(&program, leave, reload, &path));
     threads.join();
     log::logger().flush();
