runtime: accept connections until a leaving process has ended its last one

What callers saw: a connection opened while an entry host finishes its last requests, from 2.3 s after SIGTERM on, heard nothing until the process ended, up to 5.6 s later, and was then reset.

Cause: the loop that accepts ended with the last phase of the drain, but the listener lived on while the remaining connections were joined. The system went on connecting callers to its queue, which nobody read.

Closing the listener instead would reset those already connected. The loop now goes on until the last connection has ended; what comes after the end is for one request and has a second for its head, so that nobody keeps the process alive without asking anything. The queue is polled before the wait for the last connection, so it is empty when the listener is closed.

--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -13,6 +13,7 @@
 use async_io::Async;
 use async_io::Timer;
 use futures_lite::FutureExt;
+use futures_lite::future;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -61,6 +62,11 @@
 /// Accept fails when descriptors run out; trying again at once would spin.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// The longest time for the head of a request on a connection that comes last.
+///
+/// A caller that connects and sends nothing would keep the process from ending.
+const LAST_HEAD_TIME: Duration = Duration::from_secs(1);
+
 /// Binds a listener.
 ///
 /// # Errors
@@ -84,10 +90,11 @@
 
 /// Serves connections until `end` is set and each has finished its request.
 ///
-/// Once `drain` is set, idle connections are closed. New ones are still
-/// accepted until `end`, for the handler to answer them: a listener that is
-/// closed at once resets those that the system had already connected, and their
-/// callers could not tell whether their request ran.
+/// Once `drain` is set, idle connections are closed. New ones are accepted until
+/// the last connection has ended, for the handler to answer them; those that
+/// come after `end` are for one request. A caller whose connection stays in the
+/// queue of a listener hears nothing until the process ends, and can't tell
+/// whether its request ran.
 pub async fn serve_until(
     listener: Async<TcpListener>,
     handler: Arc<dyn Handler>,
@@ -96,35 +103,72 @@
     drain: Flag,
     end: Flag,
 ) {
-    loop {
-        let accepted = async { Some(listener.accept().await) };
-        let ended = async {
-            end.wait().await;
-            None
-        };
-        match accepted.or(ended).await {
-            None => break,
-            Some(Ok((stream, _peer))) if scope.len() < bounds.conns => {
-                let handler = Arc::clone(&handler);
-                let close = if drain.is_set() { &end } else { &drain };
-                scope.spawn(connection(stream, handler, bounds, close.clone()));
-            }
-            // Beyond the bound the connection is closed unread: nothing ran.
-            Some(Ok(_refused)) => metrics::counter!("snipeyoke_conns_refused_total").increment(1),
-            Some(Err(error)) => {
-                log::warn!(event = "accept-failed", error = error.to_string().as_str(), remedy = "raise the descriptor limit"; "");
-                Timer::after(ACCEPT_PAUSE).await;
+    let server = Server {
+        listener,
+        handler,
+        bounds,
+        scope,
+    };
+    let kept = || {
+        let close = if drain.is_set() { &end } else { &drain };
+        Life::Kept(close.clone())
+    };
+    server.accept_until(end.wait(), kept).await;
+    // The queue of the listener is looked at first: it is empty at the end.
+    server
+        .accept_until(server.scope.join(), || Life::OneRequest)
+        .await;
+}
+
+/// How long a connection lasts.
+enum Life {
+    /// Until it is idle after the flag was set.
+    Kept(Flag),
+    /// Until its first request was answered.
+    OneRequest,
+}
+
+struct Server {
+    listener: Async<TcpListener>,
+    handler: Arc<dyn Handler>,
+    bounds: Bounds,
+    scope: Scope,
+}
+
+impl Server {
+    async fn accept_until(&self, over: impl Future<Output = ()>, life: impl Fn() -> Life) {
+        let mut over = pin!(over);
+        loop {
+            let accepted = async { Some(self.listener.accept().await) };
+            let ended = async {
+                over.as_mut().await;
+                None
+            };
+            match accepted.or(ended).await {
+                None => return,
+                Some(Ok((stream, _peer))) if self.scope.len() < self.bounds.conns => {
+                    let handler = Arc::clone(&self.handler);
+                    let conn = connection(stream, handler, self.bounds, life());
+                    self.scope.spawn(conn);
+                }
+                // Beyond the bound the connection is closed unread: nothing ran.
+                Some(Ok(_refused)) => {
+                    metrics::counter!("snipeyoke_conns_refused_total").increment(1);
+                }
+                Some(Err(error)) => {
+                    log::warn!(event = "accept-failed", error = error.to_string().as_str(), remedy = "raise the descriptor limit"; "");
+                    Timer::after(ACCEPT_PAUSE).await;
+                }
             }
         }
     }
-    scope.join().await;
 }
 
 async fn connection(
     stream: Async<TcpStream>,
     handler: Arc<dyn Handler>,
     bounds: Bounds,
-    drain: Flag,
+    life: Life,
 ) {
     // A caller's phone may be out of reach for longer than a host ever is; what
     // an idle caller may take is also the bound for one who is away.
@@ -135,14 +179,22 @@
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
+    let head_time = match life {
+        Life::Kept(_) => bounds.head_time,
+        Life::OneRequest => bounds.head_time.min(LAST_HEAD_TIME),
+    };
     let conn = http1::Builder::new()
         .timer(SmolTimer::new())
-        .header_read_timeout(bounds.head_time)
+        .keep_alive(matches!(life, Life::Kept(_)))
+        .header_read_timeout(head_time)
         .serve_connection(FuturesIo::new(stream), service);
     let mut conn = pin!(conn);
     let served = async { Some(conn.as_mut().await) };
     let drained = async {
-        drain.wait().await;
+        match &life {
+            Life::Kept(drain) => drain.wait().await,
+            Life::OneRequest => future::pending().await,
+        }
         None
     };
     let ended = served.or(drained).await;
