load: chaos runs fail on a process that ends by itself

One that had died looked like one that runs: it was neither started again nor mentioned, and only its silence was measured. A run now breaks on any end of an agent or router that it did not bring about, and prints the status.

--- a/load/src/chaos/fleet.rs
+++ b/load/src/chaos/fleet.rs
@@ -6,6 +6,7 @@
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
+use std::process::ExitStatus;
 use std::process::Stdio;
 
 use rustix::process::Pid;
@@ -22,6 +23,8 @@
     program: PathBuf,
     args: Vec<String>,
     child: Option<Child>,
+    /// How it ended when nobody had killed it.
+    ended: Vec<ExitStatus>,
     /// Whether it stands still.
     pub paused: bool,
 }
@@ -32,6 +35,7 @@
             program,
             args,
             child: None,
+            ended: Vec::new(),
             paused: false,
         }
     }
@@ -42,6 +46,7 @@
     ///
     /// Returns the system's error.
     pub fn start(&mut self) -> io::Result<()> {
+        self.look()?;
         if self.child.is_some() {
             return Ok(());
         }
@@ -61,6 +66,7 @@
     ///
     /// Returns the system's error.
     pub fn kill(&mut self) -> io::Result<()> {
+        self.look()?;
         if let Some(mut child) = self.child.take() {
             child.kill()?;
             child.wait()?;
@@ -68,12 +74,24 @@
         Ok(())
     }
 
+    /// Notes an end that nobody brought about.
+    fn look(&mut self) -> io::Result<()> {
+        if let Some(child) = &mut self.child
+            && let Some(status) = child.try_wait()?
+        {
+            self.ended.push(status);
+            self.child = None;
+        }
+        Ok(())
+    }
+
     /// Lets the process stand still or go on.
     ///
     /// # Errors
     ///
     /// Returns the system's error.
     pub fn pause(&mut self, paused: bool) -> io::Result<()> {
+        self.look()?;
         let signal = if paused { Signal::STOP } else { Signal::CONT };
         if let Some(child) = &self.child {
             kill_process(Pid::from_child(child), signal)?;
@@ -163,6 +181,20 @@
         Ok(())
     }
 
+    /// Returns how agents and routers ended that nobody had killed.
+    ///
+    /// # Errors
+    ///
+    /// Returns the system's error.
+    pub fn ends(&mut self) -> io::Result<Vec<ExitStatus>> {
+        let mut ends = Vec::new();
+        for process in self.agents.iter_mut().chain(&mut self.routers) {
+            process.look()?;
+            ends.extend(&process.ended);
+        }
+        Ok(ends)
+    }
+
     fn write(&self, name: &str, settings: &Value) -> io::Result<String> {
         let path = self.folder.join(format!("{name}.json"));
         std::fs::write(&path, settings.to_string())?;
--- a/load/src/chaos/mod.rs
+++ b/load/src/chaos/mod.rs
@@ -147,7 +147,9 @@
             futures_util::future::join_all(all).await;
         }
         let effects = stage.effects().await?;
-        Ok(Verdict::new(&operations, &effects, stage.counts))
+        let mut verdict = Verdict::new(&operations, &effects, stage.counts);
+        verdict.ended = stage.fleet.ends()?;
+        Ok(verdict)
     }
 
     async fn trouble(
--- a/load/src/chaos/verdict.rs
+++ b/load/src/chaos/verdict.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::fmt;
+use std::process::ExitStatus;
 
 use bytes::Bytes;
 
@@ -30,6 +31,8 @@
     pub lost: usize,
     /// Keys answered with another key's answer, with two, or without an effect.
     pub wrong: usize,
+    /// How processes ended that nobody had killed.
+    pub ended: Vec<ExitStatus>,
     /// Faults by kind.
     pub faults: BTreeMap<&'static str, usize>,
 }
@@ -58,7 +61,7 @@
     /// Tells whether every promise was kept.
     #[must_use]
     pub const fn is_kept(&self) -> bool {
-        self.doubled + self.denied + self.lost + self.wrong == 0
+        self.doubled + self.denied + self.lost + self.wrong + self.ended.len() == 0
     }
 
     fn judge(&mut self, operation: &Operation, effects: u64) {
@@ -107,6 +110,11 @@
             f,
             "doubled effects {}, not-run that ran {}, effects without a word {}, wrong answers {}",
             self.doubled, self.denied, self.lost, self.wrong,
-        )
+        )?;
+        let ended = self.ended.iter().map(ExitStatus::to_string);
+        match ended.reduce(|all, one| format!("{all}, {one}")) {
+            Some(ended) => write!(f, "\nprocesses that ended by themselves: {ended}"),
+            None => Ok(()),
+        }
     }
 }
--- a/load/tests/test_chaos.rs
+++ b/load/tests/test_chaos.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeMap;
 
+use std::os::unix::process::ExitStatusExt;
+use std::process::ExitStatus;
+
 use bytes::Bytes;
 use snipeyoke_load::chaos::Operation;
 use snipeyoke_load::chaos::Seen;
@@ -45,3 +48,12 @@
     assert_eq!(judge(&[answer("k1 a"), answer("k1 b")], 1).wrong, 1);
     assert_eq!(judge(&[answer("k1 done")], 0).wrong, 1);
 }
+
+/// Guards against a process that ends by itself and is started again unseen.
+#[test]
+fn sees_a_process_that_ended_by_itself() {
+    let mut verdict = judge(&[answer("k1 done")], 1);
+    verdict.ended.push(ExitStatus::from_raw(11));
+    assert!(!verdict.is_kept());
+    assert!(verdict.to_string().contains("signal: 11"), "{verdict}");
+}
