runtime: take any stack pointer in the report of a fatal signal

A stack pointer in the last page of the address space would have overflowed an addition, and panicked inside the handler in builds that check it.

--- a/runtime/src/faults.rs
+++ b/runtime/src/faults.rs
@@ -1,7 +1,7 @@
 //! Tells on standard error where a process dies of a fatal signal.
 //!
-//! What runs in the handler neither allocates nor takes a lock of this
-//! process: the fault may have happened inside the allocator.
+//! The part of the handler that is ours neither allocates nor takes a lock: the
+//! fault may have happened inside the allocator.
 
 use std::ffi::CStr;
 use std::fmt;
@@ -127,7 +127,7 @@
     fn describe_stack(&self, line: &mut Line, pointer: u64) -> fmt::Result {
         let mut bytes = [0; STACK];
         // A stack that overflowed ends on a page that can't be read.
-        let next_page = (pointer | (PAGE - 1)) + 1;
+        let next_page = (pointer | (PAGE - 1)).wrapping_add(1);
         let length = read_own_memory(&mut bytes, pointer)
             .or_else(|_unmapped| read_own_memory(&mut bytes, next_page))
             .unwrap_or(0);
