--- a/load/src/chaos/fleet.rs
+++ b/load/src/chaos/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::os::unix::process::ExitStatusExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -69,7 +70,10 @@
         self.look()?;
         if let Some(mut child) = self.child.take() {
             child.kill()?;
-            child.wait()?;
+            let status = child.wait()?;
+            if status.signal() != Some(Signal::KILL.as_raw()) {
+                self.ended.push(status);
+            }
         }
         Ok(())
     }
