--- a/load/tests/test_chaos.rs
+++ b/load/tests/test_chaos.rs
@@ -1,7 +1,6 @@
 //! Tests that the judge of chaos runs sees each broken promise.
 
 use std::collections::BTreeMap;
-
 use std::os::unix::process::ExitStatusExt;
 use std::process::ExitStatus;
 
