runtime: answer the first request of a new connection while idle ones are closed

What callers saw: a connection opened right before a leaving node closes idle ones ended without an answer, though its first request was on the way.

Cause: the HTTP library takes a connection on which nothing was read for idle, and closes it at a graceful shutdown.

A connection that was never used now has a second from the start of the drain for its first request.

--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -90,7 +90,8 @@
 
 /// Serves connections until `end` is set and each has finished its request.
 ///
-/// Once `drain` is set, idle connections are closed. New ones are accepted until
+/// Once `drain` is set, idle connections are closed; one that was never used has
+/// a second more for the request that it was opened for. New ones are accepted until
 /// the last connection has ended, for the handler to answer them; those that
 /// come after `end` are for one request. A caller whose connection stays in the
 /// queue of a listener hears nothing until the process ends, and can't tell
@@ -175,7 +176,9 @@
     if prepare(&stream, bounds.head_time).is_err() {
         return;
     }
+    let used = Flag::default();
     let service = service_fn(|request: Request| {
+        used.set();
         let handler = Arc::clone(&handler);
         async move { Ok::<_, Infallible>(handler.handle(request).await) }
     });
@@ -191,10 +194,15 @@
     let mut conn = pin!(conn);
     let served = async { Some(conn.as_mut().await) };
     let drained = async {
-        match &life {
-            Life::Kept(drain) => drain.wait().await,
-            Life::OneRequest => future::pending().await,
-        }
+        let Life::Kept(drain) = &life else {
+            return future::pending().await;
+        };
+        drain.wait().await;
+        // The first request of a new connection may be on its way.
+        let over = async {
+            Timer::after(LAST_HEAD_TIME).await;
+        };
+        used.wait().or(over).await;
         None
     };
     let ended = served.or(drained).await;
