runtime: allocate a link's queue as it fills

What operators saw: memory of a node grows with the nodes, 16 MB at 17 and 85 MB at 103, and would pass 256 MB at some 800.

Cause: each end of a link had a bounded channel, which allocates its 1,024 slots at once, each as large as the largest frame: 378,563 bytes for one idle end by a heap profiler (dhat), and a node holds up to two ends to every other node.

Change: the queue is unbounded by type and bounded by its length, and frames in it are boxed. 18,659 bytes for one end now, 16 KiB of them the framing's two buffers. A peer that does not read still fills its queue at 1,024 frames.

Ruled out: the callers' connections (a few kilobytes each) and copies of peers' state, which can't explain 0.3 MB a node.

--- a/runtime/src/link.rs
+++ b/runtime/src/link.rs
@@ -45,7 +45,8 @@
 /// A frame on its way out.
 #[derive(Debug)]
 pub struct Outbound {
-    body: Body,
+    // Boxed, since a queue allocates its slots many at a time.
+    body: Box<Body>,
     written: Option<Written>,
 }
 
@@ -92,7 +93,7 @@
     /// Returns [`SendError`]; the frame was not and won't be written.
     pub fn send(&self, body: Body) -> Result<(), SendError> {
         self.push(Outbound {
-            body,
+            body: Box::new(body),
             written: None,
         })
     }
@@ -105,7 +106,7 @@
     pub fn send_tracked(&self, body: Body) -> Result<Written, SendError> {
         let written = Written::default();
         self.push(Outbound {
-            body,
+            body: Box::new(body),
             written: Some(written.clone()),
         })?;
         Ok(written)
@@ -125,13 +126,13 @@
         if outbound.body.encoded_len() + FRAME_SLACK > FRAME_MAX {
             return Err(SendError::TooLarge);
         }
-        self.queue.try_send(outbound).map_err(|e| {
-            if e.is_full() {
-                SendError::Full
-            } else {
-                SendError::Closed
-            }
-        })
+        // Senders that race may pass the limit by one frame each.
+        if self.queue.len() >= QUEUE_MAX {
+            return Err(SendError::Full);
+        }
+        self.queue
+            .try_send(outbound)
+            .map_err(|_closed| SendError::Closed)
     }
 }
 
@@ -173,7 +174,7 @@
             // the call counts as possibly run, which is the safe error.
             written.0.store(true, Ordering::SeqCst);
         }
-        self.sink.feed(outbound.body).await
+        self.sink.feed(*outbound.body).await
     }
 }
 
@@ -216,7 +217,8 @@
 pub fn open(stream: Async<TcpStream>) -> io::Result<(LinkSender, LinkWriter, LinkReader)> {
     prepare(&stream, UNHEARD_MAX)?;
     let (sink, stream) = Framed::new(stream.compat(), FrameCodec::default()).split();
-    let (send, queue) = async_channel::bounded(QUEUE_MAX);
+    // A bounded channel allocates all its slots at once, for every link.
+    let (send, queue) = async_channel::unbounded();
     Ok((
         LinkSender { queue: send },
         LinkWriter { queue, sink },
--- a/runtime/tests/test_link.rs
+++ b/runtime/tests/test_link.rs
@@ -54,6 +54,17 @@
     }));
 }
 
+#[test]
+fn a_peer_that_does_not_read_fills_its_queue() {
+    // A stopped peer: frames for it are refused instead of piling up in memory.
+    future::block_on(async {
+        let ((sender, _writer, _near), _far) = pair().await;
+        let taken = (0..2_000).take_while(|&call| sender.send(cancel(call)).is_ok());
+        assert_eq!(taken.count(), 1_024);
+        assert_matches!(sender.send(cancel(0)), Err(SendError::Full));
+    });
+}
+
 #[test]
 fn an_oversized_frame_ends_only_its_own_call() {
     // The caller of one huge body is refused, others on the same link see nothing.
