--- a/gateway/src/changes.rs
+++ b/gateway/src/changes.rs
@@ -1,4 +1,4 @@
-//! Reads the configuration: one read waits for changes, others bound its age.
+//! Reads the configuration: a read of one node waits for changes, others bound its age.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -10,6 +10,7 @@
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::Backoff;
 use snipeyoke_lib::serving::freshness::Waits;
+use snipeyoke_lib::serving::upkeep::Kept;
 
 use crate::follow;
 use crate::registry::Topic;
@@ -25,14 +26,20 @@
     loop {
         follow::list(&shared, Topic::Config, &mut backoff).await;
         let wait = wait_for_changes(&shared, &mut backoff, &mut waits);
-        wait.or(watch(&shared, seed ^ 3)).await;
+        wait.or(watch(&shared, Kept::Config, seed ^ 3)).await;
     }
 }
 
 /// Waits for changes of the configuration until its history is gone.
+///
+/// Only the node that reads for all waits at the registry, and tells the others.
 async fn wait_for_changes(shared: &Shared, backoff: &mut Backoff, waits: &mut Waits) {
     let mut failing = false;
     loop {
+        while !shared.is_first() {
+            let pause = shared.upkeep().look_pause();
+            Timer::after(pause).await;
+        }
         let sent = shared.now();
         let from = shared.next_of(Topic::Config);
         let wait = waits.draw();
--- a/gateway/src/dispatch/asked.rs
+++ b/gateway/src/dispatch/asked.rs
@@ -5,7 +5,10 @@
 
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::owners::Owners;
 use snipeyoke_lib::serving::pieces::JobId;
+use snipeyoke_lib::serving::replica::Record;
+use snipeyoke_lib::serving::upkeep::Kept;
 use snipeyoke_lib::time::Time;
 use snipeyoke_wire::KnownNode;
 use snipeyoke_wire::PieceJob;
@@ -23,12 +26,19 @@
 use super::run::Delivered;
 use super::run::Origin;
 use super::run::State;
+use crate::shared::Shared;
 
 /// How long a node may be without a link before it counts as gone.
 ///
 /// A link that was reset is opened again within a connect's time of 400 ms.
 const DEPARTED: Duration = Duration::from_millis(800);
 
+/// The most changes of endpoints that a node is told without asking for them.
+///
+/// What changes between two looks, also while a service is replaced. A whole list
+/// of hundreds fills the link for a tenth of a second.
+const CHANGES_MAX: usize = 64;
+
 impl State {
     pub(super) fn asked(&mut self, link: LinkNumber, body: Body) {
         match body {
@@ -137,59 +147,77 @@
             learn(&mut self.shared.owners(), now, &known);
             self.departed.remove(&address);
             let next = Offset(look.config_next);
-            self.shared.told_config(address, next);
+            self.shared.told_config(address, next, 0);
             if let Some(caller) = self.callers.get_mut(&link) {
                 caller.node = Some(address);
             }
         }
-        let seen = self.seen(Some(look));
-        if let Some(caller) = self.callers.get(&link) {
-            let _full = caller.sender.send(Body::SyncReply(seen));
+        if look.brief {
+            self.shared.upkeep().looked_at(now);
+        }
+        let mut seen = self.seen(Some(look));
+        let Some(caller) = self.callers.get_mut(&link) else {
+            return;
+        };
+        if !look.brief {
+            let owners = self.shared.owners();
+            seen.known = known(&self.shared, &owners, now, caller.told);
+            let news = owners.news();
+            drop(owners);
+            // A full queue is that of a silent node; its next link begins anew.
+            if caller.sender.send(Body::SyncReply(seen)).is_ok() {
+                caller.told = news;
+            }
+            return;
         }
+        let _full = caller.sender.send(Body::SyncReply(seen));
     }
 
-    pub(super) fn seen(&self, look: Option<&SyncRequest>) -> SyncReply {
+    /// Returns what this node says of itself, without other nodes.
+    fn seen(&self, look: Option<&SyncRequest>) -> SyncReply {
         let now = self.shared.now();
-        let age = self.shared.freshness().age(now);
+        let micros = |age: Duration| age.as_micros() as u64;
+        let upkeep = *self.shared.upkeep();
         let mut seen = SyncReply {
             leaving: self.shared.aside.is_set(),
-            config_age_us: age.map(|a| a.as_micros() as u64),
+            unread: upkeep.is_unread(now),
+            config_age_us: upkeep.of(Kept::Config).age(now).map(micros),
             stamp: look.map_or(0, |l| l.stamp),
             ..SyncReply::default()
         };
-        if !look.is_some_and(|l| l.brief) {
-            seen.known = self.known(now);
-        }
+        let replicas = self.shared.replicas();
+        seen.config_next = replicas.config.next().0;
+        seen.config_bytes = replicas.config.size() as u64;
         let Some(look) = look else {
             return seen;
         };
-        let replicas = self.shared.replicas();
-        seen.config_next = replicas.config.next().0;
-        if look.stale && replicas.endpoints.next() > Offset(look.endpoints_next) {
-            let records = replicas.endpoints.since(Offset(look.endpoints_next));
-            seen.endpoints = records.into_iter().map(convert::record_frame).collect();
+        let changes = replicas.endpoints.since(Offset(look.endpoints_next));
+        let few = |all: &Vec<Record>| all.len() <= CHANGES_MAX && look.endpoints_next > 0;
+        if let Some(changes) = changes.filter(|all| look.stale || few(all)) {
+            seen.endpoints = changes.into_iter().map(convert::record_frame).collect();
             seen.endpoints_next = replicas.endpoints.next().0;
+            seen.endpoints_age_us = upkeep.of(Kept::Endpoints).age(now).map(micros);
+            seen.endpoints_sum = self.shared.directory().sum();
         }
         seen
     }
 
-    /// Returns this node and those that it knows.
-    fn known(&self, now: Time) -> Vec<KnownNode> {
-        let settings = &self.shared.settings;
-        let own = (settings.listen.peers, Some(settings.power));
-        let owners = self.shared.owners();
-        let live = owners.live(now).chain([own]);
-        let known = live.map(|(address, power)| KnownNode {
-            address: address.to_string(),
-            power: power.map_or(0, |p| p.0),
-        });
-        known.collect()
-    }
-
-    pub(super) fn tell_leaving(&self) {
+    /// Tells all nodes that look at this one what it says of itself.
+    pub(super) fn tell_callers(&self) {
         let seen = self.seen(None);
         for caller in self.callers.values() {
             let _full = caller.sender.send(Body::SyncReply(seen.clone()));
         }
     }
 }
+
+/// Returns this node and the news that it has of others.
+fn known(shared: &Shared, owners: &Owners, now: Time, told: u64) -> Vec<KnownNode> {
+    let own = (shared.settings.listen.peers, Some(shared.settings.power));
+    let all = owners.news_since(now, told).chain([own]);
+    let known = all.map(|(address, power)| KnownNode {
+        address: address.to_string(),
+        power: power.map_or(0, |p| p.0),
+    });
+    known.collect()
+}
--- a/gateway/src/dispatch/messages.rs
+++ b/gateway/src/dispatch/messages.rs
@@ -36,6 +36,8 @@
     },
     /// The endpoints changed.
     EndpointsChanged,
+    /// This node has a newer configuration.
+    ConfigGrew,
     /// This node leaves.
     Leaving,
     /// A call for pieces ended.
--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -107,6 +107,11 @@
         self.tell(Message::EndpointsChanged);
     }
 
+    /// Says that this node has a newer configuration.
+    pub(crate) fn config_grew(&self) {
+        self.tell(Message::ConfigGrew);
+    }
+
     /// Says that this node leaves.
     pub(crate) fn leaving(&self) {
         self.tell(Message::Leaving);
--- a/gateway/src/dispatch/neighbours.rs
+++ b/gateway/src/dispatch/neighbours.rs
@@ -5,6 +5,7 @@
 
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::serving::owners::Owners;
+use snipeyoke_lib::serving::upkeep::Told;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::MilliCores;
 use snipeyoke_wire::KnownNode;
@@ -54,7 +55,7 @@
         }
     }
 
-    pub(super) fn take_sync(&mut self, peer: SocketAddr, seen: SyncReply) {
+    pub(super) fn take_sync(&mut self, peer: SocketAddr, mut seen: SyncReply) {
         let now = self.shared.now();
         let mut owners = self.shared.owners();
         owners.leaves(peer, seen.leaving);
@@ -65,60 +66,66 @@
         drop(owners);
         self.shared.budget().share(count);
         let next = Offset(seen.config_next);
-        self.shared.told_config(peer, next);
-        if seen.stamp > 0 {
-            let sent = Time::from_micros(seen.stamp);
-            let age = seen.config_age_us.map(Duration::from_micros);
-            self.take_age(peer, sent, age, next);
-        }
+        self.shared.told_config(peer, next, seen.config_bytes);
         if self.endpoints_asked.is_some_and(|(node, _)| node == peer) {
             self.endpoints_asked = None;
         }
-        let source = peer.to_string();
-        let records = seen.endpoints.into_iter().map(convert::record_of).collect();
-        self.shared.extend(
-            Topic::Endpoints,
-            records,
-            Offset(seen.endpoints_next),
-            &source,
-        );
+        let has_endpoints = self.take_endpoints(peer, &mut seen);
+        if seen.stamp == 0 {
+            return;
+        }
+        let has_config = self.shared.replicas().config.next() >= next;
+        let age = |micros: Option<u64>| micros.map(Duration::from_micros);
+        let told = Told {
+            unread: seen.unread,
+            config: age(seen.config_age_us).filter(|_| has_config),
+            endpoints: age(seen.endpoints_age_us).filter(|_| has_endpoints),
+        };
+        let sent = Time::from_micros(seen.stamp);
+        let mut upkeep = self.shared.upkeep();
+        upkeep.take(now, &mut self.shared.owners(), (peer, sent), told);
     }
 
-    /// Takes in how recent a neighbour's configuration is known to be.
-    ///
-    /// `sent` is when it was asked. What it knew, it knew at least as long before
-    /// that as it said.
-    fn take_age(&mut self, peer: SocketAddr, sent: Time, age: Option<Duration>, next: Offset) {
-        let now = self.shared.now();
-        let has = self.shared.replicas().config.next() >= next;
-        let mut freshness = self.shared.freshness();
-        let unread = freshness.is_unread(age);
-        if let Some(age) = age.filter(|_| has) {
-            freshness.confirm(sent.min(now) - age);
+    /// Takes in a neighbour's endpoints; tells whether this node has all of them.
+    fn take_endpoints(&self, peer: SocketAddr, seen: &mut SyncReply) -> bool {
+        let next = Offset(seen.endpoints_next);
+        if next == Offset(0) {
+            return false;
         }
-        drop(freshness);
-        let mut owners = self.shared.owners();
-        if unread && owners.reader(now) == peer {
-            self.looked = Time::ZERO;
+        // An older neighbour has nothing that this node lacks.
+        if next > self.shared.replicas().endpoints.next() {
+            let records = std::mem::take(&mut seen.endpoints);
+            let records = records.into_iter().map(convert::record_of).collect();
+            let source = peer.to_string();
+            self.shared.extend(Topic::Endpoints, records, next, &source);
+        }
+        let replicas = self.shared.replicas();
+        let same = replicas.endpoints.next() == next;
+        let sum = self.shared.directory().sum();
+        drop(replicas);
+        // Two copies that are complete up to the same record hold the same. If
+        // they don't, the registry knows which one is wrong.
+        if same && sum != seen.endpoints_sum {
+            log::warn!(event = "endpoints-differ", node = peer.to_string().as_str(), next = next.0; "");
+            self.shared.differs();
+            return false;
         }
-        owners.unread(now, peer, unread);
+        true
     }
 
     /// Looks at the node that reads the registry for all, if it is time.
     pub(super) fn look_at_reader(&mut self, now: Time) {
-        if now < self.look_at() {
-            return;
-        }
-        self.looked = now;
-        let reader = self.shared.owners().reader(now);
-        if reader != self.shared.settings.listen.peers {
+        let mut upkeep = self.shared.upkeep();
+        let reader = upkeep.look(now, &mut self.shared.owners());
+        drop(upkeep);
+        if let Some(reader) = reader {
             self.look(reader, true);
         }
     }
 
     /// Returns when to look at the node that reads for all.
     pub(super) fn look_at(&self) -> Time {
-        self.looked + self.shared.freshness().look_pause()
+        self.shared.upkeep().look_at(self.shared.now())
     }
 
     /// Looks at the nodes that hold jobs, and at some other one.
@@ -174,7 +181,7 @@
             stamp: now.as_micros(),
         };
         drop(replicas);
-        let stale = !brief && self.shared.is_stale() && self.may_ask_endpoints(now);
+        let stale = self.shared.is_stale() && self.may_ask_endpoints(now);
         if stale {
             self.endpoints_asked = Some((peer, now));
         }
@@ -225,8 +232,7 @@
             sender.close();
         }
         self.shared.owners().silent(now, peer);
-        // It may have been the one that reads for all.
-        self.looked = Time::ZERO;
+        self.shared.upkeep().lost(peer);
         self.shared.catch_up().forget(peer);
         if self.endpoints_asked.is_some_and(|(node, _)| node == peer) {
             self.endpoints_asked = None;
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -77,6 +77,8 @@
     pub(super) sender: LinkSender,
     /// The address on which the node is reached, once it told it.
     pub(super) node: Option<SocketAddr>,
+    /// The last news of other nodes that it was told.
+    pub(super) told: u64,
 }
 
 /// A result that was handed to another node.
@@ -112,7 +114,6 @@
         turn: 0,
         returned: Returned::default(),
         assembly: Assembly::default(),
-        looked: Time::ZERO,
         endpoints_asked: None,
     };
     loop {
@@ -152,8 +153,6 @@
     pub(super) returned: Returned,
     /// The record that comes in slices from a neighbour.
     pub(super) assembly: Assembly,
-    /// When this node last looked at the one that reads for all.
-    pub(super) looked: Time,
     /// The neighbour that was asked for what it knows of endpoints, and when.
     pub(super) endpoints_asked: Option<(SocketAddr, Time)>,
 }
@@ -179,7 +178,7 @@
             Message::Cancel { number } => self.cancel(number),
             Message::GiveBack { service, results } => self.give_back(&service, results),
             Message::EndpointsChanged => self.set_endpoints(),
-            Message::Leaving => self.tell_leaving(),
+            Message::ConfigGrew | Message::Leaving => self.tell_callers(),
             Message::CallEnded {
                 service,
                 call,
@@ -199,8 +198,12 @@
                 }
             }
             Message::Accepted { link, sender } => {
-                let node = None;
-                self.callers.insert(link, Caller { sender, node });
+                let caller = Caller {
+                    sender,
+                    node: None,
+                    told: 0,
+                };
+                self.callers.insert(link, caller);
             }
             Message::Asked { link, body } => self.asked(link, body),
             Message::Hung { link } => self.hung(link),
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -1,12 +1,14 @@
 //! Follows the registry's topics.
 
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::Backoff;
 use snipeyoke_lib::serving::replica::Record;
+use snipeyoke_lib::serving::upkeep::Kept;
 use snipeyoke_lib::time::Time;
 
 use crate::registry::Failure;
@@ -15,23 +17,25 @@
 use crate::registry::Topic;
 use crate::registry::Update;
 use crate::shared::Shared;
+use crate::watch::watch;
 
-/// The pauses between the looks at the other nodes.
+/// The pauses before the list of nodes is read.
 ///
-/// Nodes start together, so the first looks come soon; later ones only find
-/// those that no neighbour has named.
-const NODES_PAUSES: [Duration; 3] = [
-    Duration::from_millis(500),
-    Duration::from_secs(2),
-    Duration::from_secs(15),
-];
+/// Nodes start together, so that the first list comes soon.
+const NODES_PAUSES: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(2)];
+
+/// The pause between later lists, which one node reads for all.
+///
+/// They find nodes that no neighbour has named.
+const NODES_PAUSE: Duration = Duration::from_secs(15);
 
 /// Follows the endpoints until the process ends.
 pub(crate) async fn follow_endpoints(shared: Arc<Shared>, seed: u64) {
     let mut backoff = Backoff::new(seed);
     loop {
         list(&shared, Topic::Endpoints, &mut backoff).await;
-        read_on(&shared, &mut backoff).await;
+        shared.differs.store(false, Ordering::Relaxed);
+        watch(&shared, Kept::Endpoints, seed ^ 5).await;
     }
 }
 
@@ -49,11 +53,13 @@
         match pages {
             Ok((records, end)) => {
                 backoff.succeeded();
+                shared.upkeep().read(shared.now(), true);
                 shared.replace(topic, records, end);
                 note_read(shared, topic, sent);
                 return;
             }
             Err(failure) => {
+                shared.upkeep().read(shared.now(), false);
                 shared.catch_up().registry_fails(true);
                 log::warn!(event = "registry-failed", topic = topic.to_string().as_str(), call = "list", why = failure.to_string().as_str(); "");
             }
@@ -84,30 +90,6 @@
     }
 }
 
-/// Reads the endpoints again and again until some records are no longer kept.
-///
-/// Endpoints write many times a second together: a read that waits for the next
-/// record would never wait.
-async fn read_on(shared: &Shared, backoff: &mut Backoff) {
-    let topic = Topic::Endpoints;
-    let mut failing = false;
-    loop {
-        let pause = if failing {
-            backoff.failed()
-        } else {
-            backoff.succeeded();
-            shared.settings.read_pause()
-        };
-        Timer::after(pause).await;
-        let sent = shared.now();
-        let from = shared.next_of(topic);
-        let update = shared.registry.read(topic, from, Duration::ZERO, &|| ());
-        if !take(shared, topic, sent, update.await, &mut failing) {
-            return;
-        }
-    }
-}
-
 /// Takes in the end of a read that was sent at `sent`.
 ///
 /// Tells whether reading goes on from there; if not, the list has to be read.
@@ -120,6 +102,7 @@
 ) -> bool {
     match update {
         Update::Records { records, next, end } => {
+            shared.upkeep().read(shared.now(), true);
             shared.catch_up().registry_fails(false);
             if std::mem::take(failing) {
                 log::info!(event = "registry-regained", topic = topic.to_string().as_str(); "");
@@ -137,6 +120,7 @@
             false
         }
         Update::Failed(failure) => {
+            shared.upkeep().read(shared.now(), false);
             shared.catch_up().registry_fails(true);
             if !std::mem::replace(failing, true) {
                 let from = shared.next_of(topic).0;
@@ -168,11 +152,12 @@
 
 /// Notes that all records up to the moment of `sent` are there.
 fn note_read(shared: &Shared, topic: Topic, sent: Time) {
-    match topic {
-        Topic::Config => shared.freshness().confirm(sent),
-        Topic::Endpoints => shared.replicas().read = Some(shared.now()),
-        Topic::Nodes => {}
-    }
+    let kept = match topic {
+        Topic::Config => Kept::Config,
+        Topic::Endpoints => Kept::Endpoints,
+        Topic::Nodes => return,
+    };
+    shared.upkeep().confirm(kept, sent);
 }
 
 /// Registers this node and looks for others.
@@ -186,8 +171,13 @@
     while !shared.registry.announce(&node, own).await {
         Timer::after(backoff.failed()).await;
     }
-    for pause in NODES_PAUSES {
+    let later = std::iter::repeat(NODES_PAUSE);
+    for (turn, pause) in NODES_PAUSES.into_iter().chain(later).enumerate() {
         Timer::after(pause).await;
+        // Those that begin together know each other after the first list.
+        if turn > 0 && shared.owners().has_heard() && !shared.is_first() {
+            continue;
+        }
         match pages(&shared, Topic::Nodes).await {
             Ok((records, end)) => shared.replace(Topic::Nodes, records, end),
             Err(failure) => {
--- a/gateway/src/records.rs
+++ b/gateway/src/records.rs
@@ -16,6 +16,10 @@
         self.catch_up().has(have);
         self.apply_config(news, source);
         self.grown.notify(usize::MAX);
+        // The others look at this node in a moment; told now, they have it at once.
+        if !news.is_empty() && self.is_first() {
+            self.dispatcher.config_grew();
+        }
     }
 
     fn apply_config(&self, news: &[Record], source: &str) {
@@ -53,17 +57,14 @@
         log::info!(event = "config-in-force", version, offset = record.offset.0, source; "");
     }
 
-    fn apply_endpoints(&self, news: &[Record], source: &str) {
-        let mut changed = false;
-        for record in news {
-            changed |= self.apply_endpoint(record, source);
-        }
-        if changed {
+    fn endpoints_grew(&self, news: &[Record]) {
+        if !news.is_empty() {
             self.changed.notify(usize::MAX);
             self.dispatcher.endpoints_changed();
         }
     }
 
+    /// Takes in an endpoint's record; tells whether it brings something new.
     fn apply_endpoint(&self, record: &Record, source: &str) -> bool {
         let Some(value) = &record.value else {
             return self.forget(&record.key, record, source, "left");
@@ -72,11 +73,11 @@
             Ok(entry) => {
                 let id = entry.id.clone();
                 let mut directory = self.directory();
-                let was = directory.get(&id).map(|e| e.entry().draining);
+                let was = directory.get(&id).map(|e| e.entry().clone());
                 let draining = entry.draining;
+                let news = was.is_none_or(|was| was != entry);
                 let fresh = directory.set(entry);
                 drop(directory);
-                let news = fresh || was != Some(draining);
                 if news {
                     let id = id.to_string();
                     log::info!(event = "endpoint-known", endpoint = id.as_str(), draining, fresh, offset = record.offset.0, source; "");
@@ -111,8 +112,13 @@
                 self.config_grew(&news, source);
             }
             Topic::Endpoints => {
-                let news = self.replicas().endpoints.extend(records, next);
-                self.apply_endpoints(&news, source);
+                // Copy and directory change together: whoever looks at this node
+                // must not take the copy for complete before it is marked.
+                let mut replicas = self.replicas();
+                let changes = |record: &Record| self.apply_endpoint(record, source);
+                let news = replicas.endpoints.extend_with(records, next, changes);
+                drop(replicas);
+                self.endpoints_grew(&news);
             }
             Topic::Nodes => self.learn_nodes(&records),
         }
@@ -126,8 +132,11 @@
                 self.config_grew(&news, "registry");
             }
             Topic::Endpoints => {
-                let news = self.replicas().endpoints.replace(records, end);
-                self.apply_endpoints(&news, "registry");
+                let mut replicas = self.replicas();
+                let changes = |record: &Record| self.apply_endpoint(record, "registry");
+                let news = replicas.endpoints.replace_with(records, end, changes);
+                drop(replicas);
+                self.endpoints_grew(&news);
             }
             Topic::Nodes => self.learn_nodes(&records),
         }
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -12,6 +12,7 @@
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::replica::Record;
+use snipeyoke_lib::serving::upkeep::Kept;
 use snipeyoke_lib::units::MilliCores;
 
 /// The topics of a registry.
@@ -29,6 +30,15 @@
     Nodes,
 }
 
+impl From<Kept> for Topic {
+    fn from(kept: Kept) -> Self {
+        match kept {
+            Kept::Config => Self::Config,
+            Kept::Endpoints => Self::Endpoints,
+        }
+    }
+}
+
 /// A part of a list of all keys.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Page {
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -30,11 +30,6 @@
 /// The longest time for a change that is taken, in milliseconds.
 const CHANGE_MAX: f64 = 60_000.0;
 
-/// The time of the notice that is kept for a read's own way and answer.
-///
-/// Reads take some milliseconds, and some hundred from a slow registry.
-const READ_TIME: Duration = Duration::from_millis(400);
-
 /// The settings as they stand in the file.
 #[derive(Debug, Clone)]
 #[derive(Deserialize)]
@@ -218,17 +213,6 @@
     }
 }
 
-impl Settings {
-    /// Returns the pause between two reads of the endpoints.
-    ///
-    /// Two reads fit into the notice, so that one of them may fail. Each read
-    /// has its price: more of them would find nothing that is due earlier.
-    #[must_use]
-    pub fn read_pause(&self) -> Duration {
-        self.notice.saturating_sub(READ_TIME) / 2
-    }
-}
-
 impl Checked for Settings {
     type Raw = Raw;
     type Error = ValueError;
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -6,6 +6,8 @@
 use std::sync::MutexGuard;
 use std::sync::OnceLock;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use event_listener::Event;
@@ -15,10 +17,11 @@
 use snipeyoke_lib::serving::catch_up::CatchUp;
 use snipeyoke_lib::serving::directory::Directory;
 use snipeyoke_lib::serving::durations::Durations;
-use snipeyoke_lib::serving::freshness::Freshness;
 use snipeyoke_lib::serving::owners::Owners;
 use snipeyoke_lib::serving::pace::Paces;
 use snipeyoke_lib::serving::replica::Replica;
+use snipeyoke_lib::serving::upkeep::Kept;
+use snipeyoke_lib::serving::upkeep::Upkeep;
 use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::board::Fact;
 use snipeyoke_runtime::clock::Clock;
@@ -31,11 +34,6 @@
 use crate::registry::Topic;
 use crate::settings::Settings;
 
-/// The pauses between reads after which the endpoints' records are not fresh.
-///
-/// One read has failed then, and a neighbour may know more.
-const FRESH_PAUSES: u32 = 2;
-
 /// How long a node waits at its start to hear from another one.
 ///
 /// Nodes that start together find each other within a second.
@@ -56,6 +54,8 @@
     pub(crate) changed: Event,
     /// Tells that the registry answers again after it did not.
     pub(crate) regained: Event,
+    /// Whether the endpoints have to be listed anew.
+    pub(crate) differs: AtomicBool,
     /// Tells that the copy of the configuration has grown.
     pub(crate) grown: Event,
     /// Tells that this node has learned that it lacks a configuration.
@@ -77,7 +77,7 @@
     durations: Mutex<Durations>,
     replicas: Mutex<Replicas>,
     catch_up: Mutex<CatchUp>,
-    freshness: Mutex<Freshness>,
+    upkeep: Mutex<Upkeep>,
 }
 
 /// The copies of the registry's topics.
@@ -85,8 +85,6 @@
 pub(crate) struct Replicas {
     pub(crate) config: Replica,
     pub(crate) endpoints: Replica,
-    /// When the endpoints were last read from the registry.
-    pub(crate) read: Option<Time>,
 }
 
 impl Shared {
@@ -105,11 +103,12 @@
             paces: Mutex::default(),
             durations: Mutex::default(),
             replicas: Mutex::default(),
-            freshness: Mutex::new(Freshness::new(settings.change)),
+            upkeep: Mutex::new(Upkeep::new(settings.change, settings.notice)),
             catch_up: Mutex::new(CatchUp::new(settings.listen.peers)),
             catalog: Fact::new(None),
             changed: Event::new(),
             regained: Event::new(),
+            differs: AtomicBool::new(false),
             grown: Event::new(),
             behind: Event::new(),
             aside: Flag::default(),
@@ -157,13 +156,29 @@
         lock(&self.catch_up)
     }
 
-    pub(crate) fn freshness(&self) -> MutexGuard<'_, Freshness> {
-        lock(&self.freshness)
+    pub(crate) fn upkeep(&self) -> MutexGuard<'_, Upkeep> {
+        lock(&self.upkeep)
+    }
+
+    /// Tells whether this node reads the registry for others now.
+    pub(crate) fn is_first(&self) -> bool {
+        let now = self.now();
+        // The order of these two locks is the same everywhere.
+        let mut upkeep = self.upkeep();
+        upkeep.is_first(now, &mut self.owners())
+    }
+
+    /// Takes in that copies of the endpoints differ from another node's.
+    pub(crate) fn differs(&self) {
+        self.differs.store(true, Ordering::Relaxed);
+        self.regained.notify(usize::MAX);
     }
 
     /// Takes in up to where a neighbour has the configuration.
-    pub(crate) fn told_config(&self, node: SocketAddr, next: Offset) {
-        if self.catch_up().told(self.now(), node, next) {
+    ///
+    /// `size` are the bytes of its configuration.
+    pub(crate) fn told_config(&self, node: SocketAddr, next: Offset, size: u64) {
+        if self.catch_up().told(self.now(), node, next, size) {
             log::info!(event = "config-behind", node = node.to_string().as_str(), next = next.0; "");
             self.behind.notify(usize::MAX);
         }
@@ -177,11 +192,9 @@
         }
     }
 
-    /// Tells whether the registry can't be read now.
+    /// Tells whether nothing recent is known of the endpoints.
     pub(crate) fn is_stale(&self) -> bool {
-        let read = self.replicas().read;
-        let fresh = FRESH_PAUSES * self.settings.read_pause();
-        read.is_none_or(|at| self.now().since(at) > fresh)
+        self.upkeep().is_stale(self.now(), Kept::Endpoints)
     }
 
     /// Tells whether the node can serve callers.
--- a/gateway/src/watch.rs
+++ b/gateway/src/watch.rs
@@ -1,11 +1,13 @@
-//! Bounds the time for which a change of the configuration can stay unknown.
+//! Bounds the time for which a change in the registry can stay unknown.
 
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use async_io::Timer;
 use futures_lite::FutureExt;
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::Backoff;
+use snipeyoke_lib::serving::upkeep::Kept;
 use snipeyoke_lib::time::Time;
 
 use crate::follow;
@@ -13,27 +15,30 @@
 use crate::registry::Update;
 use crate::shared::Shared;
 
-/// Reads the configuration whenever it is due, until its history is gone.
+/// Reads a topic whenever it is due, until its history is gone.
 ///
-/// The read that waits for the next change tells nothing while it waits: the
+/// A read that waits for the next change tells nothing while it waits: the
 /// registry may have lost it, or passed it over. These reads don't wait.
-pub(crate) async fn watch(shared: &Shared, seed: u64) {
+pub(crate) async fn watch(shared: &Shared, kept: Kept, seed: u64) {
+    let topic = Topic::from(kept);
     let mut backoff = Backoff::new(seed);
     let mut sight = Sight::default();
     let mut failing = false;
     let mut pause = Duration::ZERO;
     loop {
         let not_before = shared.now() + pause;
-        due(shared, &mut sight, not_before).await;
+        due(shared, kept, &mut sight, not_before).await;
+        if kept == Kept::Endpoints && shared.differs.load(Ordering::Relaxed) {
+            return;
+        }
         let sent = shared.now();
-        let from = shared.next_of(Topic::Config);
-        shared.catch_up().reads();
+        let from = shared.next_of(topic);
         pause = Duration::ZERO;
         // What has grown meanwhile is read on from there.
-        let Some(update) = read(shared, from).await else {
+        let Some(update) = read(shared, topic, from).await else {
             continue;
         };
-        if !follow::take(shared, Topic::Config, sent, update, &mut failing) {
+        if !follow::take(shared, topic, sent, update, &mut failing) {
             return;
         }
         if failing {
@@ -45,11 +50,14 @@
 }
 
 /// Reads once without waiting; `None` if the records have come another way.
-async fn read(shared: &Shared, from: Offset) -> Option<Update> {
-    let came = || follow::note_came(shared, Topic::Config);
-    let answer = shared
-        .registry
-        .read(Topic::Config, from, Duration::ZERO, &came);
+async fn read(shared: &Shared, topic: Topic, from: Offset) -> Option<Update> {
+    if topic != Topic::Config {
+        let answer = shared.registry.read(topic, from, Duration::ZERO, &|| ());
+        return Some(answer.await);
+    }
+    shared.catch_up().reads();
+    let came = || follow::note_came(shared, topic);
+    let answer = shared.registry.read(topic, from, Duration::ZERO, &came);
     let update = async { Some(answer.await) };
     let update = update.or(overtaken(shared, from)).await;
     shared.catch_up().ended();
@@ -69,20 +77,20 @@
     }
 }
 
-/// Waits until the configuration has to be read.
-async fn due(shared: &Shared, sight: &mut Sight, not_before: Time) {
+/// Waits until a topic has to be read.
+async fn due(shared: &Shared, kept: Kept, sight: &mut Sight, not_before: Time) {
     loop {
         // Listened for before the look, so that no news falls in between.
         let behind = shared.behind.listen();
         let regained = shared.regained.listen();
-        sight.note(shared);
+        sight.note(shared, kept);
         let now = shared.now();
-        let at = read_at(shared).max(not_before);
-        if at <= now {
+        let at = read_at(shared, kept).max(not_before);
+        if at <= now || kept == Kept::Endpoints && shared.differs.load(Ordering::Relaxed) {
             return;
         }
         // Another node may have to read for all from any moment on.
-        let most = shared.freshness().look_pause();
+        let most = shared.upkeep().look_pause();
         let timer = async {
             Timer::after(at.since(now).min(most)).await;
         };
@@ -90,39 +98,49 @@
     }
 }
 
-fn read_at(shared: &Shared) -> Time {
-    let first = shared.owners().reader(shared.now()) == shared.settings.listen.peers;
+fn read_at(shared: &Shared, kept: Kept) -> Time {
+    let first = shared.is_first();
+    let fresh = shared.upkeep().read_at(kept, first);
+    if kept == Kept::Endpoints {
+        return fresh;
+    }
     let catch_up = shared.catch_up();
-    let lacking = catch_up.read_at();
     // The same records would come twice, over a link that may be full.
-    let coming = catch_up.coming_until();
-    drop(catch_up);
-    let fresh = shared.freshness().read_at(first);
-    fresh.min(lacking).max(coming)
+    fresh.min(catch_up.read_at()).max(catch_up.coming_until())
 }
 
-/// What logs and metrics tell of the configuration's age.
+/// What logs and metrics tell of a copy's age.
 #[derive(Debug, Default)]
 struct Sight {
     lost: bool,
 }
 
 impl Sight {
-    fn note(&mut self, shared: &Shared) {
+    fn note(&mut self, shared: &Shared, kept: Kept) {
         let now = shared.now();
-        let freshness = *shared.freshness();
+        let freshness = *shared.upkeep().of(kept);
         let age = freshness.age(now).unwrap_or_default();
-        metrics::gauge!("snipeyoke_config_age_seconds").set(age.as_secs_f64());
+        let gauge = match kept {
+            Kept::Config => metrics::gauge!("snipeyoke_config_age_seconds"),
+            Kept::Endpoints => metrics::gauge!("snipeyoke_endpoints_age_seconds"),
+        };
+        gauge.set(age.as_secs_f64());
         let lost = freshness.is_lost(now);
         if lost == self.lost {
             return;
         }
         self.lost = lost;
         let age_ms = age.as_millis() as u64;
+        let event = match (kept, lost) {
+            (Kept::Config, true) => "config-unconfirmed",
+            (Kept::Config, false) => "config-confirmed",
+            (Kept::Endpoints, true) => "endpoints-unconfirmed",
+            (Kept::Endpoints, false) => "endpoints-confirmed",
+        };
         if lost {
-            log::warn!(event = "config-unconfirmed", age_ms, remedy = "look at the way to the registry and to the other nodes"; "");
+            log::warn!(event, age_ms, remedy = "look at the way to the registry and to the other nodes"; "");
         } else {
-            log::info!(event = "config-confirmed", age_ms; "");
+            log::info!(event, age_ms; "");
         }
     }
 }
--- a/lib/src/serving/catch_up.rs
+++ b/lib/src/serving/catch_up.rs
@@ -13,6 +13,7 @@
 use rapidhash::v3::RapidSecrets;
 use rapidhash::v3::rapidhash_v3_seeded;
 
+use super::slices::SLICE_MAX;
 use crate::ids::Offset;
 use crate::time::Time;
 use crate::units::MilliCores;
@@ -44,6 +45,11 @@
 /// of 10 Mbit/s.
 pub const STALL: Duration = Duration::from_millis(750);
 
+/// The largest configuration that is asked of a neighbour at once, in bytes.
+///
+/// One slice: it takes a round trip, and no call to the registry.
+pub const SMALL: u64 = SLICE_MAX as u64;
+
 const SECRETS: RapidSecrets = RapidSecrets::seed(0);
 
 /// A copy on its way from a neighbour.
@@ -53,13 +59,21 @@
     moved: Time,
 }
 
+/// A neighbour that has more than this node.
+#[derive(Debug, Clone, Copy)]
+struct Holder {
+    next: Offset,
+    /// Whether what it has is small.
+    small: bool,
+}
+
 /// Decides whom to ask for the newest configuration, and when.
 #[derive(Debug, Clone)]
 pub struct CatchUp {
     own: SocketAddr,
     have: Offset,
     /// Up to where each neighbour said that it is complete, if that is further.
-    holders: BTreeMap<SocketAddr, Offset>,
+    holders: BTreeMap<SocketAddr, Holder>,
     behind: Option<Time>,
     /// When more of an answer last came from the registry.
     came: Option<Time>,
@@ -89,21 +103,22 @@
     /// Notes the offset up to which this node is complete.
     pub fn has(&mut self, have: Offset) {
         self.have = self.have.max(have);
-        self.holders.retain(|_, next| *next > self.have);
+        self.holders.retain(|_, h| h.next > self.have);
         if self.holders.is_empty() {
             self.behind = None;
             self.copy = None;
         }
     }
 
-    /// Notes up to where a neighbour is complete; tells whether this node has
-    /// just learned that it lacks something.
-    pub fn told(&mut self, now: Time, node: SocketAddr, next: Offset) -> bool {
+    /// Notes up to where a neighbour is complete, and the bytes that it has;
+    /// tells whether this node has just learned that it lacks something.
+    pub fn told(&mut self, now: Time, node: SocketAddr, next: Offset, size: u64) -> bool {
         if next <= self.have {
             self.forget(node);
             return false;
         }
-        self.holders.insert(node, next);
+        let small = (1..=SMALL).contains(&size);
+        self.holders.insert(node, Holder { next, small });
         if self.behind.is_some() {
             return false;
         }
@@ -134,7 +149,8 @@
     #[must_use]
     pub fn read_at(&self) -> Time {
         let behind = self.behind.filter(|_| !self.read);
-        behind.map_or(Time::NEVER, |at| at + GRACE)
+        let grace = if self.is_small() { PATIENCE } else { GRACE };
+        behind.map_or(Time::NEVER, |at| at + grace)
     }
 
     /// Notes whether a call to the registry failed.
@@ -202,14 +218,20 @@
         Some(node)
     }
 
-    const fn patience(&self) -> Duration {
+    fn patience(&self) -> Duration {
         match (self.failed, self.have.0) {
             (true, _) => Duration::ZERO,
             (false, 0) => PATIENCE_EMPTY,
+            (false, _) if self.is_small() => Duration::ZERO,
             (false, _) => PATIENCE,
         }
     }
 
+    /// Tells whether what is missing comes from a neighbour in one slice.
+    fn is_small(&self) -> bool {
+        self.holders.values().any(|h| h.small)
+    }
+
     /// Returns the strongest holder, the one that stalled last of all.
     ///
     /// Among equals each node has an order of its own, so that nodes that lag
--- a/lib/src/serving/directory.rs
+++ b/lib/src/serving/directory.rs
@@ -66,6 +66,20 @@
     pub draining: bool,
 }
 
+impl Entry {
+    fn hash(&self) -> u64 {
+        let Self {
+            id,
+            address,
+            born,
+            draining,
+            ..
+        } = self;
+        let text = format!("{id} {address} {born:?} {draining}");
+        rapidhash_v3_seeded(text.as_bytes(), &SECRETS)
+    }
+}
+
 /// The load that an endpoint reported with an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Load {
@@ -180,6 +194,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
     endpoints: BTreeMap<EndpointId, Endpoint>,
+    sum: u64,
 }
 
 impl Directory {
@@ -188,7 +203,10 @@
     /// One that started again under its name is a new one: what was learned of
     /// the life before says nothing about this one.
     pub fn set(&mut self, entry: Entry) -> bool {
+        self.sum = self.sum.wrapping_add(entry.hash());
         let held = self.endpoints.get_mut(&entry.id);
+        let before = held.as_ref().map_or(0, |e| e.entry.hash());
+        self.sum = self.sum.wrapping_sub(before);
         let same = |e: &Endpoint| e.entry.born == entry.born && e.entry.address == entry.address;
         match held {
             Some(endpoint) if same(endpoint) => {
@@ -205,7 +223,10 @@
 
     /// Forgets an endpoint; tells whether it was known.
     pub fn remove(&mut self, id: &EndpointId) -> bool {
-        self.endpoints.remove(id).is_some()
+        let removed = self.endpoints.remove(id);
+        let before = removed.as_ref().map_or(0, |e| e.entry.hash());
+        self.sum = self.sum.wrapping_sub(before);
+        removed.is_some()
     }
 
     /// Returns an endpoint.
@@ -219,6 +240,14 @@
         self.endpoints.values()
     }
 
+    /// Returns a sum over what all endpoints say of themselves.
+    ///
+    /// Two nodes that know the same endpoints have the same sum.
+    #[must_use]
+    pub const fn sum(&self) -> u64 {
+        self.sum
+    }
+
     /// Tells whether a service has an endpoint that may get calls.
     #[must_use]
     pub fn serves(&self, service: &PoolName) -> bool {
--- a/lib/src/serving/freshness.rs
+++ b/lib/src/serving/freshness.rs
@@ -23,12 +23,26 @@
 /// How often the other nodes look at the first one, as a part of the bound.
 const LOOK: f64 = 0.2;
 
+/// The age from which something is wrong, as a part of the bound.
+///
+/// Read, look and their answers take as much, and some milliseconds, where all
+/// is well.
+const LATE: f64 = 0.45;
+
 /// The age at which a node reads for itself, as a part of the bound.
 ///
-/// Read, look and their answers take 0.45 of the bound and some milliseconds
-/// where all is well, so nobody else reads then. What is left of the bound is
-/// for the read itself and for a copy of a large configuration.
-const ALONE: f64 = 0.6;
+/// Between this and [`LATE`] another node takes over the reads for all. What is
+/// left of the bound is for the read itself and for a copy of a large
+/// configuration.
+const ALONE: f64 = 0.65;
+
+/// The age up to which a node looks more often, as a part of the bound.
+///
+/// Beyond it nobody can read, and more looks find nothing.
+const HURRY: f64 = 0.75;
+
+/// How many times more often a node looks while it hurries.
+const HURRIED: u32 = 4;
 
 /// The moment up to which a copy is known to be complete.
 #[derive(Debug, Clone, Copy)]
@@ -73,6 +87,13 @@
         age.is_none_or(|age| age > self.bound.mul_f64(ALONE))
     }
 
+    /// Tells whether more time has passed than a reader needs.
+    #[must_use]
+    pub fn is_late(&self, now: Time) -> bool {
+        self.age(now)
+            .is_none_or(|age| age > self.bound.mul_f64(LATE))
+    }
+
     /// Returns when this node reads the registry; `first` if it does so for all.
     #[must_use]
     pub fn read_at(&self, first: bool) -> Time {
@@ -86,6 +107,14 @@
     pub fn look_pause(&self) -> Duration {
         self.bound.mul_f64(LOOK)
     }
+
+    /// Returns that pause as of now: shorter while another reader takes over.
+    #[must_use]
+    pub fn look_pause_at(&self, now: Time) -> Duration {
+        let age = self.age(now).unwrap_or(Duration::MAX);
+        let hurries = self.is_late(now) && age < self.bound.mul_f64(HURRY);
+        self.look_pause() / if hurries { HURRIED } else { 1 }
+    }
 }
 
 /// The shortest and the longest wait of a read for the next change, in seconds.
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -19,3 +19,4 @@
 pub mod replica;
 pub mod returned;
 pub mod slices;
+pub mod upkeep;
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -28,6 +28,12 @@
 /// 18 reads a second at 22 nodes, and 280 at 340.
 const UNREAD: Duration = Duration::from_secs(5);
 
+/// The nodes that may read the registry for all.
+///
+/// While the registry is away for everyone nobody can, and each node that asks
+/// them all in turn would ask hundreds. Three are away together rarely enough.
+const READERS: usize = 3;
+
 /// How long a node that was not heard of is remembered.
 const FORGOTTEN: Duration = Duration::from_mins(1);
 
@@ -52,6 +58,10 @@
     /// Until when it is not asked to read the registry for others.
     unread: Time,
     leaving: bool,
+    /// When this was last news, as a number of [`Owners::news`].
+    changed: u64,
+    /// Its rank among those that may read the registry for all.
+    rank: u64,
 }
 
 /// The nodes that one node knows of.
@@ -60,26 +70,42 @@
     own: SocketAddr,
     power: MilliCores,
     leaving: bool,
+    /// Whether this node can't read the registry itself.
+    unread: bool,
+    /// This node's rank among those that may read the registry for all.
+    rank: u64,
     peers: BTreeMap<SocketAddr, Peer>,
+    /// Counts the news about other nodes.
+    news: u64,
 }
 
 impl Owners {
     /// Starts with this node alone.
     #[must_use]
-    pub const fn new(own: SocketAddr, power: MilliCores) -> Self {
+    pub fn new(own: SocketAddr, power: MilliCores) -> Self {
         Self {
+            rank: rank(READER, &own),
             own,
             power,
             leaving: false,
+            unread: false,
             peers: BTreeMap::new(),
+            news: 0,
         }
     }
 
+    /// Returns the address of this node.
+    #[must_use]
+    pub const fn own(&self) -> SocketAddr {
+        self.own
+    }
+
     /// Notes that a node is said to exist; tells whether this is news.
     pub fn learn(&mut self, now: Time, peer: SocketAddr) -> bool {
         if peer == self.own || self.peers.contains_key(&peer) {
             return false;
         }
+        self.news += 1;
         let known = Peer {
             power: None,
             heard: now,
@@ -87,6 +113,8 @@
             silent: Time::ZERO,
             unread: Time::ZERO,
             leaving: false,
+            changed: self.news,
+            rank: rank(READER, &peer),
         };
         self.peers.insert(peer, known);
         true
@@ -94,8 +122,12 @@
 
     /// Notes the power of a node's host.
     pub fn has_power(&mut self, peer: SocketAddr, power: MilliCores) {
-        if let Some(known) = self.peers.get_mut(&peer) {
+        if let Some(known) = self.peers.get_mut(&peer)
+            && known.power != Some(power)
+        {
+            self.news += 1;
             known.power = Some(power);
+            known.changed = self.news;
         }
     }
 
@@ -105,6 +137,11 @@
         if let Some(known) = self.peers.get_mut(&peer) {
             known.heard = now;
             known.answered = true;
+            // It was left out of what others were told meanwhile.
+            if known.silent > Time::ZERO {
+                self.news += 1;
+                known.changed = self.news;
+            }
             known.silent = Time::ZERO;
         }
     }
@@ -136,6 +173,11 @@
         }
     }
 
+    /// Notes whether this node can't read the registry itself.
+    pub const fn own_unread(&mut self, unread: bool) {
+        self.unread = unread;
+    }
+
     /// Returns when a node last answered; the start of time if it never did.
     #[must_use]
     pub fn heard_at(&self, peer: SocketAddr) -> Time {
@@ -158,6 +200,24 @@
             .map(|(&a, p)| (a, p.power))
     }
 
+    /// Returns the number of the last news about other nodes.
+    #[must_use]
+    pub const fn news(&self) -> u64 {
+        self.news
+    }
+
+    /// Returns the nodes that are not silent and of which there was news since
+    /// the one numbered `since`, and their hosts' power.
+    pub fn news_since(
+        &self,
+        now: Time,
+        since: u64,
+    ) -> impl Iterator<Item = (SocketAddr, Option<MilliCores>)> {
+        let news = move |p: &Peer| p.silent <= now && p.changed > since;
+        let found = self.peers.iter().filter(move |(_, p)| news(p));
+        found.map(|(&a, p)| (a, p.power))
+    }
+
     /// Returns the number of nodes known, this one included.
     #[must_use]
     pub fn count(&self) -> usize {
@@ -167,18 +227,39 @@
     /// Returns the owner of a service's pieces as of now.
     #[must_use]
     pub fn owner(&self, now: Time, service: &PoolName) -> SocketAddr {
-        self.first(now, service.as_str(), |_| true)
+        let subject = service.as_str();
+        let strong = self.strong(now);
+        let first = strong.max_by_key(|a| (rank(subject, a), *a));
+        first.unwrap_or(self.own)
     }
 
     /// Returns the node that reads the registry for all, as of now.
+    ///
+    /// If none of those that may can read it, it is the first of them all the
+    /// same: its answer tells when the registry is back.
     #[must_use]
     pub fn reader(&self, now: Time) -> SocketAddr {
-        self.first(now, READER, |p| p.unread <= now)
+        let rank = |node: &SocketAddr| {
+            let peer = self.peers.get(node);
+            (peer.map_or(self.rank, |p| p.rank), *node)
+        };
+        let mut ranked: Vec<(u64, SocketAddr)> = self.strong(now).map(|a| rank(&a)).collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        let mut readers = ranked.iter().take(READERS).map(|&(_, node)| node);
+        let first = readers.clone().next();
+        let able = readers.find(|a| !self.is_unread(now, a));
+        able.or(first).unwrap_or(self.own)
+    }
+
+    fn is_unread(&self, now: Time, node: &SocketAddr) -> bool {
+        let peer = self.peers.get(node);
+        peer.map_or(self.unread, |p| p.unread > now)
     }
 
-    fn first(&self, now: Time, subject: &str, fits: impl Fn(&Peer) -> bool) -> SocketAddr {
+    /// Returns the nodes on strong hosts that neither leave nor are silent.
+    fn strong(&self, now: Time) -> impl Iterator<Item = SocketAddr> {
         let usable = self.peers.iter();
-        let usable = usable.filter(|(_, p)| p.silent <= now && !p.leaving && fits(p));
+        let usable = usable.filter(|(_, p)| p.silent <= now && !p.leaving);
         // One of unknown power is taken for as strong as this node: a node that
         // has just been heard of says its power with its first answer.
         let others = usable.map(|(&address, p)| (address, p.power.unwrap_or(self.power)));
@@ -186,11 +267,9 @@
         let all: Vec<(SocketAddr, MilliCores)> = others.chain(own).collect();
         let most = all.iter().map(|(_, power)| power.0).max();
         let least = f64::from(most.unwrap_or_default()) * STRONG;
-        let strong = all.iter().filter(|(_, power)| f64::from(power.0) >= least);
-        let first = strong
-            .map(|(a, _)| *a)
-            .max_by_key(|a| (rank(subject, a), *a));
-        first.unwrap_or(self.own)
+        let strong = move |power: MilliCores| f64::from(power.0) >= least;
+        all.into_iter()
+            .filter_map(move |(a, power)| strong(power).then_some(a))
     }
 }
 
--- a/lib/src/serving/replica.rs
+++ b/lib/src/serving/replica.rs
@@ -3,12 +3,21 @@
 //! The same copy is fed by the platform's store and by neighbours. The newest
 //! offset of a key wins, so that what comes from an older neighbour, or twice,
 //! changes nothing.
+//!
+//! Some writers repeat their record every second with nothing new in it. The
+//! copy notes at which offset a record last changed, so that a neighbour is told
+//! of changes only.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
 use crate::ids::Offset;
 
+/// The most dropped keys that are remembered.
+///
+/// A thousand hosts replaced; a neighbour that lags further reads the list.
+const DROPPED_MAX: usize = 1_024;
+
 /// The newest record of one key.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Record {
@@ -20,11 +29,29 @@
     pub offset: Offset,
 }
 
+#[derive(Debug, Clone)]
+struct Held {
+    record: Record,
+    /// The offset of the record that last brought something new.
+    changed: Offset,
+}
+
+impl Held {
+    fn at_change(&self) -> Record {
+        Record {
+            offset: self.changed,
+            ..self.record.clone()
+        }
+    }
+}
+
 /// A copy of the newest record of each key.
 #[derive(Debug, Clone, Default)]
 pub struct Replica {
-    records: BTreeMap<String, Record>,
+    records: BTreeMap<String, Held>,
     next: Offset,
+    /// Dropped keys below this offset may be forgotten.
+    forgotten: Offset,
 }
 
 impl Replica {
@@ -37,62 +64,133 @@
     /// Returns the record of a key.
     #[must_use]
     pub fn get(&self, key: &str) -> Option<&Record> {
-        self.records.get(key)
+        self.records.get(key).map(|h| &h.record)
+    }
+
+    /// Returns the bytes of all values.
+    #[must_use]
+    pub fn size(&self) -> usize {
+        let values = self
+            .records
+            .values()
+            .filter_map(|h| h.record.value.as_ref());
+        values.map(|v| v.len()).sum()
     }
 
-    /// Takes in records up to `next` and returns those that are news.
+    /// Takes in records up to `next` and returns those that are newer.
     pub fn extend(&mut self, records: Vec<Record>, next: Offset) -> Vec<Record> {
+        self.extend_with(records, next, |_| true)
+    }
+
+    /// Takes in records up to `next` and returns those that changed something.
+    ///
+    /// `is_change` tells of a newer record whether it brings something new.
+    pub fn extend_with(
+        &mut self,
+        records: Vec<Record>,
+        next: Offset,
+        mut is_change: impl FnMut(&Record) -> bool,
+    ) -> Vec<Record> {
         let mut news = Vec::new();
         for record in records {
-            if self.is_news(&record) {
-                self.records.insert(record.key.clone(), record.clone());
+            if !self.is_newer(&record) {
+                continue;
+            }
+            let held = self.records.get(&record.key);
+            let before = held.map_or(record.offset, |h| h.changed);
+            let changed = is_change(&record);
+            let held = Held {
+                changed: if changed { record.offset } else { before },
+                record: record.clone(),
+            };
+            self.records.insert(record.key.clone(), held);
+            if changed {
                 news.push(record);
             }
         }
         self.next = self.next.max(next);
+        self.forget_dropped();
         news
     }
 
-    /// Takes in a list of all keys as of `end` and returns what is news.
+    /// Takes in a list of all keys as of `end` and returns what is newer.
+    pub fn replace(&mut self, records: Vec<Record>, end: Offset) -> Vec<Record> {
+        self.replace_with(records, end, |_| true)
+    }
+
+    /// Takes in a list of all keys as of `end` and returns what changed.
     ///
     /// A key that is missing from the list was dropped, unless the copy knows
     /// a record of it that is newer than the list.
-    pub fn replace(&mut self, records: Vec<Record>, end: Offset) -> Vec<Record> {
+    pub fn replace_with(
+        &mut self,
+        records: Vec<Record>,
+        end: Offset,
+        is_change: impl FnMut(&Record) -> bool,
+    ) -> Vec<Record> {
         let listed: BTreeMap<String, Record> =
             records.into_iter().map(|r| (r.key.clone(), r)).collect();
         let dropped = |held: &&Record| {
             held.value.is_some() && held.offset < end && !listed.contains_key(&held.key)
         };
         let last = Offset(end.0.saturating_sub(1));
-        let gone: Vec<Record> = self.records.values().filter(dropped).cloned().collect();
+        let held = self.records.values().map(|h| &h.record);
+        let gone: Vec<Record> = held.filter(dropped).cloned().collect();
         let gone = gone.into_iter().map(|held| Record {
             value: None,
             // A list that ends right behind the held record still says that
-            // the key is gone; the record must pass for news.
+            // the key is gone; the record must pass for newer.
             offset: last.max(held.offset.next()),
             key: held.key,
         });
-        let mut news: Vec<Record> = gone.collect();
-        news.extend(listed.into_values());
-        self.extend(news, end)
+        let mut all: Vec<Record> = gone.collect();
+        all.extend(listed.into_values());
+        self.extend_with(all, end, is_change)
     }
 
-    /// Returns the oldest record that someone who is complete up to `from` lacks.
+    /// Returns the oldest change that someone who is complete up to `from` lacks.
     #[must_use]
     pub fn first_from(&self, from: Offset) -> Option<&Record> {
-        let newer = self.records.values().filter(|r| r.offset >= from);
-        newer.min_by_key(|r| r.offset)
+        let newer = self.records.values().filter(|h| h.changed >= from);
+        newer.min_by_key(|h| h.changed).map(|h| &h.record)
     }
 
-    /// Returns the records that someone who is complete up to `from` lacks.
+    /// Returns what changed since someone was complete up to `from`, each record
+    /// at the offset of its change.
+    ///
+    /// `None` if keys that were dropped since then are forgotten.
     #[must_use]
-    pub fn since(&self, from: Offset) -> Vec<Record> {
-        let newer = self.records.values().filter(|r| r.offset >= from);
-        newer.cloned().collect()
+    pub fn since(&self, from: Offset) -> Option<Vec<Record>> {
+        if from.0 > 0 && from < self.forgotten {
+            return None;
+        }
+        let newer = self.records.values().filter(|h| h.changed >= from);
+        // Someone who has nothing yet knows no dropped key either.
+        let newer = newer.filter(|h| from.0 > 0 || h.record.value.is_some());
+        Some(newer.map(Held::at_change).collect())
     }
 
-    fn is_news(&self, record: &Record) -> bool {
+    fn is_newer(&self, record: &Record) -> bool {
         let held = self.records.get(&record.key);
-        held.is_none_or(|h| h.offset < record.offset)
+        held.is_none_or(|h| h.record.offset < record.offset)
+    }
+
+    fn forget_dropped(&mut self) {
+        let dropped = |h: &&Held| h.record.value.is_none();
+        let mut all: Vec<Offset> = self
+            .records
+            .values()
+            .filter(dropped)
+            .map(|h| h.changed)
+            .collect();
+        if all.len() <= DROPPED_MAX {
+            return;
+        }
+        // Half at once, so that this is not done for each key.
+        all.sort();
+        self.forgotten = all[all.len() / 2];
+        let forgotten = self.forgotten;
+        self.records
+            .retain(|_, h| h.record.value.is_some() || h.changed >= forgotten);
     }
 }
--- /dev/null
+++ b/lib/src/serving/upkeep.rs
@@ -0,0 +1,245 @@
+//! Who reads the registry, and how recent a node's copies are.
+//!
+//! One node reads each topic for all, the others look at it: calls to the
+//! registry stay the same however many nodes there are. Who is looked at reads,
+//! so that no election is needed. A node whose copy grows too old all the same
+//! reads for itself, whatever became of readers and links.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::freshness::Freshness;
+use super::owners::Owners;
+use crate::time::Time;
+
+/// The part of the notice that is kept for a call under way when its endpoint
+/// begins to leave.
+///
+/// Choosing, connecting and sending take some ten milliseconds, and some hundred
+/// on a slow host.
+const SEND_TIME: Duration = Duration::from_millis(400);
+
+/// The failed reads in a row after which a node does not read for others.
+///
+/// A single answer is lost now and then.
+const FAILURES: u32 = 2;
+
+/// How long a node that fails to read leaves it to others before it tries again.
+const BARRED: Duration = Duration::from_secs(5);
+
+/// What nodes keep a copy of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(derive_more::Display)]
+pub enum Kept {
+    /// The configuration.
+    #[display("config")]
+    Config,
+    /// The endpoints.
+    #[display("endpoints")]
+    Endpoints,
+}
+
+/// All that nodes keep copies of.
+pub const KEPT: [Kept; 2] = [Kept::Config, Kept::Endpoints];
+
+/// What a node says of itself when it is looked at.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Told {
+    /// Whether it can't read the registry for others.
+    pub unread: bool,
+    /// The age of its configuration, if this node has all of that.
+    pub config: Option<Duration>,
+    /// The age of its endpoints, if this node has all of them.
+    pub endpoints: Option<Duration>,
+}
+
+/// How recent a node's copies are, and when to ask whom.
+#[derive(Debug, Clone, Copy)]
+pub struct Upkeep {
+    config: Freshness,
+    endpoints: Freshness,
+    looked: Time,
+    /// The first look that was not answered.
+    waits: Option<(SocketAddr, Time)>,
+    /// When another node last took this one for the reader.
+    asked: Option<Time>,
+    /// Since when this node reads for others.
+    first_since: Option<Time>,
+    failures: u32,
+    barred: Time,
+}
+
+impl Upkeep {
+    /// Starts without copies.
+    ///
+    /// A confirmed change of the configuration is in force within `change`; a
+    /// leaving endpoint gets its last request within `notice`.
+    #[must_use]
+    pub const fn new(change: Duration, notice: Duration) -> Self {
+        Self {
+            config: Freshness::new(change),
+            endpoints: Freshness::new(notice.saturating_sub(SEND_TIME)),
+            looked: Time::ZERO,
+            waits: None,
+            asked: None,
+            first_since: None,
+            failures: 0,
+            barred: Time::ZERO,
+        }
+    }
+
+    /// Returns how recent a copy is.
+    #[must_use]
+    pub const fn of(&self, kept: Kept) -> &Freshness {
+        match kept {
+            Kept::Config => &self.config,
+            Kept::Endpoints => &self.endpoints,
+        }
+    }
+
+    /// Notes that a copy held everything that was confirmed by `at`.
+    pub fn confirm(&mut self, kept: Kept, at: Time) {
+        match kept {
+            Kept::Config => self.config.confirm(at),
+            Kept::Endpoints => self.endpoints.confirm(at),
+        }
+    }
+
+    /// Notes whether a read of the registry worked.
+    pub fn read(&mut self, now: Time, worked: bool) {
+        if worked {
+            self.failures = 0;
+            self.barred = Time::ZERO;
+            return;
+        }
+        self.failures += 1;
+        if self.failures >= FAILURES {
+            self.barred = now + BARRED;
+        }
+    }
+
+    /// Tells whether a copy is so old that this node reads for itself.
+    #[must_use]
+    pub fn is_stale(&self, now: Time, kept: Kept) -> bool {
+        let freshness = self.of(kept);
+        freshness.is_unread(freshness.age(now))
+    }
+
+    /// Tells whether this node can't read the registry for others.
+    #[must_use]
+    pub fn is_unread(&self, now: Time) -> bool {
+        let stale = KEPT.iter().any(|&kept| self.is_stale(now, kept));
+        let settled = |since| now.since(since) > self.look_pause();
+        let late = self.first_since.is_some_and(settled) && self.is_late(now);
+        stale || late || self.barred > now
+    }
+
+    fn is_late(&self, now: Time) -> bool {
+        KEPT.iter().any(|&kept| self.of(kept).is_late(now))
+    }
+
+    /// Tells whether this node reads the registry for others.
+    ///
+    /// One whose own reads fail looks at the next one, as all others do.
+    pub fn is_first(&mut self, now: Time, owners: &mut Owners) -> bool {
+        owners.own_unread(self.is_unread(now));
+        let asked = self
+            .asked
+            .is_some_and(|at| now.since(at) < 2 * self.look_pause());
+        let first = asked || owners.reader(now) == owners.own();
+        self.first_since = first.then(|| self.first_since.unwrap_or(now));
+        first
+    }
+
+    /// Notes that another node took this one for the reader.
+    pub const fn looked_at(&mut self, now: Time) {
+        self.asked = Some(now);
+    }
+
+    /// Returns when this node reads a topic; `first` if it does so for others.
+    #[must_use]
+    pub fn read_at(&self, kept: Kept, first: bool) -> Time {
+        self.of(kept).read_at(first)
+    }
+
+    /// Returns the pause between two looks at the node that reads for all.
+    #[must_use]
+    pub fn look_pause(&self) -> Duration {
+        self.config.look_pause().min(self.endpoints.look_pause())
+    }
+
+    /// Returns that pause as of now: shorter while another reader takes over.
+    fn look_pause_at(&self, now: Time) -> Duration {
+        let pauses = KEPT.map(|kept| self.of(kept).look_pause_at(now));
+        pauses.into_iter().min().unwrap_or_default()
+    }
+
+    /// Returns when to look at the node that reads for all.
+    #[must_use]
+    pub fn look_at(&self, now: Time) -> Time {
+        self.looked + self.look_pause_at(now)
+    }
+
+    /// Returns the node to look at now, if it is time and not this one's turn
+    /// to read.
+    pub fn look(&mut self, now: Time, owners: &mut Owners) -> Option<SocketAddr> {
+        if now < self.look_at(now) {
+            return None;
+        }
+        self.looked = now;
+        self.pass_over_silent(now, owners);
+        owners.own_unread(self.is_unread(now));
+        let reader = owners.reader(now);
+        if reader == owners.own() {
+            self.waits = None;
+            return None;
+        }
+        if self.waits.is_none_or(|(node, _)| node != reader) {
+            self.waits = Some((reader, now));
+        }
+        Some(reader)
+    }
+
+    /// Leaves a reader that has not answered while its answer grows urgent.
+    fn pass_over_silent(&mut self, now: Time, owners: &mut Owners) {
+        let Some((node, since)) = self.waits else {
+            return;
+        };
+        if self.is_late(now) && now.since(since) > 2 * self.look_pause_at(now) {
+            owners.unread(now, node, true);
+            self.waits = None;
+        }
+    }
+
+    /// Notes that a node is lost: it may have been the one that reads.
+    pub fn lost(&mut self, node: SocketAddr) {
+        self.looked = Time::ZERO;
+        self.waits = self.waits.filter(|(waits, _)| *waits != node);
+    }
+
+    /// Takes in what a node said of itself when it was looked at.
+    ///
+    /// `sent` is when it was asked. What it knew, it knew at least as long before
+    /// that as it said.
+    pub fn take(
+        &mut self,
+        now: Time,
+        owners: &mut Owners,
+        (peer, sent): (SocketAddr, Time),
+        told: Told,
+    ) {
+        let sent = sent.min(now);
+        self.waits = self.waits.filter(|(waits, _)| *waits != peer);
+        if let Some(age) = told.config {
+            self.config.confirm(sent - age);
+        }
+        if let Some(age) = told.endpoints {
+            self.endpoints.confirm(sent - age);
+        }
+        let asked = owners.reader(now) == peer;
+        owners.unread(now, peer, told.unread);
+        if asked && owners.reader(now) != peer {
+            self.looked = Time::ZERO;
+        }
+    }
+}
