pieces: do again what fails beside a call whose answer was lost

Cause: a call that is three times overdue is given up and its work given to another endpoint.

Change: a call that was given up no longer counts for its tasks; a late failure from it changes nothing, a late result is still taken.

The new test failed before (no third call). Ruled out: the owner's loss (it ran from -13.8 s to the power loss at 34 s) and the link between the two nodes.

--- a/lib/src/serving/pieces/queue.rs
+++ b/lib/src/serving/pieces/queue.rs
@@ -441,10 +441,11 @@
             let Some(held) = self.jobs.get_mut(&id) else {
                 continue;
             };
-            if let Some(state) = held.pieces.get_mut(&piece)
-                && state.made.is_none()
-            {
-                state.waiting = true;
+            if let Some(state) = held.pieces.get_mut(&piece) {
+                // The call that was given up may never end: what fails elsewhere
+                // must not wait for it.
+                state.running = state.running.saturating_sub(1);
+                state.waiting |= state.made.is_none() && state.running == 0;
             }
         }
     }
--- a/lib/src/serving/pieces/settle.rs
+++ b/lib/src/serving/pieces/settle.rs
@@ -71,7 +71,9 @@
         let Some(state) = held.pieces.get_mut(&piece) else {
             return;
         };
-        state.running = state.running.saturating_sub(1);
+        if !call.given_up {
+            state.running = state.running.saturating_sub(1);
+        }
         match outcome {
             Outcome::Made(handle) if state.made.is_some() => {
                 self.give_back(now, &call.endpoint, handle);
@@ -83,7 +85,7 @@
                     self.end(id, None, Duration::ZERO);
                 }
             }
-            _ if state.made.is_some() || state.running > 0 => {}
+            _ if state.made.is_some() || state.running > 0 || call.given_up => {}
             Outcome::Full | Outcome::Failed if held.again < AGAIN_MAX => {
                 held.again += 1;
                 state.waiting = true;
@@ -102,6 +104,9 @@
             let Some(state) = held.pieces.get_mut(&piece) else {
                 continue;
             };
+            if call.given_up {
+                continue;
+            }
             state.running = state.running.saturating_sub(1);
             if state.made.is_none() && state.running == 0 && !state.waiting {
                 state.waiting = true;
--- a/lib/tests/test_pieces.rs
+++ b/lib/tests/test_pieces.rs
@@ -485,3 +485,26 @@
     let sent = queue.poll(at(4_600));
     assert_eq!(sent[0].items[0].request, "r0");
 }
+
+#[test]
+fn a_piece_that_fails_beside_a_lost_call_is_done_again() {
+    // An endpoint's answer is lost on its way. What it was to do is given to
+    // another one, where one piece fails. Taken for still running at the first,
+    // that piece waits until its caller has given up.
+    let mut queue = queue(&[("p1", "a"), ("p2", "a")]);
+    queue.submit(job("r1", 1, 900, 9_000));
+    let first = queue.poll(at(0));
+    assert_eq!(first.len(), 1);
+    let second = queue.poll(at(1_000));
+    assert_eq!(second.len(), 1, "the first call is overdue");
+    let failed = CallResult::Answered(vec![Outcome::Failed]);
+    queue.ended(at(1_200), second[0].call, failed);
+    let third = queue.poll(at(1_200));
+    assert_eq!(third.len(), 1, "nobody else does it");
+    // The lost answer comes after all, and says that the piece failed there.
+    let failed = CallResult::Answered(vec![Outcome::Failed]);
+    queue.ended(at(1_250), first[0].call, failed);
+    queue.ended(at(1_400), third[0].call, made(&third[0]));
+    let ends = queue.take_ends();
+    assert_eq!(failure(&ends, JobId(0)), None);
+}
