gateway: book prompts where a part of the model's endpoints is known

What callers saw: on the large deployment, with a quarter of the model crashed in a burst of drafts, one draft in five was late although the endpoints were a third busy.

Each of many nodes sees a small part of the requests, and the load that endpoints report with answers is seconds old when the node next chooses.

Change (lib/src/serving/bookings.rs, gateway/src/dispatch/places.rs): prompts are booked at one node for each part of a model's endpoints (one part up to 63 endpoints, then a power of two), which chooses by the tokens that each endpoint still has to read, those of the request that are not kept there, and what it costs to read its inputs from another failure domain. A node that has no answer after 60 ms, no link, or a different view of the endpoint, chooses by itself as before. Bookings end with their request, their link, or after 30 s.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -5,6 +5,7 @@
 
 use hyper::StatusCode;
 use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::serving::bookings::Wish;
 use snipeyoke_lib::serving::directory::Choice;
 use snipeyoke_lib::serving::directory::Wanted;
 use snipeyoke_lib::time::Time;
@@ -15,6 +16,7 @@
 use crate::dialect::Answer;
 use crate::dialect::Sending;
 use crate::dialect::Verdict;
+use crate::dispatch::Booking;
 use crate::refusal::Refusal;
 use crate::shared::Shared;
 use crate::ticket::Ticket;
@@ -31,6 +33,12 @@
 /// more of them failing than this the service is away.
 const CONNECTS_MAX: usize = 4;
 
+/// How long a request waits to be told its endpoint.
+///
+/// The node that is asked answers within milliseconds. An endpoint chosen without
+/// it is as good as one that is known this late: it has read 4,000 tokens by then.
+const PLACE_WAIT: Duration = Duration::from_millis(60);
+
 /// The shared tokens from which a prompt is kept to an endpoint.
 ///
 /// Fewer are read again in less time than a busier endpoint costs.
@@ -63,14 +71,17 @@
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
     pub(crate) endpoint: EndpointId,
+    /// Its booking, if another node may know of it.
+    booking: Option<Booking>,
 }
 
 impl InFlight {
-    fn new(shared: &Arc<Shared>, endpoint: &EndpointId) -> Self {
+    fn new(shared: &Arc<Shared>, endpoint: &EndpointId, booking: Option<Booking>) -> Self {
         shared.directory().began(endpoint);
         Self {
             shared: Arc::clone(shared),
             endpoint: endpoint.clone(),
+            booking,
         }
     }
 }
@@ -89,11 +100,16 @@
 ) -> Tried {
     let mut failed = Vec::new();
     loop {
-        let Some(choice) = choose(ticket, &failed).await else {
+        let booked = book(ticket, &failed).await;
+        let (choice, booking) = match booked {
+            Some((choice, booking)) => (Some(choice), Some(booking)),
+            None => (choose(ticket, &failed).await, None),
+        };
+        let Some(choice) = choice else {
             return Tried::NotRun(Refusal::NoEndpoint);
         };
         log_choice(ticket, &choice);
-        let flight = InFlight::new(&ticket.shared, &choice.entry.id);
+        let mut flight = InFlight::new(&ticket.shared, &choice.entry.id, booking);
         let sent = ticket.shared.now();
         let with = Sending {
             account: ticket.account(),
@@ -119,6 +135,9 @@
             }
             Some(Err(error)) => {
                 note_error(ticket, &choice.entry.id, &error);
+                if let Some(booking) = &mut flight.booking {
+                    booking.failed();
+                }
                 if !error.is_not_sent() {
                     ticket.tried.push(choice.entry.id);
                     return Tried::Unknown(Refusal::AnswerLost);
@@ -133,6 +152,39 @@
     }
 }
 
+/// Has the endpoint of a prompt chosen where all prompts are known.
+///
+/// `None` if this node has to choose by itself.
+async fn book(ticket: &Ticket, failed: &[EndpointId]) -> Option<(Choice, Booking)> {
+    let shared = &ticket.shared;
+    let prompt = ticket.ask.prompt?;
+    if !ticket.catalog.service(&ticket.service)?.engine {
+        return None;
+    }
+    let keeps = prompt.shared >= SHARED_MIN;
+    let mut avoid = ticket.tried.clone();
+    avoid.extend_from_slice(failed);
+    let wish = Wish {
+        prefix: keeps.then_some(prompt.prefix),
+        shared: prompt.shared,
+        own: prompt.tokens.saturating_sub(prompt.shared),
+        domain: ticket.inputs.as_ref().map(|(domain, _)| domain.clone()),
+        afar: ticket.inputs.as_ref().map_or(0, |(_, tokens)| *tokens),
+        avoid,
+    };
+    let (booking, endpoint) = shared.dispatcher.place(ticket.service.clone(), wish);
+    let told = async { endpoint.recv().await.ok().flatten() };
+    let over = async {
+        async_io::Timer::after(PLACE_WAIT).await;
+        None
+    };
+    let endpoint = futures_lite::future::or(told, over).await?;
+    let tried = ticket.tried.contains(&endpoint) || failed.contains(&endpoint);
+    let choice = shared.directory().booked(shared.now(), &endpoint);
+    let choice = choice.filter(|_| !tried)?;
+    Some((choice, booking))
+}
+
 async fn choose(ticket: &Ticket, failed: &[EndpointId]) -> Option<Choice> {
     let shared = &ticket.shared;
     let until = shared.now() + ENDPOINT_WAIT;
@@ -257,8 +309,9 @@
 }
 
 /// Notes an answer's time against what was expected of the service.
-pub(crate) fn note_time(ticket: &Ticket, endpoint: &EndpointId, sent: Time) {
+pub(crate) fn note_time(ticket: &Ticket, flight: &InFlight, sent: Time) {
     let shared = &ticket.shared;
+    let endpoint = &flight.endpoint;
     let now = shared.now();
     let tokens = ticket.ask.prompt.map_or(0, |p| p.tokens);
     let ratio = shared
@@ -267,14 +320,20 @@
     if let Some(health) = shared.directory().health_mut(endpoint) {
         health.answered(now, ratio);
     }
+    if let Some(booking) = &flight.booking {
+        booking.begun(ratio);
+    }
 }
 
 /// Notes an answer that says that the endpoint failed, or was broken off.
-pub(crate) fn note_failure(ticket: &Ticket, endpoint: &EndpointId) {
+pub(crate) fn note_failure(ticket: &Ticket, flight: &mut InFlight) {
     let now = ticket.shared.now();
-    if let Some(health) = ticket.shared.directory().health_mut(endpoint) {
+    if let Some(health) = ticket.shared.directory().health_mut(&flight.endpoint) {
         health.failed(now);
     }
+    if let Some(booking) = &mut flight.booking {
+        booking.failed();
+    }
 }
 
 /// Tells whether a status says that the request did not run.
--- a/gateway/src/dispatch/asked.rs
+++ b/gateway/src/dispatch/asked.rs
@@ -47,6 +47,8 @@
             Body::PieceUnneeded(unneeded) => self.asked_unneeded(unneeded),
             Body::SyncRequest(look) => self.asked_sync(link, &look),
             Body::RecordAsk(ask) => self.asked_record(link, &ask),
+            Body::PlaceAsk(ask) => self.asked_place(link, &ask),
+            Body::PlaceNote(note) => self.asked_note(link, &note),
             _ => {
                 log::warn!(event = "frame-unexpected", remedy = "run the same release on all nodes"; "");
             }
@@ -87,6 +89,9 @@
             self.departed.insert(node, self.shared.now());
         }
         self.drop_jobs(|origin| matches!(origin, Origin::Peer { link: l, .. } if *l == link));
+        for bookings in self.bookings.values_mut() {
+            bookings.end_link(link.0 + 1);
+        }
     }
 
     /// Gives back what nodes held that are gone for good.
--- a/gateway/src/dispatch/messages.rs
+++ b/gateway/src/dispatch/messages.rs
@@ -5,6 +5,7 @@
 use async_channel::Sender;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::bookings::Wish;
 use snipeyoke_lib::serving::pieces::CallResult;
 use snipeyoke_lib::serving::pieces::Job;
 use snipeyoke_runtime::link::LinkSender;
@@ -12,6 +13,7 @@
 
 use super::Done;
 use super::JobNumber;
+use super::places::Note;
 
 /// Numbers the links that other nodes opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -34,6 +36,15 @@
         service: PoolName,
         results: Vec<(EndpointId, String)>,
     },
+    /// A request of this node asks for an endpoint.
+    Place {
+        number: u64,
+        service: PoolName,
+        wish: Wish,
+        reply: Sender<Option<EndpointId>>,
+    },
+    /// Something became of a booked request of this node.
+    Noted { number: u64, note: Note },
     /// The endpoints changed.
     EndpointsChanged,
     /// This node has a newer configuration.
--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -10,6 +10,7 @@
 mod links;
 mod messages;
 mod neighbours;
+mod places;
 mod queues;
 mod run;
 
@@ -22,10 +23,12 @@
 use async_channel::Sender;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::bookings::Wish;
 use snipeyoke_lib::serving::pieces::Job;
 
 pub(crate) use self::links::accept;
 pub(crate) use self::messages::Message;
+pub(crate) use self::places::Booking;
 pub(crate) use self::run::run;
 
 /// Numbers the jobs that this node's requests submit.
@@ -92,6 +95,25 @@
         number
     }
 
+    /// Asks for the endpoint that a request is best sent to.
+    ///
+    /// Over the receiver comes `None` if this node has to choose by itself.
+    pub(crate) fn place(
+        &self,
+        service: PoolName,
+        wish: Wish,
+    ) -> (Booking, Receiver<Option<EndpointId>>) {
+        let number = self.next.fetch_add(1, Ordering::Relaxed);
+        let (reply, endpoint) = async_channel::bounded(1);
+        self.tell(Message::Place {
+            number,
+            service,
+            wish,
+            reply,
+        });
+        (Booking::new(self.clone(), number), endpoint)
+    }
+
     /// Says that nobody waits for a job any more.
     pub(crate) fn cancel(&self, number: JobNumber) {
         self.tell(Message::Cancel { number });
--- a/gateway/src/dispatch/neighbours.rs
+++ b/gateway/src/dispatch/neighbours.rs
@@ -49,6 +49,7 @@
             }
             Body::SyncReply(seen) => self.take_sync(peer, seen),
             Body::RecordSlice(slice) => self.take_slice(peer, slice),
+            Body::Placed(placed) => self.answered_place(&placed),
             _ => {
                 log::warn!(event = "frame-unexpected", peer = peer.to_string().as_str(), remedy = "run the same release on all nodes"; "");
             }
@@ -209,6 +210,7 @@
     /// over at once by some nodes and not by others, each service would have
     /// several owners, whose calls get in each other's way.
     pub(super) fn broken(&mut self, peer: SocketAddr) {
+        self.lost_booker(peer);
         let was_up = self.peers.get(&peer).is_some_and(|p| p.sender.is_some());
         if !was_up {
             self.lost(peer, "no-link");
@@ -233,6 +235,7 @@
         }
         self.shared.owners().silent(now, peer);
         self.shared.upkeep().lost(peer);
+        self.lost_booker(peer);
         self.shared.catch_up().forget(peer);
         if self.endpoints_asked.is_some_and(|(node, _)| node == peer) {
             self.endpoints_asked = None;
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -11,6 +11,8 @@
 use futures_lite::FutureExt;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::bookings::Bookings;
+use snipeyoke_lib::serving::bookings::Shard;
 use snipeyoke_lib::serving::pieces::Job;
 use snipeyoke_lib::serving::pieces::JobId;
 use snipeyoke_lib::serving::pieces::PieceQueue;
@@ -32,6 +34,7 @@
 use super::links;
 use super::messages::LinkNumber;
 use super::messages::Message;
+use super::places;
 use crate::shared::Shared;
 
 /// The time between two looks at a node that holds this node's jobs.
@@ -113,6 +116,8 @@
         synced: Time::ZERO,
         turn: 0,
         returned: Returned::default(),
+        places: BTreeMap::new(),
+        bookings: BTreeMap::new(),
         assembly: Assembly::default(),
         endpoints_asked: None,
     };
@@ -149,6 +154,10 @@
     pub(super) departed: BTreeMap<SocketAddr, Time>,
     pub(super) synced: Time,
     pub(super) turn: usize,
+    /// This node's requests that are booked at some node.
+    pub(super) places: BTreeMap<u64, places::Place>,
+    /// The bookings that meet here.
+    pub(super) bookings: BTreeMap<(PoolName, Shard), Bookings>,
     /// What owners may not have heard of yet.
     pub(super) returned: Returned,
     /// The record that comes in slices from a neighbour.
@@ -177,6 +186,13 @@
             } => self.submit(number, service, job, reply),
             Message::Cancel { number } => self.cancel(number),
             Message::GiveBack { service, results } => self.give_back(&service, results),
+            Message::Place {
+                number,
+                service,
+                wish,
+                reply,
+            } => self.place(number, service, wish, reply),
+            Message::Noted { number, note } => self.noted(number, note),
             Message::EndpointsChanged => self.set_endpoints(),
             Message::ConfigGrew | Message::Leaving => self.tell_callers(),
             Message::CallEnded {
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -90,7 +90,7 @@
             Some(Ok(None)) => break,
             Some(Err(error)) => {
                 log::warn!(event = "answer-broken", request = ticket.ask.id.as_str(), endpoint = answered.flight.endpoint.to_string().as_str(), error = error.to_string().as_str(); "");
-                note_failure(ticket, &answered.flight.endpoint);
+                note_failure(ticket, &mut answered.flight);
                 return Taken::Failed(None);
             }
         }
@@ -100,10 +100,10 @@
     }
     ticket.timeline.first = Some(ticket.shared.now());
     if status.is_success() && answered.answer.signed {
-        note_time(ticket, &answered.flight.endpoint, answered.sent);
+        note_time(ticket, &answered.flight, answered.sent);
         return Taken::Whole((status, headers), kept.freeze());
     }
-    note_failure(ticket, &answered.flight.endpoint);
+    note_failure(ticket, &mut answered.flight);
     let usable = !status.is_success() && !is_promise(status);
     Taken::Failed(usable.then(|| ((status, headers), kept.freeze())))
 }
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -93,7 +93,9 @@
             ticket.timeline.staged = Some(ticket.shared.now());
         }
         let inputs = work.plan.inputs();
-        ticket.domain = work.domain(ticket, &inputs);
+        let most = work.most(ticket, &inputs);
+        ticket.inputs = most.map(|(domain, size)| (domain, (size.0 / TOKEN_BYTES) as u32));
+        ticket.domain = domain(ticket);
         Ok(inputs)
     }
 
@@ -210,14 +212,6 @@
         }
     }
 
-    /// Returns where the request should run to be near its results, if that is
-    /// worth following.
-    fn domain(&self, ticket: &Ticket, inputs: &[String]) -> Option<FailureDomain> {
-        let (domain, size) = self.most(ticket, inputs)?;
-        let shared = ticket.ask.prompt.map_or(0, |p| u64::from(p.shared));
-        (size.0 > TOKEN_BYTES * shared).then_some(domain)
-    }
-
     /// Returns where most of some results lie, and how much.
     fn most(&self, ticket: &Ticket, handles: &[String]) -> Option<(FailureDomain, Bytes)> {
         let mut sizes: BTreeMap<FailureDomain, u64> = BTreeMap::new();
@@ -244,6 +238,14 @@
     }
 }
 
+/// Returns where the request should run to be near its results, if that is worth
+/// following.
+fn domain(ticket: &Ticket) -> Option<FailureDomain> {
+    let (domain, tokens) = ticket.inputs.as_ref()?;
+    let shared = ticket.ask.prompt.map_or(0, |p| p.shared);
+    (*tokens > shared).then(|| domain.clone())
+}
+
 /// Returns where the request's prompt would best be read.
 fn home(ticket: &Ticket) -> Option<FailureDomain> {
     let prompt = ticket.ask.prompt?;
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -80,7 +80,7 @@
     if status.is_success() && answered.answer.signed {
         return Ok(Box::new(answered));
     }
-    note_failure(ticket, &answered.flight.endpoint);
+    note_failure(ticket, &mut answered.flight);
     if status.is_success() || is_promise(status) {
         return Err(None);
     }
@@ -144,7 +144,7 @@
         }
         self.ticket.timeline.first = Some(now);
         if let Some(answered) = &self.answered {
-            note_time(&self.ticket, &answered.flight.endpoint, answered.sent);
+            note_time(&self.ticket, &answered.flight, answered.sent);
         }
         // The endpoint read the stages' results before the prompt.
         if let Some(stages) = &mut self.stages {
@@ -154,10 +154,10 @@
 
     /// Goes on at another endpoint after the last event, inside the same answer.
     async fn go_on(&mut self, why: &str) -> bool {
-        if let Some(answered) = self.answered.take() {
+        if let Some(mut answered) = self.answered.take() {
             let endpoint = answered.flight.endpoint.to_string();
             log::warn!(event = "stream-broken", request = self.ticket.ask.id.as_str(), endpoint = endpoint.as_str(), events = self.events.count(), why; "");
-            note_failure(&self.ticket, &answered.flight.endpoint);
+            note_failure(&self.ticket, &mut answered.flight);
         }
         self.events.drop_rest();
         if !may_repeat(&self.ticket, "stream-broken") {
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -38,8 +38,11 @@
     pub(crate) goal: Time,
     /// When the caller, or the route, gives the request up.
     pub(crate) due: Time,
-    /// Where the results of its stages lie.
+    /// Where the request is to run, if its results outweigh its prefix.
     pub(crate) domain: Option<FailureDomain>,
+    /// Where most results of its stages lie, and what it costs to read them
+    /// elsewhere, in tokens.
+    pub(crate) inputs: Option<(FailureDomain, u32)>,
     /// The endpoints that it was sent to.
     pub(crate) tried: Vec<EndpointId>,
     /// Whether an endpoint may have run it.
@@ -85,6 +88,7 @@
             holder,
             began,
             domain: None,
+            inputs: None,
             tried: Vec::new(),
             may_have_run: false,
             backlog: Duration::ZERO,
--- a/lib/src/serving/directory.rs
+++ b/lib/src/serving/directory.rs
@@ -7,6 +7,7 @@
 use rapidhash::v3::RapidSecrets;
 use rapidhash::v3::rapidhash_v3_seeded;
 
+use super::bookings::Shard;
 use super::health::Health;
 use crate::ids::EndpointId;
 use crate::ids::FailureDomain;
@@ -172,6 +173,9 @@
     /// The first for the prefix is full, slow or away.
     #[display("prefix-spill")]
     Spill,
+    /// The node that knows what all endpoints still have to read chose it.
+    #[display("booked")]
+    Booked,
     /// All endpoints are paused; it is the least bad.
     #[display("last-resort")]
     LastResort,
@@ -254,7 +258,7 @@
         self.open(service).next().is_some()
     }
 
-    fn open<'a>(&'a self, service: &PoolName) -> impl Iterator<Item = &'a Endpoint> {
+    pub(super) fn open<'a>(&'a self, service: &PoolName) -> impl Iterator<Item = &'a Endpoint> {
         let all = self.endpoints.values();
         all.filter(move |e| e.is_open() && e.entry.service == *service)
     }
@@ -266,6 +270,15 @@
         ranked.map(|e| &e.entry)
     }
 
+    /// Returns the part of a service's endpoints at which a request is booked:
+    /// that of its prefix's endpoint.
+    #[must_use]
+    pub fn shard(&self, service: &PoolName, prefix: u64) -> Shard {
+        let count = Shard::count(self.open(service).count());
+        let home = self.home(service, prefix);
+        home.map_or(Shard { index: 0, count }, |e| Shard::of(&e.id, count))
+    }
+
     /// Chooses the endpoint for a call.
     #[must_use]
     pub fn choose(&self, now: Time, wanted: Wanted<'_>) -> Option<Choice> {
@@ -300,6 +313,14 @@
         Some(choice(now, picked, reason))
     }
 
+    /// Returns an endpoint that another node chose; `None` if it may get no
+    /// calls as far as is known here.
+    #[must_use]
+    pub fn booked(&self, now: Time, id: &EndpointId) -> Option<Choice> {
+        let endpoint = self.get(id).filter(|e| e.is_open())?;
+        Some(choice(now, endpoint, Reason::Booked))
+    }
+
     /// Notes that a call was sent.
     pub fn began(&mut self, id: &EndpointId) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
@@ -378,12 +399,12 @@
     endpoint
 }
 
-fn middle(mut values: Vec<f32>) -> f32 {
+pub(super) fn middle(mut values: Vec<f32>) -> f32 {
     values.sort_by(f32::total_cmp);
     values.get(values.len() / 2).copied().unwrap_or(1.0)
 }
 
-fn rank(prefix: u64, id: &EndpointId) -> u64 {
+pub(super) fn rank(prefix: u64, id: &EndpointId) -> u64 {
     let mut text = prefix.to_le_bytes().to_vec();
     text.extend_from_slice(id.as_str().as_bytes());
     rapidhash_v3_seeded(&text, &SECRETS)
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -4,6 +4,7 @@
 //! the endpoints, and owns each client attempt that reaches it. Stage pieces of
 //! all nodes meet at one owner for each service, which fills the calls.
 
+pub mod bookings;
 pub mod budget;
 pub mod catalog;
 pub mod catch_up;
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -15,6 +15,7 @@
 use rapidhash::v3::RapidSecrets;
 use rapidhash::v3::rapidhash_v3_seeded;
 
+use super::bookings::Shard;
 use crate::ids::PoolName;
 use crate::time::Time;
 use crate::units::MilliCores;
@@ -227,7 +228,17 @@
     /// Returns the owner of a service's pieces as of now.
     #[must_use]
     pub fn owner(&self, now: Time, service: &PoolName) -> SocketAddr {
-        let subject = service.as_str();
+        self.first(now, service.as_str())
+    }
+
+    /// Returns the node at which the requests to a part of a model's endpoints
+    /// are booked, as of now.
+    #[must_use]
+    pub fn booker(&self, now: Time, service: &PoolName, shard: Shard) -> SocketAddr {
+        self.first(now, &format!("{service}, part {}", shard.index))
+    }
+
+    fn first(&self, now: Time, subject: &str) -> SocketAddr {
         let strong = self.strong(now);
         let first = strong.max_by_key(|a| (rank(subject, a), *a));
         first.unwrap_or(self.own)
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 mod chain_world;
 mod pipeline_world;
 mod test_admission;
+mod test_bookings;
 mod test_boundaries;
 mod test_catch_up;
 mod test_chain;
--- /dev/null
+++ b/lib/tests/test_bookings.rs
@@ -0,0 +1,363 @@
+//! Where prompts go when many nodes share a model's endpoints.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::bookings::BookingId;
+use snipeyoke_lib::serving::bookings::Bookings;
+use snipeyoke_lib::serving::bookings::Shard;
+use snipeyoke_lib::serving::bookings::Wish;
+use snipeyoke_lib::serving::directory::Directory;
+use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::directory::Load;
+use snipeyoke_lib::serving::directory::Wanted;
+use snipeyoke_lib::time::Time;
+
+/// The tokens that an engine reads in a millisecond.
+const RATE: f64 = 64.0;
+
+/// The shared tokens of a prompt.
+const SHARED: u32 = 13_300;
+
+/// What is left of a prompt's aim for the engine.
+const AIM: Duration = Duration::from_millis(900);
+
+const ALL: Shard = Shard { index: 0, count: 1 };
+
+fn service() -> PoolName {
+    "model".parse().expect("a name")
+}
+
+fn id(n: usize) -> EndpointId {
+    format!("e{n}").parse().expect("a name")
+}
+
+fn entry(n: usize, domain: &str) -> Entry {
+    Entry {
+        id: id(n),
+        born: None,
+        service: service(),
+        address: "127.0.0.1:1".parse().expect("an address"),
+        domain: domain.parse().expect("a name"),
+        slots: 64,
+        draining: false,
+    }
+}
+
+fn directory(endpoints: usize) -> Directory {
+    let mut directory = Directory::default();
+    for n in 0..endpoints {
+        let domain = if n.is_multiple_of(2) { "a" } else { "b" };
+        directory.set(entry(n, domain));
+    }
+    directory
+}
+
+const fn own(number: u64) -> BookingId {
+    BookingId { link: 0, number }
+}
+
+fn wish(prefix: u64, tokens: u32) -> Wish {
+    Wish {
+        prefix: Some(prefix),
+        shared: SHARED,
+        own: tokens,
+        ..Wish::default()
+    }
+}
+
+/// One engine: reads prompts one after the other, and keeps their shared parts.
+#[derive(Debug, Clone, Default)]
+struct Engine {
+    free: f64,
+    kept: BTreeMap<u64, f64>,
+}
+
+impl Engine {
+    /// Reads a prompt that comes at `now`; returns when it is read, in ms.
+    fn read(&mut self, now: f64, prefix: u64, tokens: u32) -> f64 {
+        let kept = self.kept.get(&prefix).is_some_and(|&at| now - at < 3e4);
+        let unread = tokens + if kept { 0 } else { SHARED };
+        self.free = self.free.max(now) + f64::from(unread) / RATE;
+        self.kept.insert(prefix, self.free);
+        self.free
+    }
+}
+
+/// A prompt that comes to some node.
+struct Prompt {
+    at: f64,
+    node: usize,
+    prefix: u64,
+    tokens: u32,
+}
+
+/// When the burst begins and ends, in milliseconds.
+const BURST: std::ops::Range<f64> = 10e3..16e3;
+
+/// Prompts of ten calm seconds and a burst, with few very long ones.
+fn prompts(seed: u64, calm: f64, burst: f64) -> Vec<Prompt> {
+    let mut rng = Pcg64Mcg::new(u128::from(seed) << 1 | 1);
+    let mut at = 0.0;
+    let mut all = Vec::new();
+    while at < BURST.end {
+        let rate = if at < BURST.start { calm } else { burst };
+        at += -1e3 / rate * (1.0 - rng.random::<f64>()).ln();
+        // Bounded Pareto: 2,000 to 40,000 tokens, 3,700 in the mean.
+        let long = 2_000.0 * (1.0 - rng.random::<f64>()).powf(-1.0 / 1.9);
+        all.push(Prompt {
+            at,
+            node: rng.random_range(0..100),
+            prefix: rng.random_range(1..800),
+            tokens: long.min(40_000.0) as u32,
+        });
+    }
+    all
+}
+
+fn ms(at: f64) -> Time {
+    Time::from_micros((at * 1e3) as u64 + 1_000_000)
+}
+
+/// Plays prompts; `choose` names the endpoint, `told` hears when it was read.
+/// Returns the share of the burst that missed the aim.
+fn play(
+    all: &[Prompt],
+    endpoints: usize,
+    mut choose: impl FnMut(usize, &Prompt) -> usize,
+    mut told: impl FnMut(usize, &Prompt, usize),
+) -> f64 {
+    let mut engines = vec![Engine::default(); endpoints];
+    let mut reading: BTreeMap<u64, (usize, usize)> = BTreeMap::new();
+    let [mut late, mut count] = [0, 0];
+    for (number, prompt) in all.iter().enumerate() {
+        let over: Vec<u64> = reading
+            .range(..(prompt.at * 1e3) as u64)
+            .map(|(&at, _)| at)
+            .collect();
+        for at in over {
+            let (number, endpoint) = reading.remove(&at).expect("it was found");
+            told(number, &all[number], endpoint);
+        }
+        let endpoint = choose(number, prompt);
+        let read = engines[endpoint].read(prompt.at, prompt.prefix, prompt.tokens);
+        let mut key = (read * 1e3) as u64;
+        while reading.contains_key(&key) {
+            key += 1;
+        }
+        reading.insert(key, (number, endpoint));
+        if prompt.at > BURST.start {
+            count += 1;
+            late += u32::from(read - prompt.at > AIM.as_secs_f64() * 1e3);
+        }
+    }
+    f64::from(late) / f64::from(count)
+}
+
+/// Each of a hundred nodes chooses by what it sent itself and was told.
+fn alone(all: &[Prompt], endpoints: usize) -> f64 {
+    let nodes: Vec<Directory> = (0..100).map(|_| directory(endpoints)).collect();
+    let nodes = std::cell::RefCell::new(nodes);
+    play(
+        all,
+        endpoints,
+        |_, prompt| {
+            let mut nodes = nodes.borrow_mut();
+            let service = service();
+            let wanted = Wanted {
+                service: &service,
+                avoid: &[],
+                domain: None,
+                strict: false,
+                prefix: Some(prompt.prefix),
+            };
+            let node = &mut nodes[prompt.node];
+            let choice = node.choose(ms(prompt.at), wanted).expect("there are some");
+            node.began(&choice.entry.id);
+            choice.entry.id.as_str()[1..].parse().expect("a number")
+        },
+        |_, prompt, endpoint| {
+            let mut nodes = nodes.borrow_mut();
+            let node = &mut nodes[prompt.node];
+            node.ended(&id(endpoint));
+            let load = Load {
+                calls: 1,
+                slots: 64,
+            };
+            node.reported(ms(prompt.at), &id(endpoint), load);
+        },
+    )
+}
+
+/// All nodes have their prompts booked at one of them.
+fn booked(all: &[Prompt], endpoints: usize) -> f64 {
+    let directory = directory(endpoints);
+    let bookings = std::cell::RefCell::new(Bookings::default());
+    play(
+        all,
+        endpoints,
+        |number, prompt| {
+            let wish = wish(prompt.prefix, prompt.tokens);
+            let number = own(number as u64);
+            let place = bookings.borrow_mut().place(
+                ms(prompt.at),
+                &directory,
+                (&service(), ALL),
+                number,
+                &wish,
+            );
+            let place = place.expect("there are some");
+            place.as_str()[1..].parse().expect("a number")
+        },
+        |number, _, _| {
+            bookings.borrow_mut().end(own(number as u64));
+        },
+    )
+}
+
+#[test]
+fn no_prompt_waits_while_endpoints_stand_idle() {
+    // A burst on what a crash has left of a model, at a third of what that can
+    // read. Nodes that choose alone pile prompts up before some endpoints while
+    // most have none.
+    for seed in 0..3 {
+        let all = prompts(seed, 50.0, 115.0);
+        let alone = alone(&all, 30);
+        let booked = booked(&all, 30);
+        assert!(booked < 0.02, "seed {seed}: {booked} late");
+        assert!(booked < alone / 2.0, "seed {seed}: {booked}, alone {alone}");
+    }
+}
+
+#[test]
+fn a_prompt_goes_where_its_shared_part_was_read() {
+    // Reading a shared part again takes two hundred milliseconds, and keeps the
+    // next prompts waiting. A short queue is cheaper, a long one is not.
+    let directory = directory(8);
+    let mut bookings = Bookings::default();
+    let service = service();
+    let mut place = |now: u64, number, wish: &Wish| {
+        let now = Time::from_millis(now);
+        let place = bookings.place(now, &directory, (&service, ALL), own(number), wish);
+        place.expect("there are some")
+    };
+    let home = place(1_000, 1, &wish(7, 1_000));
+    assert_eq!(place(1_010, 2, &wish(7, 1_000)), home);
+    let long = place(1_020, 3, &wish(7, 40_000));
+    assert_eq!(long, home);
+    assert_ne!(place(1_030, 4, &wish(7, 1_000)), home);
+}
+
+#[test]
+fn inputs_are_read_near_unless_that_costs_more() {
+    // Results of stages are read where they lie, until what waits there costs
+    // more than reading them from afar.
+    let directory = directory(8);
+    let mut bookings = Bookings::default();
+    let service = service();
+    let near = Wish {
+        domain: Some("b".parse().expect("a name")),
+        afar: 3_000,
+        own: 500,
+        ..Wish::default()
+    };
+    let mut domains = Vec::new();
+    for number in 0..40 {
+        let now = Time::from_millis(1_000);
+        let place = bookings.place(now, &directory, (&service, ALL), own(number), &near);
+        let place = place.expect("there are some");
+        let entry = directory.get(&place).expect("it is known").entry();
+        domains.push(entry.domain.to_string());
+    }
+    assert!(domains[..12].iter().all(|d| d == "b"));
+    assert!(domains[12..].iter().any(|d| d == "a"));
+}
+
+#[test]
+fn what_a_lost_node_had_booked_is_forgotten() {
+    // A node dies with its requests under way. Endpoints that look busy for good
+    // would get nothing any more.
+    let directory = directory(4);
+    let mut bookings = Bookings::default();
+    let service = service();
+    let now = Time::from_millis(1_000);
+    for number in 0..100 {
+        let id = BookingId {
+            link: 1 + number % 2,
+            number,
+        };
+        bookings.place(now, &directory, (&service, ALL), id, &wish(number, 900));
+    }
+    bookings.end_link(1);
+    assert_eq!(bookings.len(), 50);
+    bookings.end_link(2);
+    assert!(bookings.is_empty());
+    assert!((0..4).all(|n| bookings.pending(&id(n)) == 0));
+}
+
+#[test]
+fn an_end_that_nobody_tells_does_not_last() {
+    // The word that a request has ended is lost on a full link.
+    let directory = directory(1);
+    let mut bookings = Bookings::default();
+    let service = service();
+    let now = Time::from_millis(1_000);
+    bookings.place(now, &directory, (&service, ALL), own(1), &wish(1, 900));
+    let later = now + Duration::from_mins(1);
+    bookings.place(later, &directory, (&service, ALL), own(2), &wish(1, 100));
+    assert_eq!(bookings.len(), 1);
+    assert_eq!(bookings.pending(&id(0)), 100);
+}
+
+#[test]
+fn an_endpoint_that_was_tried_is_left_unless_it_is_the_only_one() {
+    let directory = directory(2);
+    let mut bookings = Bookings::default();
+    let service = service();
+    let now = Time::from_millis(1_000);
+    let mut wish = wish(1, 900);
+    let mut place = |wish: &Wish, number| {
+        let place = bookings.place(now, &directory, (&service, ALL), own(number), wish);
+        place.expect("there are some")
+    };
+    let first = place(&wish, 1);
+    wish.avoid = vec![first.clone()];
+    let second = place(&wish, 2);
+    assert_ne!(second, first);
+    wish.avoid.push(second);
+    let _some = place(&wish, 3);
+}
+
+#[test]
+fn parts_hold_each_endpoint_once() {
+    // Each endpoint is booked at one node; nodes agree on the parts while
+    // endpoints come and go.
+    assert_eq!([1, 63, 64, 180, 680].map(Shard::count), [1, 1, 2, 4, 16]);
+    assert_eq!(Shard::count(0), 1);
+    let directory = directory(180);
+    let count = Shard::count(180);
+    let service = service();
+    let mut sizes = [0; 4];
+    for n in 0..180 {
+        sizes[Shard::of(&id(n), count).index as usize] += 1;
+    }
+    assert!(sizes.iter().all(|&size| size > 25), "{sizes:?}");
+    let mut bookings = Bookings::default();
+    for prefix in 1..200 {
+        let shard = directory.shard(&service, prefix);
+        let now = Time::from_millis(1_000);
+        let place = bookings.place(
+            now,
+            &directory,
+            (&service, shard),
+            own(prefix),
+            &wish(prefix, 100),
+        );
+        let place = place.expect("each part has some");
+        assert_eq!(Shard::of(&place, count), shard);
+    }
+}
