gateway: nodes that start together agree on owners, and fail no jobs

What callers saw: after a loss of power everywhere requests with stages took 0.6 to 2 s, and some were refused and tried again, in the first second after the nodes were back.

Change: the list of nodes is read at once, not after 0.5 s, and jobs wait up to 0.4 s for it; a link is dialled three times within the same 400 ms; an owner keeps jobs until it knows the configuration. Later lists are read by one node, by others only until they know somebody.

--- a/gateway/src/dispatch/asked.rs
+++ b/gateway/src/dispatch/asked.rs
@@ -6,6 +6,7 @@
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::owners::Owners;
+use snipeyoke_lib::serving::pieces::Job;
 use snipeyoke_lib::serving::pieces::JobId;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::serving::upkeep::Kept;
@@ -56,16 +57,35 @@
     }
 
     pub(super) fn asked_job(&mut self, link: LinkNumber, frame: PieceJob) {
-        let job = frame.job;
-        let origin = Origin::Peer { link, job };
-        let service = frame.service.parse::<PoolName>();
-        let read = convert::job_of(self.shared.now(), frame);
-        let queued = service.ok().and_then(|s| self.queue(&s, read, origin));
+        let number = frame.job;
+        let Ok(service) = frame.service.parse::<PoolName>() else {
+            log::warn!(event = "job-unreadable", remedy = "run the same release on all nodes"; "");
+            return;
+        };
+        let job = convert::job_of(self.shared.now(), frame);
+        // A node that has just started is taken for the owner before it knows the
+        // service. Refused, the job would fail at its caller.
+        if self.shared.catalog.get().is_none() {
+            self.early_asked.push((link, number, service, job));
+            return;
+        }
+        self.take_asked(link, number, &service, job);
+    }
+
+    pub(super) fn take_asked(
+        &mut self,
+        link: LinkNumber,
+        number: u64,
+        service: &PoolName,
+        job: Job,
+    ) {
+        let origin = Origin::Peer { link, job: number };
+        let queued = self.queue(service, job, origin);
         if queued.is_none()
             && let Some(caller) = self.callers.get(&link)
         {
             let refused = Done {
-                number: JobNumber(job),
+                number: JobNumber(number),
                 made: Vec::new(),
                 failure: Some(Failure::Failed),
                 backlog: Duration::ZERO,
@@ -77,6 +97,8 @@
     }
 
     pub(super) fn asked_cancel(&mut self, link: LinkNumber, job: u64) {
+        self.early_asked
+            .retain(|&(l, number, ..)| (l, number) != (link, job));
         self.drop_jobs(
             |origin| matches!(origin, Origin::Peer { link: l, job: j } if *l == link && *j == job),
         );
@@ -89,6 +111,7 @@
             self.departed.insert(node, self.shared.now());
         }
         self.drop_jobs(|origin| matches!(origin, Origin::Peer { link: l, .. } if *l == link));
+        self.early_asked.retain(|&(l, ..)| l != link);
         for bookings in self.bookings.values_mut() {
             bookings.end_link(link.0 + 1);
         }
--- a/gateway/src/dispatch/links.rs
+++ b/gateway/src/dispatch/links.rs
@@ -16,8 +16,17 @@
 use super::messages::LinkNumber;
 use super::messages::Message;
 
-/// The longest time to connect to another node.
-const CONNECT_LIMIT: Duration = Duration::from_millis(400);
+/// How long each try to connect to another node takes at most.
+///
+/// A host that is just starting loses the first packet of a connection, and the
+/// system sends the next one a second later. Tried anew, a node that has come up
+/// meanwhile is reached at once. Answers come within a few milliseconds, and
+/// within the last limit also from another region.
+const CONNECT_LIMITS: [Duration; 3] = [
+    Duration::from_millis(80),
+    Duration::from_millis(120),
+    Duration::from_millis(200),
+];
 
 /// The pause after a failed accept.
 ///
@@ -68,7 +77,7 @@
 
 /// Opens a link to another node and reads it until it fails.
 pub(super) async fn dial(peer: SocketAddr, inbox: Sender<Message>, scope: Scope) {
-    if let Ok(stream) = link::connect(peer, CONNECT_LIMIT).await
+    if let Some(stream) = connect(peer).await
         && let Ok((sender, writer, mut reader)) = link::open(stream)
     {
         scope.spawn(async move {
@@ -87,6 +96,18 @@
     let _closed = inbox.try_send(Message::Lost { peer });
 }
 
+async fn connect(peer: SocketAddr) -> Option<Async<TcpStream>> {
+    for limit in CONNECT_LIMITS {
+        let over = Timer::after(limit);
+        if let Ok(stream) = link::connect(peer, limit).await {
+            return Some(stream);
+        }
+        // A port that nobody listens on yet answers at once.
+        over.await;
+    }
+    None
+}
+
 async fn next(reader: &mut LinkReader) -> Option<snipeyoke_wire::frame::Body> {
     match reader.next().await {
         Ok(body) => body,
--- a/gateway/src/dispatch/queues.rs
+++ b/gateway/src/dispatch/queues.rs
@@ -88,6 +88,7 @@
     /// Makes the calls that are due and passes on the jobs that ended.
     pub(super) fn turn(&mut self) {
         let now = self.shared.now();
+        self.submit_early();
         self.catch_up();
         self.look_at_reader(now);
         let mut ends = Vec::new();
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -40,6 +40,9 @@
 /// The time between two looks at a node that holds this node's jobs.
 pub(super) const SYNC_BUSY: Duration = Duration::from_millis(250);
 
+/// The pause between two looks whether the owners are known, at a start.
+const EARLY_PAUSE: Duration = Duration::from_millis(10);
+
 /// The most messages that are taken before the queues are synced at.
 const BURST: usize = 64;
 
@@ -110,6 +113,8 @@
         scope,
         queues: BTreeMap::new(),
         pending: BTreeMap::new(),
+        early: Vec::new(),
+        early_asked: Vec::new(),
         peers: BTreeMap::new(),
         callers: BTreeMap::new(),
         departed: BTreeMap::new(),
@@ -150,6 +155,10 @@
     pub(super) pending: BTreeMap<JobNumber, PendingJob>,
     pub(super) peers: BTreeMap<SocketAddr, Peer>,
     pub(super) callers: BTreeMap<LinkNumber, Caller>,
+    /// Jobs from before this node could tell who owns their service.
+    pub(super) early: Vec<(JobNumber, PoolName, Job, Sender<Done>)>,
+    /// Other nodes' jobs from before this node had a configuration.
+    pub(super) early_asked: Vec<(LinkNumber, u64, PoolName, Job)>,
     /// Nodes whose last link ended, and when.
     pub(super) departed: BTreeMap<SocketAddr, Time>,
     pub(super) synced: Time,
@@ -172,7 +181,12 @@
         let queues = self.queues.values().map(|c| c.queue.wake(now));
         let look = self.synced + SYNC_BUSY;
         let copy = self.shared.catch_up().wake();
-        let due = look.min(copy).min(self.look_at());
+        let early = if self.early.is_empty() && self.early_asked.is_empty() {
+            Time::NEVER
+        } else {
+            now + EARLY_PAUSE
+        };
+        let due = look.min(copy).min(self.look_at()).min(early);
         queues.fold(due, Time::min)
     }
 
@@ -236,6 +250,10 @@
         job: Job,
         reply: Sender<Done>,
     ) {
+        if !self.shared.knows_owners() {
+            self.early.push((number, service, job, reply));
+            return;
+        }
         let owner = self.shared.owners().owner(self.shared.now(), &service);
         let place = if owner == self.shared.settings.listen.peers {
             let Some(id) = self.queue(&service, job.clone(), Origin::Own(number)) else {
@@ -326,7 +344,22 @@
         self.ask_once_connected(peer);
     }
 
+    /// Takes up the jobs that waited for what a node learns at its start.
+    pub(super) fn submit_early(&mut self) {
+        if !self.early.is_empty() && self.shared.knows_owners() {
+            for (number, service, job, reply) in std::mem::take(&mut self.early) {
+                self.submit(number, service, job, reply);
+            }
+        }
+        if !self.early_asked.is_empty() && self.shared.catalog.get().is_some() {
+            for (link, number, service, job) in std::mem::take(&mut self.early_asked) {
+                self.take_asked(link, number, &service, job);
+            }
+        }
+    }
+
     pub(super) fn cancel(&mut self, number: JobNumber) {
+        self.early.retain(|(early, ..)| *early != number);
         let Some(ticket) = self.pending.remove(&number) else {
             return;
         };
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -21,8 +21,13 @@
 
 /// The pauses before the list of nodes is read.
 ///
-/// Nodes start together, so that the first list comes soon.
-const NODES_PAUSES: [Duration; 2] = [Duration::from_millis(500), Duration::from_secs(2)];
+/// At once, since nodes that start again after a loss of power are listed from
+/// before. Those that start for the first time find each other later.
+const NODES_PAUSES: [Duration; 3] = [
+    Duration::ZERO,
+    Duration::from_millis(500),
+    Duration::from_secs(2),
+];
 
 /// The pause between later lists, which one node reads for all.
 ///
@@ -172,14 +177,21 @@
         Timer::after(backoff.failed()).await;
     }
     let later = std::iter::repeat(NODES_PAUSE);
-    for (turn, pause) in NODES_PAUSES.into_iter().chain(later).enumerate() {
+    let mut listed = false;
+    for pause in NODES_PAUSES.into_iter().chain(later) {
         Timer::after(pause).await;
-        // Those that begin together know each other after the first list.
-        if turn > 0 && shared.owners().has_heard() && !shared.is_first() {
+        // Who has a list of others leaves later ones to one node.
+        if listed && !shared.is_first() {
             continue;
         }
         match pages(&shared, Topic::Nodes).await {
-            Ok((records, end)) => shared.replace(Topic::Nodes, records, end),
+            Ok((records, end)) => {
+                listed = records.len() > 1;
+                shared.replace(Topic::Nodes, records, end);
+                if listed {
+                    shared.listed.set();
+                }
+            }
             Err(failure) => {
                 log::warn!(event = "registry-failed", topic = "nodes", call = "list", why = failure.to_string().as_str(); "");
             }
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -39,6 +39,11 @@
 /// Nodes that start together find each other within a second.
 const MEET_MAX: Duration = Duration::from_millis(1_500);
 
+/// How long a node waits at its start for the list of the others.
+///
+/// The registry answers in milliseconds, unless it is away.
+const LISTED_MAX: Duration = Duration::from_millis(400);
+
 /// What one node knows and shares among its tasks.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -60,6 +65,8 @@
     pub(crate) grown: Event,
     /// Tells that this node has learned that it lacks a configuration.
     pub(crate) behind: Event,
+    /// Set once the other nodes are known from a list.
+    pub(crate) listed: Flag,
     /// Set once the balancer is asked to pass this node over.
     pub(crate) aside: Flag,
     /// Set once callers' idle connections are closed.
@@ -111,6 +118,7 @@
             differs: AtomicBool::new(false),
             grown: Event::new(),
             behind: Event::new(),
+            listed: Flag::default(),
             aside: Flag::default(),
             drain: Flag::default(),
             end: Flag::default(),
@@ -215,6 +223,15 @@
         self.now() + bound > *cut
     }
 
+    /// Tells whether this node can tell which node owns a service.
+    ///
+    /// One that has just started may know a few of the others. Nodes that start
+    /// together would each take another one for the owner, and the owners' calls
+    /// would get in each other's way.
+    pub(crate) fn knows_owners(&self) -> bool {
+        self.listed.is_set() || self.now().since(Time::ZERO) > LISTED_MAX
+    }
+
     /// Tells whether the node has heard of the others, or waited for it.
     ///
     /// A node that knows no other takes itself for the owner of every service,
