--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use snipeyoke_lib::serving::bookings::Wish;
 use snipeyoke_lib::serving::directory::Choice;
 use snipeyoke_lib::serving::directory::Wanted;
+use snipeyoke_lib::serving::upkeep::Kept;
 use snipeyoke_lib::time::Time;
 
 use crate::call::Call;
@@ -225,6 +226,8 @@
 
 fn log_choice(ticket: &Ticket, choice: &Choice) {
     let endpoint = choice.entry.id.to_string();
+    let now = ticket.shared.now();
+    let known = ticket.shared.upkeep().of(Kept::Endpoints).age(now);
     log::info!(
         event = "endpoint-chosen",
         request = ticket.ask.id.as_str(),
@@ -232,6 +235,7 @@
         reason = choice.reason.to_string().as_str(),
         calls = choice.calls,
         report_ms = choice.age.as_millis().min(99_999) as u64,
+        known_ms = known.unwrap_or_default().as_millis() as u64,
         left_ms = ticket.left().as_millis() as u64;
         ""
     );
