gateway: ask nobody for endpoints that the registry is sending

Cause: a node without endpoints asked for all of them with each look, now also at the reader, while its own list was on its way. All nodes lack them at the same moment, a list of 3,000 has some 600 KB, and one node was to send it to 299.

Change: all endpoints are asked of a neighbour only if the registry's last call failed, and never of the reader as such.

The new test decides the same without network; it could not fail before, since the decision was not in the library.

--- a/gateway/src/dispatch/neighbours.rs
+++ b/gateway/src/dispatch/neighbours.rs
@@ -182,7 +182,7 @@
             stamp: now.as_micros(),
         };
         drop(replicas);
-        let stale = self.shared.is_stale() && self.may_ask_endpoints(now);
+        let stale = !brief && self.shared.lacks_endpoints() && self.may_ask_endpoints(now);
         if stale {
             self.endpoints_asked = Some((peer, now));
         }
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -200,9 +200,9 @@
         }
     }
 
-    /// Tells whether nothing recent is known of the endpoints.
-    pub(crate) fn is_stale(&self) -> bool {
-        self.upkeep().is_stale(self.now(), Kept::Endpoints)
+    /// Tells whether the endpoints are to be asked of a neighbour, all of them.
+    pub(crate) fn lacks_endpoints(&self) -> bool {
+        self.upkeep().is_cut_off(self.now(), Kept::Endpoints)
     }
 
     /// Tells whether the node can serve callers.
--- a/lib/src/serving/upkeep.rs
+++ b/lib/src/serving/upkeep.rs
@@ -118,6 +118,15 @@
         }
     }
 
+    /// Tells whether a copy is too old and the registry does not answer.
+    ///
+    /// Nodes that start together all lack their copies, and the registry has them
+    /// on its way. Asked of each other, lists of thousands would fill their links.
+    #[must_use]
+    pub fn is_cut_off(&self, now: Time, kept: Kept) -> bool {
+        self.failures > 0 && self.is_stale(now, kept)
+    }
+
     /// Tells whether a copy is so old that this node reads for itself.
     #[must_use]
     pub fn is_stale(&self, now: Time, kept: Kept) -> bool {
--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -284,6 +284,22 @@
     }
 }
 
+#[test]
+fn a_node_that_starts_waits_for_the_registry() {
+    // Hundreds of nodes start together, and thousands of endpoints are on their
+    // way from the registry to each. Asked of each other as well, the lists fill
+    // the links of whoever has one first, and nobody is served for half a minute.
+    let mut upkeep = Upkeep::new(BOUND, BOUND);
+    let now = Time::from_millis(1_000);
+    assert!(upkeep.is_stale(now, Kept::Endpoints));
+    assert!(!upkeep.is_cut_off(now, Kept::Endpoints));
+    upkeep.read(now, false);
+    assert!(upkeep.is_cut_off(now, Kept::Endpoints));
+    upkeep.read(now, true);
+    upkeep.confirm(Kept::Endpoints, now);
+    assert!(!upkeep.is_cut_off(now, Kept::Endpoints));
+}
+
 #[test]
 fn one_node_reads_for_all() {
     // All is well, for a minute. Each read has its price, so their number must
