gateway: look at eight neighbours in turn, not at all nodes

Cause: besides owners and the reader each node looked at all others in turn, so that in time it had two links to each.

Change: it looks at the first eight by a hash of its own, among those that answer.

--- a/gateway/src/dispatch/neighbours.rs
+++ b/gateway/src/dispatch/neighbours.rs
@@ -129,7 +129,7 @@
         self.shared.upkeep().look_at(self.shared.now())
     }
 
-    /// Looks at the nodes that hold jobs, and at some other one.
+    /// Looks at the nodes that hold jobs, and at the next neighbour.
     pub(super) fn sync_around(&mut self, now: Time) {
         let mut busy: Vec<SocketAddr> = Vec::new();
         for ticket in self.pending.values() {
@@ -148,14 +148,12 @@
         for &peer in &busy {
             self.sync(peer);
         }
-        let owners = self.shared.owners();
-        let live: Vec<SocketAddr> = owners.live(now).map(|(a, _)| a).collect();
-        drop(owners);
-        if live.is_empty() {
+        let neighbours = self.shared.owners().neighbours(now);
+        if neighbours.is_empty() {
             return;
         }
-        self.turn = (self.turn + 1) % live.len();
-        let peer = live[self.turn];
+        self.turn = (self.turn + 1) % neighbours.len();
+        let peer = neighbours[self.turn];
         let due = self
             .peers
             .get(&peer)
