--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -35,7 +35,14 @@
 /// them all in turn would ask hundreds. Three are away together rarely enough.
 const READERS: usize = 3;
 
-/// How long a node that was not heard of is remembered.
+/// The nodes that each node looks at in turn, beside owners and the reader.
+///
+/// News passes among hundreds of nodes in three to four steps, also while a third
+/// of them is away. Links to all others would take memory and descriptors by
+/// their number.
+const NEIGHBOURS: usize = 8;
+
+/// How long a node that does not answer is remembered.
 const FORGOTTEN: Duration = Duration::from_mins(1);
 
 /// The part of the strongest node's power from which a node may own services.
@@ -56,6 +63,8 @@
     heard: Time,
     answered: bool,
     silent: Time,
+    /// Since when it has not answered, if it was asked.
+    lost: Option<Time>,
     /// Until when it is not asked to read the registry for others.
     unread: Time,
     leaving: bool,
@@ -112,6 +121,7 @@
             heard: now,
             answered: false,
             silent: Time::ZERO,
+            lost: None,
             unread: Time::ZERO,
             leaving: false,
             changed: self.news,
@@ -144,6 +154,7 @@
                 known.changed = self.news;
             }
             known.silent = Time::ZERO;
+            known.lost = None;
         }
     }
 
@@ -163,8 +174,11 @@
     pub fn silent(&mut self, now: Time, peer: SocketAddr) {
         if let Some(known) = self.peers.get_mut(&peer) {
             known.silent = now + SILENT;
+            known.lost.get_or_insert(now);
         }
-        self.peers.retain(|_, p| now.since(p.heard) < FORGOTTEN);
+        // Most nodes are never looked at: nothing is heard of them.
+        let gone = |p: &Peer| p.lost.is_some_and(|at| now.since(at) >= FORGOTTEN);
+        self.peers.retain(|_, p| !gone(p));
     }
 
     /// Notes whether a node can't read the registry itself.
@@ -201,6 +215,20 @@
             .map(|(&a, p)| (a, p.power))
     }
 
+    /// Returns the nodes that this one looks at in turn, as of now.
+    ///
+    /// Each node has others, so that news reaches all.
+    #[must_use]
+    pub fn neighbours(&self, now: Time) -> Vec<SocketAddr> {
+        let subject = self.own.to_string();
+        let mut live: Vec<(u64, SocketAddr)> = self
+            .live(now)
+            .map(|(a, _)| (rank(&subject, &a), a))
+            .collect();
+        live.sort_unstable_by(|a, b| b.cmp(a));
+        live.into_iter().take(NEIGHBOURS).map(|(_, a)| a).collect()
+    }
+
     /// Returns the number of the last news about other nodes.
     #[must_use]
     pub const fn news(&self) -> u64 {
