--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -120,6 +120,8 @@
         departed: BTreeMap::new(),
         synced: Time::ZERO,
         turn: 0,
+        subjects: BTreeMap::new(),
+        subject_turn: 0,
         returned: Returned::default(),
         places: BTreeMap::new(),
         bookings: BTreeMap::new(),
@@ -163,6 +165,9 @@
     pub(super) departed: BTreeMap<SocketAddr, Time>,
     pub(super) synced: Time,
     pub(super) turn: usize,
+    /// What this node has lately asked of other nodes, and when.
+    pub(super) subjects: BTreeMap<String, Time>,
+    pub(super) subject_turn: usize,
     /// This node's requests that are booked at some node.
     pub(super) places: BTreeMap<u64, places::Place>,
     /// The bookings that meet here.
@@ -254,7 +259,9 @@
             self.early.push((number, service, job, reply));
             return;
         }
-        let owner = self.shared.owners().owner(self.shared.now(), &service);
+        let now = self.shared.now();
+        let owner = self.shared.owners().owner(now, &service);
+        self.subjects.insert(service.to_string(), now);
         let place = if owner == self.shared.settings.listen.peers {
             let Some(id) = self.queue(&service, job.clone(), Origin::Own(number)) else {
                 let failure = Some(Failure::Failed);
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -263,7 +263,18 @@
     /// are booked, as of now.
     #[must_use]
     pub fn booker(&self, now: Time, service: &PoolName, shard: Shard) -> SocketAddr {
-        self.first(now, &format!("{service}, part {}", shard.index))
+        self.first(now, &booked_subject(service, shard))
+    }
+
+    /// Returns the node that takes over what a subject's first node does, should
+    /// that one be lost.
+    ///
+    /// `subject` is a service, or what [`booked_subject`] names.
+    #[must_use]
+    pub fn successor(&self, now: Time, subject: &str) -> Option<SocketAddr> {
+        let first = self.first(now, subject);
+        let others = self.strong(now).filter(|a| *a != first && *a != self.own);
+        others.max_by_key(|a| (rank(subject, a), *a))
     }
 
     fn first(&self, now: Time, subject: &str) -> SocketAddr {
@@ -312,6 +323,12 @@
     }
 }
 
+/// Names the bookings of a part of a model's endpoints, for the ranking of nodes.
+#[must_use]
+pub fn booked_subject(service: &PoolName, shard: Shard) -> String {
+    format!("{service}, part {}", shard.index)
+}
+
 fn rank(subject: &str, peer: &SocketAddr) -> u64 {
     let text = format!("{subject} {peer}");
     rapidhash_v3_seeded(text.as_bytes(), &SECRETS)
--- a/lib/tests/test_owners.rs
+++ b/lib/tests/test_owners.rs
@@ -159,3 +159,25 @@
     owners.silent(last, node(3));
     assert_eq!(owners.count(), 23);
 }
+
+#[test]
+fn the_successor_is_who_owns_next() {
+    // An owner leaves with all its work. Who takes over must be the node that the
+    // others have looked at before.
+    for own in [1, 9] {
+        let mut owners = owners(own, 24);
+        let now = Time::from_millis(1_000);
+        for n in 0..20 {
+            let service = service(n);
+            let first = owners.owner(now, &service);
+            let successor = owners.successor(now, service.as_str());
+            if first == node(own) {
+                continue;
+            }
+            owners.silent(now, first);
+            let next = owners.owner(now, &service);
+            assert!(successor == Some(next) || next == node(own));
+            owners.heard(now, first);
+        }
+    }
+}
