gateway: refuse jobs that an owner can't take, 0.4 s after its start at the latest

Found by reading the change before: an owner that gets no configuration kept other nodes' jobs until their callers gave up, and a job whose service can't be read was dropped without an answer. Both held a caller that is better told at once.

--- a/gateway/src/dispatch/asked.rs
+++ b/gateway/src/dispatch/asked.rs
@@ -25,6 +25,7 @@
 use super::messages::LinkNumber;
 use super::neighbours::learn;
 use super::run::Delivered;
+use super::run::EarlyAsked;
 use super::run::Origin;
 use super::run::State;
 use crate::shared::Shared;
@@ -34,6 +35,12 @@
 /// A link that was reset is opened again within a connect's time of 400 ms.
 const DEPARTED: Duration = Duration::from_millis(800);
 
+/// How long a node without a configuration keeps the jobs of others.
+///
+/// It has one within a tenth of a second of its start, unless registry and
+/// neighbours are away; then the jobs are better refused.
+const EARLY_MAX: Duration = Duration::from_millis(400);
+
 /// The most changes of endpoints that a node is told without asking for them.
 ///
 /// What changes between two looks, also while a service is replaced. A whole list
@@ -58,47 +65,73 @@
 
     pub(super) fn asked_job(&mut self, link: LinkNumber, frame: PieceJob) {
         let number = frame.job;
-        let Ok(service) = frame.service.parse::<PoolName>() else {
+        let now = self.shared.now();
+        let service = frame.service.parse::<PoolName>();
+        let job = convert::job_of(now, frame);
+        let Ok(service) = service else {
             log::warn!(event = "job-unreadable", remedy = "run the same release on all nodes"; "");
+            self.refuse_job(link, number);
             return;
         };
-        let job = convert::job_of(self.shared.now(), frame);
         // A node that has just started is taken for the owner before it knows the
-        // service. Refused, the job would fail at its caller.
+        // service. Refused at once, the job would fail at its caller.
         if self.shared.catalog.get().is_none() {
-            self.early_asked.push((link, number, service, job));
+            let since = now;
+            self.early_asked.push(EarlyAsked {
+                link,
+                number,
+                service,
+                job,
+                since,
+            });
             return;
         }
         self.take_asked(link, number, &service, job);
     }
 
-    pub(super) fn take_asked(
-        &mut self,
-        link: LinkNumber,
-        number: u64,
-        service: &PoolName,
-        job: Job,
-    ) {
+    fn take_asked(&mut self, link: LinkNumber, number: u64, service: &PoolName, job: Job) {
         let origin = Origin::Peer { link, job: number };
-        let queued = self.queue(service, job, origin);
-        if queued.is_none()
-            && let Some(caller) = self.callers.get(&link)
-        {
-            let refused = Done {
-                number: JobNumber(number),
-                made: Vec::new(),
-                failure: Some(Failure::Failed),
-                backlog: Duration::ZERO,
-            };
-            let _full = caller
-                .sender
-                .send(Body::PieceJobEnd(convert::end_frame(&refused)));
+        if self.queue(service, job, origin).is_none() {
+            self.refuse_job(link, number);
+        }
+    }
+
+    /// Takes up the jobs of others that waited for this node's configuration.
+    pub(super) fn take_early(&mut self) {
+        if self.early_asked.is_empty() {
+            return;
         }
+        let now = self.shared.now();
+        let knows = self.shared.catalog.get().is_some();
+        for early in std::mem::take(&mut self.early_asked) {
+            if knows {
+                self.take_asked(early.link, early.number, &early.service, early.job);
+            } else if now.since(early.since) < EARLY_MAX {
+                self.early_asked.push(early);
+            } else {
+                self.refuse_job(early.link, early.number);
+            }
+        }
+    }
+
+    fn refuse_job(&self, link: LinkNumber, number: u64) {
+        let Some(caller) = self.callers.get(&link) else {
+            return;
+        };
+        let refused = Done {
+            number: JobNumber(number),
+            made: Vec::new(),
+            failure: Some(Failure::Failed),
+            backlog: Duration::ZERO,
+        };
+        let _full = caller
+            .sender
+            .send(Body::PieceJobEnd(convert::end_frame(&refused)));
     }
 
     pub(super) fn asked_cancel(&mut self, link: LinkNumber, job: u64) {
         self.early_asked
-            .retain(|&(l, number, ..)| (l, number) != (link, job));
+            .retain(|early| (early.link, early.number) != (link, job));
         self.drop_jobs(
             |origin| matches!(origin, Origin::Peer { link: l, job: j } if *l == link && *j == job),
         );
@@ -111,7 +144,7 @@
             self.departed.insert(node, self.shared.now());
         }
         self.drop_jobs(|origin| matches!(origin, Origin::Peer { link: l, .. } if *l == link));
-        self.early_asked.retain(|&(l, ..)| l != link);
+        self.early_asked.retain(|early| early.link != link);
         for bookings in self.bookings.values_mut() {
             bookings.end_link(link.0 + 1);
         }
--- a/gateway/src/dispatch/queues.rs
+++ b/gateway/src/dispatch/queues.rs
@@ -89,6 +89,7 @@
     pub(super) fn turn(&mut self) {
         let now = self.shared.now();
         self.submit_early();
+        self.take_early();
         self.catch_up();
         self.look_at_reader(now);
         let mut ends = Vec::new();
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -96,6 +96,16 @@
     pub(super) until: Time,
 }
 
+/// Another node's job that waits for this node's configuration.
+#[derive(Debug)]
+pub(super) struct EarlyAsked {
+    pub(super) link: LinkNumber,
+    pub(super) number: u64,
+    pub(super) service: PoolName,
+    pub(super) job: Job,
+    pub(super) since: Time,
+}
+
 /// A link to another node.
 #[derive(Debug)]
 pub(super) struct Peer {
@@ -160,7 +170,7 @@
     /// Jobs from before this node could tell who owns their service.
     pub(super) early: Vec<(JobNumber, PoolName, Job, Sender<Done>)>,
     /// Other nodes' jobs from before this node had a configuration.
-    pub(super) early_asked: Vec<(LinkNumber, u64, PoolName, Job)>,
+    pub(super) early_asked: Vec<EarlyAsked>,
     /// Nodes whose last link ended, and when.
     pub(super) departed: BTreeMap<SocketAddr, Time>,
     pub(super) synced: Time,
@@ -351,18 +361,13 @@
         self.ask_once_connected(peer);
     }
 
-    /// Takes up the jobs that waited for what a node learns at its start.
+    /// Hands in the jobs that waited until the owners are known.
     pub(super) fn submit_early(&mut self) {
         if !self.early.is_empty() && self.shared.knows_owners() {
             for (number, service, job, reply) in std::mem::take(&mut self.early) {
                 self.submit(number, service, job, reply);
             }
         }
-        if !self.early_asked.is_empty() && self.shared.catalog.get().is_some() {
-            for (link, number, service, job) in std::mem::take(&mut self.early_asked) {
-                self.take_asked(link, number, &service, job);
-            }
-        }
     }
 
     pub(super) fn cancel(&mut self, number: JobNumber) {
