upkeep: list the endpoints at most every 15 s for copies that differ

A difference that a list does not mend would make every node read the list again with each look, some times a second. The test failed to compile before, since nothing decided it.

--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -178,8 +178,10 @@
 
     /// Takes in that copies of the endpoints differ from another node's.
     pub(crate) fn differs(&self) {
-        self.differs.store(true, Ordering::Relaxed);
-        self.regained.notify(usize::MAX);
+        if self.upkeep().differs(self.now()) {
+            self.differs.store(true, Ordering::Relaxed);
+            self.regained.notify(usize::MAX);
+        }
     }
 
     /// Takes in up to where a neighbour has the configuration.
--- a/lib/src/serving/upkeep.rs
+++ b/lib/src/serving/upkeep.rs
@@ -27,6 +27,12 @@
 /// How long a node that fails to read leaves it to others before it tries again.
 const BARRED: Duration = Duration::from_secs(5);
 
+/// The shortest time between two lists that are read because copies differ.
+///
+/// A difference that a list does not mend must not make every node read it again
+/// with each look.
+const DIFFERS_PAUSE: Duration = Duration::from_secs(15);
+
 /// What nodes keep a copy of.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 #[derive(derive_more::Display)]
@@ -67,6 +73,8 @@
     first_since: Option<Time>,
     failures: u32,
     barred: Time,
+    /// When a list was last due because copies differed.
+    differed: Option<Time>,
 }
 
 impl Upkeep {
@@ -85,7 +93,19 @@
             first_since: None,
             failures: 0,
             barred: Time::ZERO,
+            differed: None,
+        }
+    }
+
+    /// Notes that a copy differs from another node's; tells whether it is to be
+    /// read anew.
+    pub fn differs(&mut self, now: Time) -> bool {
+        let lately = |at| now.since(at) < DIFFERS_PAUSE;
+        if self.differed.is_some_and(lately) {
+            return false;
         }
+        self.differed = Some(now);
+        true
     }
 
     /// Returns how recent a copy is.
--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -300,6 +300,16 @@
     assert!(!upkeep.is_cut_off(now, Kept::Endpoints));
 }
 
+#[test]
+fn copies_that_stay_different_are_not_read_with_each_look() {
+    // Two nodes disagree on an endpoint whatever they read. Each look would make
+    // both list thousands of endpoints again.
+    let mut upkeep = Upkeep::new(BOUND, BOUND);
+    let look = Duration::from_millis(400);
+    let lists = (0..150).filter(|&n| upkeep.differs(Time::from_millis(1_000) + look * n));
+    assert_eq!(lists.count(), 4, "in a minute");
+}
+
 #[test]
 fn one_node_reads_for_all() {
     // All is well, for a minute. Each read has its price, so their number must
