--- a/gateway/src/dispatch/neighbours.rs
+++ b/gateway/src/dispatch/neighbours.rs
@@ -27,9 +27,6 @@
 /// answer this node; two looks a second bring it well within two seconds.
 const SYNC_ANY: Duration = Duration::from_millis(500);
 
-/// How long after its last use the successor of an owner is looked at.
-const SUBJECT_USED: Duration = Duration::from_secs(10);
-
 /// How long a node that was asked may be silent.
 ///
 /// Looks are answered within milliseconds, and within some hundred on a slow
@@ -132,7 +129,7 @@
         self.shared.upkeep().look_at(self.shared.now())
     }
 
-    /// Looks at the nodes that hold jobs, and at the next neighbour.
+    /// Looks at the nodes that hold jobs, and at some other one.
     pub(super) fn sync_around(&mut self, now: Time) {
         let mut busy: Vec<SocketAddr> = Vec::new();
         for ticket in self.pending.values() {
@@ -151,13 +148,14 @@
         for &peer in &busy {
             self.sync(peer);
         }
-        self.sync_successor(now);
-        let neighbours = self.shared.owners().neighbours(now);
-        if neighbours.is_empty() {
+        let owners = self.shared.owners();
+        let live: Vec<SocketAddr> = owners.live(now).map(|(a, _)| a).collect();
+        drop(owners);
+        if live.is_empty() {
             return;
         }
-        self.turn = (self.turn + 1) % neighbours.len();
-        let peer = neighbours[self.turn];
+        self.turn = (self.turn + 1) % live.len();
+        let peer = live[self.turn];
         let due = self
             .peers
             .get(&peer)
@@ -167,30 +165,6 @@
         }
     }
 
-    /// Looks at the node that takes over the next of what this node asks for.
-    ///
-    /// When an owner leaves, all its work goes there at the same moment: a node
-    /// without a link to it, or one that is gone itself, is found out before.
-    fn sync_successor(&mut self, now: Time) {
-        self.subjects
-            .retain(|_, used| now.since(*used) < SUBJECT_USED);
-        if self.subjects.is_empty() {
-            return;
-        }
-        self.subject_turn = (self.subject_turn + 1) % self.subjects.len();
-        let subject = self.subjects.keys().nth(self.subject_turn);
-        let owners = self.shared.owners();
-        let successor = subject.and_then(|subject| owners.successor(now, subject));
-        drop(owners);
-        let due = |peer: &SocketAddr| {
-            let known = self.peers.get(peer);
-            known.is_none_or(|p| now.since(p.synced) >= SYNC_ANY)
-        };
-        if let Some(peer) = successor.filter(due) {
-            self.sync(peer);
-        }
-    }
-
     pub(super) fn sync(&mut self, peer: SocketAddr) {
         self.look(peer, false);
     }
--- a/gateway/src/dispatch/places.rs
+++ b/gateway/src/dispatch/places.rs
@@ -8,7 +8,6 @@
 use snipeyoke_lib::serving::bookings::BookingId;
 use snipeyoke_lib::serving::bookings::Shard;
 use snipeyoke_lib::serving::bookings::Wish;
-use snipeyoke_lib::serving::owners::booked_subject;
 use snipeyoke_wire::PlaceAsk;
 use snipeyoke_wire::PlaceNote;
 use snipeyoke_wire::Placed;
@@ -102,7 +101,6 @@
             .directory()
             .shard(&service, wish.prefix.unwrap_or(number));
         let booker = self.shared.owners().booker(now, &service, shard);
-        self.subjects.insert(booked_subject(&service, shard), now);
         let place = Place {
             service,
             shard,
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -130,8 +130,6 @@
         departed: BTreeMap::new(),
         synced: Time::ZERO,
         turn: 0,
-        subjects: BTreeMap::new(),
-        subject_turn: 0,
         returned: Returned::default(),
         places: BTreeMap::new(),
         bookings: BTreeMap::new(),
@@ -175,9 +173,6 @@
     pub(super) departed: BTreeMap<SocketAddr, Time>,
     pub(super) synced: Time,
     pub(super) turn: usize,
-    /// What this node has lately asked of other nodes, and when.
-    pub(super) subjects: BTreeMap<String, Time>,
-    pub(super) subject_turn: usize,
     /// This node's requests that are booked at some node.
     pub(super) places: BTreeMap<u64, places::Place>,
     /// The bookings that meet here.
@@ -269,9 +264,7 @@
             self.early.push((number, service, job, reply));
             return;
         }
-        let now = self.shared.now();
-        let owner = self.shared.owners().owner(now, &service);
-        self.subjects.insert(service.to_string(), now);
+        let owner = self.shared.owners().owner(self.shared.now(), &service);
         let place = if owner == self.shared.settings.listen.peers {
             let Some(id) = self.queue(&service, job.clone(), Origin::Own(number)) else {
                 let failure = Some(Failure::Failed);
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -35,14 +35,7 @@
 /// them all in turn would ask hundreds. Three are away together rarely enough.
 const READERS: usize = 3;
 
-/// The nodes that each node looks at in turn, beside owners and the reader.
-///
-/// News passes among hundreds of nodes in three to four steps, also while a third
-/// of them is away. Links to all others would take memory and descriptors by
-/// their number.
-const NEIGHBOURS: usize = 8;
-
-/// How long a node that does not answer is remembered.
+/// How long a node that was not heard of is remembered.
 const FORGOTTEN: Duration = Duration::from_mins(1);
 
 /// The part of the strongest node's power from which a node may own services.
@@ -63,8 +56,6 @@
     heard: Time,
     answered: bool,
     silent: Time,
-    /// Since when it has not answered, if it was asked.
-    lost: Option<Time>,
     /// Until when it is not asked to read the registry for others.
     unread: Time,
     leaving: bool,
@@ -121,7 +112,6 @@
             heard: now,
             answered: false,
             silent: Time::ZERO,
-            lost: None,
             unread: Time::ZERO,
             leaving: false,
             changed: self.news,
@@ -154,7 +144,6 @@
                 known.changed = self.news;
             }
             known.silent = Time::ZERO;
-            known.lost = None;
         }
     }
 
@@ -174,11 +163,8 @@
     pub fn silent(&mut self, now: Time, peer: SocketAddr) {
         if let Some(known) = self.peers.get_mut(&peer) {
             known.silent = now + SILENT;
-            known.lost.get_or_insert(now);
         }
-        // Most nodes are never looked at: nothing is heard of them.
-        let gone = |p: &Peer| p.lost.is_some_and(|at| now.since(at) >= FORGOTTEN);
-        self.peers.retain(|_, p| !gone(p));
+        self.peers.retain(|_, p| now.since(p.heard) < FORGOTTEN);
     }
 
     /// Notes whether a node can't read the registry itself.
@@ -215,20 +201,6 @@
             .map(|(&a, p)| (a, p.power))
     }
 
-    /// Returns the nodes that this one looks at in turn, as of now.
-    ///
-    /// Each node has others, so that news reaches all.
-    #[must_use]
-    pub fn neighbours(&self, now: Time) -> Vec<SocketAddr> {
-        let subject = self.own.to_string();
-        let mut live: Vec<(u64, SocketAddr)> = self
-            .live(now)
-            .map(|(a, _)| (rank(&subject, &a), a))
-            .collect();
-        live.sort_unstable_by(|a, b| b.cmp(a));
-        live.into_iter().take(NEIGHBOURS).map(|(_, a)| a).collect()
-    }
-
     /// Returns the number of the last news about other nodes.
     #[must_use]
     pub const fn news(&self) -> u64 {
@@ -263,18 +235,7 @@
     /// are booked, as of now.
     #[must_use]
     pub fn booker(&self, now: Time, service: &PoolName, shard: Shard) -> SocketAddr {
-        self.first(now, &booked_subject(service, shard))
-    }
-
-    /// Returns the node that takes over what a subject's first node does, should
-    /// that one be lost.
-    ///
-    /// `subject` is a service, or what [`booked_subject`] names.
-    #[must_use]
-    pub fn successor(&self, now: Time, subject: &str) -> Option<SocketAddr> {
-        let first = self.first(now, subject);
-        let others = self.strong(now).filter(|a| *a != first && *a != self.own);
-        others.max_by_key(|a| (rank(subject, a), *a))
+        self.first(now, &format!("{service}, part {}", shard.index))
     }
 
     fn first(&self, now: Time, subject: &str) -> SocketAddr {
@@ -323,12 +284,6 @@
     }
 }
 
-/// Names the bookings of a part of a model's endpoints, for the ranking of nodes.
-#[must_use]
-pub fn booked_subject(service: &PoolName, shard: Shard) -> String {
-    format!("{service}, part {}", shard.index)
-}
-
 fn rank(subject: &str, peer: &SocketAddr) -> u64 {
     let text = format!("{subject} {peer}");
     rapidhash_v3_seeded(text.as_bytes(), &SECRETS)
--- a/lib/tests/test_owners.rs
+++ b/lib/tests/test_owners.rs
@@ -1,9 +1,6 @@
 //! Which node owns the pieces of a service.
 
-use std::collections::BTreeMap;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
-use std::time::Duration;
 
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::owners::Owners;
@@ -101,83 +98,3 @@
     let named = weak.owner(Time::from_millis(11), &service(0));
     assert!(named != node(1) && named != node(2));
 }
-
-/// Returns how many of the nodes that live are reached by news from one of them.
-fn reached(count: u16, away: impl Fn(u16) -> bool) -> (usize, usize) {
-    let now = Time::from_millis(1_000);
-    let looks: BTreeMap<SocketAddr, Vec<SocketAddr>> = (1..=count)
-        .filter(|&n| !away(n))
-        .map(|n| {
-            let mut owners = owners(n, count);
-            for peer in (1..=count).filter(|&peer| away(peer)) {
-                owners.silent(now, node(peer));
-            }
-            (node(n), owners.neighbours(now))
-        })
-        .collect();
-    let first = *looks.keys().next().expect("some live");
-    let mut found = BTreeSet::from([first]);
-    let mut next = vec![first];
-    while let Some(from) = next.pop() {
-        // A look tells both sides.
-        let asked = looks[&from].iter().copied();
-        let asking = looks.iter().filter(|(_, at)| at.contains(&from));
-        for peer in asked.chain(asking.map(|(&a, _)| a)) {
-            if found.insert(peer) {
-                next.push(peer);
-            }
-        }
-    }
-    (found.len(), looks.len())
-}
-
-#[test]
-fn news_reaches_all_through_few_neighbours() {
-    // Hundreds of nodes with a link to every other one would take memory and
-    // descriptors by their number. With a few links each, news must still reach
-    // all, also while a third of the nodes is away.
-    for count in [2, 9, 24, 103, 340] {
-        let (found, live) = reached(count, |_| false);
-        assert_eq!(found, live, "{count} nodes");
-        let (found, live) = reached(count, |n| n.is_multiple_of(3));
-        assert_eq!(found, live, "{count} nodes, a third away");
-    }
-    assert!(owners(1, 340).neighbours(Time::from_millis(1_000)).len() <= 8);
-}
-
-#[test]
-fn a_node_that_nobody_looks_at_is_not_forgotten() {
-    // Most nodes are no neighbours of this one, and it hears nothing of them for
-    // hours. Another node that does not answer must not make it forget them.
-    let mut owners = owners(1, 24);
-    let later = Time::from_millis(3_600_000);
-    owners.silent(later, node(2));
-    assert_eq!(owners.count(), 24);
-    // The one that does not answer is forgotten, once it has been away for long.
-    let last = later + Duration::from_mins(5);
-    owners.silent(last, node(2));
-    owners.silent(last, node(3));
-    assert_eq!(owners.count(), 23);
-}
-
-#[test]
-fn the_successor_is_who_owns_next() {
-    // An owner leaves with all its work. Who takes over must be the node that the
-    // others have looked at before.
-    for own in [1, 9] {
-        let mut owners = owners(own, 24);
-        let now = Time::from_millis(1_000);
-        for n in 0..20 {
-            let service = service(n);
-            let first = owners.owner(now, &service);
-            let successor = owners.successor(now, service.as_str());
-            if first == node(own) {
-                continue;
-            }
-            owners.silent(now, first);
-            let next = owners.owner(now, &service);
-            assert!(successor == Some(next) || next == node(own));
-            owners.heard(now, first);
-        }
-    }
-}
