--- a/lib/tests/test_freshness.rs
+++ b/lib/tests/test_freshness.rs
@@ -77,8 +77,8 @@
     pauses: BTreeMap<Kept, Time>,
     backoff: Backoff,
     looks: Vec<Look>,
-    /// Since when nothing is wrong with it.
-    well: Time,
+    /// When something was last wrong with it, if ever.
+    ill: Option<Time>,
 }
 
 /// Nodes on one registry, in steps of ten milliseconds or more.
@@ -126,7 +126,7 @@
                 pauses: BTreeMap::new(),
                 backoff: Backoff::new(u64::from(n)),
                 looks: Vec::new(),
-                well: Time::ZERO,
+                ill: None,
             }
         };
         Self {
@@ -163,7 +163,7 @@
         let now = self.now;
         let wrong = self.wrong(self.nodes[index].address);
         if wrong.is_some_and(|w| w != Wrong::Apart) {
-            self.nodes[index].well = now;
+            self.nodes[index].ill = Some(now);
         }
         if wrong == Some(Wrong::Frozen) {
             return;
@@ -173,7 +173,8 @@
         }
         self.look(index);
         let node = &self.nodes[index];
-        if now.since(node.well) < SETTLED + BOUND {
+        let settles = |ill| now.since(ill) < SETTLED + BOUND;
+        if node.ill.is_some_and(settles) {
             return;
         }
         for kept in KEPT {
