gateway: log what a leaving host takes a request by, and what it cuts

An answer that a leaving host cut at the end of its grace was logged as caller-gone with no events, and the bound that it had been taken by was not logged at all: a wrong estimate could not be told from a slow endpoint. Now leaving-judged has the bound and the time that is left, request-ended says cut-leaving, counts the events of an answer under way, and has the tokens that the request announces and expects.

No decision is changed.

--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -26,6 +26,10 @@
     pub shared: u32,
     /// The hash of those parts, in order; 0 if there are none.
     pub prefix: u64,
+    /// The most tokens of the answer; `None` if the request does not say.
+    pub answer: Option<u32>,
+    /// The tokens that the caller expects of the answer, if it says.
+    pub expected: Option<u32>,
 }
 
 /// What a caller asks, beside the method, path and body.
--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -91,7 +91,7 @@
             }
             None => return refuse(ticket, Refusal::TimeoutNotRun),
         }
-        if self.0.leaves_before(&ticket.route.name) {
+        if self.0.leaves_before(&ticket) {
             return refuse(ticket, Refusal::Leaving);
         }
         self.0.budget().earn(began, &ticket.service);
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -33,6 +33,7 @@
 use crate::registry::Registry;
 use crate::registry::Topic;
 use crate::settings::Settings;
+use crate::ticket::Ticket;
 
 /// How long a node waits at its start to hear from another one.
 ///
@@ -217,12 +218,24 @@
     ///
     /// Cut at the end of the grace period, it would have to be done again from
     /// its start, with less time.
-    pub(crate) fn leaves_before(&self, route: &str) -> bool {
+    pub(crate) fn leaves_before(&self, ticket: &Ticket) -> bool {
         let Some(cut) = self.cut.get() else {
             return false;
         };
-        let bound = self.durations().bound(route).unwrap_or_default();
-        self.now() + bound > *cut
+        let now = self.now();
+        let bound = self.durations().bound(&ticket.route.name);
+        let refused = now + bound.unwrap_or_default() > *cut;
+        let millis = |time: Duration| time.as_millis().to_string();
+        let known = bound.map(millis);
+        log::info!(
+            event = "leaving-judged",
+            request = ticket.ask.id.as_str(),
+            refused,
+            bound_ms = known.as_deref().unwrap_or("-"),
+            stop_ms = millis(cut.since(now)).as_str();
+            ""
+        );
+        refused
     }
 
     /// Tells whether this node can tell which node owns a service.
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -118,6 +118,7 @@
                 Some(Ok(Some(bytes))) => match self.events.push(&bytes) {
                     Ok(out) if out.is_empty() => continue,
                     Ok(out) => {
+                        self.ticket.timeline.events = self.events.count();
                         self.note_first();
                         return Some((Ok(out.into()), self));
                     }
@@ -174,7 +175,6 @@
 
     fn finish(&mut self, outcome: &'static str) {
         self.answered = None;
-        self.ticket.timeline.events = self.events.count();
         self.ticket.end(StatusCode::OK, outcome);
     }
 }
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -170,7 +170,9 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         let now = self.shared.now();
-        let (status, outcome) = self.timeline.ended.unwrap_or((0, "caller-gone"));
+        let cut = self.shared.cut.get().is_some_and(|cut| now >= *cut);
+        let unheard = if cut { "cut-leaving" } else { "caller-gone" };
+        let (status, outcome) = self.timeline.ended.unwrap_or((0, unheard));
         let took = now.since(self.began);
         metrics::counter!("snipeyoke_requests_total", "route" => self.route.name.clone(), "outcome" => outcome).increment(1);
         metrics::histogram!("snipeyoke_request_seconds", "outcome" => outcome).record(took);
@@ -190,6 +192,8 @@
             staged_ms = since(self.timeline.staged),
             first_ms = since(self.timeline.first),
             events = self.timeline.events,
+            answer_tokens = self.ask.prompt.and_then(|p| p.answer).unwrap_or_default(),
+            expected_tokens = self.ask.prompt.and_then(|p| p.expected).unwrap_or_default(),
             tries = self.tried.len(),
             endpoint = endpoint.as_deref().unwrap_or("-"),
             config = self.catalog.version();
