gateway: refuse a stream whose stages leave a stopping host no time for it

What callers saw: a head of 200, some events, and a closed connection, from a host that had been told to stop 5 s before. The host had taken the request at the door, where its answer could be expected to end in time, and looked no more: its stages took 1.7 s in place of 1.05, since the owners of the services left too, and the stream was begun 2.7 s before the host cut it. A stream that has begun can only be cut; until it is sent to an endpoint nothing has run, and its caller can be told so.

Now the times until a request is sent and of its answer are learned apart. The time that is left is looked at again right before the request is sent, and a request that waits for its stages is given up at the moment from which its answer could not end: 503 leaving, nothing ran, come back at once. A stream under way that goes on at another endpoint is not judged, since its caller has a part of it.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -8,6 +8,7 @@
 use snipeyoke_lib::serving::bookings::Wish;
 use snipeyoke_lib::serving::directory::Choice;
 use snipeyoke_lib::serving::directory::Wanted;
+use snipeyoke_lib::serving::durations::Ahead;
 use snipeyoke_lib::serving::upkeep::Kept;
 use snipeyoke_lib::time::Time;
 
@@ -52,6 +53,8 @@
     Answered(Box<Answered>),
     /// Nothing ran at this try.
     NotRun(Refusal),
+    /// It was not sent: this node leaves before the answer would end.
+    Leaving,
     /// One of the stages' results is gone; nothing ran.
     InputsGone,
     /// The request may have run, and there is no answer.
@@ -109,9 +112,14 @@
         let Some(choice) = choice else {
             return Tried::NotRun(Refusal::NoEndpoint);
         };
+        // What has begun can't be refused any more.
+        if !ticket.begun && ticket.shared.leaves_before(ticket, Ahead::Answer) {
+            return Tried::Leaving;
+        }
         log_choice(ticket, &choice);
         let mut flight = InFlight::new(&ticket.shared, &choice.entry.id, booking);
         let sent = ticket.shared.now();
+        ticket.timeline.sent = Some(sent);
         let with = Sending {
             account: ticket.account(),
             endpoint: &choice.entry.id,
--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -14,6 +14,7 @@
 use hyper::http::request;
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::catalog::Denial;
+use snipeyoke_lib::serving::durations::Ahead;
 use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::http::Handler;
 use snipeyoke_runtime::http::Reply;
@@ -91,7 +92,7 @@
             }
             None => return refuse(ticket, Refusal::TimeoutNotRun),
         }
-        if self.0.leaves_before(&ticket) {
+        if self.0.leaves_before(&ticket, Ahead::All) {
             return refuse(ticket, Refusal::Leaving);
         }
         self.0.budget().earn(began, &ticket.service);
--- a/gateway/src/retry.rs
+++ b/gateway/src/retry.rs
@@ -34,6 +34,7 @@
             Some(Ok(())) => Step::Again,
             Some(Err(_)) | None => Step::Refused(Refusal::StageFailed),
         },
+        Tried::Leaving => Step::Refused(Refusal::Leaving),
         Tried::NotRun(_) if ticket.may_try_again() => Step::Again,
         Tried::Unknown(_) if may_repeat(ticket, "answer-lost") => Step::Again,
         Tried::NotRun(refusal) | Tried::Unknown(refusal) => Step::Refused(refusal),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -16,6 +16,7 @@
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::catch_up::CatchUp;
 use snipeyoke_lib::serving::directory::Directory;
+use snipeyoke_lib::serving::durations::Ahead;
 use snipeyoke_lib::serving::durations::Durations;
 use snipeyoke_lib::serving::owners::Owners;
 use snipeyoke_lib::serving::pace::Paces;
@@ -214,16 +215,16 @@
         knows && self.directory().iter().next().is_some() && !self.aside.is_set()
     }
 
-    /// Tells whether a request of a route is better begun at another node.
+    /// Tells whether this node leaves before a request can be expected to end.
     ///
     /// Cut at the end of the grace period, it would have to be done again from
     /// its start, with less time.
-    pub(crate) fn leaves_before(&self, ticket: &Ticket) -> bool {
+    pub(crate) fn leaves_before(&self, ticket: &Ticket, ahead: Ahead) -> bool {
         let Some(cut) = self.cut.get() else {
             return false;
         };
         let now = self.now();
-        let bound = self.durations().bound(&ticket.route.name);
+        let bound = self.durations().bound(&ticket.route.name, ahead);
         let refused = now + bound.unwrap_or_default() > *cut;
         let millis = |time: Duration| time.as_millis().to_string();
         let known = bound.map(millis);
@@ -238,6 +239,14 @@
         refused
     }
 
+    /// Returns when a request has to be sent at the latest for its answer to end
+    /// before this node leaves.
+    pub(crate) fn latest_send(&self, ticket: &Ticket) -> Time {
+        let bound = self.durations().bound(&ticket.route.name, Ahead::Answer);
+        let cut = self.cut.get().copied().unwrap_or(Time::NEVER);
+        cut - bound.unwrap_or_default()
+    }
+
     /// Tells whether this node can tell which node owns a service.
     ///
     /// One that has just started may know a few of the others. Nodes that start
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -81,7 +81,7 @@
             for order in work.plan.orders(&times) {
                 work.submit(ticket, &times, order);
             }
-            let done = ticket.within(work.ends.1.recv()).await;
+            let done = ticket.in_time_to_send(work.ends.1.recv()).await;
             let Some(Ok(done)) = done else {
                 return Err(ticket.timeout());
             };
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -35,6 +35,7 @@
             let status = answered.call.head.status;
             let headers = std::mem::take(&mut answered.answer.headers);
             events.drop_rest();
+            ticket.begun = true;
             let run = Run {
                 ticket,
                 stages,
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -16,6 +16,7 @@
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::catalog::Holder;
 use snipeyoke_lib::serving::catalog::Route;
+use snipeyoke_lib::serving::durations::Took;
 use snipeyoke_lib::time::Time;
 
 use crate::dialect::Ask;
@@ -47,6 +48,8 @@
     pub(crate) tried: Vec<EndpointId>,
     /// Whether an endpoint may have run it.
     pub(crate) may_have_run: bool,
+    /// Whether its caller has the head of an answer already.
+    pub(crate) begun: bool,
     /// How long what waits before it takes, where that was told.
     pub(crate) backlog: Duration,
     pub(crate) timeline: Timeline,
@@ -57,6 +60,8 @@
 pub(crate) struct Timeline {
     /// When its stages were done.
     pub(crate) staged: Option<Time>,
+    /// When it was last sent to an endpoint.
+    pub(crate) sent: Option<Time>,
     /// When its first event, or its answer, came.
     pub(crate) first: Option<Time>,
     pub(crate) events: u64,
@@ -91,6 +96,7 @@
             inputs: None,
             tried: Vec::new(),
             may_have_run: false,
+            begun: false,
             backlog: Duration::ZERO,
             timeline: Timeline::default(),
         })
@@ -123,6 +129,21 @@
         self.in_time(future).or(overtime).await
     }
 
+    /// Waits for a future as long as the answer can still be expected to end
+    /// before the node leaves.
+    pub(crate) async fn in_time_to_send<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let late = async {
+            self.shared.aside.wait().await;
+            let latest = self.shared.latest_send(self);
+            Timer::after(latest.since(self.shared.now())).await;
+            None
+        };
+        if self.begun {
+            return self.within(future).await;
+        }
+        self.within(future).or(late).await
+    }
+
     /// Waits for a future as long as the request has time.
     pub(crate) async fn in_time<T>(&self, future: impl Future<Output = T>) -> Option<T> {
         let over = async {
@@ -144,7 +165,7 @@
     pub(crate) fn timeout(&self) -> Refusal {
         if self.may_have_run {
             Refusal::Timeout
-        } else if self.shared.overtime.is_set() {
+        } else if self.shared.now() < self.due {
             Refusal::Leaving
         } else {
             Refusal::TimeoutNotRun
@@ -176,7 +197,11 @@
         let took = now.since(self.began);
         metrics::counter!("snipeyoke_requests_total", "route" => self.route.name.clone(), "outcome" => outcome).increment(1);
         metrics::histogram!("snipeyoke_request_seconds", "outcome" => outcome).record(took);
-        if outcome == "answered" {
+        if let (Some(sent), "answered") = (self.timeline.sent, outcome) {
+            let took = Took {
+                wait: sent.since(self.began),
+                answer: now.since(sent),
+            };
             self.shared.durations().observe(&self.route.name, took);
         }
         let since = |at: Option<Time>| at.map_or(0, |at| at.since(self.began).as_millis() as u64);
--- a/lib/tests/test_serving.rs
+++ b/lib/tests/test_serving.rs
@@ -15,7 +15,9 @@
 use snipeyoke_lib::serving::budget::SharedBudget;
 use snipeyoke_lib::serving::come_back::come_back;
 use snipeyoke_lib::serving::come_back::elsewhere;
+use snipeyoke_lib::serving::durations::Ahead;
 use snipeyoke_lib::serving::durations::Durations;
+use snipeyoke_lib::serving::durations::Took;
 use snipeyoke_lib::serving::events::Events;
 use snipeyoke_lib::serving::health::Health;
 use snipeyoke_lib::serving::replica::Record;
@@ -201,17 +203,32 @@
     assert!(soon > none && soon < second);
 }
 
+/// An answer that came as soon as its request was sent.
+fn answer(millis: u64) -> Took {
+    Took {
+        wait: Duration::ZERO,
+        answer: Duration::from_millis(millis),
+    }
+}
+
 #[test]
 fn nearly_all_answers_of_a_route_end_within_its_bound() {
     // Chats last from one to six seconds. A node with three seconds left must
     // not begin one, and may still take a lookup of some milliseconds.
     let mut durations = Durations::default();
-    assert_eq!(durations.bound("chat"), None, "nothing is known yet");
+    assert_eq!(
+        durations.bound("chat", Ahead::All),
+        None,
+        "nothing is known yet"
+    );
     for n in 0..200_u64 {
-        durations.observe("chat", Duration::from_millis(1_000 + n * 1_733 % 5_000));
-        durations.observe("lookup", Duration::from_millis(60 + n * 37 % 40));
+        durations.observe("chat", answer(1_000 + n * 1_733 % 5_000));
+        durations.observe("lookup", answer(60 + n * 37 % 40));
     }
-    let bound = |route| durations.bound(route).expect("answers were seen");
+    let bound = |route| {
+        let bound = durations.bound(route, Ahead::All);
+        bound.expect("answers were seen")
+    };
     assert!(bound("chat") > Duration::from_secs(5));
     assert!(bound("lookup") < Duration::from_millis(300));
 }
@@ -220,13 +237,28 @@
 fn the_bound_follows_a_route_that_became_slower() {
     let mut durations = Durations::default();
     for _ in 0..50 {
-        durations.observe("draft", Duration::from_millis(500));
+        durations.observe("draft", answer(500));
     }
     for _ in 0..12 {
-        durations.observe("draft", Duration::from_secs(4));
+        durations.observe("draft", answer(4_000));
+    }
+    let bound = durations.bound("draft", Ahead::All);
+    assert!(bound.expect("answers were seen") >= Duration::from_secs(4));
+}
+
+#[test]
+fn a_request_that_has_waited_is_judged_by_its_answer_alone() {
+    let mut durations = Durations::default();
+    for _ in 0..50 {
+        let took = Took {
+            wait: Duration::from_secs(2),
+            answer: Duration::from_millis(500),
+        };
+        durations.observe("draft", took);
     }
-    let bound = durations.bound("draft").expect("answers were seen");
-    assert!(bound >= Duration::from_secs(4));
+    let bound = |ahead| durations.bound("draft", ahead).expect("answers were seen");
+    assert!(bound(Ahead::All) >= Duration::from_millis(2_500));
+    assert!(bound(Ahead::Answer) < Duration::from_secs(1));
 }
 
 #[test]
