gateway: judge what a leaving host begins by the length that the caller expects

What callers saw: chats cut by a host that was told to stop. It had taken them by the mean and two deviations of the whole times of the last answers of the route. Those lie between 0.2 and 9 s, since an answer lasts as long as its text: 11 of 100 took longer than that bound (1,522 answers), and a few short ones made it short.

Callers say how many tokens they expect. The announced maximum is the same for all requests of a route and says nothing.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -113,7 +113,7 @@
             return Tried::NotRun(Refusal::NoEndpoint);
         };
         // What has begun can't be refused any more.
-        if !ticket.begun && ticket.shared.leaves_before(ticket, Ahead::Answer) {
+        if !ticket.begun && ticket.outlasts_node(Ahead::Answer) {
             return Tried::Leaving;
         }
         log_choice(ticket, &choice);
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -32,6 +32,15 @@
     pub expected: Option<u32>,
 }
 
+impl Prompt {
+    /// Returns the tokens to expect of the answer, where the caller says.
+    #[must_use]
+    pub fn length(&self) -> Option<u32> {
+        let most = self.answer.unwrap_or(u32::MAX);
+        self.expected.map(|tokens| tokens.min(most))
+    }
+}
+
 /// What a caller asks, beside the method, path and body.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ask {
--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -92,7 +92,7 @@
             }
             None => return refuse(ticket, Refusal::TimeoutNotRun),
         }
-        if self.0.leaves_before(&ticket, Ahead::All) {
+        if ticket.outlasts_node(Ahead::All) {
             return refuse(ticket, Refusal::Leaving);
         }
         self.0.budget().earn(began, &ticket.service);
--- /dev/null
+++ b/gateway/src/leaving.rs
@@ -0,0 +1,60 @@
+//! What a node that leaves still begins.
+
+use std::time::Duration;
+
+use snipeyoke_lib::serving::durations::Ahead;
+use snipeyoke_lib::time::Time;
+
+use crate::ticket::Ticket;
+
+/// The times at which a node leaves.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Stop {
+    /// When answers under way are cut.
+    pub(crate) cut: Time,
+}
+
+impl Ticket {
+    /// Tells whether its node leaves before the request can be expected to end.
+    ///
+    /// Cut at the end of the grace period, it would have to be done again from
+    /// its start, with less time.
+    pub(crate) fn outlasts_node(&self, ahead: Ahead) -> bool {
+        let Some(stop) = self.shared.stop.get() else {
+            return false;
+        };
+        let now = self.shared.now();
+        let bound = self.bound(ahead);
+        let refused = now + bound.unwrap_or_default() > stop.cut;
+        let millis = |time: Duration| time.as_millis().to_string();
+        let known = bound.map(millis);
+        log::info!(
+            event = "leaving-judged",
+            request = self.ask.id.as_str(),
+            refused,
+            bound_ms = known.as_deref().unwrap_or("-"),
+            stop_ms = millis(stop.cut.since(now)).as_str();
+            ""
+        );
+        refused
+    }
+
+    /// Returns when the request has to be sent at the latest for its answer to
+    /// end before its node leaves.
+    pub(crate) fn latest_send(&self) -> Time {
+        let Some(stop) = self.shared.stop.get() else {
+            return Time::NEVER;
+        };
+        stop.cut - self.bound(Ahead::Answer).unwrap_or_default()
+    }
+
+    /// Returns the time within which what is ahead of the request ends; `None`
+    /// if nothing is known against taking it.
+    fn bound(&self, ahead: Ahead) -> Option<Duration> {
+        let tokens = self.ask.prompt.and_then(|p| p.length());
+        let durations = self.shared.durations();
+        let bound = durations.bound(&self.route.name, tokens, ahead)?;
+        // At its deadline it ends in any case.
+        Some(bound.min(self.left()))
+    }
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -11,6 +11,7 @@
 mod dispatch;
 mod door;
 mod follow;
+mod leaving;
 mod node;
 mod plain;
 mod program;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -27,6 +27,7 @@
 use crate::dispatch::Dispatcher;
 use crate::door::Door;
 use crate::follow;
+use crate::leaving::Stop;
 use crate::ready::Metrics;
 use crate::ready::Readiness;
 use crate::registry::Registry;
@@ -209,7 +210,7 @@
         let grace = self.shared.settings.grace;
         let cut = began + grace.mul_f64(GRACE_USED);
         // Only the first call to leave counts.
-        let _earlier = self.shared.cut.set(cut);
+        let _earlier = self.shared.stop.set(Stop { cut });
         self.shared.aside.set();
         self.shared.owners().leave();
         self.shared.dispatcher.leaving();
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -16,7 +16,6 @@
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::catch_up::CatchUp;
 use snipeyoke_lib::serving::directory::Directory;
-use snipeyoke_lib::serving::durations::Ahead;
 use snipeyoke_lib::serving::durations::Durations;
 use snipeyoke_lib::serving::owners::Owners;
 use snipeyoke_lib::serving::pace::Paces;
@@ -31,10 +30,10 @@
 
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
+use crate::leaving::Stop;
 use crate::registry::Registry;
 use crate::registry::Topic;
 use crate::settings::Settings;
-use crate::ticket::Ticket;
 
 /// How long a node waits at its start to hear from another one.
 ///
@@ -77,8 +76,8 @@
     pub(crate) end: Flag,
     /// Set once requests that wait for an answer are given up.
     pub(crate) overtime: Flag,
-    /// When a leaving node cuts what still runs; set when it begins to leave.
-    pub(crate) cut: OnceLock<Time>,
+    /// Set when the node begins to leave.
+    pub(crate) stop: OnceLock<Stop>,
     directory: Mutex<Directory>,
     budget: Mutex<SharedBudget>,
     owners: Mutex<Owners>,
@@ -125,7 +124,7 @@
             drain: Flag::default(),
             end: Flag::default(),
             overtime: Flag::default(),
-            cut: OnceLock::new(),
+            stop: OnceLock::new(),
             settings,
             dialect,
             registry,
@@ -215,38 +214,6 @@
         knows && self.directory().iter().next().is_some() && !self.aside.is_set()
     }
 
-    /// Tells whether this node leaves before a request can be expected to end.
-    ///
-    /// Cut at the end of the grace period, it would have to be done again from
-    /// its start, with less time.
-    pub(crate) fn leaves_before(&self, ticket: &Ticket, ahead: Ahead) -> bool {
-        let Some(cut) = self.cut.get() else {
-            return false;
-        };
-        let now = self.now();
-        let bound = self.durations().bound(&ticket.route.name, ahead);
-        let refused = now + bound.unwrap_or_default() > *cut;
-        let millis = |time: Duration| time.as_millis().to_string();
-        let known = bound.map(millis);
-        log::info!(
-            event = "leaving-judged",
-            request = ticket.ask.id.as_str(),
-            refused,
-            bound_ms = known.as_deref().unwrap_or("-"),
-            stop_ms = millis(cut.since(now)).as_str();
-            ""
-        );
-        refused
-    }
-
-    /// Returns when a request has to be sent at the latest for its answer to end
-    /// before this node leaves.
-    pub(crate) fn latest_send(&self, ticket: &Ticket) -> Time {
-        let bound = self.durations().bound(&ticket.route.name, Ahead::Answer);
-        let cut = self.cut.get().copied().unwrap_or(Time::NEVER);
-        cut - bound.unwrap_or_default()
-    }
-
     /// Tells whether this node can tell which node owns a service.
     ///
     /// One that has just started may know a few of the others. Nodes that start
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -134,7 +134,7 @@
     pub(crate) async fn in_time_to_send<T>(&self, future: impl Future<Output = T>) -> Option<T> {
         let late = async {
             self.shared.aside.wait().await;
-            let latest = self.shared.latest_send(self);
+            let latest = self.latest_send();
             Timer::after(latest.since(self.shared.now())).await;
             None
         };
@@ -191,7 +191,7 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         let now = self.shared.now();
-        let cut = self.shared.cut.get().is_some_and(|cut| now >= *cut);
+        let cut = self.shared.stop.get().is_some_and(|s| now >= s.cut);
         let unheard = if cut { "cut-leaving" } else { "caller-gone" };
         let (status, outcome) = self.timeline.ended.unwrap_or((0, unheard));
         let took = now.since(self.began);
@@ -201,6 +201,7 @@
             let took = Took {
                 wait: sent.since(self.began),
                 answer: now.since(sent),
+                tokens: self.ask.prompt.and_then(|p| p.length()),
             };
             self.shared.durations().observe(&self.route.name, took);
         }
--- a/lib/src/serving/durations.rs
+++ b/lib/src/serving/durations.rs
@@ -4,51 +4,35 @@
 //! can't be expected to end before it is better served by another node from
 //! its start than cut off in the middle. Until it is sent to an endpoint it can
 //! still be refused, so that it is judged again then, by the answer alone.
+//!
+//! Times spread over a factor, not around a sum: a stream lasts as long as its
+//! text. They are kept as logarithms, and those of a stream by the token where
+//! its caller tells how many tokens to expect.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-/// The weight of the newest answer in the mean, in shares of one.
+/// The weight of the newest request in the mean and the deviation, in shares of
+/// one.
 ///
-/// An eighth, and a quarter for the deviation, as retransmission timers of TCP
-/// have it (RFC 6298): a handful of answers is enough to follow a change.
-const MEAN_WEIGHT: f64 = 0.125;
-
-/// The weight of the newest answer in the deviation, in shares of one.
-const DEVIATION_WEIGHT: f64 = 0.25;
+/// An eighth, as retransmission timers of TCP have it (RFC 6298): a handful of
+/// answers is enough to follow a change.
+const WEIGHT: f64 = 0.125;
 
-/// The deviations above the mean that most answers stay below.
-///
-/// Two: one in ten answers takes longer, by the logs of 15,800 answers on calm
-/// and heavy days. A request that is sent elsewhere loses a connection's time;
-/// with four deviations a node that leaves refuses more of them, and serves its
-/// callers no better.
-const DEVIATIONS: f64 = 2.0;
+/// The deviation before a second request was seen, as a logarithm: a factor of
+/// 1.6.
+const FIRST_DEVIATION: f64 = 0.5;
 
-#[derive(Debug, Clone, Copy)]
-struct Spread {
-    mean: f64,
-    deviation: f64,
-}
+/// The tokens of an answer that its first event costs beside its length.
+const FIXED_TOKENS: f64 = 20.0;
 
-impl Spread {
-    fn first(took: f64) -> Self {
-        Self {
-            mean: took,
-            deviation: took / 2.0,
-        }
-    }
+/// The mean deviations above the mean that answers stay below.
+///
+/// Of 15,447 streams of three routes one or two in a hundred took longer.
+const DEVIATIONS: f64 = 3.0;
 
-    fn observe(&mut self, took: f64) {
-        let off = took - self.mean;
-        self.mean += MEAN_WEIGHT * off;
-        self.deviation += DEVIATION_WEIGHT * (off.abs() - self.deviation);
-    }
-
-    fn bound(&self) -> f64 {
-        self.mean + DEVIATIONS * self.deviation
-    }
-}
+/// The shortest time that is told from none, in seconds.
+const SHORTEST: f64 = 0.001;
 
 /// How long a request took.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -57,6 +41,8 @@
     pub wait: Duration,
     /// From then to the end of the answer.
     pub answer: Duration,
+    /// The tokens that its caller expected of the answer.
+    pub tokens: Option<u32>,
 }
 
 /// What of a request is still ahead.
@@ -68,10 +54,47 @@
     Answer,
 }
 
+/// A mean and a mean deviation of logarithms.
 #[derive(Debug, Clone, Copy)]
+struct Spread {
+    mean: f64,
+    deviation: f64,
+}
+
+impl Spread {
+    fn bound(&self) -> f64 {
+        (self.mean + DEVIATIONS * self.deviation).exp()
+    }
+}
+
+/// A spread, once something was seen.
+#[derive(Debug, Clone, Copy, Default)]
+struct Seen(Option<Spread>);
+
+impl Seen {
+    fn observe(&mut self, value: f64) {
+        let value = value.max(SHORTEST).ln();
+        let known = self.0.get_or_insert(Spread {
+            mean: value,
+            deviation: FIRST_DEVIATION,
+        });
+        let off = value - known.mean;
+        known.mean += WEIGHT * off;
+        known.deviation += WEIGHT * (off.abs() - known.deviation);
+    }
+
+    fn bound(&self) -> Option<f64> {
+        self.0.map(|s| s.bound())
+    }
+}
+
+#[derive(Debug, Clone, Copy, Default)]
 struct Times {
-    wait: Spread,
-    answer: Spread,
+    wait: Seen,
+    /// Of answers whose length nobody told, in seconds.
+    answer: Seen,
+    /// Of answers whose length was told, in seconds a token.
+    token: Seen,
 }
 
 /// The times that requests take, by route.
@@ -83,31 +106,40 @@
 impl Durations {
     /// Notes how long a request took that was answered.
     pub fn observe(&mut self, route: &str, took: Took) {
-        let (wait, answer) = (took.wait.as_secs_f64(), took.answer.as_secs_f64());
-        if let Some(known) = self.routes.get_mut(route) {
-            known.wait.observe(wait);
-            known.answer.observe(answer);
-            return;
+        if !self.routes.contains_key(route) {
+            self.routes.insert(route.to_owned(), Times::default());
         }
-        let first = Times {
-            wait: Spread::first(wait),
-            answer: Spread::first(answer),
+        let Some(known) = self.routes.get_mut(route) else {
+            unreachable!("the route was just inserted");
         };
-        self.routes.insert(route.to_owned(), first);
+        known.wait.observe(took.wait.as_secs_f64());
+        let answer = took.answer.as_secs_f64();
+        match took.tokens {
+            Some(tokens) => known.token.observe(answer / size(tokens)),
+            None => known.answer.observe(answer),
+        }
     }
 
-    /// Returns the time within which what is ahead of most requests of a route
-    /// ends.
+    /// Returns the time within which what is ahead of a request of a route ends,
+    /// by those that were seen; `None` if none was.
     ///
-    /// `None` until one has: without a witness nothing is known against taking
-    /// the request.
+    /// `tokens` is the length that the request's caller expects of the answer.
     #[must_use]
-    pub fn bound(&self, route: &str, ahead: Ahead) -> Option<Duration> {
+    pub fn bound(&self, route: &str, tokens: Option<u32>, ahead: Ahead) -> Option<Duration> {
         let known = self.routes.get(route)?;
+        let answer = match tokens {
+            Some(tokens) => known.token.bound()? * size(tokens),
+            None => known.answer.bound()?,
+        };
         let wait = match ahead {
-            Ahead::All => known.wait.bound(),
+            Ahead::All => known.wait.bound()?,
             Ahead::Answer => 0.0,
         };
-        Some(Duration::from_secs_f64(wait + known.answer.bound()))
+        let bound = Duration::try_from_secs_f64(wait + answer);
+        Some(bound.unwrap_or(Duration::MAX))
     }
 }
+
+fn size(tokens: u32) -> f64 {
+    f64::from(tokens) + FIXED_TOKENS
+}
--- a/lib/tests/test_serving.rs
+++ b/lib/tests/test_serving.rs
@@ -208,27 +208,25 @@
     Took {
         wait: Duration::ZERO,
         answer: Duration::from_millis(millis),
+        tokens: None,
     }
 }
 
+fn usual(durations: &Durations, route: &str) -> Option<Duration> {
+    durations.bound(route, None, Ahead::All)
+}
+
 #[test]
 fn nearly_all_answers_of_a_route_end_within_its_bound() {
     // Chats last from one to six seconds. A node with three seconds left must
     // not begin one, and may still take a lookup of some milliseconds.
     let mut durations = Durations::default();
-    assert_eq!(
-        durations.bound("chat", Ahead::All),
-        None,
-        "nothing is known yet"
-    );
+    assert_eq!(usual(&durations, "chat"), None, "nothing is known yet");
     for n in 0..200_u64 {
         durations.observe("chat", answer(1_000 + n * 1_733 % 5_000));
         durations.observe("lookup", answer(60 + n * 37 % 40));
     }
-    let bound = |route| {
-        let bound = durations.bound(route, Ahead::All);
-        bound.expect("answers were seen")
-    };
+    let bound = |route| usual(&durations, route).expect("answers were seen");
     assert!(bound("chat") > Duration::from_secs(5));
     assert!(bound("lookup") < Duration::from_millis(300));
 }
@@ -242,10 +240,62 @@
     for _ in 0..12 {
         durations.observe("draft", answer(4_000));
     }
-    let bound = durations.bound("draft", Ahead::All);
+    let bound = usual(&durations, "draft");
     assert!(bound.expect("answers were seen") >= Duration::from_secs(4));
 }
 
+#[test]
+fn an_answer_is_judged_by_the_length_that_its_caller_expects() {
+    // Chats differ in length thirtyfold, and a few short ones were the last.
+    let mut durations = Durations::default();
+    for n in 0..40_u32 {
+        let took = Took {
+            wait: Duration::from_millis(10),
+            answer: Duration::from_millis(u64::from(6 * (20 + n % 5) + 200)),
+            tokens: Some(20 + n % 5),
+        };
+        durations.observe("chat", took);
+    }
+    let bound = |tokens| {
+        let bound = durations.bound("chat", Some(tokens), Ahead::Answer);
+        bound.expect("answers were seen")
+    };
+    assert!(bound(20) < Duration::from_secs(1));
+    assert!(bound(600) > Duration::from_millis(3_600));
+    let untold = durations.bound("chat", None, Ahead::Answer);
+    assert_eq!(untold, None, "none without a length was seen");
+}
+
+#[test]
+fn few_answers_take_longer_than_expected_lengths_tell() {
+    // Lengths spread by a factor of two around what callers expect, and the time
+    // of a token by a factor of one and a half.
+    let mut durations = Durations::default();
+    let mut over = 0;
+    let mut seed = 7_u64;
+    let mut draw = || {
+        seed = seed.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        (seed >> 33) as f64 / f64::from(1_u32 << 31)
+    };
+    for n in 0..4_000 {
+        let tokens = 20 + (draw() * 500.0) as u32;
+        // Sums of three draws lie around 1.5.
+        let mut spread = |factor: f64| factor.powf((0..3).map(|_| draw()).sum::<f64>() - 1.5);
+        let length = f64::from(tokens) * spread(2.0) + 40.0;
+        let took = Took {
+            wait: Duration::ZERO,
+            answer: Duration::from_secs_f64(length * 0.006 * spread(1.5)),
+            tokens: Some(tokens),
+        };
+        let bound = durations.bound("chat", Some(tokens), Ahead::Answer);
+        if n >= 20 && bound.expect("answers were seen") < took.answer {
+            over += 1;
+        }
+        durations.observe("chat", took);
+    }
+    assert!(over <= 80, "one in fifty: {over}");
+}
+
 #[test]
 fn a_request_that_has_waited_is_judged_by_its_answer_alone() {
     let mut durations = Durations::default();
@@ -253,10 +303,14 @@
         let took = Took {
             wait: Duration::from_secs(2),
             answer: Duration::from_millis(500),
+            tokens: None,
         };
         durations.observe("draft", took);
     }
-    let bound = |ahead| durations.bound("draft", ahead).expect("answers were seen");
+    let bound = |ahead| {
+        let bound = durations.bound("draft", None, ahead);
+        bound.expect("answers were seen")
+    };
     assert!(bound(Ahead::All) >= Duration::from_millis(2_500));
     assert!(bound(Ahead::Answer) < Duration::from_secs(1));
 }
