gateway: begin no stream once the balancer has passed a leaving host over

What callers saw: a chat sent to a host 3.0 s after its SIGTERM, begun at 4.7 s and cut at 7.4 s. A stream that has begun can only be cut, and no estimate of its length is certain: a bound that only 1 in 1,000 of 15,447 streams exceed (five deviations) is 9 to 13 times what the usual one takes, and refuses nearly all that come late anyway. So the estimate decides for streams that come while the balancer may still send them, and from 2.3 s after SIGTERM on none is begun: 503 leaving, nothing ran, come back elsewhere at once. Requests with one answer are taken on: they can be told at the end of the grace.

a_leaving_node_begins_no_stream_that_comes_late failed without the change ((200, true) in place of 503).

--- a/gateway/src/leaving.rs
+++ b/gateway/src/leaving.rs
@@ -10,6 +10,8 @@
 /// The times at which a node leaves.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Stop {
+    /// From when on a balancer sends no callers, unless it has too few nodes.
+    pub(crate) aside: Time,
     /// When answers under way are cut.
     pub(crate) cut: Time,
 }
@@ -24,14 +26,16 @@
             return false;
         };
         let now = self.shared.now();
+        let late = self.is_late_stream(stop);
         let bound = self.bound(ahead);
-        let refused = now + bound.unwrap_or_default() > stop.cut;
+        let refused = late || now + bound.unwrap_or_default() > stop.cut;
         let millis = |time: Duration| time.as_millis().to_string();
         let known = bound.map(millis);
         log::info!(
             event = "leaving-judged",
             request = self.ask.id.as_str(),
             refused,
+            late,
             bound_ms = known.as_deref().unwrap_or("-"),
             stop_ms = millis(stop.cut.since(now)).as_str();
             ""
@@ -48,6 +52,15 @@
         stop.cut - self.bound(Ahead::Answer).unwrap_or_default()
     }
 
+    /// Tells whether the request is a stream that came after the balancer had
+    /// time to pass its node over.
+    ///
+    /// A stream that has begun can only be cut, and no estimate of its length is
+    /// certain: those that come this late are not begun at all.
+    fn is_late_stream(&self, stop: &Stop) -> bool {
+        self.route.kind.is_stream() && self.began >= stop.aside
+    }
+
     /// Returns the time within which what is ahead of the request ends; `None`
     /// if nothing is known against taking it.
     fn bound(&self, ahead: Ahead) -> Option<Duration> {
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -210,7 +210,10 @@
         let grace = self.shared.settings.grace;
         let cut = began + grace.mul_f64(GRACE_USED);
         // Only the first call to leave counts.
-        let _earlier = self.shared.stop.set(Stop { cut });
+        let _earlier = self.shared.stop.set(Stop {
+            aside: began + ASIDE,
+            cut,
+        });
         self.shared.aside.set();
         self.shared.owners().leave();
         self.shared.dispatcher.leaving();
