gateway: refuse what a leaving host would give up at once

What callers saw: 504, which promises nothing, 0 ms after their request had come to a host 7 s after its SIGTERM, though nothing had been sent. Requests were judged by the later moment; the call was dropped while it was still connecting, and counted as sent.

A request with one answer is now judged by the moment at which it would be given up, and refused from then on. A call says when its request is handed to the connection: one that ends before has not run, also at the caller's deadline. A body that does not come in the node's time is refused as leaving, too.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -11,6 +11,7 @@
 use snipeyoke_lib::serving::durations::Ahead;
 use snipeyoke_lib::serving::upkeep::Kept;
 use snipeyoke_lib::time::Time;
+use snipeyoke_runtime::flag::Flag;
 
 use crate::call::Call;
 use crate::call::CallError;
@@ -113,7 +114,7 @@
             return Tried::NotRun(Refusal::NoEndpoint);
         };
         // What has begun can't be refused any more.
-        if !ticket.begun && ticket.outlasts_node(Ahead::Answer) {
+        if !ticket.begun && ticket.refused_by_leaving(Ahead::Answer) {
             return Tried::Leaving;
         }
         log_choice(ticket, &choice);
@@ -131,9 +132,14 @@
         let body = ticket.body.clone();
         let request = ticket.shared.dialect.request(&ticket.head, body, with);
         let exec = Arc::clone(&ticket.shared.traffic);
-        let called = call(&exec, choice.entry.address, request);
+        let handed = Flag::default();
+        let called = call(&exec, choice.entry.address, request, &handed);
         let may_have_run = std::mem::replace(&mut ticket.may_have_run, true);
         match ticket.within(called).await {
+            None if !handed.is_set() => {
+                ticket.may_have_run = may_have_run;
+                return Tried::NotRun(ticket.timeout());
+            }
             None => {
                 ticket.tried.push(choice.entry.id);
                 return Tried::Unknown(Refusal::Timeout);
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -22,6 +22,7 @@
 use hyper::http::response;
 use rustix::net::sockopt;
 use smol_hyper::rt::FuturesIo;
+use snipeyoke_runtime::flag::Flag;
 use snipeyoke_runtime::link;
 use snipeyoke_runtime::threads::Exec;
 
@@ -86,10 +87,13 @@
 }
 
 /// Sends a request and waits for the head of the answer.
+///
+/// `handed` is set before the first byte of it may leave.
 pub(crate) async fn call(
     exec: &Exec,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
+    handed: &Flag,
 ) -> Result<Call, CallError> {
     let stream = link::connect(address, CONNECT_LIMIT);
     let stream = stream.await.map_err(CallError::NotSent)?;
@@ -101,6 +105,7 @@
         // How the connection ends is told by the answer or its body.
         let _ended = conn.await;
     });
+    handed.set();
     match sender.try_send_request(request).await {
         Ok(response) => {
             let (head, body) = response.into_parts();
--- a/gateway/src/dispatch/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -8,6 +8,7 @@
 use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::pieces::CallResult;
 use snipeyoke_lib::serving::pieces::PieceCall;
+use snipeyoke_runtime::flag::Flag;
 
 use crate::call::Call;
 use crate::call::CallError;
@@ -28,7 +29,14 @@
 pub(super) async fn run_pieces(shared: Arc<Shared>, send: PieceCall) -> CallResult {
     let request = shared.dialect.run_pieces(&send.entry.id, &send.items);
     let answered = async {
-        match call(&shared.traffic, send.entry.address, request).await {
+        match call(
+            &shared.traffic,
+            send.entry.address,
+            request,
+            &Flag::default(),
+        )
+        .await
+        {
             Ok(call) => read(&shared, &send.entry, call).await,
             Err(error) => broken(&send.entry, &error),
         }
@@ -82,7 +90,8 @@
 pub(super) async fn give_back(shared: Arc<Shared>, entry: Entry, handles: &[String]) {
     let request = shared.dialect.give_back(handles);
     let told = async {
-        let Ok(mut call) = call(&shared.traffic, entry.address, request).await else {
+        let Ok(mut call) = call(&shared.traffic, entry.address, request, &Flag::default()).await
+        else {
             return false;
         };
         while let Ok(Some(_)) = call.next().await {}
--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -90,9 +90,12 @@
                 };
                 return refuse(ticket, refusal);
             }
-            None => return refuse(ticket, Refusal::TimeoutNotRun),
+            None => {
+                let refusal = ticket.timeout();
+                return refuse(ticket, refusal);
+            }
         }
-        if ticket.outlasts_node(Ahead::All) {
+        if ticket.refused_by_leaving(Ahead::All) {
             return refuse(ticket, Refusal::Leaving);
         }
         self.0.budget().earn(began, &ticket.service);
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -208,10 +208,12 @@
         log::info!(event = "leaving", grace_ms = self.shared.settings.grace.as_millis() as u64; "");
         let began = self.shared.now();
         let grace = self.shared.settings.grace;
+        let given_up = began + grace.mul_f64(ANSWERED_BY);
         let cut = began + grace.mul_f64(GRACE_USED);
         // Only the first call to leave counts.
         let _earlier = self.shared.stop.set(Stop {
-            aside: began + ASIDE,
+            out_of_rotation: began + ASIDE,
+            given_up,
             cut,
         });
         self.shared.aside.set();
@@ -221,7 +223,7 @@
         self.shared.drain.set();
         self.shared.end.set();
         let over = async {
-            self.until(began + grace.mul_f64(ANSWERED_BY)).await;
+            self.until(given_up).await;
             self.shared.overtime.set();
             self.until(cut).await;
         };
