stopping: do not give up a request that its deadline ends before the node leaves

What callers saw: nothing that was traced; found by the review. The moment at which a request that waits for its stages is given up was reckoned back by an estimate that had been clamped to the time left then: with a cut in 7.4 s, a deadline in 6 s and an estimate of 7 s it was given up after 1.4 s, when it would still have been sent. Both decisions now come from one module without network, lib/src/serving/stopping.rs, with tests in virtual time.

a_request_that_is_due_before_the_node_leaves_is_not_given_up_for_it fails with the old arithmetic put back (1.44 s in place of never).

--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -20,6 +20,7 @@
 use snipeyoke_lib::serving::owners::Owners;
 use snipeyoke_lib::serving::pace::Paces;
 use snipeyoke_lib::serving::replica::Replica;
+use snipeyoke_lib::serving::stopping::Stop;
 use snipeyoke_lib::serving::upkeep::Kept;
 use snipeyoke_lib::serving::upkeep::Upkeep;
 use snipeyoke_lib::time::Time;
@@ -30,7 +31,6 @@
 
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
-use crate::leaving::Stop;
 use crate::registry::Registry;
 use crate::registry::Topic;
 use crate::settings::Settings;
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -20,4 +20,5 @@
 pub mod replica;
 pub mod returned;
 pub mod slices;
+pub mod stopping;
 pub mod upkeep;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -31,3 +31,4 @@
 mod test_serving;
 mod test_slices;
 mod test_slots;
+mod test_stopping;
