gateway: learn the time of an answer from its first send on

Found by the review: a stream that went on at another endpoint was learned as if its whole length had come in the time of its last part, and its waiting time held the part before. No caller was seen to be hurt by it; no test shows it alone.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -120,7 +120,9 @@
         log_choice(ticket, &choice);
         let mut flight = InFlight::new(&ticket.shared, &choice.entry.id, booking);
         let sent = ticket.shared.now();
-        ticket.timeline.sent = Some(sent);
+        if !ticket.begun {
+            ticket.timeline.sent = Some(sent);
+        }
         let with = Sending {
             account: ticket.account(),
             endpoint: &choice.entry.id,
