gateway: pay for no repeat that a leaving host would refuse

Found by the review: a request whose first try had failed took a repeat from the shared budget and was then refused since the host leaves, with 502 in place of its endpoint's answer. The host's time is looked at before the budget now. Answers to callers that already have a part are left out of what is learned of whole ones. No caller was seen to be hurt by either; no test shows them alone.

--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -16,6 +16,7 @@
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::catalog::Holder;
 use snipeyoke_lib::serving::catalog::Route;
+use snipeyoke_lib::serving::durations::Ahead;
 use snipeyoke_lib::serving::durations::Took;
 use snipeyoke_lib::time::Time;
 
@@ -157,7 +158,8 @@
     pub(crate) fn may_try_again(&self) -> bool {
         let more = (self.tried.len() as u32) < self.route.attempts;
         let now = self.shared.now();
-        let time = now < self.due && !self.shared.overtime.is_set();
+        let leaves = !self.begun && self.refused_by_leaving(Ahead::Answer);
+        let time = now < self.due && !self.shared.overtime.is_set() && !leaves;
         more && time && self.shared.budget().take(now, &self.service)
     }
 
@@ -197,7 +199,9 @@
         let took = now.since(self.began);
         metrics::counter!("snipeyoke_requests_total", "route" => self.route.name.clone(), "outcome" => outcome).increment(1);
         metrics::histogram!("snipeyoke_request_seconds", "outcome" => outcome).record(took);
-        if let (Some(sent), "answered") = (self.timeline.sent, outcome) {
+        // The rest of an answer says little about a whole one.
+        let whole = self.ask.last_event.is_none();
+        if let (Some(sent), "answered", true) = (self.timeline.sent, outcome, whole) {
             let took = Took {
                 wait: sent.since(self.began),
                 answer: now.since(sent),
