gateway: charge sends after lost stage results to the retry budget

Callers saw nothing of it; the endpoints of a service got more repeats than the budget allows its nodes together. An endpoint that finds a stage result gone rejects the request with 409, and the request was sent again without taking from the budget, up to twice each.

A rejected request has arrived, so that the next send is a repeat whatever the reason.

--- a/gateway/src/retry.rs
+++ b/gateway/src/retry.rs
@@ -31,10 +31,11 @@
     match attempt(ticket, &inputs, last_event).await {
         Tried::Answered(answered) => Step::Answered(answered),
         Tried::InputsGone => match stages.as_mut().map(StageWork::results_gone) {
-            Some(Ok(())) => Step::Again,
-            Some(Err(_)) | None => Step::Refused(Refusal::StageFailed),
+            // The endpoint got the request: the next send is a repeat.
+            Some(Ok(())) if again(ticket, "inputs-gone") => Step::Again,
+            Some(_) | None => Step::Refused(Refusal::StageFailed),
         },
-        Tried::NotRun(_) if ticket.may_try_again() => Step::Again,
+        Tried::NotRun(_) if again(ticket, "not-run") => Step::Again,
         Tried::Unknown(_) if may_repeat(ticket, "answer-lost") => Step::Again,
         Tried::NotRun(refusal) | Tried::Unknown(refusal) => Step::Refused(refusal),
     }
@@ -42,7 +43,12 @@
 
 /// Tells whether a request that may have run may be sent again, and pays for it.
 pub(crate) fn may_repeat(ticket: &Ticket, why: &str) -> bool {
-    let may = ticket.route.kind.may_repeat() && ticket.may_try_again();
+    ticket.route.kind.may_repeat() && again(ticket, why)
+}
+
+/// Tells whether a request may be sent again, and pays for it.
+fn again(ticket: &Ticket, why: &str) -> bool {
+    let may = ticket.may_try_again();
     if may {
         log::info!(event = "retry", request = ticket.ask.id.as_str(), why, tries = ticket.tried.len(), left_ms = ticket.left().as_millis() as u64; "");
     }
