gateway: do stages anew before a resume whose results were given back

Endpoints were sent resumes that they had to reject, and callers waited for the detour. A node gives the stage results back at the first event of a stream. A resume after that named the same results, was rejected with 409, and only then had the stages done again.

The plan knows what was given back; the stages are restarted before the send, so that the arrival that can only be rejected does not take place.

--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -76,6 +76,10 @@
         let Some(work) = work else {
             return Ok(Vec::new());
         };
+        // A resume after the first event: no endpoint can still have them.
+        if work.plan.is_given_back() && work.plan.results_gone().is_err() {
+            return Err(Refusal::StageFailed);
+        }
         while !work.plan.is_done() {
             let times = work.times(ticket);
             for order in work.plan.orders(&times) {
--- a/lib/src/serving/pieces/plan.rs
+++ b/lib/src/serving/pieces/plan.rs
@@ -249,6 +249,13 @@
         handles
     }
 
+    /// Tells whether results that the request itself needs were given back.
+    #[must_use]
+    pub fn is_given_back(&self) -> bool {
+        let last = self.last_stages();
+        last.iter().any(|&stage| self.stages[stage].freed)
+    }
+
     /// Returns all results that were not given back yet.
     pub fn remaining(&mut self) -> Vec<String> {
         let mut handles = Vec::new();
