gateway: log the fingerprint of a request and whether its endpoint ended

The logs named attempts, so that two attempts at the same request could not be told to be one, and did not tell a connection that was reset from an endpoint that ended: both read "error reading a body".

request-ended has a fingerprint: a hash of method, host, path, query, account and body.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One try of a request at one endpoint.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -7,7 +8,9 @@
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::serving::bookings::Wish;
 use snipeyoke_lib::serving::directory::Choice;
+use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::directory::Wanted;
+use snipeyoke_lib::serving::ends::Incarnation;
 use snipeyoke_lib::serving::upkeep::Kept;
 use snipeyoke_lib::time::Time;
 
@@ -72,16 +75,20 @@
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
     pub(crate) endpoint: EndpointId,
+    born: Option<u64>,
+    address: SocketAddr,
     /// Its booking, if another node may know of it.
     booking: Option<Booking>,
 }
 
 impl InFlight {
-    fn new(shared: &Arc<Shared>, endpoint: &EndpointId, booking: Option<Booking>) -> Self {
-        shared.directory().began(endpoint);
+    fn new(shared: &Arc<Shared>, entry: &Entry, booking: Option<Booking>) -> Self {
+        shared.directory().began(&entry.id);
         Self {
             shared: Arc::clone(shared),
-            endpoint: endpoint.clone(),
+            endpoint: entry.id.clone(),
+            born: entry.born,
+            address: entry.address,
             booking,
         }
     }
@@ -110,7 +117,7 @@
             return Tried::NotRun(Refusal::NoEndpoint);
         };
         log_choice(ticket, &choice);
-        let mut flight = InFlight::new(&ticket.shared, &choice.entry.id, booking);
+        let mut flight = InFlight::new(&ticket.shared, &choice.entry, booking);
         let sent = ticket.shared.now();
         let with = Sending {
             account: ticket.account(),
@@ -140,6 +147,7 @@
                     booking.failed();
                 }
                 if !error.is_not_sent() {
+                    note_break(ticket, &flight);
                     ticket.tried.push(choice.entry.id);
                     return Tried::Unknown(Refusal::AnswerLost);
                 }
@@ -340,6 +348,16 @@
     }
 }
 
+/// Notes that the connection of a call broke before its whole answer.
+pub(crate) fn note_break(ticket: &Ticket, flight: &InFlight) {
+    let run = Incarnation {
+        endpoint: flight.endpoint.clone(),
+        born: flight.born,
+    };
+    let dispatcher = &ticket.shared.dispatcher;
+    dispatcher.broke(run, flight.address, ticket.fingerprint());
+}
+
 /// Tells whether a status says that the request did not run.
 ///
 /// Passed on from an endpoint that does not vouch for it, the promise would be
--- a/gateway/src/dispatch/messages.rs
+++ b/gateway/src/dispatch/messages.rs
@@ -6,6 +6,8 @@
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::bookings::Wish;
+use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::ends::Incarnation;
 use snipeyoke_lib::serving::pieces::CallResult;
 use snipeyoke_lib::serving::pieces::Job;
 use snipeyoke_runtime::link::LinkSender;
@@ -45,6 +47,14 @@
     },
     /// Something became of a booked request of this node.
     Noted { number: u64, note: Note },
+    /// The connection of a request of this node to an endpoint broke.
+    Broke {
+        run: Incarnation,
+        address: SocketAddr,
+        request: Fingerprint,
+    },
+    /// A look at an endpoint whose connection broke tells whether it has ended.
+    Looked { run: Incarnation, ended: bool },
     /// The endpoints changed.
     EndpointsChanged,
     /// This node has a newer configuration.
--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -7,6 +7,7 @@
 mod calls;
 mod convert;
 mod copies;
+mod crashes;
 mod links;
 mod messages;
 mod neighbours;
@@ -14,6 +15,7 @@
 mod queues;
 mod run;
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -24,6 +26,8 @@
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::bookings::Wish;
+use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::ends::Incarnation;
 use snipeyoke_lib::serving::pieces::Job;
 
 pub(crate) use self::links::accept;
@@ -124,6 +128,15 @@
         self.tell(Message::GiveBack { service, results });
     }
 
+    /// Says that the connection of a request to an endpoint broke.
+    pub(crate) fn broke(&self, run: Incarnation, address: SocketAddr, request: Fingerprint) {
+        self.tell(Message::Broke {
+            run,
+            address,
+            request,
+        });
+    }
+
     /// Says that the endpoints changed.
     pub(crate) fn endpoints_changed(&self) {
         self.tell(Message::EndpointsChanged);
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -13,6 +13,7 @@
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::bookings::Bookings;
 use snipeyoke_lib::serving::bookings::Shard;
+use snipeyoke_lib::serving::ends::Ends;
 use snipeyoke_lib::serving::pieces::Job;
 use snipeyoke_lib::serving::pieces::JobId;
 use snipeyoke_lib::serving::pieces::PieceQueue;
@@ -135,6 +136,7 @@
         bookings: BTreeMap::new(),
         assembly: Assembly::default(),
         endpoints_asked: None,
+        ends: Ends::default(),
     };
     loop {
         let wake = state.wake();
@@ -183,6 +185,8 @@
     pub(super) assembly: Assembly,
     /// The neighbour that was asked for what it knows of endpoints, and when.
     pub(super) endpoints_asked: Option<(SocketAddr, Time)>,
+    /// The endpoints whose connections broke of late.
+    pub(super) ends: Ends,
 }
 
 impl State {
@@ -217,6 +221,12 @@
                 reply,
             } => self.place(number, service, wish, reply),
             Message::Noted { number, note } => self.noted(number, note),
+            Message::Broke {
+                run,
+                address,
+                request,
+            } => self.broke(run, address, request),
+            Message::Looked { run, ended } => self.looked(&run, ended),
             Message::EndpointsChanged => self.set_endpoints(),
             Message::ConfigGrew | Message::Leaving => self.tell_callers(),
             Message::CallEnded {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod dialect;
 mod dispatch;
 mod door;
+mod fingerprint;
 mod follow;
 mod node;
 mod plain;
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -12,6 +12,7 @@
 
 use crate::attempt::Answered;
 use crate::attempt::is_promise;
+use crate::attempt::note_break;
 use crate::attempt::note_failure;
 use crate::attempt::note_time;
 use crate::refusal::Refusal;
@@ -91,6 +92,7 @@
             Some(Err(error)) => {
                 log::warn!(event = "answer-broken", request = ticket.ask.id.as_str(), endpoint = answered.flight.endpoint.to_string().as_str(), error = error.to_string().as_str(); "");
                 note_failure(ticket, &mut answered.flight);
+                note_break(ticket, &answered.flight);
                 return Taken::Failed(None);
             }
         }
@@ -138,7 +140,10 @@
                 ticket.end(status, "answered");
                 None
             }
-            None | Some(Err(_)) => {
+            broken @ (None | Some(Err(_))) => {
+                if broken.is_some() {
+                    note_break(&ticket, &rest.flight);
+                }
                 ticket.end(status, "cut");
                 Some((Err(Cut), None))
             }
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -11,6 +11,7 @@
 
 use crate::attempt::Answered;
 use crate::attempt::is_promise;
+use crate::attempt::note_break;
 use crate::attempt::note_failure;
 use crate::attempt::note_time;
 use crate::plain::Head;
@@ -158,6 +159,7 @@
             let endpoint = answered.flight.endpoint.to_string();
             log::warn!(event = "stream-broken", request = self.ticket.ask.id.as_str(), endpoint = endpoint.as_str(), events = self.events.count(), why; "");
             note_failure(&self.ticket, &mut answered.flight);
+            note_break(&self.ticket, &answered.flight);
         }
         self.events.drop_rest();
         if !may_repeat(&self.ticket, "stream-broken") {
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -1,6 +1,7 @@
 //! One client attempt on its way, owned by this node alone.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -16,9 +17,11 @@
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::catalog::Holder;
 use snipeyoke_lib::serving::catalog::Route;
+use snipeyoke_lib::serving::crashes::Fingerprint;
 use snipeyoke_lib::time::Time;
 
 use crate::dialect::Ask;
+use crate::fingerprint::fingerprint;
 use crate::refusal::Refusal;
 use crate::shared::Shared;
 
@@ -30,6 +33,7 @@
     pub(crate) ask: Ask,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
+    fingerprint: OnceLock<Fingerprint>,
     pub(crate) route: Arc<Route>,
     pub(crate) service: PoolName,
     pub(crate) holder: Option<Holder>,
@@ -83,6 +87,7 @@
             ask,
             head,
             body: Bytes::new(),
+            fingerprint: OnceLock::new(),
             route,
             service,
             holder,
@@ -100,6 +105,13 @@
         self.holder.as_ref().map(|h| &h.account)
     }
 
+    /// Returns the hash by which other attempts at the same request are
+    /// recognized; the body must be there.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let hash = || fingerprint(&self.head, self.account(), &self.body);
+        *self.fingerprint.get_or_init(hash)
+    }
+
     /// Returns the urgency for a model; an account's own goes first.
     pub(crate) fn urgency(&self) -> u8 {
         let own = self.holder.as_ref().and_then(|h| h.priority);
@@ -179,6 +191,7 @@
         }
         let since = |at: Option<Time>| at.map_or(0, |at| at.since(self.began).as_millis() as u64);
         let endpoint = self.tried.last().map(ToString::to_string);
+        let fingerprint = self.fingerprint.get().map(ToString::to_string);
         log::info!(
             event = "request-ended",
             request = self.ask.id.as_str(),
@@ -192,6 +205,7 @@
             events = self.timeline.events,
             tries = self.tried.len(),
             endpoint = endpoint.as_deref().unwrap_or("-"),
+            fingerprint = fingerprint.as_deref().unwrap_or("-"),
             config = self.catalog.version();
             ""
         );
--- /dev/null
+++ b/lib/src/serving/ends.rs
@@ -0,0 +1,98 @@
+//! Which endpoints ended while they had requests.
+//!
+//! A connection that breaks may have been reset while its endpoint lives. One
+//! look at the endpoint tells, for all requests that it had.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use derive_more::Display;
+
+use crate::ids::EndpointId;
+use crate::time::Time;
+
+use super::crashes::Fingerprint;
+
+/// How long it is known that an endpoint has ended.
+const ENDED: Duration = Duration::from_secs(3);
+
+/// How long it is known that an endpoint lives.
+///
+/// Its other connections were reset within milliseconds; it may end later.
+const LIVES: Duration = Duration::from_millis(300);
+
+/// The most endpoints that are remembered.
+const ENDPOINTS_MAX: usize = 1_024;
+
+/// One life of an endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Display)]
+#[display("{endpoint}")]
+pub struct Incarnation {
+    /// Its name.
+    pub endpoint: EndpointId,
+    /// The moment of its start, as it tells it; a name may be used again.
+    pub born: Option<u64>,
+}
+
+/// What to do about a broken connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Broke {
+    /// Look whether the endpoint lives.
+    Look,
+    /// Wait for the look that is under way.
+    Waits,
+    /// The endpoint has ended.
+    Ended,
+    /// The endpoint lives.
+    Lives,
+}
+
+#[derive(Debug, Clone)]
+enum Found {
+    Looking(Vec<Fingerprint>),
+    Ended,
+    Lives,
+}
+
+/// The endpoints whose connections broke of late.
+#[derive(Debug, Clone, Default)]
+pub struct Ends {
+    found: BTreeMap<Incarnation, (Time, Found)>,
+}
+
+impl Ends {
+    /// Notes that the connection of a request broke before the whole answer.
+    pub fn broke(&mut self, now: Time, run: &Incarnation, request: Fingerprint) -> Broke {
+        self.found.retain(|_, (at, found)| {
+            let known = matches!(found, Found::Lives);
+            now.since(*at) < if known { LIVES } else { ENDED }
+        });
+        let full = self.found.len() >= ENDPOINTS_MAX;
+        match self.found.get_mut(run) {
+            Some((_, Found::Looking(waiting))) => {
+                waiting.push(request);
+                Broke::Waits
+            }
+            Some((_, Found::Ended)) => Broke::Ended,
+            Some((_, Found::Lives)) => Broke::Lives,
+            None if full => Broke::Lives,
+            None => {
+                let looking = Found::Looking(vec![request]);
+                self.found.insert(run.clone(), (now, looking));
+                Broke::Look
+            }
+        }
+    }
+
+    /// Takes in what a look found; returns the requests under which the
+    /// endpoint ended.
+    pub fn looked(&mut self, now: Time, run: &Incarnation, ended: bool) -> Vec<Fingerprint> {
+        let found = if ended { Found::Ended } else { Found::Lives };
+        let before = self.found.insert(run.clone(), (now, found));
+        match before {
+            Some((_, Found::Looking(waiting))) if ended => waiting,
+            _ => Vec::new(),
+        }
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -13,6 +13,7 @@
 mod test_config_parts;
 mod test_directory;
 mod test_drain;
+mod test_ends;
 mod test_fleet;
 mod test_freshness;
 mod test_journal;
