gateway: quarantine requests under which three endpoints have ended

Callers of a service saw streams cut and 502s in rows: one request crashed each endpoint that began to run it, came again under new ids at any host, and was sent to further endpoints each time. Nothing remembered across attempts and hosts that endpoints had ended under it.

A request is recognized by a fingerprint. The end of an endpoint under it is told to two nodes that rank first for the fingerprint; the one that counts the third end tells all nodes, and answers to looks repair what was missed. From then on the request is refused with 503 at the door and before each send, for ten minutes. A whole answer clears the ends before it, and a node that had one lifts the quarantine, so that requests that were only beside it are not refused for long. The frames between nodes have changed.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -116,6 +116,10 @@
         let Some(choice) = choice else {
             return Tried::NotRun(Refusal::NoEndpoint);
         };
+        // The verdict may have come while it waited in its stages.
+        if ticket.quarantined().is_some() {
+            return Tried::NotRun(Refusal::Quarantined);
+        }
         log_choice(ticket, &choice);
         let mut flight = InFlight::new(&ticket.shared, &choice.entry, booking);
         let sent = ticket.shared.now();
--- a/gateway/src/dispatch/asked.rs
+++ b/gateway/src/dispatch/asked.rs
@@ -47,6 +47,9 @@
 /// of hundreds fills the link for a tenth of a second.
 const CHANGES_MAX: usize = 64;
 
+/// The most verdicts on requests in an answer; the next one has more.
+const VERDICTS_MAX: usize = 64;
+
 impl State {
     pub(super) fn asked(&mut self, link: LinkNumber, body: Body) {
         match body {
@@ -56,6 +59,8 @@
             Body::SyncRequest(look) => self.asked_sync(link, &look),
             Body::RecordAsk(ask) => self.asked_record(link, &ask),
             Body::PlaceAsk(ask) => self.asked_place(link, &ask),
+            Body::EndpointEnd(end) => self.asked_end(&end),
+            Body::Quarantine(frame) => self.told_verdict(&frame),
             Body::PlaceNote(note) => self.asked_note(link, &note),
             _ => {
                 log::warn!(event = "frame-unexpected", remedy = "run the same release on all nodes"; "");
@@ -220,6 +225,10 @@
         let Some(caller) = self.callers.get_mut(&link) else {
             return;
         };
+        let crashes = self.shared.crashes();
+        let (verdicts, last) = crashes.news_since(now, caller.verdicts, VERDICTS_MAX);
+        drop(crashes);
+        seen.quarantines = verdicts.iter().map(convert::quarantine_frame).collect();
         if !look.brief {
             let owners = self.shared.owners();
             seen.known = known(&self.shared, &owners, now, caller.told);
@@ -228,10 +237,13 @@
             // A full queue is that of a silent node; its next link begins anew.
             if caller.sender.send(Body::SyncReply(seen)).is_ok() {
                 caller.told = news;
+                caller.verdicts = last;
             }
             return;
         }
-        let _full = caller.sender.send(Body::SyncReply(seen));
+        if caller.sender.send(Body::SyncReply(seen)).is_ok() {
+            caller.verdicts = last;
+        }
     }
 
     /// Returns what this node says of itself, without other nodes.
--- a/gateway/src/dispatch/convert.rs
+++ b/gateway/src/dispatch/convert.rs
@@ -4,14 +4,19 @@
 use std::time::Duration;
 
 use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Verdict;
+use snipeyoke_lib::serving::ends::Incarnation;
 use snipeyoke_lib::serving::pieces::Job;
 use snipeyoke_lib::serving::pieces::Work;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Bytes;
+use snipeyoke_wire::EndpointEnd;
 use snipeyoke_wire::KeyedRecord;
 use snipeyoke_wire::PieceJob;
 use snipeyoke_wire::PieceJobEnd;
+use snipeyoke_wire::Quarantine;
 
 use super::Done;
 use super::JobNumber;
@@ -124,3 +129,46 @@
         offset: Offset(frame.offset),
     }
 }
+
+/// Writes that an endpoint ended under a request.
+pub(super) fn end_of_endpoint_frame(request: Fingerprint, run: &Incarnation) -> EndpointEnd {
+    EndpointEnd {
+        request: request.0.to_be_bytes().to_vec().into(),
+        endpoint: run.endpoint.to_string(),
+        born: run.born,
+    }
+}
+
+/// Reads that an endpoint ended under a request; `None` if it can't be read.
+pub(super) fn end_of_endpoint(frame: &EndpointEnd) -> Option<(Fingerprint, Incarnation)> {
+    let run = Incarnation {
+        endpoint: frame.endpoint.parse().ok()?,
+        born: frame.born,
+    };
+    Some((fingerprint(&frame.request)?, run))
+}
+
+/// Writes a verdict on a request.
+pub(super) fn quarantine_frame(verdict: &Verdict) -> Quarantine {
+    Quarantine {
+        request: verdict.request.0.to_be_bytes().to_vec().into(),
+        version: verdict.version,
+        left_ms: verdict.left.as_millis() as u64,
+        span_ms: verdict.span.as_millis() as u64,
+    }
+}
+
+/// Reads a verdict on a request; `None` if it can't be read.
+pub(super) fn verdict_of(frame: &Quarantine) -> Option<Verdict> {
+    Some(Verdict {
+        request: fingerprint(&frame.request)?,
+        version: frame.version,
+        left: Duration::from_millis(frame.left_ms),
+        span: Duration::from_millis(frame.span_ms),
+    })
+}
+
+fn fingerprint(bytes: &[u8]) -> Option<Fingerprint> {
+    let bytes = <[u8; 16]>::try_from(bytes).ok()?;
+    Some(Fingerprint(u128::from_be_bytes(bytes)))
+}
--- a/gateway/src/dispatch/crashes.rs
+++ b/gateway/src/dispatch/crashes.rs
@@ -7,10 +7,17 @@
 use async_channel::Sender;
 use async_io::Timer;
 use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Learned;
+use snipeyoke_lib::serving::crashes::Verdict;
 use snipeyoke_lib::serving::ends::Broke;
 use snipeyoke_lib::serving::ends::Incarnation;
+use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::link;
+use snipeyoke_wire::EndpointEnd;
+use snipeyoke_wire::Quarantine;
+use snipeyoke_wire::frame::Body;
 
+use super::convert;
 use super::messages::Message;
 use super::run::State;
 
@@ -22,6 +29,23 @@
 /// A process that dies closes its connections in any order with its listener.
 const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
+/// How long a report is told again to nodes that count from now on.
+const REPORTED: Duration = Duration::from_secs(5);
+
+/// The most reports that are kept for this.
+const REPORTS_MAX: usize = 256;
+
+/// The latest verdicts that a node is told once a link to it is up.
+const LATEST: usize = 16;
+
+/// The end of an endpoint under a request, as it was told.
+#[derive(Debug, Clone)]
+pub(super) struct Report {
+    at: Time,
+    request: Fingerprint,
+    run: Incarnation,
+}
+
 impl State {
     pub(super) fn broke(&mut self, run: Incarnation, address: SocketAddr, request: Fingerprint) {
         let now = self.shared.now();
@@ -30,7 +54,7 @@
                 let look = look(run, address, self.inbox.clone());
                 self.scope.spawn(look);
             }
-            Broke::Ended => ended_under(&run, request),
+            Broke::Ended => self.ended_under(&run, request),
             Broke::Waits | Broke::Lives => {}
         }
     }
@@ -42,14 +66,132 @@
             log::info!(event = "endpoint-lives", endpoint = run.to_string().as_str(); "");
         }
         for request in requests {
-            ended_under(run, request);
+            self.ended_under(run, request);
+        }
+    }
+
+    /// Counts an end, and tells the nodes that count for the request.
+    fn ended_under(&mut self, run: &Incarnation, request: Fingerprint) {
+        metrics::counter!("snipeyoke_crash_strikes_total").increment(1);
+        log::warn!(event = "endpoint-ended", endpoint = run.to_string().as_str(), fingerprint = request.to_string().as_str(); "");
+        let report = Report {
+            at: self.shared.now(),
+            request,
+            run: run.clone(),
+        };
+        self.count_end(request, run);
+        self.report(&report, |_| true);
+        if self.reports.len() >= REPORTS_MAX {
+            self.reports.pop_front();
+        }
+        self.reports.push_back(report);
+    }
+
+    fn report(&mut self, report: &Report, to: impl Fn(&SocketAddr) -> bool) {
+        let now = self.shared.now();
+        let own = self.shared.settings.listen.peers;
+        let counters = self.shared.owners().counters(now, report.request);
+        for node in counters.into_iter().filter(|n| *n != own && to(n)) {
+            let frame = convert::end_of_endpoint_frame(report.request, &report.run);
+            // Without a link yet, it goes out once it is there.
+            self.send(node, Body::EndpointEnd(frame));
+        }
+    }
+
+    /// Tells a node what could not be sent before the link was up.
+    pub(super) fn report_connected(&mut self, peer: SocketAddr) {
+        for report in self.recent() {
+            self.report(&report, |node| *node == peer);
+        }
+        let now = self.shared.now();
+        let crashes = self.shared.crashes();
+        let verdicts = crashes.latest(now, LATEST);
+        drop(crashes);
+        for verdict in verdicts {
+            self.send(peer, Body::Quarantine(convert::quarantine_frame(&verdict)));
+        }
+    }
+
+    /// Tells the nodes that count now, after one that may have counted is lost.
+    pub(super) fn report_again(&mut self) {
+        for report in self.recent() {
+            self.report(&report, |_| true);
+        }
+    }
+
+    fn recent(&mut self) -> Vec<Report> {
+        let now = self.shared.now();
+        self.reports.retain(|r| now.since(r.at) < REPORTED);
+        self.reports.iter().cloned().collect()
+    }
+
+    /// Takes in that an endpoint ended under another node's request.
+    pub(super) fn asked_end(&mut self, frame: &EndpointEnd) {
+        let Some((request, run)) = convert::end_of_endpoint(frame) else {
+            log::warn!(event = "endpoint-end-unreadable", remedy = "run the same release on all nodes"; "");
+            return;
+        };
+        self.count_end(request, &run);
+    }
+
+    fn count_end(&mut self, request: Fingerprint, run: &Incarnation) {
+        let now = self.shared.now();
+        let mut crashes = self.shared.crashes();
+        let mut ends: Vec<String> = crashes.ends(request).map(ToString::to_string).collect();
+        let verdict = crashes.ended(now, request, run);
+        drop(crashes);
+        let Some(verdict) = verdict else {
+            return;
+        };
+        ends.push(run.to_string());
+        metrics::counter!("snipeyoke_quarantines_total").increment(1);
+        log::warn!(event = "request-quarantined", fingerprint = request.to_string().as_str(), endpoints = ends.join(",").as_str(), span_ms = verdict.span.as_millis() as u64, left_ms = verdict.left.as_millis() as u64; "");
+        self.tell_all(verdict);
+    }
+
+    /// Takes in a verdict of another node.
+    pub(super) fn told_verdict(&mut self, frame: &Quarantine) {
+        let Some(verdict) = convert::verdict_of(frame) else {
+            log::warn!(event = "quarantine-unreadable", remedy = "run the same release on all nodes"; "");
+            return;
+        };
+        let now = self.shared.now();
+        let learned = self.shared.crashes().learn(now, verdict);
+        match learned {
+            Learned::Known => {}
+            Learned::News => log_learned(&verdict),
+            Learned::Objected(lifted) => self.tell_all(lifted),
+        }
+    }
+
+    /// Tells all nodes what this one has found of a request.
+    pub(super) fn tell_all(&mut self, verdict: Verdict) {
+        if verdict.left.is_zero() {
+            log::info!(event = "quarantine-lifted", fingerprint = verdict.request.to_string().as_str(), why = "answered"; "");
+        }
+        let now = self.shared.now();
+        let nodes: Vec<SocketAddr> = self.shared.owners().live(now).map(|(a, _)| a).collect();
+        let frame = convert::quarantine_frame(&verdict);
+        for node in nodes {
+            let linked = self.peers.get(&node).is_some_and(|p| p.sender.is_some());
+            let caller = self.callers.values().find(|c| c.node == Some(node));
+            match caller {
+                Some(caller) if !linked => {
+                    let _full = caller.sender.send(Body::Quarantine(frame.clone()));
+                }
+                _ => self.send(node, Body::Quarantine(frame.clone())),
+            }
         }
     }
 }
 
-fn ended_under(run: &Incarnation, request: Fingerprint) {
-    metrics::counter!("snipeyoke_crash_strikes_total").increment(1);
-    log::warn!(event = "endpoint-ended", endpoint = run.to_string().as_str(), fingerprint = request.to_string().as_str(); "");
+fn log_learned(verdict: &Verdict) {
+    let fingerprint = verdict.request.to_string();
+    if verdict.left.is_zero() {
+        log::info!(event = "quarantine-lifted", fingerprint = fingerprint.as_str(), why = "told"; "");
+        return;
+    }
+    log::info!(event = "quarantine-learned", fingerprint = fingerprint.as_str(), left_ms = verdict.left.as_millis() as u64; "");
 }
 
 /// Tells whether an endpoint whose connection broke has ended.
--- a/gateway/src/dispatch/messages.rs
+++ b/gateway/src/dispatch/messages.rs
@@ -7,6 +7,7 @@
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::bookings::Wish;
 use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Verdict;
 use snipeyoke_lib::serving::ends::Incarnation;
 use snipeyoke_lib::serving::pieces::CallResult;
 use snipeyoke_lib::serving::pieces::Job;
@@ -55,6 +56,8 @@
     },
     /// A look at an endpoint whose connection broke tells whether it has ended.
     Looked { run: Incarnation, ended: bool },
+    /// All other nodes are to know this of a request.
+    Verdict(Verdict),
     /// The endpoints changed.
     EndpointsChanged,
     /// This node has a newer configuration.
--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -27,6 +27,7 @@
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::bookings::Wish;
 use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Verdict;
 use snipeyoke_lib::serving::ends::Incarnation;
 use snipeyoke_lib::serving::pieces::Job;
 
@@ -137,6 +138,11 @@
         });
     }
 
+    /// Says what all other nodes are to know of a request.
+    pub(crate) fn tell_verdict(&self, verdict: Verdict) {
+        self.tell(Message::Verdict(verdict));
+    }
+
     /// Says that the endpoints changed.
     pub(crate) fn endpoints_changed(&self) {
         self.tell(Message::EndpointsChanged);
--- a/gateway/src/dispatch/neighbours.rs
+++ b/gateway/src/dispatch/neighbours.rs
@@ -49,6 +49,7 @@
             }
             Body::SyncReply(seen) => self.take_sync(peer, seen),
             Body::RecordSlice(slice) => self.take_slice(peer, slice),
+            Body::Quarantine(frame) => self.told_verdict(&frame),
             Body::Placed(placed) => self.answered_place(&placed),
             _ => {
                 log::warn!(event = "frame-unexpected", peer = peer.to_string().as_str(), remedy = "run the same release on all nodes"; "");
@@ -65,6 +66,9 @@
         }
         let count = owners.count();
         drop(owners);
+        for frame in &seen.quarantines {
+            self.told_verdict(frame);
+        }
         self.shared.budget().share(count);
         let next = Offset(seen.config_next);
         self.shared.told_config(peer, next, seen.config_bytes);
@@ -247,6 +251,7 @@
         let numbers: Vec<JobNumber> = held.map(|(&n, _)| n).collect();
         log::info!(event = "node-lost", peer = peer.to_string().as_str(), why, jobs = numbers.len(); "");
         self.give_back_missed(peer);
+        self.report_again();
         for number in numbers {
             if let Some(ticket) = self.pending.remove(&number) {
                 self.submit(number, ticket.service, ticket.job, ticket.reply);
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -1,6 +1,7 @@
 //! The dispatcher's task.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +33,7 @@
 use super::Failure;
 use super::JobNumber;
 use super::convert;
+use super::crashes::Report;
 use super::links;
 use super::messages::LinkNumber;
 use super::messages::Message;
@@ -86,6 +88,8 @@
     pub(super) node: Option<SocketAddr>,
     /// The last news of other nodes that it was told.
     pub(super) told: u64,
+    /// The last news of requests that it was told.
+    pub(super) verdicts: u64,
 }
 
 /// A result that was handed to another node.
@@ -137,6 +141,7 @@
         assembly: Assembly::default(),
         endpoints_asked: None,
         ends: Ends::default(),
+        reports: VecDeque::new(),
     };
     loop {
         let wake = state.wake();
@@ -187,6 +192,8 @@
     pub(super) endpoints_asked: Option<(SocketAddr, Time)>,
     /// The endpoints whose connections broke of late.
     pub(super) ends: Ends,
+    /// What this node told of the ends of endpoints of late.
+    pub(super) reports: VecDeque<Report>,
 }
 
 impl State {
@@ -227,6 +234,7 @@
                 request,
             } => self.broke(run, address, request),
             Message::Looked { run, ended } => self.looked(&run, ended),
+            Message::Verdict(verdict) => self.tell_all(verdict),
             Message::EndpointsChanged => self.set_endpoints(),
             Message::ConfigGrew | Message::Leaving => self.tell_callers(),
             Message::CallEnded {
@@ -252,6 +260,7 @@
                     sender,
                     node: None,
                     told: 0,
+                    verdicts: 0,
                 };
                 self.callers.insert(link, caller);
             }
@@ -362,6 +371,7 @@
         self.give_back_missed(peer);
         self.sync(peer);
         self.ask_once_connected(peer);
+        self.report_connected(peer);
     }
 
     /// Hands in the jobs that waited until the owners are known.
--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -94,6 +94,9 @@
         if self.0.leaves_before(&ticket.route.name) {
             return refuse(ticket, Refusal::Leaving);
         }
+        if ticket.quarantined().is_some() {
+            return refuse(ticket, Refusal::Quarantined);
+        }
         self.0.budget().earn(began, &ticket.service);
         drive(ticket).await
     }
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -62,10 +62,10 @@
         refusal
     };
     ticket.end(refusal.status(), refusal.name());
-    let wait = if refusal == Refusal::Leaving {
-        elsewhere(ticket.draw())
-    } else {
-        come_back(ticket.backlog, ticket.left(), ticket.draw())
+    let wait = match refusal {
+        Refusal::Leaving => elsewhere(ticket.draw()),
+        Refusal::Quarantined => ticket.quarantined().unwrap_or_default(),
+        _ => come_back(ticket.backlog, ticket.left(), ticket.draw()),
     };
     refusal.reply(wait)
 }
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -36,6 +36,8 @@
     StageFailed,
     /// Time is over, and nothing was sent.
     TimeoutNotRun,
+    /// Endpoints end under it, and nothing was sent.
+    Quarantined,
     /// The node leaves before the answer would end, and nothing was sent.
     Leaving,
     /// Time is over, and the request may have run.
@@ -59,6 +61,7 @@
             Self::StagesLate => "stages-late",
             Self::StageFailed => "stage-failed",
             Self::TimeoutNotRun => "timeout-not-run",
+            Self::Quarantined => "quarantined",
             Self::Leaving => "leaving",
             Self::Timeout => "timeout",
             Self::AnswerLost => "answer-lost",
@@ -80,6 +83,7 @@
             | Self::StagesLate
             | Self::StageFailed
             | Self::TimeoutNotRun
+            | Self::Quarantined
             | Self::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/gateway/src/retry.rs
+++ b/gateway/src/retry.rs
@@ -35,6 +35,7 @@
             Some(Ok(())) if again(ticket, "inputs-gone") => Step::Again,
             Some(_) | None => Step::Refused(Refusal::StageFailed),
         },
+        Tried::NotRun(Refusal::Quarantined) => Step::Refused(Refusal::Quarantined),
         Tried::NotRun(_) if again(ticket, "not-run") => Step::Again,
         Tried::Unknown(_) if may_repeat(ticket, "answer-lost") => Step::Again,
         Tried::NotRun(refusal) | Tried::Unknown(refusal) => Step::Refused(refusal),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -15,6 +15,7 @@
 use snipeyoke_lib::serving::budget::SharedBudget;
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::catch_up::CatchUp;
+use snipeyoke_lib::serving::crashes::Crashes;
 use snipeyoke_lib::serving::directory::Directory;
 use snipeyoke_lib::serving::durations::Durations;
 use snipeyoke_lib::serving::owners::Owners;
@@ -84,6 +85,7 @@
     durations: Mutex<Durations>,
     replicas: Mutex<Replicas>,
     catch_up: Mutex<CatchUp>,
+    crashes: Mutex<Crashes>,
     upkeep: Mutex<Upkeep>,
 }
 
@@ -108,6 +110,7 @@
             budget: Mutex::new(SharedBudget::new(settings.retries)),
             owners: Mutex::new(Owners::new(settings.listen.peers, settings.power)),
             paces: Mutex::default(),
+            crashes: Mutex::default(),
             durations: Mutex::default(),
             replicas: Mutex::default(),
             upkeep: Mutex::new(Upkeep::new(settings.change, settings.notice)),
@@ -164,6 +167,10 @@
         lock(&self.catch_up)
     }
 
+    pub(crate) fn crashes(&self) -> MutexGuard<'_, Crashes> {
+        lock(&self.crashes)
+    }
+
     pub(crate) fn upkeep(&self) -> MutexGuard<'_, Upkeep> {
         lock(&self.upkeep)
     }
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -112,6 +112,13 @@
         *self.fingerprint.get_or_init(hash)
     }
 
+    /// Returns for how much longer it is refused because endpoints end under it.
+    pub(crate) fn quarantined(&self) -> Option<Duration> {
+        let now = self.shared.now();
+        let request = self.fingerprint();
+        self.shared.crashes().quarantined(now, request)
+    }
+
     /// Returns the urgency for a model; an account's own goes first.
     pub(crate) fn urgency(&self) -> u8 {
         let own = self.holder.as_ref().and_then(|h| h.priority);
@@ -188,6 +195,10 @@
         metrics::histogram!("snipeyoke_request_seconds", "outcome" => outcome).record(took);
         if outcome == "answered" {
             self.shared.durations().observe(&self.route.name, took);
+            let lifted = self.shared.crashes().answered(now, self.fingerprint());
+            if let Some(lifted) = lifted {
+                self.shared.dispatcher.tell_verdict(lifted);
+            }
         }
         let since = |at: Option<Time>| at.map_or(0, |at| at.since(self.began).as_millis() as u64);
         let endpoint = self.tried.last().map(ToString::to_string);
--- a/lib/src/serving/crashes.rs
+++ b/lib/src/serving/crashes.rs
@@ -1,10 +1,288 @@
-//! Requests under which endpoints end.
+//! Requests under which endpoints end, and which therefore are refused.
+//!
+//! Each node tells the end of an endpoint under a request to the nodes that count
+//! for this request. After the third end the request is quarantined: the node
+//! that finds this tells all others. See `docs/design/crashing-requests.md`.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::num::ParseIntError;
+use std::str::FromStr;
+use std::time::Duration;
 
 use derive_more::Display;
-use derive_more::FromStr;
+
+use super::ends::Incarnation;
+use crate::time::Time;
+
+/// The ends after which a request is quarantined.
+///
+/// A host or a rack that fails takes one or two endpoints of a request with it.
+const ENDS: usize = 3;
+
+/// How long an end counts, and how long a request is quarantined after one.
+///
+/// Long against the pace at which callers come back; a caller that has gone on
+/// for longer ends one endpoint in this time.
+const REMEMBERED: Duration = Duration::from_mins(10);
+
+/// The difference that one more end makes to how long a quarantine lasts.
+///
+/// Each node that passes a verdict on adds the time of its way.
+const LONGER: Duration = Duration::from_secs(5);
+
+/// The most requests whose ends are counted.
+const SUSPECTS_MAX: usize = 2_048;
+
+/// The most requests of which it is known that they are, or were, quarantined.
+const RECORDS_MAX: usize = 1_024;
+
+/// The most answered requests that are remembered.
+const ANSWERED_MAX: usize = 4_096;
 
 /// The hash of what makes two attempts the same request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-#[derive(Display, FromStr)]
+#[derive(Display)]
 #[display("{_0:032x}")]
 pub struct Fingerprint(pub u128);
+
+impl FromStr for Fingerprint {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(text, 16).map(Self)
+    }
+}
+
+/// What a node tells others of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Verdict {
+    /// The request.
+    pub request: Fingerprint,
+    /// Counts the verdicts on this request; the highest is in force.
+    pub version: u32,
+    /// How long it is quarantined from now on; zero if that is lifted.
+    pub left: Duration,
+    /// How long ago the first end was that led to it.
+    pub span: Duration,
+}
+
+/// What became of a verdict that another node told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Learned {
+    /// It was known.
+    Known,
+    /// It is in force now.
+    News,
+    /// The request was answered since its first end: all are to be told this.
+    Objected(Verdict),
+}
+
+#[derive(Debug, Clone)]
+struct End {
+    at: Time,
+    run: Incarnation,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Record {
+    version: u32,
+    /// `None` if the quarantine was lifted.
+    until: Option<Time>,
+    first: Time,
+    /// When it was last changed, and the number of that change.
+    at: Time,
+    news: u64,
+}
+
+/// What one node knows of requests under which endpoints end.
+#[derive(Debug, Clone, Default)]
+pub struct Crashes {
+    suspects: BTreeMap<Fingerprint, Vec<End>>,
+    records: BTreeMap<Fingerprint, Record>,
+    answered: BTreeMap<Fingerprint, Time>,
+    order: VecDeque<(Time, Fingerprint)>,
+    news: u64,
+}
+
+impl Crashes {
+    /// Notes that an endpoint ended under a request.
+    ///
+    /// Returns a verdict that all other nodes are to be told.
+    pub fn ended(&mut self, now: Time, request: Fingerprint, run: &Incarnation) -> Option<Verdict> {
+        self.sweep(now);
+        if let Some(record) = self.records.get(&request).copied()
+            && let Some(until) = record.until
+        {
+            // It was under way when it was quarantined, or began anew after it.
+            let again = until <= now;
+            let first = if again { now } else { record.first };
+            let version = record.version + u32::from(again);
+            let verdict = self.set(now, request, version, Some(now + REMEMBERED), first);
+            return again.then_some(verdict);
+        }
+        let ends = self.suspects.entry(request).or_default();
+        ends.retain(|e| now.since(e.at) < REMEMBERED);
+        if ends.iter().all(|e| e.run != *run) {
+            let run = run.clone();
+            ends.push(End { at: now, run });
+        }
+        if ends.len() < ENDS {
+            self.bound_suspects();
+            return None;
+        }
+        let first = ends.first().map_or(now, |e| e.at);
+        let version = self.records.get(&request).map_or(1, |r| r.version + 1);
+        Some(self.set(now, request, version, Some(now + REMEMBERED), first))
+    }
+
+    /// Notes that a request was answered whole.
+    ///
+    /// Returns a verdict that all other nodes are to be told.
+    pub fn answered(&mut self, now: Time, request: Fingerprint) -> Option<Verdict> {
+        self.suspects.remove(&request);
+        self.answered.insert(request, now);
+        self.order.push_back((now, request));
+        if self.order.len() > ANSWERED_MAX
+            && let Some((at, oldest)) = self.order.pop_front()
+            && self.answered.get(&oldest) == Some(&at)
+        {
+            self.answered.remove(&oldest);
+        }
+        let record = self.records.get(&request).filter(|r| r.until.is_some())?;
+        let version = record.version + 1;
+        Some(self.set(now, request, version, None, now))
+    }
+
+    /// Takes in a verdict that another node told.
+    pub fn learn(&mut self, now: Time, told: Verdict) -> Learned {
+        self.sweep(now);
+        let request = told.request;
+        let left = told.left.min(REMEMBERED);
+        let until = (!left.is_zero()).then(|| now + left);
+        let held = self.records.get(&request);
+        let (version, held_until) = held.map_or((0, None), |r| (r.version, r.until));
+        // Nodes whose verdicts have the same number found it at the same time.
+        let least = held_until.map(|u| u + LONGER);
+        if (told.version, until) <= (version, least) {
+            return Learned::Known;
+        }
+        let known = told.version == version && held_until.is_some();
+        let first = now - told.span;
+        let answered = self.answered.get(&request).is_some_and(|&at| at > first);
+        if until.is_some() && answered {
+            let lifted = self.set(now, request, told.version + 1, None, now);
+            return Learned::Objected(lifted);
+        }
+        self.set(now, request, told.version, until, first);
+        if known { Learned::Known } else { Learned::News }
+    }
+
+    /// Returns for how much longer a request is quarantined.
+    #[must_use]
+    pub fn quarantined(&self, now: Time, request: Fingerprint) -> Option<Duration> {
+        let until = self.records.get(&request)?.until?;
+        Some(until.since(now)).filter(|left| !left.is_zero())
+    }
+
+    /// Returns the endpoints that ended under a request that is not quarantined.
+    pub fn ends(&self, request: Fingerprint) -> impl Iterator<Item = &Incarnation> {
+        self.suspects
+            .get(&request)
+            .into_iter()
+            .flatten()
+            .map(|e| &e.run)
+    }
+
+    /// Returns the verdicts since the one numbered `since`, oldest first, `most`
+    /// of them at most, and the number to ask for the next ones.
+    #[must_use]
+    pub fn news_since(&self, now: Time, since: u64, most: usize) -> (Vec<Verdict>, u64) {
+        if since >= self.news {
+            return (Vec::new(), self.news);
+        }
+        let newer = self.records.iter().filter(|(_, r)| r.news > since);
+        let mut newer: Vec<(&Fingerprint, &Record)> = newer.collect();
+        newer.sort_unstable_by_key(|(_, r)| r.news);
+        let more = newer.len() > most;
+        newer.truncate(most);
+        let last = newer.last().map_or(self.news, |(_, r)| r.news);
+        let current = newer
+            .iter()
+            .filter(|(_, r)| r.until.is_none_or(|u| u > now));
+        let verdicts = current.map(|(request, r)| verdict(now, **request, r));
+        (verdicts.collect(), if more { last } else { self.news })
+    }
+
+    /// Returns the latest verdicts, `most` of them at most.
+    #[must_use]
+    pub fn latest(&self, now: Time, most: usize) -> Vec<Verdict> {
+        let mut news: Vec<u64> = self.records.values().map(|r| r.news).collect();
+        news.sort_unstable_by(|a, b| b.cmp(a));
+        let since = news.get(most).copied().unwrap_or_default();
+        self.news_since(now, since, most).0
+    }
+
+    /// Returns the number of requests that are quarantined, and of those whose
+    /// ends are counted.
+    #[must_use]
+    pub fn counts(&self, now: Time) -> (usize, usize) {
+        let active = |r: &&Record| r.until.is_some_and(|u| u > now);
+        let quarantined = self.records.values().filter(active).count();
+        (quarantined, self.suspects.len())
+    }
+
+    fn set(
+        &mut self,
+        now: Time,
+        request: Fingerprint,
+        version: u32,
+        until: Option<Time>,
+        first: Time,
+    ) -> Verdict {
+        self.suspects.remove(&request);
+        self.news += 1;
+        let record = Record {
+            version,
+            until,
+            first,
+            at: now,
+            news: self.news,
+        };
+        self.records.insert(request, record);
+        if self.records.len() > RECORDS_MAX {
+            let oldest = self.records.iter().min_by_key(|(_, r)| r.at);
+            if let Some((&oldest, _)) = oldest {
+                self.records.remove(&oldest);
+            }
+        }
+        verdict(now, request, &record)
+    }
+
+    /// Forgets what is over. A request that was quarantined is remembered for as
+    /// long again: one more end puts it back.
+    fn sweep(&mut self, now: Time) {
+        self.records
+            .retain(|_, r| now.since(r.until.unwrap_or(r.at)) < REMEMBERED);
+    }
+
+    fn bound_suspects(&mut self) {
+        if self.suspects.len() <= SUSPECTS_MAX {
+            return;
+        }
+        let last = |ends: &[End]| ends.last().map(|e| e.at);
+        let oldest = self.suspects.iter().min_by_key(|(_, ends)| last(ends));
+        if let Some((&oldest, _)) = oldest {
+            self.suspects.remove(&oldest);
+        }
+    }
+}
+
+fn verdict(now: Time, request: Fingerprint, record: &Record) -> Verdict {
+    Verdict {
+        request,
+        version: record.version,
+        left: record.until.map_or(Duration::ZERO, |u| u.since(now)),
+        span: now.since(record.first),
+    }
+}
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -16,6 +16,7 @@
 use rapidhash::v3::rapidhash_v3_seeded;
 
 use super::bookings::Shard;
+use super::crashes::Fingerprint;
 use crate::ids::PoolName;
 use crate::time::Time;
 use crate::units::MilliCores;
@@ -35,6 +36,11 @@
 /// them all in turn would ask hundreds. Three are away together rarely enough.
 const READERS: usize = 3;
 
+/// The nodes that count the ends of endpoints under one request.
+///
+/// Two: what one of them counted is not lost with it.
+const COUNTERS: usize = 2;
+
 /// How long a node that was not heard of is remembered.
 const FORGOTTEN: Duration = Duration::from_mins(1);
 
@@ -238,6 +244,18 @@
         self.first(now, &format!("{service}, part {}", shard.index))
     }
 
+    /// Returns the nodes that count the ends of endpoints under a request, as of
+    /// now.
+    #[must_use]
+    pub fn counters(&self, now: Time, request: Fingerprint) -> Vec<SocketAddr> {
+        let subject = request.to_string();
+        let ranked = self.strong(now).map(|a| (rank(&subject, &a), a));
+        let mut ranked: Vec<(u64, SocketAddr)> = ranked.collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        let counters = ranked.into_iter().take(COUNTERS);
+        counters.map(|(_, node)| node).collect()
+    }
+
     fn first(&self, now: Time, subject: &str) -> SocketAddr {
         let strong = self.strong(now);
         let first = strong.max_by_key(|a| (rank(subject, a), *a));
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -11,6 +11,8 @@
 mod test_config_fold;
 mod test_config_model;
 mod test_config_parts;
+mod test_crashes;
+mod test_crashes_random;
 mod test_directory;
 mod test_drain;
 mod test_ends;
--- /dev/null
+++ b/lib/tests/test_crashes.rs
@@ -0,0 +1,192 @@
+//! Requests under which endpoints end: what is counted, and for how long.
+
+use std::time::Duration;
+
+use snipeyoke_lib::serving::crashes::Crashes;
+use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Learned;
+use snipeyoke_lib::serving::crashes::Verdict;
+use snipeyoke_lib::serving::ends::Incarnation;
+use snipeyoke_lib::time::Time;
+
+const REQUEST: Fingerprint = Fingerprint(0x5c1e);
+
+fn run(n: u64) -> Incarnation {
+    Incarnation {
+        endpoint: format!("i-{n}").parse().expect("a name"),
+        born: Some(n),
+    }
+}
+
+fn at(secs: u64) -> Time {
+    Time::from_millis(1_000_000 + secs * 1_000)
+}
+
+/// Returns a node that has just counted the third end, and its verdict.
+fn quarantined() -> (Crashes, Verdict) {
+    let mut crashes = Crashes::default();
+    assert_eq!(crashes.ended(at(0), REQUEST, &run(1)), None);
+    assert_eq!(crashes.ended(at(1), REQUEST, &run(2)), None);
+    let verdict = crashes.ended(at(2), REQUEST, &run(3));
+    (crashes, verdict.expect("three have ended"))
+}
+
+#[test]
+fn the_third_end_quarantines_a_request() {
+    let (crashes, verdict) = quarantined();
+    assert_eq!(verdict.span, Duration::from_secs(2));
+    assert_eq!(crashes.quarantined(at(2), REQUEST), Some(verdict.left));
+    assert_eq!(crashes.quarantined(at(2), Fingerprint(1)), None);
+    assert_eq!(crashes.quarantined(at(700), REQUEST), None);
+}
+
+/// Guards against one end that counts three times because several nodes, or one
+/// of them several times, tell it.
+#[test]
+fn an_end_counts_once_whoever_tells_it() {
+    let mut crashes = Crashes::default();
+    for secs in 0..9 {
+        let run = run(secs % 2);
+        assert_eq!(crashes.ended(at(secs), REQUEST, &run), None);
+    }
+    let again = Incarnation {
+        born: Some(77),
+        ..run(1)
+    };
+    assert!(crashes.ended(at(9), REQUEST, &again).is_some());
+}
+
+#[test]
+fn old_ends_do_not_count() {
+    let mut crashes = Crashes::default();
+    for n in 0..20 {
+        assert_eq!(crashes.ended(at(n * 400), REQUEST, &run(n)), None);
+    }
+}
+
+/// Guards against a request that is often asked and answered, and is refused
+/// because it was beside one that ends endpoints.
+#[test]
+fn an_answer_clears_the_ends_before_it() {
+    let mut crashes = Crashes::default();
+    for n in 0..20 {
+        assert_eq!(crashes.ended(at(n), REQUEST, &run(n)), None);
+        if n % 2 == 1 {
+            assert_eq!(crashes.answered(at(n), REQUEST), None);
+        }
+    }
+}
+
+#[test]
+fn a_node_that_had_an_answer_objects_and_all_lift_the_quarantine() {
+    let (mut counter, verdict) = quarantined();
+    let mut witness = Crashes::default();
+    witness.answered(at(1), REQUEST);
+    let Learned::Objected(lifted) = witness.learn(at(2), verdict) else {
+        panic!("it had an answer after the first end");
+    };
+    assert_eq!(witness.quarantined(at(2), REQUEST), None);
+    assert_eq!(counter.learn(at(2), lifted), Learned::News);
+    assert_eq!(counter.quarantined(at(2), REQUEST), None);
+    // A third node hears of both, the newer one first.
+    let mut late = Crashes::default();
+    late.learn(at(3), lifted);
+    assert_eq!(late.learn(at(3), verdict), Learned::Known);
+    assert_eq!(late.quarantined(at(3), REQUEST), None);
+}
+
+#[test]
+fn an_answer_before_the_first_end_is_no_objection() {
+    let (_, verdict) = quarantined();
+    let mut node = Crashes::default();
+    node.answered(at(0), REQUEST);
+    assert_eq!(node.learn(at(3), verdict), Learned::News);
+    assert!(node.quarantined(at(3), REQUEST).is_some());
+}
+
+#[test]
+fn one_more_end_after_a_quarantine_puts_it_back() {
+    let (mut crashes, _) = quarantined();
+    let later = at(2 + 600 + 60);
+    assert_eq!(crashes.quarantined(later, REQUEST), None);
+    let verdict = crashes.ended(later, REQUEST, &run(9)).expect("a new one");
+    assert_eq!(verdict.version, 2);
+    assert!(crashes.quarantined(later, REQUEST).is_some());
+    assert!(crashes.answered(later, REQUEST).is_some(), "it is lifted");
+}
+
+/// Guards against two nodes that tell each other the same verdict for ever, a
+/// little longer each time.
+#[test]
+fn a_verdict_that_comes_back_is_no_news() {
+    let (mut first, _) = quarantined();
+    let mut second = Crashes::default();
+    let (mut told, mut heard) = (0, 0);
+    let mut frames = 0;
+    for n in 0..400 {
+        let now = at(3) + Duration::from_millis(n * 250);
+        let (verdicts, last) = first.news_since(now, told, 64);
+        told = last;
+        frames += verdicts.len();
+        for verdict in verdicts {
+            second.learn(now + Duration::from_millis(50), verdict);
+        }
+        let (verdicts, last) = second.news_since(now, heard, 64);
+        heard = last;
+        frames += verdicts.len();
+        for verdict in verdicts {
+            first.learn(now + Duration::from_millis(50), verdict);
+        }
+    }
+    assert_eq!(frames, 2);
+}
+
+#[test]
+fn news_come_in_parts_and_each_once() {
+    let mut crashes = Crashes::default();
+    for n in 0..50_u64 {
+        for end in 0..3 {
+            crashes.ended(at(n), Fingerprint(u128::from(n)), &run(3 * n + end));
+        }
+    }
+    let mut told = 0;
+    let mut all = Vec::new();
+    for _ in 0..5 {
+        let (verdicts, last) = crashes.news_since(at(60), told, 20);
+        told = last;
+        all.extend(verdicts.iter().map(|v| v.request));
+    }
+    assert_eq!(all.len(), 50);
+    assert_eq!(crashes.latest(at(60), 16).len(), 16);
+}
+
+/// Guards against tables that grow with the requests of a long outage.
+#[test]
+fn the_tables_are_bounded_and_the_oldest_yields() {
+    let mut crashes = Crashes::default();
+    for n in 0..10_000_u64 {
+        let request = Fingerprint(u128::from(n));
+        crashes.ended(at(0), request, &run(n));
+        crashes.answered(at(0), Fingerprint(u128::from(n) << 64));
+    }
+    let (_, suspects) = crashes.counts(at(0));
+    assert_eq!(suspects, 2_048);
+    for n in 0..5_000_u64 {
+        for end in 0..3 {
+            let request = Fingerprint(u128::from(n) << 32);
+            let now = at(1) + Duration::from_millis(n);
+            crashes.ended(now, request, &run(3 * n + end));
+        }
+    }
+    let (quarantined, _) = crashes.counts(at(7));
+    assert_eq!(quarantined, 1_024);
+    let newest = Fingerprint(4_999 << 32);
+    assert!(crashes.quarantined(at(7), newest).is_some());
+}
+
+#[test]
+fn a_fingerprint_reads_as_it_is_written() {
+    let text = REQUEST.to_string();
+    assert_eq!(text.len(), 32);
+    assert_eq!(text.parse(), Ok(REQUEST));
+}
--- /dev/null
+++ b/lib/tests/test_crashes_random.rs
@@ -0,0 +1,299 @@
+//! Requests under which endpoints end, over several nodes that come and go.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
+use snipeyoke_lib::serving::crashes::Crashes;
+use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Learned;
+use snipeyoke_lib::serving::crashes::Verdict;
+use snipeyoke_lib::serving::ends::Incarnation;
+use snipeyoke_lib::serving::owners::Owners;
+use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::MilliCores;
+
+/// How long a node has to be up to know what the others know.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// The sends that a request may have later than this after its third end.
+const SENDS_MAX: usize = 3;
+
+/// One step of the virtual clock, in milliseconds.
+const STEP: u64 = 10;
+
+/// The time between two looks of a node at another.
+const LOOK: u64 = 250;
+
+/// How long others take to find a node silent.
+const SILENT: Duration = Duration::from_millis(750);
+
+/// A request that ends every endpoint that runs it.
+const DEADLY: Fingerprint = Fingerprint(7);
+
+#[derive(Debug, Clone)]
+enum Event {
+    /// A send of a request ends its endpoint.
+    Ends(Fingerprint, Incarnation),
+    /// Another node tells the end of an endpoint.
+    Reported(Fingerprint, Incarnation),
+    Told(Verdict),
+    Down,
+    Up,
+}
+
+#[derive(Debug)]
+struct Node {
+    owners: Owners,
+    crashes: Crashes,
+    up: bool,
+    since: Time,
+    /// What it told each other node, by the life of that node.
+    told: BTreeMap<(usize, Time), u64>,
+    sent: Vec<(Time, Fingerprint, Incarnation)>,
+}
+
+#[derive(Debug)]
+struct World {
+    now: Time,
+    nodes: Vec<Node>,
+    /// By time, then by number.
+    events: BTreeMap<(Time, usize), (usize, Event)>,
+    count: usize,
+    endpoints: u64,
+    /// Draws of the way of each message, used in turn.
+    draws: Vec<u8>,
+    /// The ends that a node in use has seen, by request.
+    ends: BTreeMap<Fingerprint, BTreeSet<Incarnation>>,
+    third: Option<Time>,
+    late: usize,
+}
+
+fn address(n: usize) -> SocketAddr {
+    ([10, 0, 0, 1], 1_000 + n as u16).into()
+}
+
+impl World {
+    fn new(nodes: usize, draws: Vec<u8>) -> Self {
+        let now = Time::from_millis(10_000_000);
+        let node = |n| {
+            let mut owners = Owners::new(address(n), MilliCores(500));
+            for other in 0..nodes {
+                owners.learn(now, address(other));
+            }
+            Node {
+                owners,
+                crashes: Crashes::default(),
+                up: true,
+                since: Time::ZERO,
+                told: BTreeMap::new(),
+                sent: Vec::new(),
+            }
+        };
+        Self {
+            now,
+            nodes: (0..nodes).map(node).collect(),
+            events: BTreeMap::new(),
+            count: 0,
+            endpoints: 0,
+            draws,
+            ends: BTreeMap::new(),
+            third: None,
+            late: 0,
+        }
+    }
+
+    fn draw(&self) -> u64 {
+        u64::from(self.draws[self.count % self.draws.len()])
+    }
+
+    fn later(&mut self, millis: u64, node: usize, event: Event) {
+        self.count += 1;
+        let at = self.now + Duration::from_millis(millis);
+        self.events.insert((at, self.count), (node, event));
+    }
+
+    /// A caller's request comes to a node.
+    fn ask(&mut self, node: usize, request: Fingerprint, millis: u64) {
+        let held = &self.nodes[node];
+        if !held.up || held.crashes.quarantined(self.now, request).is_some() {
+            return;
+        }
+        let knows = self.now.since(held.since) > CONTACT;
+        let late = self.third.is_some_and(|t| self.now.since(t) > CONTACT);
+        if request == DEADLY && knows && late {
+            self.late += 1;
+        }
+        self.endpoints += 1;
+        let run = Incarnation {
+            endpoint: format!("i-{}", self.endpoints).parse().expect("a name"),
+            born: None,
+        };
+        self.later(millis, node, Event::Ends(request, run));
+    }
+
+    fn take(&mut self, node: usize, event: Event) {
+        match event {
+            Event::Down => {
+                self.nodes[node].up = false;
+                self.nodes[node].crashes = Crashes::default();
+                self.nodes[node].sent.clear();
+            }
+            Event::Up => {
+                self.nodes[node].up = true;
+                self.nodes[node].since = self.now;
+                self.nodes[node].told.clear();
+            }
+            _ if !self.nodes[node].up => {}
+            Event::Ends(request, run) => {
+                let ends = self.ends.entry(request).or_default();
+                ends.insert(run.clone());
+                if request == DEADLY && ends.len() == 3 {
+                    self.third = Some(self.now);
+                }
+                self.count_end(node, request, &run);
+                let now = self.now;
+                self.nodes[node].sent.push((now, request, run.clone()));
+                self.report(node, request, &run);
+            }
+            Event::Reported(request, run) => self.count_end(node, request, &run),
+            Event::Told(verdict) => {
+                let now = self.now;
+                let learned = self.nodes[node].crashes.learn(now, verdict);
+                assert!(!matches!(learned, Learned::Objected(_)), "none is answered");
+            }
+        }
+    }
+
+    fn report(&mut self, node: usize, request: Fingerprint, run: &Incarnation) {
+        let counters = self.nodes[node].owners.counters(self.now, request);
+        for counter in counters {
+            let to = usize::from(counter.port()) - 1_000;
+            let way = 1 + self.draw() % 40;
+            if to != node {
+                self.later(way, to, Event::Reported(request, run.clone()));
+            }
+        }
+    }
+
+    fn count_end(&mut self, node: usize, request: Fingerprint, run: &Incarnation) {
+        let now = self.now;
+        let Some(verdict) = self.nodes[node].crashes.ended(now, request, run) else {
+            return;
+        };
+        assert!(self.ends[&request].len() >= 3, "{request} has too few ends");
+        for to in 0..self.nodes.len() {
+            // One verdict in four gets lost with its link.
+            let draw = self.draw();
+            if to != node && !draw.is_multiple_of(4) {
+                self.later(1 + draw % 40, to, Event::Told(verdict));
+            } else {
+                self.count += 1;
+            }
+        }
+    }
+
+    /// Looks at another node, as each node does in turn.
+    fn look(&mut self, node: usize) {
+        let turn = self.now.as_micros() / 1_000 / LOOK;
+        let other = (node + 1 + turn as usize % (self.nodes.len() - 1)) % self.nodes.len();
+        if !self.nodes[node].up {
+            return;
+        }
+        let now = self.now;
+        if !self.nodes[other].up {
+            self.nodes[node].owners.silent(now + SILENT, address(other));
+            let recent = self.nodes[node].sent.clone();
+            for (at, request, run) in recent {
+                if now.since(at) < Duration::from_secs(5) {
+                    self.report(node, request, &run);
+                }
+            }
+            return;
+        }
+        self.nodes[node].owners.heard(now, address(other));
+        let since = self.nodes[node].since;
+        let told = self.nodes[other].told.get(&(node, since)).copied();
+        let crashes = &self.nodes[other].crashes;
+        let (verdicts, last) = crashes.news_since(now, told.unwrap_or_default(), 64);
+        self.nodes[other].told.insert((node, since), last);
+        for verdict in verdicts {
+            let way = 1 + self.draw() % 40;
+            self.later(way, node, Event::Told(verdict));
+        }
+    }
+
+    fn run(&mut self, until: Time) {
+        while self.now < until {
+            self.now = self.now + Duration::from_millis(STEP);
+            if (self.now.as_micros() / 1_000).is_multiple_of(LOOK) {
+                for node in 0..self.nodes.len() {
+                    self.look(node);
+                }
+            }
+            while let Some((&(at, number), _)) = self.events.first_key_value()
+                && at <= self.now
+            {
+                let due = self.events.remove(&(at, number));
+                let (node, event) = due.expect("it was just there");
+                self.take(node, event);
+            }
+        }
+    }
+}
+
+/// Guards against a request that goes on ending endpoints because nodes that
+/// counted it are lost, or because nodes that have just started don't know of it.
+#[test]
+fn a_deadly_request_is_stopped_at_all_nodes_while_nodes_come_and_go() {
+    let config = Config {
+        cases: 300,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let input = (
+        3..9_usize,
+        vec((0..1_500_u64, any::<usize>(), 20..700_u64), 20..80),
+        vec((0..40_000_u64, any::<usize>(), 500..9_000_u64), 0..3),
+        vec(any::<u8>(), 64),
+    );
+    let outcome =
+        TestRunner::new_with_rng(config, rng).run(&input, |(count, sends, losses, draws)| {
+            let mut world = World::new(count, draws);
+            for (at, node, down) in losses {
+                world.later(at, node % count, Event::Down);
+                world.later(at + down, node % count, Event::Up);
+            }
+            let mut bystanders = 0;
+            for (gap, node, millis) in sends {
+                let until = world.now + Duration::from_millis(gap);
+                world.run(until);
+                world.ask(node % count, DEADLY, millis);
+                // Others are on the endpoints that end, each on one or two.
+                bystanders += 1;
+                let bystander = Fingerprint(1_000 + bystanders / 2);
+                world.ask((node + 1) % count, bystander, millis);
+            }
+            let until = world.now + Duration::from_secs(10);
+            world.run(until);
+            assert!(world.late <= SENDS_MAX, "sent {} times more", world.late);
+            let now = world.now;
+            for node in world.nodes.iter().filter(|n| n.up) {
+                let (quarantined, suspects) = node.crashes.counts(now);
+                assert!(quarantined <= 1 && suspects <= 2_048);
+                if world.third.is_some() && now.since(node.since) > CONTACT {
+                    assert!(node.crashes.quarantined(now, DEADLY).is_some());
+                }
+            }
+            Ok(())
+        });
+    outcome.expect("it reaches three endpoints more at most");
+}
