gateway: count endpoints that end under the stage work of a request

A request whose pieces end the endpoints of a stage service was as harmful as one that ends the model's: the owner of the service handed a piece on to further endpoints, and the request's host began the stage anew.

Jobs carry the fingerprint of their request, also between nodes. A call whose connection broke counts for each request that has pieces in it; the others in the call are cleared by their answers. A verdict ends the jobs of the request at the owner, refuses new ones, and is looked at between stages.

--- a/gateway/src/dispatch/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -1,11 +1,13 @@
 //! Calls to endpoints of stage services.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
 use futures_lite::FutureExt;
 use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::ends::Incarnation;
 use snipeyoke_lib::serving::pieces::CallResult;
 use snipeyoke_lib::serving::pieces::PieceCall;
 
@@ -29,8 +31,13 @@
     let request = shared.dialect.run_pieces(&send.entry.id, &send.items);
     let answered = async {
         match call(&shared.traffic, send.entry.address, request).await {
-            Ok(call) => read(&shared, &send.entry, call).await,
-            Err(error) => broken(&send.entry, &error),
+            Ok(call) => read(&shared, &send, call).await,
+            Err(error) => {
+                if !error.is_not_sent() {
+                    note_break(&shared, &send);
+                }
+                broken(&send.entry, &error)
+            }
         }
     };
     let over = async {
@@ -46,7 +53,20 @@
     CallResult::Broken
 }
 
-async fn read(shared: &Shared, entry: &Entry, mut call: Call) -> CallResult {
+/// Notes that the connection of a call broke before its whole answer.
+fn note_break(shared: &Shared, send: &PieceCall) {
+    let run = Incarnation {
+        endpoint: send.entry.id.clone(),
+        born: send.entry.born,
+    };
+    let requests = send.items.iter().filter_map(|i| i.fingerprint);
+    for request in requests.collect::<BTreeSet<_>>() {
+        let dispatcher = &shared.dispatcher;
+        dispatcher.broke(run.clone(), send.entry.address, request);
+    }
+}
+
+async fn read(shared: &Shared, send: &PieceCall, mut call: Call) -> CallResult {
     let answer = shared.dialect.answer(&call.head);
     match answer.verdict {
         Verdict::WrongEndpoint => return CallResult::WrongEndpoint,
@@ -60,7 +80,11 @@
                 body.extend_from_slice(&bytes);
             }
             Ok(None) => break,
-            Ok(Some(_)) | Err(_) => return CallResult::Broken,
+            Ok(Some(_)) => return CallResult::Broken,
+            Err(_) => {
+                note_break(shared, send);
+                return CallResult::Broken;
+            }
         }
     }
     if !call.head.status.is_success() {
@@ -69,7 +93,7 @@
     let outcomes = shared.dialect.piece_outcomes(&body);
     outcomes.map_or_else(
         || {
-            log::warn!(event = "pieces-unreadable", endpoint = entry.id.to_string().as_str(); "");
+            log::warn!(event = "pieces-unreadable", endpoint = send.entry.id.to_string().as_str(); "");
             CallResult::Broken
         },
         CallResult::Answered,
--- a/gateway/src/dispatch/convert.rs
+++ b/gateway/src/dispatch/convert.rs
@@ -34,6 +34,7 @@
         job: number.0,
         service: service.to_owned(),
         request: job.request.clone(),
+        fingerprint: job.fingerprint.map(bytes_of).unwrap_or_default(),
         stage: job.stage as u32,
         pieces: job.pieces.clone(),
         key: job.key.clone(),
@@ -63,6 +64,7 @@
     let near = frame.inputs_domain.parse().ok();
     Job {
         request: frame.request,
+        fingerprint: fingerprint(&frame.fingerprint),
         stage: frame.stage as usize,
         pieces: frame.pieces,
         work,
@@ -133,7 +135,7 @@
 /// Writes that an endpoint ended under a request.
 pub(super) fn end_of_endpoint_frame(request: Fingerprint, run: &Incarnation) -> EndpointEnd {
     EndpointEnd {
-        request: request.0.to_be_bytes().to_vec().into(),
+        request: bytes_of(request),
         endpoint: run.endpoint.to_string(),
         born: run.born,
     }
@@ -151,7 +153,7 @@
 /// Writes a verdict on a request.
 pub(super) fn quarantine_frame(verdict: &Verdict) -> Quarantine {
     Quarantine {
-        request: verdict.request.0.to_be_bytes().to_vec().into(),
+        request: bytes_of(verdict.request),
         version: verdict.version,
         left_ms: verdict.left.as_millis() as u64,
         span_ms: verdict.span.as_millis() as u64,
@@ -168,6 +170,10 @@
     })
 }
 
+fn bytes_of(request: Fingerprint) -> bytes::Bytes {
+    request.0.to_be_bytes().to_vec().into()
+}
+
 fn fingerprint(bytes: &[u8]) -> Option<Fingerprint> {
     let bytes = <[u8; 16]>::try_from(bytes).ok()?;
     Some(Fingerprint(u128::from_be_bytes(bytes)))
--- a/gateway/src/dispatch/crashes.rs
+++ b/gateway/src/dispatch/crashes.rs
@@ -147,6 +147,13 @@
         metrics::counter!("snipeyoke_quarantines_total").increment(1);
         log::warn!(event = "request-quarantined", fingerprint = request.to_string().as_str(), endpoints = ends.join(",").as_str(), span_ms = verdict.span.as_millis() as u64, left_ms = verdict.left.as_millis() as u64; "");
         self.tell_all(verdict);
+        self.end_jobs(request);
+    }
+
+    fn end_jobs(&mut self, request: Fingerprint) {
+        for owned in self.queues.values_mut() {
+            owned.queue.refuse(request);
+        }
     }
 
     /// Takes in a verdict of another node.
@@ -159,7 +166,12 @@
         let learned = self.shared.crashes().learn(now, verdict);
         match learned {
             Learned::Known => {}
-            Learned::News => log_learned(&verdict),
+            Learned::News => {
+                log_learned(&verdict);
+                if !verdict.left.is_zero() {
+                    self.end_jobs(verdict.request);
+                }
+            }
             Learned::Objected(lifted) => self.tell_all(lifted),
         }
     }
--- a/gateway/src/dispatch/queues.rs
+++ b/gateway/src/dispatch/queues.rs
@@ -50,6 +50,11 @@
 
 impl State {
     pub(super) fn queue(&mut self, service: &PoolName, job: Job, origin: Origin) -> Option<JobId> {
+        let now = self.shared.now();
+        let quarantined = |r| self.shared.crashes().quarantined(now, r).is_some();
+        if job.fingerprint.is_some_and(quarantined) {
+            return None;
+        }
         let owned = self.open(service)?;
         let id = owned.queue.submit(job);
         owned.origins.insert(id, origin);
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -81,6 +81,9 @@
             return Err(Refusal::StageFailed);
         }
         while !work.plan.is_done() {
+            if ticket.quarantined().is_some() {
+                return Err(Refusal::Quarantined);
+            }
             let times = work.times(ticket);
             for order in work.plan.orders(&times) {
                 work.submit(ticket, &times, order);
@@ -123,6 +126,7 @@
         };
         let job = Job {
             request: ticket.ask.id.clone(),
+            fingerprint: Some(ticket.fingerprint()),
             stage: order.stage,
             pieces: order.pieces.clone(),
             work: order.work,
--- a/lib/benches/pieces.rs
+++ b/lib/benches/pieces.rs
@@ -47,6 +47,7 @@
 fn job(n: u64) -> Job {
     Job {
         request: format!("r{n}"),
+        fingerprint: None,
         stage: 1,
         pieces: (0..8).collect(),
         work: Work::Inputs(vec!["127.0.0.1:1/abc".to_owned()]),
--- a/lib/src/serving/pieces/fill.rs
+++ b/lib/src/serving/pieces/fill.rs
@@ -210,6 +210,7 @@
             Item {
                 job: id,
                 request: job.request.clone(),
+                fingerprint: job.fingerprint,
                 stage: job.stage,
                 piece,
                 left: job.due.since(now),
--- a/lib/src/serving/pieces/queue.rs
+++ b/lib/src/serving/pieces/queue.rs
@@ -14,6 +14,7 @@
 use crate::ids::EndpointId;
 use crate::ids::FailureDomain;
 use crate::serving::catalog::PieceLimits;
+use crate::serving::crashes::Fingerprint;
 use crate::serving::directory::Entry;
 use crate::time::Time;
 use crate::units::Bytes;
@@ -61,6 +62,8 @@
 pub struct Job {
     /// The request, as its caller names it.
     pub request: String,
+    /// By what other attempts at the same request are recognized, if known.
+    pub fingerprint: Option<Fingerprint>,
     /// The stage.
     pub stage: usize,
     /// The pieces.
@@ -90,6 +93,8 @@
     pub job: JobId,
     /// The request, as its caller names it.
     pub request: String,
+    /// By what other attempts at the same request are recognized, if known.
+    pub fingerprint: Option<Fingerprint>,
     /// The stage.
     pub stage: usize,
     /// The piece.
@@ -303,6 +308,16 @@
         id
     }
 
+    /// Ends the jobs of a request that is quarantined.
+    pub fn refuse(&mut self, request: Fingerprint) {
+        let theirs = |h: &Held| h.job.fingerprint == Some(request);
+        let found = self.jobs.iter().filter(|(_, h)| theirs(h));
+        let ids: Vec<JobId> = found.map(|(&id, _)| id).collect();
+        for id in ids {
+            self.end(id, Some(Outcome::Failed), Duration::ZERO);
+        }
+    }
+
     /// Drops a job that nobody waits for; its results are given back.
     pub fn cancel(&mut self, now: Time, id: JobId) {
         let Some(held) = self.jobs.remove(&id) else {
--- a/lib/tests/pipeline_world.rs
+++ b/lib/tests/pipeline_world.rs
@@ -209,6 +209,7 @@
                 .expect("a known service");
             let job = Job {
                 request: number.to_string(),
+                fingerprint: None,
                 stage: order.stage,
                 pieces: order.pieces,
                 work: order.work,
--- a/lib/tests/test_pieces.rs
+++ b/lib/tests/test_pieces.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use snipeyoke_lib::serving::catalog::PieceLimits;
+use snipeyoke_lib::serving::crashes::Fingerprint;
 use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::pieces::CallResult;
 use snipeyoke_lib::serving::pieces::Job;
@@ -60,6 +61,7 @@
 fn job(request: &str, pieces: u32, goal: u64, due: u64) -> Job {
     Job {
         request: request.to_owned(),
+        fingerprint: None,
         stage: 0,
         pieces: (0..pieces).collect(),
         work: Work::Key,
@@ -508,3 +510,26 @@
     let ends = queue.take_ends();
     assert_eq!(failure(&ends, JobId(0)), None);
 }
+
+/// Guards against pieces of a quarantined request that wait, or come back from
+/// endpoints that ended, and are handed to further endpoints.
+#[test]
+fn pieces_of_a_quarantined_request_leave_no_more() {
+    let mut queue = queue(&[("p1", "a"), ("p2", "a")]);
+    let deadly = Job {
+        fingerprint: Some(Fingerprint(7)),
+        ..job("r1", 1, 500, 3_000)
+    };
+    let id = queue.submit(deadly);
+    let sent = queue.poll(at(0));
+    assert_eq!(sent[0].items[0].fingerprint, Some(Fingerprint(7)));
+
+    queue.refuse(Fingerprint(7));
+    queue.ended(at(10), sent[0].call, CallResult::Broken);
+    let other = queue.submit(job("r2", 1, 500, 3_000));
+
+    assert_eq!(failure(&queue.take_ends(), id), Some(&Outcome::Failed));
+    let sent = queue.poll(at(500));
+    let jobs: Vec<JobId> = sent.iter().flat_map(|s| &s.items).map(|i| i.job).collect();
+    assert_eq!(jobs, [other]);
+}
