gateway: try a request again after its quarantine, at one node

A lookup that is asked often loses three endpoints, too, when a service goes down for another reason. All its callers would then be refused for ten minutes, though the service is back, since no answer can lift a quarantine under which nothing is sent.

The quarantine lasts three times as long as the request has ended endpoints for, a minute at least. Then the node that ranks first for the fingerprint lets one attempt through: an answer lifts it for all nodes, an end puts it back for longer. A request that does end endpoints ends one more after 1, 4 and 16 minutes.

--- a/gateway/src/dispatch/queues.rs
+++ b/gateway/src/dispatch/queues.rs
@@ -51,8 +51,8 @@
 impl State {
     pub(super) fn queue(&mut self, service: &PoolName, job: Job, origin: Origin) -> Option<JobId> {
         let now = self.shared.now();
-        let quarantined = |r| self.shared.crashes().quarantined(now, r).is_some();
-        if job.fingerprint.is_some_and(quarantined) {
+        let refused = |r| !self.shared.crashes().may_go_on(now, r);
+        if job.fingerprint.is_some_and(refused) {
             return None;
         }
         let owned = self.open(service)?;
--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -94,7 +94,7 @@
         if self.0.leaves_before(&ticket.route.name) {
             return refuse(ticket, Refusal::Leaving);
         }
-        if ticket.quarantined().is_some() {
+        if ticket.quarantined().is_some() && !ticket.try_quarantined() {
             return refuse(ticket, Refusal::Quarantined);
         }
         self.0.budget().earn(began, &ticket.service);
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -34,6 +34,8 @@
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
     fingerprint: OnceLock<Fingerprint>,
+    /// Whether it is the trial after a quarantine.
+    pub(crate) trial: bool,
     pub(crate) route: Arc<Route>,
     pub(crate) service: PoolName,
     pub(crate) holder: Option<Holder>,
@@ -88,6 +90,7 @@
             head,
             body: Bytes::new(),
             fingerprint: OnceLock::new(),
+            trial: false,
             route,
             service,
             holder,
@@ -116,7 +119,23 @@
     pub(crate) fn quarantined(&self) -> Option<Duration> {
         let now = self.shared.now();
         let request = self.fingerprint();
-        self.shared.crashes().quarantined(now, request)
+        let crashes = self.shared.crashes();
+        let left = crashes.quarantined(now, request);
+        left.filter(|_| !self.trial || !crashes.may_go_on(now, request))
+    }
+
+    /// Takes it as the trial after its quarantine, if this node may try it.
+    pub(crate) fn try_quarantined(&mut self) -> bool {
+        let now = self.shared.now();
+        let request = self.fingerprint();
+        let counters = self.shared.owners().counters(now, request);
+        let own = self.shared.settings.listen.peers;
+        // Tried at each node, it would end as many endpoints as there are nodes.
+        self.trial = counters.first() == Some(&own) && self.shared.crashes().may_try(now, request);
+        if self.trial {
+            log::info!(event = "quarantine-trial", request = self.ask.id.as_str(), fingerprint = request.to_string().as_str(); "");
+        }
+        self.trial
     }
 
     /// Returns the urgency for a model; an account's own goes first.
--- a/lib/src/serving/crashes.rs
+++ b/lib/src/serving/crashes.rs
@@ -20,12 +20,23 @@
 /// A host or a rack that fails takes one or two endpoints of a request with it.
 const ENDS: usize = 3;
 
-/// How long an end counts, and how long a request is quarantined after one.
+/// How long an end counts, and a quarantine that is over is remembered.
 ///
-/// Long against the pace at which callers come back; a caller that has gone on
-/// for longer ends one endpoint in this time.
+/// Long against the pace at which callers come back.
 const REMEMBERED: Duration = Duration::from_mins(10);
 
+/// The shortest and the longest quarantine.
+///
+/// It lasts three times as long as the request has ended endpoints for: a
+/// request that is not the cause is soon tried again, one that is rarely.
+const LASTS: [Duration; 2] = [Duration::from_mins(1), Duration::from_hours(1)];
+
+/// How long a trial after a quarantine may take before there is another.
+const TRIAL: Duration = Duration::from_secs(10);
+
+/// What is told to be left of a quarantine that is over.
+const LEAST: Duration = Duration::from_millis(1);
+
 /// The difference that one more end makes to how long a quarantine lasts.
 ///
 /// Each node that passes a verdict on adds the time of its way.
@@ -93,6 +104,8 @@
     /// When it was last changed, and the number of that change.
     at: Time,
     news: u64,
+    /// Until when this node tries the request again, once it is over.
+    trial: Time,
 }
 
 /// What one node knows of requests under which endpoints end.
@@ -114,11 +127,11 @@
         if let Some(record) = self.records.get(&request).copied()
             && let Some(until) = record.until
         {
-            // It was under way when it was quarantined, or began anew after it.
+            // It was under way when it was quarantined, or was tried after it.
             let again = until <= now;
-            let first = if again { now } else { record.first };
             let version = record.version + u32::from(again);
-            let verdict = self.set(now, request, version, Some(now + REMEMBERED), first);
+            let until = until.max(now + lasts(now, record.first));
+            let verdict = self.set(now, request, version, Some(until), record.first);
             return again.then_some(verdict);
         }
         let ends = self.suspects.entry(request).or_default();
@@ -133,7 +146,8 @@
         }
         let first = ends.first().map_or(now, |e| e.at);
         let version = self.records.get(&request).map_or(1, |r| r.version + 1);
-        Some(self.set(now, request, version, Some(now + REMEMBERED), first))
+        let until = now + lasts(now, first);
+        Some(self.set(now, request, version, Some(until), first))
     }
 
     /// Notes that a request was answered whole.
@@ -158,7 +172,7 @@
     pub fn learn(&mut self, now: Time, told: Verdict) -> Learned {
         self.sweep(now);
         let request = told.request;
-        let left = told.left.min(REMEMBERED);
+        let left = told.left.min(LASTS[1]);
         let until = (!left.is_zero()).then(|| now + left);
         let held = self.records.get(&request);
         let (version, held_until) = held.map_or((0, None), |r| (r.version, r.until));
@@ -178,11 +192,39 @@
         if known { Learned::Known } else { Learned::News }
     }
 
-    /// Returns for how much longer a request is quarantined.
+    /// Returns for how much longer a request is refused.
+    ///
+    /// Once the quarantine is over it is refused until a trial was answered.
     #[must_use]
     pub fn quarantined(&self, now: Time, request: Fingerprint) -> Option<Duration> {
         let until = self.records.get(&request)?.until?;
-        Some(until.since(now)).filter(|left| !left.is_zero())
+        if now.since(until) >= REMEMBERED {
+            return None;
+        }
+        let left = until.since(now);
+        Some(if left.is_zero() { TRIAL } else { left })
+    }
+
+    /// Tells whether a request whose quarantine is over may be tried now.
+    ///
+    /// To be asked at one node alone, once for each request that comes.
+    pub fn may_try(&mut self, now: Time, request: Fingerprint) -> bool {
+        let Some(record) = self.records.get_mut(&request) else {
+            return false;
+        };
+        let over = record.until.is_some_and(|u| u <= now);
+        let free = over && record.trial <= now;
+        if free {
+            record.trial = now + TRIAL;
+        }
+        free
+    }
+
+    /// Tells whether a request that is under way may go on, a trial included.
+    #[must_use]
+    pub fn may_go_on(&self, now: Time, request: Fingerprint) -> bool {
+        let until = self.records.get(&request).and_then(|r| r.until);
+        until.is_none_or(|u| u <= now)
     }
 
     /// Returns the endpoints that ended under a request that is not quarantined.
@@ -207,10 +249,7 @@
         let more = newer.len() > most;
         newer.truncate(most);
         let last = newer.last().map_or(self.news, |(_, r)| r.news);
-        let current = newer
-            .iter()
-            .filter(|(_, r)| r.until.is_none_or(|u| u > now));
-        let verdicts = current.map(|(request, r)| verdict(now, **request, r));
+        let verdicts = newer.iter().map(|(request, r)| verdict(now, **request, r));
         (verdicts.collect(), if more { last } else { self.news })
     }
 
@@ -248,6 +287,7 @@
             first,
             at: now,
             news: self.news,
+            trial: Time::ZERO,
         };
         self.records.insert(request, record);
         if self.records.len() > RECORDS_MAX {
@@ -259,8 +299,7 @@
         verdict(now, request, &record)
     }
 
-    /// Forgets what is over. A request that was quarantined is remembered for as
-    /// long again: one more end puts it back.
+    /// Forgets what has long been over. Until then one more end puts it back.
     fn sweep(&mut self, now: Time) {
         self.records
             .retain(|_, r| now.since(r.until.unwrap_or(r.at)) < REMEMBERED);
@@ -278,11 +317,20 @@
     }
 }
 
+/// Returns how long a request is quarantined whose first end was at `first`.
+fn lasts(now: Time, first: Time) -> Duration {
+    let [least, most] = LASTS;
+    now.since(first).saturating_mul(3).clamp(least, most)
+}
+
 fn verdict(now: Time, request: Fingerprint, record: &Record) -> Verdict {
     Verdict {
         request,
         version: record.version,
-        left: record.until.map_or(Duration::ZERO, |u| u.since(now)),
+        // One that is over is still refused, but for trials: it is not lifted.
+        left: record
+            .until
+            .map_or(Duration::ZERO, |u| u.since(now).max(LEAST)),
         span: now.since(record.first),
     }
 }
