--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -10,6 +10,7 @@
 use snipeyoke_lib::serving::directory::Choice;
 use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::directory::Wanted;
+use snipeyoke_lib::serving::durations::Ahead;
 use snipeyoke_lib::serving::ends::Incarnation;
 use snipeyoke_lib::serving::upkeep::Kept;
 use snipeyoke_lib::time::Time;
@@ -55,6 +56,8 @@
     Answered(Box<Answered>),
     /// Nothing ran at this try.
     NotRun(Refusal),
+    /// It was not sent: this node leaves before the answer would end.
+    Leaving,
     /// One of the stages' results is gone; nothing ran.
     InputsGone,
     /// The request may have run, and there is no answer.
@@ -120,9 +123,14 @@
         if ticket.quarantined().is_some() {
             return Tried::NotRun(Refusal::Quarantined);
         }
+        // What has begun can't be refused any more.
+        if !ticket.begun && ticket.outlasts_node(Ahead::Answer) {
+            return Tried::Leaving;
+        }
         log_choice(ticket, &choice);
         let mut flight = InFlight::new(&ticket.shared, &choice.entry, booking);
         let sent = ticket.shared.now();
+        ticket.timeline.sent = Some(sent);
         let with = Sending {
             account: ticket.account(),
             endpoint: &choice.entry.id,
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -26,6 +26,19 @@
     pub shared: u32,
     /// The hash of those parts, in order; 0 if there are none.
     pub prefix: u64,
+    /// The most tokens of the answer; `None` if the request does not say.
+    pub answer: Option<u32>,
+    /// The tokens that the caller expects of the answer, if it says.
+    pub expected: Option<u32>,
+}
+
+impl Prompt {
+    /// Returns the tokens to expect of the answer, where the caller says.
+    #[must_use]
+    pub fn length(&self) -> Option<u32> {
+        let most = self.answer.unwrap_or(u32::MAX);
+        self.expected.map(|tokens| tokens.min(most))
+    }
 }
 
 /// What a caller asks, beside the method, path and body.
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod door;
 mod fingerprint;
 mod follow;
+mod leaving;
 mod node;
 mod plain;
 mod program;
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -31,6 +31,7 @@
 
 use crate::dialect::Dialect;
 use crate::dispatch::Dispatcher;
+use crate::leaving::Stop;
 use crate::registry::Registry;
 use crate::registry::Topic;
 use crate::settings::Settings;
@@ -76,8 +77,8 @@
     pub(crate) end: Flag,
     /// Set once requests that wait for an answer are given up.
     pub(crate) overtime: Flag,
-    /// When a leaving node cuts what still runs; set when it begins to leave.
-    pub(crate) cut: OnceLock<Time>,
+    /// Set when the node begins to leave.
+    pub(crate) stop: OnceLock<Stop>,
     directory: Mutex<Directory>,
     budget: Mutex<SharedBudget>,
     owners: Mutex<Owners>,
@@ -126,7 +127,7 @@
             drain: Flag::default(),
             end: Flag::default(),
             overtime: Flag::default(),
-            cut: OnceLock::new(),
+            stop: OnceLock::new(),
             settings,
             dialect,
             registry,
@@ -220,18 +221,6 @@
         knows && self.directory().iter().next().is_some() && !self.aside.is_set()
     }
 
-    /// Tells whether a request of a route is better begun at another node.
-    ///
-    /// Cut at the end of the grace period, it would have to be done again from
-    /// its start, with less time.
-    pub(crate) fn leaves_before(&self, route: &str) -> bool {
-        let Some(cut) = self.cut.get() else {
-            return false;
-        };
-        let bound = self.durations().bound(route).unwrap_or_default();
-        self.now() + bound > *cut
-    }
-
     /// Tells whether this node can tell which node owns a service.
     ///
     /// One that has just started may know a few of the others. Nodes that start
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -36,6 +36,7 @@
             let status = answered.call.head.status;
             let headers = std::mem::take(&mut answered.answer.headers);
             events.drop_rest();
+            ticket.begun = true;
             let run = Run {
                 ticket,
                 stages,
@@ -119,6 +120,7 @@
                 Some(Ok(Some(bytes))) => match self.events.push(&bytes) {
                     Ok(out) if out.is_empty() => continue,
                     Ok(out) => {
+                        self.ticket.timeline.events = self.events.count();
                         self.note_first();
                         return Some((Ok(out.into()), self));
                     }
@@ -176,7 +178,6 @@
 
     fn finish(&mut self, outcome: &'static str) {
         self.answered = None;
-        self.ticket.timeline.events = self.events.count();
         self.ticket.end(StatusCode::OK, outcome);
     }
 }
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -18,6 +18,7 @@
 use snipeyoke_lib::serving::catalog::Holder;
 use snipeyoke_lib::serving::catalog::Route;
 use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::durations::Took;
 use snipeyoke_lib::time::Time;
 
 use crate::dialect::Ask;
@@ -53,6 +54,8 @@
     pub(crate) tried: Vec<EndpointId>,
     /// Whether an endpoint may have run it.
     pub(crate) may_have_run: bool,
+    /// Whether its caller has the head of an answer already.
+    pub(crate) begun: bool,
     /// How long what waits before it takes, where that was told.
     pub(crate) backlog: Duration,
     pub(crate) timeline: Timeline,
@@ -63,6 +66,8 @@
 pub(crate) struct Timeline {
     /// When its stages were done.
     pub(crate) staged: Option<Time>,
+    /// When it was last sent to an endpoint.
+    pub(crate) sent: Option<Time>,
     /// When its first event, or its answer, came.
     pub(crate) first: Option<Time>,
     pub(crate) events: u64,
@@ -99,6 +104,7 @@
             inputs: None,
             tried: Vec::new(),
             may_have_run: false,
+            begun: false,
             backlog: Duration::ZERO,
             timeline: Timeline::default(),
         })
@@ -161,6 +167,21 @@
         self.in_time(future).or(overtime).await
     }
 
+    /// Waits for a future as long as the answer can still be expected to end
+    /// before the node leaves.
+    pub(crate) async fn in_time_to_send<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let late = async {
+            self.shared.aside.wait().await;
+            let latest = self.latest_send();
+            Timer::after(latest.since(self.shared.now())).await;
+            None
+        };
+        if self.begun {
+            return self.within(future).await;
+        }
+        self.within(future).or(late).await
+    }
+
     /// Waits for a future as long as the request has time.
     pub(crate) async fn in_time<T>(&self, future: impl Future<Output = T>) -> Option<T> {
         let over = async {
@@ -182,7 +203,7 @@
     pub(crate) fn timeout(&self) -> Refusal {
         if self.may_have_run {
             Refusal::Timeout
-        } else if self.shared.overtime.is_set() {
+        } else if self.shared.now() < self.due {
             Refusal::Leaving
         } else {
             Refusal::TimeoutNotRun
@@ -208,11 +229,18 @@
 impl Drop for Ticket {
     fn drop(&mut self) {
         let now = self.shared.now();
-        let (status, outcome) = self.timeline.ended.unwrap_or((0, "caller-gone"));
+        let cut = self.shared.stop.get().is_some_and(|s| now >= s.cut);
+        let unheard = if cut { "cut-leaving" } else { "caller-gone" };
+        let (status, outcome) = self.timeline.ended.unwrap_or((0, unheard));
         let took = now.since(self.began);
         metrics::counter!("snipeyoke_requests_total", "route" => self.route.name.clone(), "outcome" => outcome).increment(1);
         metrics::histogram!("snipeyoke_request_seconds", "outcome" => outcome).record(took);
-        if outcome == "answered" {
+        if let (Some(sent), "answered") = (self.timeline.sent, outcome) {
+            let took = Took {
+                wait: sent.since(self.began),
+                answer: now.since(sent),
+                tokens: self.ask.prompt.and_then(|p| p.length()),
+            };
             self.shared.durations().observe(&self.route.name, took);
             let lifted = self.shared.crashes().answered(now, self.fingerprint());
             if let Some(lifted) = lifted {
@@ -233,6 +261,8 @@
             staged_ms = since(self.timeline.staged),
             first_ms = since(self.timeline.first),
             events = self.timeline.events,
+            answer_tokens = self.ask.prompt.and_then(|p| p.answer).unwrap_or_default(),
+            expected_tokens = self.ask.prompt.and_then(|p| p.expected).unwrap_or_default(),
             tries = self.tried.len(),
             endpoint = endpoint.as_deref().unwrap_or("-"),
             fingerprint = fingerprint.as_deref().unwrap_or("-"),
