--- a/gateway/src/dispatch/convert.rs
+++ b/gateway/src/dispatch/convert.rs
@@ -4,14 +4,19 @@
 use std::time::Duration;
 
 use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Verdict;
+use snipeyoke_lib::serving::ends::Incarnation;
 use snipeyoke_lib::serving::pieces::Job;
 use snipeyoke_lib::serving::pieces::Work;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Bytes;
+use snipeyoke_wire::EndpointEnd;
 use snipeyoke_wire::KeyedRecord;
 use snipeyoke_wire::PieceJob;
 use snipeyoke_wire::PieceJobEnd;
+use snipeyoke_wire::Quarantine;
 
 use super::Done;
 use super::JobNumber;
@@ -29,6 +34,7 @@
         job: number.0,
         service: service.to_owned(),
         request: job.request.clone(),
+        fingerprint: job.fingerprint.map(bytes_of).unwrap_or_default(),
         stage: job.stage as u32,
         pieces: job.pieces.clone(),
         key: job.key.clone(),
@@ -58,6 +64,7 @@
     let near = frame.inputs_domain.parse().ok();
     Job {
         request: frame.request,
+        fingerprint: fingerprint(&frame.fingerprint),
         stage: frame.stage as usize,
         pieces: frame.pieces,
         work,
@@ -124,3 +131,50 @@
         offset: Offset(frame.offset),
     }
 }
+
+/// Writes that an endpoint ended under a request.
+pub(super) fn end_of_endpoint_frame(request: Fingerprint, run: &Incarnation) -> EndpointEnd {
+    EndpointEnd {
+        request: bytes_of(request),
+        endpoint: run.endpoint.to_string(),
+        born: run.born,
+    }
+}
+
+/// Reads that an endpoint ended under a request; `None` if it can't be read.
+pub(super) fn end_of_endpoint(frame: &EndpointEnd) -> Option<(Fingerprint, Incarnation)> {
+    let run = Incarnation {
+        endpoint: frame.endpoint.parse().ok()?,
+        born: frame.born,
+    };
+    Some((fingerprint(&frame.request)?, run))
+}
+
+/// Writes a verdict on a request.
+pub(super) fn quarantine_frame(verdict: &Verdict) -> Quarantine {
+    Quarantine {
+        request: bytes_of(verdict.request),
+        version: verdict.version,
+        left_ms: verdict.left.as_millis() as u64,
+        span_ms: verdict.span.as_millis() as u64,
+    }
+}
+
+/// Reads a verdict on a request; `None` if it can't be read.
+pub(super) fn verdict_of(frame: &Quarantine) -> Option<Verdict> {
+    Some(Verdict {
+        request: fingerprint(&frame.request)?,
+        version: frame.version,
+        left: Duration::from_millis(frame.left_ms),
+        span: Duration::from_millis(frame.span_ms),
+    })
+}
+
+fn bytes_of(request: Fingerprint) -> bytes::Bytes {
+    request.0.to_be_bytes().to_vec().into()
+}
+
+fn fingerprint(bytes: &[u8]) -> Option<Fingerprint> {
+    let bytes = <[u8; 16]>::try_from(bytes).ok()?;
+    Some(Fingerprint(u128::from_be_bytes(bytes)))
+}
--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -98,6 +98,9 @@
         if ticket.refused_by_leaving(Ahead::All) {
             return refuse(ticket, Refusal::Leaving);
         }
+        if ticket.quarantined().is_some() && !ticket.try_quarantined() {
+            return refuse(ticket, Refusal::Quarantined);
+        }
         self.0.budget().earn(began, &ticket.service);
         drive(ticket).await
     }
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -76,7 +76,14 @@
         let Some(work) = work else {
             return Ok(Vec::new());
         };
+        // A resume after the first event: no endpoint can still have them.
+        if work.plan.is_given_back() && work.plan.results_gone().is_err() {
+            return Err(Refusal::StageFailed);
+        }
         while !work.plan.is_done() {
+            if ticket.quarantined().is_some() {
+                return Err(Refusal::Quarantined);
+            }
             let times = work.times(ticket);
             for order in work.plan.orders(&times) {
                 work.submit(ticket, &times, order);
@@ -119,6 +126,7 @@
         };
         let job = Job {
             request: ticket.ask.id.clone(),
+            fingerprint: Some(ticket.fingerprint()),
             stage: order.stage,
             pieces: order.pieces.clone(),
             work: order.work,
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -1,6 +1,7 @@
 //! One client attempt on its way, owned by this node alone.
 
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -16,11 +17,13 @@
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::catalog::Holder;
 use snipeyoke_lib::serving::catalog::Route;
+use snipeyoke_lib::serving::crashes::Fingerprint;
 use snipeyoke_lib::serving::durations::Ahead;
 use snipeyoke_lib::serving::durations::Took;
 use snipeyoke_lib::time::Time;
 
 use crate::dialect::Ask;
+use crate::fingerprint::fingerprint;
 use crate::refusal::Refusal;
 use crate::shared::Shared;
 
@@ -32,6 +35,9 @@
     pub(crate) ask: Ask,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
+    fingerprint: OnceLock<Fingerprint>,
+    /// Whether it is the trial after a quarantine.
+    pub(crate) trial: bool,
     pub(crate) route: Arc<Route>,
     pub(crate) service: PoolName,
     pub(crate) holder: Option<Holder>,
@@ -89,6 +95,8 @@
             ask,
             head,
             body: Bytes::new(),
+            fingerprint: OnceLock::new(),
+            trial: false,
             route,
             service,
             holder,
@@ -107,6 +115,36 @@
         self.holder.as_ref().map(|h| &h.account)
     }
 
+    /// Returns the hash by which other attempts at the same request are
+    /// recognized; the body must be there.
+    pub(crate) fn fingerprint(&self) -> Fingerprint {
+        let hash = || fingerprint(&self.head, self.account(), &self.body);
+        *self.fingerprint.get_or_init(hash)
+    }
+
+    /// Returns for how much longer it is refused because endpoints end under it.
+    pub(crate) fn quarantined(&self) -> Option<Duration> {
+        let now = self.shared.now();
+        let request = self.fingerprint();
+        let crashes = self.shared.crashes();
+        let left = crashes.quarantined(now, request);
+        left.filter(|_| !self.trial || !crashes.may_go_on(now, request))
+    }
+
+    /// Takes it as the trial after its quarantine, if this node may try it.
+    pub(crate) fn try_quarantined(&mut self) -> bool {
+        let now = self.shared.now();
+        let request = self.fingerprint();
+        let counters = self.shared.owners().counters(now, request);
+        let own = self.shared.settings.listen.peers;
+        // Tried at each node, it would end as many endpoints as there are nodes.
+        self.trial = counters.first() == Some(&own) && self.shared.crashes().may_try(now, request);
+        if self.trial {
+            log::info!(event = "quarantine-trial", request = self.ask.id.as_str(), fingerprint = request.to_string().as_str(); "");
+        }
+        self.trial
+    }
+
     /// Returns the urgency for a model; an account's own goes first.
     pub(crate) fn urgency(&self) -> u8 {
         let own = self.holder.as_ref().and_then(|h| h.priority);
@@ -208,9 +246,14 @@
                 tokens: self.ask.prompt.and_then(|p| p.length()),
             };
             self.shared.durations().observe(&self.route.name, took);
+            let lifted = self.shared.crashes().answered(now, self.fingerprint());
+            if let Some(lifted) = lifted {
+                self.shared.dispatcher.tell_verdict(lifted);
+            }
         }
         let since = |at: Option<Time>| at.map_or(0, |at| at.since(self.began).as_millis() as u64);
         let endpoint = self.tried.last().map(ToString::to_string);
+        let fingerprint = self.fingerprint.get().map(ToString::to_string);
         log::info!(
             event = "request-ended",
             request = self.ask.id.as_str(),
@@ -226,6 +269,7 @@
             expected_tokens = self.ask.prompt.and_then(|p| p.expected).unwrap_or_default(),
             tries = self.tried.len(),
             endpoint = endpoint.as_deref().unwrap_or("-"),
+            fingerprint = fingerprint.as_deref().unwrap_or("-"),
             config = self.catalog.version();
             ""
         );
