gateway: refuse a request whose service has had no endpoint for a while

What callers saw: a request for a service without endpoints waited 2 s for one, paid a repeat from the shared budget though nothing had been sent, and waited again, up to its deadline or the end of the budget. A service without endpoints for 2 s has none: 503 no-endpoint after one wait, no repeat paid.

a_request_without_endpoints_is_refused_after_one_wait failed before (it still waited after 6 s).

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -57,6 +57,8 @@
     Answered(Box<Answered>),
     /// Nothing ran at this try.
     NotRun(Refusal),
+    /// It was not sent: its service has had no endpoint for a while.
+    NoEndpoint,
     /// It was not sent: this node leaves before the answer would end.
     Leaving,
     /// One of the stages' results is gone; nothing ran.
@@ -118,7 +120,7 @@
             None => (choose(ticket, &failed).await, None),
         };
         let Some(choice) = choice else {
-            return Tried::NotRun(Refusal::NoEndpoint);
+            return Tried::NoEndpoint;
         };
         // The verdict may have come while it waited in its stages.
         if ticket.quarantined().is_some() {
--- a/gateway/src/retry.rs
+++ b/gateway/src/retry.rs
@@ -35,6 +35,7 @@
             Some(Ok(())) if again(ticket, "inputs-gone") => Step::Again,
             Some(_) | None => Step::Refused(Refusal::StageFailed),
         },
+        Tried::NoEndpoint => Step::Refused(Refusal::NoEndpoint),
         Tried::Leaving => Step::Refused(Refusal::Leaving),
         Tried::NotRun(Refusal::Quarantined) => Step::Refused(Refusal::Quarantined),
         Tried::NotRun(_) if again(ticket, "not-run") => Step::Again,
