gateway: clear a request's ends by a whole answer to a resume, too

The merge put the clearing of ends under a condition that is meant for learned times, so that a stream that its caller resumed, and got whole, cleared nothing and lifted no quarantine.

--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -237,15 +237,16 @@
         let took = now.since(self.began);
         metrics::counter!("snipeyoke_requests_total", "route" => self.route.name.clone(), "outcome" => outcome).increment(1);
         metrics::histogram!("snipeyoke_request_seconds", "outcome" => outcome).record(took);
-        // The rest of an answer says little about a whole one.
-        let whole = self.ask.last_event.is_none();
-        if let (Some(sent), "answered", true) = (self.timeline.sent, outcome, whole) {
-            let took = Took {
-                wait: sent.since(self.began),
-                answer: now.since(sent),
-                tokens: self.ask.prompt.and_then(|p| p.length()),
-            };
-            self.shared.durations().observe(&self.route.name, took);
+        if let (Some(sent), "answered") = (self.timeline.sent, outcome) {
+            // The rest of an answer says little about a whole one.
+            if self.ask.last_event.is_none() {
+                let took = Took {
+                    wait: sent.since(self.began),
+                    answer: now.since(sent),
+                    tokens: self.ask.prompt.and_then(|p| p.length()),
+                };
+                self.shared.durations().observe(&self.route.name, took);
+            }
             let lifted = self.shared.crashes().answered(now, self.fingerprint());
             if let Some(lifted) = lifted {
                 self.shared.dispatcher.tell_verdict(lifted);
