gateway: pay for and send no repeat of a quarantined request or a trial

Found by the review: inside a trial only repeats after a lost answer were held back; after a rejection or lost stage results the trial was sent on, and the rule counts those arrivals. And an attempt whose verdict had come meanwhile took a repeat from the shared budget before it was refused. Both are now asked where repeats are paid for. No test shows either alone.

--- a/gateway/src/retry.rs
+++ b/gateway/src/retry.rs
@@ -46,8 +46,7 @@
 
 /// Tells whether a request that may have run may be sent again, and pays for it.
 pub(crate) fn may_repeat(ticket: &Ticket, why: &str) -> bool {
-    // A trial that broke ended its endpoint, as far as is known by now.
-    ticket.route.kind.may_repeat() && !ticket.trial && again(ticket, why)
+    ticket.route.kind.may_repeat() && again(ticket, why)
 }
 
 /// Tells whether a request may be sent again, and pays for it.
--- a/gateway/src/ticket.rs
+++ b/gateway/src/ticket.rs
@@ -198,7 +198,9 @@
         let now = self.shared.now();
         let leaves = !self.begun && self.refused_by_leaving(Ahead::Answer);
         let time = now < self.due && !self.shared.overtime.is_set() && !leaves;
-        more && time && self.shared.budget().take(now, &self.service)
+        // A trial is one send, whatever became of it.
+        let refused = self.trial || self.quarantined().is_some();
+        more && time && !refused && self.shared.budget().take(now, &self.service)
     }
 
     /// Returns the refusal for a request whose time, or the node's, is over.
