gateway: know a quarantined request however its host is written

Found by the review: routes are found by the host's name without port and capitals, and the fingerprint took the header as it came, so that one request had as many quarantines as spellings, each after three more ends.

--- a/gateway/src/fingerprint.rs
+++ b/gateway/src/fingerprint.rs
@@ -5,6 +5,7 @@
 use sha2::Digest;
 use sha2::Sha256;
 use snipeyoke_lib::ids::ClientAccount;
+use snipeyoke_lib::serving::catalog::host_name;
 use snipeyoke_lib::serving::crashes::Fingerprint;
 
 /// Hashes a request's method, host, path, query, account and body.
@@ -13,7 +14,8 @@
     account: Option<&ClientAccount>,
     body: &[u8],
 ) -> Fingerprint {
-    let host = head.headers.get(HOST).map_or(&b""[..], |h| h.as_bytes());
+    let host = head.headers.get(HOST).and_then(|h| h.to_str().ok());
+    let host = host_name(host.unwrap_or_default());
     let path = head.uri.path_and_query().map_or("", |p| p.as_str());
     let account = account.map_or("", ClientAccount::as_str);
     let method = head.method.as_str();
@@ -21,7 +23,7 @@
     // Lengths keep two requests apart whose parts only join to the same bytes.
     for part in [
         method.as_bytes(),
-        host,
+        host.as_bytes(),
         path.as_bytes(),
         account.as_bytes(),
         body,
--- a/lib/src/serving/catalog.rs
+++ b/lib/src/serving/catalog.rs
@@ -236,8 +236,7 @@
     /// Returns the route with the longest prefix that begins the path.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
-        let routes = self.routes.get(&name.to_ascii_lowercase())?;
+        let routes = self.routes.get(&host_name(host))?;
         routes.iter().find(|r| path.starts_with(&r.prefix))
     }
 
@@ -264,3 +263,10 @@
         Ok((Arc::clone(route), holder))
     }
 }
+
+/// Returns a host's name as routes are found by it: without port or capitals.
+#[must_use]
+pub fn host_name(host: &str) -> String {
+    let name = host.rsplit_once(':').map_or(host, |(name, _port)| name);
+    name.to_ascii_lowercase()
+}
