owners: count the ends under a request at the same nodes while all leave

Those that leave are ranked when there are no others.

nodes_that_all_leave_count_for_a_request_at_the_same_nodes failed before (no counter at all) and passes.

--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -249,7 +249,12 @@
     #[must_use]
     pub fn counters(&self, now: Time, request: Fingerprint) -> Vec<SocketAddr> {
         let subject = request.to_string();
-        let ranked = self.strong(now).map(|a| (rank(&subject, &a), a));
+        let mut nodes: Vec<SocketAddr> = self.strong(now).collect();
+        // While all leave, each would count for itself alone.
+        if nodes.is_empty() {
+            nodes = self.live(now).map(|(a, _)| a).chain([self.own]).collect();
+        }
+        let ranked = nodes.into_iter().map(|a| (rank(&subject, &a), a));
         let mut ranked: Vec<(u64, SocketAddr)> = ranked.collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
         let counters = ranked.into_iter().take(COUNTERS);
--- a/lib/tests/test_owners.rs
+++ b/lib/tests/test_owners.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::crashes::Fingerprint;
 use snipeyoke_lib::serving::owners::Owners;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::MilliCores;
@@ -73,6 +74,27 @@
     assert_eq!(alone.owner(Time::ZERO, &own), node(3), "nobody else can");
 }
 
+/// Guards against nodes that all leave and each count the ends of endpoints under a
+/// request alone.
+#[test]
+fn nodes_that_all_leave_count_for_a_request_at_the_same_nodes() {
+    let mut all: Vec<Owners> = (1..=6).map(|n| owners(n, 6)).collect();
+    for owners in &mut all {
+        owners.leave();
+        for n in 1..=6 {
+            owners.leaves(node(n), true);
+        }
+    }
+    for request in 0..20 {
+        let named = all
+            .iter()
+            .map(|o| o.counters(Time::ZERO, Fingerprint(request)));
+        let named: Vec<Vec<SocketAddr>> = named.collect();
+        assert_eq!(named[0].len(), 2);
+        assert!(named.iter().all(|n| *n == named[0]), "{named:?}");
+    }
+}
+
 #[test]
 fn strong_hosts_own_services_while_one_of_them_lives() {
     // Most hosts have a fifth of the others' power. One of them that owned a
