gateway: look at the quarantine before the time that a leaving host has left

Found by the review: on a leaving host a quarantined request was told to come back within 50 ms, and was refused again by the next one. No test shows it alone.

--- a/gateway/src/door.rs
+++ b/gateway/src/door.rs
@@ -95,12 +95,12 @@
                 return refuse(ticket, refusal);
             }
         }
-        if ticket.refused_by_leaving(Ahead::All) {
-            return refuse(ticket, Refusal::Leaving);
-        }
         if ticket.quarantined().is_some() && !ticket.try_quarantined() {
             return refuse(ticket, Refusal::Quarantined);
         }
+        if ticket.refused_by_leaving(Ahead::All) {
+            return refuse(ticket, Refusal::Leaving);
+        }
         self.0.budget().earn(began, &ticket.service);
         drive(ticket).await
     }
