gateway: spread the return of callers of quarantined requests

Found by the review: all were told the same instant, and 0.00 if the quarantine was lifted between check and answer. They come back as much later as any refused caller is spread. No test shows it alone.

--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -1,5 +1,7 @@
 //! Requests with one answer.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::stream;
@@ -64,7 +66,10 @@
     ticket.end(refusal.status(), refusal.name());
     let wait = match refusal {
         Refusal::Leaving => elsewhere(ticket.draw()),
-        Refusal::Quarantined => ticket.quarantined().unwrap_or_default(),
+        Refusal::Quarantined => {
+            let left = ticket.quarantined().unwrap_or_default();
+            left + come_back(Duration::ZERO, Duration::ZERO, ticket.draw())
+        }
         _ => come_back(ticket.backlog, ticket.left(), ticket.draw()),
     };
     refusal.reply(wait)
