--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -34,7 +34,7 @@
 use crate::settings::Settings;
 use crate::shared::Shared;
 
-/// How long a leaving node still takes new requests.
+/// How long a leaving node still takes new streams, and keeps idle connections.
 ///
 /// A balancer that asks once a second and wants two misses has passed the node
 /// over after two seconds at most, and its last connections have come.
--- a/lib/src/serving/durations.rs
+++ b/lib/src/serving/durations.rs
@@ -23,18 +23,18 @@
 /// 1.6.
 const FIRST_DEVIATION: f64 = 0.5;
 
-/// The tokens of an answer that its first event costs beside its length.
+/// What an answer costs beside its length, in tokens: the time to its first event.
 const FIXED_TOKENS: f64 = 20.0;
 
 /// The mean deviations above the mean that answers stay below.
 ///
-/// Of 15,447 streams of three routes one or two in a hundred took longer.
+/// One or two streams in a hundred take longer.
 const DEVIATIONS: f64 = 3.0;
 
-/// The shortest time that is told from none, in seconds.
+/// The shortest time that is told from none, of a token as well, in seconds.
 const SHORTEST: f64 = 0.001;
 
-/// How long a request took.
+/// How long the parts of a request took.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Took {
     /// From its arrival until it was sent to the endpoint that answered.
@@ -67,11 +67,11 @@
     }
 }
 
-/// A spread, once something was seen.
+/// A spread that is learned; `None` until something was seen.
 #[derive(Debug, Clone, Copy, Default)]
-struct Seen(Option<Spread>);
+struct Learned(Option<Spread>);
 
-impl Seen {
+impl Learned {
     fn observe(&mut self, value: f64) {
         let value = value.max(SHORTEST).ln();
         let known = self.0.get_or_insert(Spread {
@@ -90,11 +90,11 @@
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Times {
-    wait: Seen,
+    wait: Learned,
     /// Of answers whose length nobody told, in seconds.
-    answer: Seen,
+    answer: Learned,
     /// Of answers whose length was told, in seconds a token.
-    token: Seen,
+    token: Learned,
 }
 
 /// The times that requests take, by route.
@@ -115,7 +115,7 @@
         known.wait.observe(took.wait.as_secs_f64());
         let answer = took.answer.as_secs_f64();
         match took.tokens {
-            Some(tokens) => known.token.observe(answer / size(tokens)),
+            Some(tokens) => known.token.observe(answer / cost(tokens)),
             None => known.answer.observe(answer),
         }
     }
@@ -128,7 +128,7 @@
     pub fn bound(&self, route: &str, tokens: Option<u32>, ahead: Ahead) -> Option<Duration> {
         let known = self.routes.get(route)?;
         let answer = match tokens {
-            Some(tokens) => known.token.bound()? * size(tokens),
+            Some(tokens) => known.token.bound()? * cost(tokens),
             None => known.answer.bound()?,
         };
         let wait = match ahead {
@@ -140,6 +140,7 @@
     }
 }
 
-fn size(tokens: u32) -> f64 {
+/// Returns what an answer costs, in tokens.
+fn cost(tokens: u32) -> f64 {
     f64::from(tokens) + FIXED_TOKENS
 }
