runtime: hold signals from before main until a program takes them

What callers saw: refused connections at a host that was told to leave or reload in its first moment.

Cause: the language's runtime takes SIGSEGV, then starts main, which registers for SIGTERM, SIGINT and SIGHUP; between the two the default action ends the process. Whatever main does first, the window stays open.

Change: a constructor of the binary (crate ctor) blocks the three signals before the runtime starts, and the program unblocks them once it has registered for all. A blocked signal stays pending, so none is lost.

--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -17,3 +17,6 @@
 pub mod settings;
 pub mod signals;
 pub mod threads;
+
+#[doc(hidden)]
+pub use ctor;
--- a/runtime/src/program.rs
+++ b/runtime/src/program.rs
@@ -21,6 +21,7 @@
 use crate::settings;
 use crate::settings::Checked;
 use crate::settings::Watch;
+use crate::signals;
 use crate::signals::Leave;
 use crate::signals::Reload;
 use crate::threads::Execs;
@@ -100,6 +101,26 @@
     }
 }
 
+/// Defines `main` of the binary of a [`Program`].
+///
+/// Signals that ask the process to leave or reload are held back from before
+/// `main` until the program takes them: by default they end a process.
+#[macro_export]
+macro_rules! program {
+    ($program:ty) => {
+        $crate::ctor::declarative::ctor! {
+            #[ctor(unsafe)]
+            fn hold_signals() {
+                $crate::signals::hold();
+            }
+        }
+
+        fn main() -> ::std::process::ExitCode {
+            $crate::program::main::<$program>()
+        }
+    };
+}
+
 /// Runs a program to its end, as the body of `main`.
 #[must_use]
 pub fn main<P: Program>() -> ExitCode {
@@ -113,9 +134,11 @@
 }
 
 fn run<P: Program>(args: &Args) -> Result<(), Box<dyn Error>> {
-    // First of all: until then these signals end the process at once.
+    // First of all: a process that has nothing running yet still answers to
+    // its signals.
     let leave = Leave::register()?;
     let reload = Reload::register()?;
+    signals::release()?;
     faults::install(P::NAME)?;
     let path = args.path()?;
     let settings: P::Settings = settings::load(&path)?;
--- a/runtime/src/signals.rs
+++ b/runtime/src/signals.rs
@@ -5,6 +5,33 @@
 use async_signal::Signal;
 use async_signal::Signals;
 use futures_lite::StreamExt;
+use nix::sys::signal::SigSet;
+
+/// Holds back the signals of [`Leave`] and [`Reload`] until [`release`].
+///
+/// The system keeps them pending. Meant to run before `main`, so it uses
+/// nothing that the language's runtime sets up.
+pub fn hold() {
+    // It fails only for a wrong argument, and there is nowhere to tell it yet.
+    let _held = taken().thread_block();
+}
+
+/// Lets the signals through that [`hold`] has held back.
+///
+/// # Errors
+///
+/// Returns the system's error if the signals stay blocked.
+pub fn release() -> io::Result<()> {
+    Ok(taken().thread_unblock()?)
+}
+
+/// Returns the signals that a process of the system takes.
+fn taken() -> SigSet {
+    use nix::sys::signal::Signal;
+    [Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]
+        .into_iter()
+        .collect()
+}
 
 /// Waits for SIGTERM or SIGINT, again at each call.
 #[derive(Debug)]
