runtime: tell the code and the registers in the report of a fatal signal

What callers saw: closed connections at a host whose program ended with 139. The report of that time told address and instruction; whether the code there was what its file holds, it did not.

Both: main thread, at the start, address 0xc2, instruction two bytes behind the start of the system call in libc's syscall. The code there was e9 64 c8 9e ff, a jump, in place of 0f 05 48 3d 01. The thread came back from eventfd2 into the middle of the jump, where c8 9e ff f0 is an enter that reads at rbp - 8, and rbp was 0xca.

So the cause is what runs beside the program in its process and rewrites places that make system calls, as the users' page says it does; it is not in the program.

Tests: the 13 cases of runtime's faults ask for the registers, and for - where no code is mapped; both are missing before.

--- a/runtime/src/faults.rs
+++ b/runtime/src/faults.rs
@@ -35,6 +35,12 @@
 /// The size of a page of memory in bytes, or a part of it.
 const PAGE: u64 = 4_096;
 
+/// The bytes of code that are told from the instruction on.
+const CODE: usize = 16;
+
+/// The bytes of code that are told before the instruction.
+const CODE_BEFORE: usize = 8;
+
 /// The most return addresses that are told.
 const FRAMES: usize = 16;
 
@@ -82,8 +88,12 @@
 impl Report {
     fn tell(&self, context: &CrashContext) -> CrashEventResult {
         let signal = Fatal::from(context);
-        let mut line = Line::default();
+        // Who runs the process may keep its last two lines only: these tell most.
         // Writing beyond the end of a line cuts it, and fails otherwise never.
+        let mut line = Line::default();
+        let _cut = describe_registers(&mut line, context);
+        line.write_out();
+        let mut line = Line::default();
         let _cut = self.describe(&mut line, &signal, context.tid);
         line.write_out();
         let mut line = Line::default();
@@ -112,6 +122,7 @@
         }
         write!(line, " instruction=")?;
         self.describe_address(line, signal.instruction)?;
+        describe_code(line, signal.instruction)?;
         write!(line, " stack={:#x}", signal.stack_pointer)
     }
 
@@ -155,6 +166,28 @@
     }
 }
 
+/// Writes the code around an address as it is in memory, which may differ from
+/// what the object's file holds.
+fn describe_code(line: &mut Line, instruction: u64) -> fmt::Result {
+    write!(line, " at=")?;
+    describe_memory(line, &mut [0; CODE], instruction)?;
+    write!(line, " before=")?;
+    let before = instruction.wrapping_sub(CODE_BEFORE as u64);
+    describe_memory(line, &mut [0; CODE_BEFORE], before)
+}
+
+/// Writes bytes of this process's memory, or `-` where nothing is mapped.
+fn describe_memory(line: &mut Line, buffer: &mut [u8], from: u64) -> fmt::Result {
+    let length = read_own_memory(buffer, from).unwrap_or(0);
+    if length == 0 {
+        return write!(line, "-");
+    }
+    for byte in &buffer[..length] {
+        write!(line, "{byte:02x}")?;
+    }
+    Ok(())
+}
+
 /// A signal that ends the process.
 #[derive(Debug)]
 struct Fatal {
@@ -194,6 +227,47 @@
     (instruction.cast_unsigned(), stack.cast_unsigned())
 }
 
+#[cfg(target_arch = "x86_64")]
+fn describe_registers(line: &mut Line, context: &CrashContext) -> fmt::Result {
+    // Each with its place in the kernel's array.
+    const REGISTERS: [(&str, usize); 16] = [
+        ("rax", 13),
+        ("rbx", 11),
+        ("rcx", 14),
+        ("rdx", 12),
+        ("rsi", 9),
+        ("rdi", 8),
+        ("rbp", 10),
+        ("rsp", 15),
+        ("r8", 0),
+        ("r9", 1),
+        ("r10", 2),
+        ("r11", 3),
+        ("r12", 4),
+        ("r13", 5),
+        ("r14", 6),
+        ("r15", 7),
+    ];
+    write!(line, "event=fatal-signal-registers")?;
+    for (name, place) in REGISTERS {
+        write!(
+            line,
+            " {name}={:#x}",
+            context.context.uc_mcontext.gregs[place]
+        )?;
+    }
+    Ok(())
+}
+
+#[cfg(target_arch = "aarch64")]
+fn describe_registers(line: &mut Line, context: &CrashContext) -> fmt::Result {
+    write!(line, "event=fatal-signal-registers")?;
+    for (number, value) in context.context.uc_mcontext.regs.iter().enumerate() {
+        write!(line, " x{number}={value:#x}")?;
+    }
+    Ok(())
+}
+
 #[cfg(target_arch = "aarch64")]
 fn registers(context: &CrashContext) -> (u64, u64) {
     let registers = &context.context.uc_mcontext;
--- a/runtime/tests/faults/main.rs
+++ b/runtime/tests/faults/main.rs
@@ -90,11 +90,14 @@
     let name = if thread == "main" { main } else { thread };
     let mut pairs = vec![
         "event=fatal-signal program=faults ".to_owned(),
+        "event=fatal-signal-registers ".to_owned(),
         format!(" thread={name} "),
     ];
     match fault {
         "write" => pairs.extend([" address=0x10 ".into(), format!(" instruction={own}+0x")]),
-        "execute" => pairs.push(" address=0x2000 instruction=unmapped+0x2000 ".into()),
+        "execute" => {
+            pairs.push(" address=0x2000 instruction=unmapped+0x2000 at=- before=- ".into());
+        }
         "overflow" => pairs.push("has overflowed its stack".into()),
         "abort" => pairs.push(" signal=6 ".into()),
         _ => pairs.push(" sender=".into()),
