crashes: count an end at the time at which it was, not at which it is told

What callers saw: a request that had been answered whole could be refused for a minute, as one under which three endpoints had ended. Hosts tell the reports of the last 5 s again when a link comes up or a host that counts is lost; these counted as new ends.

Cause: the report carried no age. So ends from before an answer counted after it; the host that had answered took its answer for older than the ends and did not object; a lifted quarantine came back; and an end from before the quarantine put a trial's request back in it for three times as long, and let one more trial through at once.

Change: the frame says how long ago the end was, taken from the moment at which the connection broke, not from the look at the endpoint. Ends that an answer or a lifted quarantine follows are passed over.

--- a/gateway/src/dispatch/convert.rs
+++ b/gateway/src/dispatch/convert.rs
@@ -133,21 +133,28 @@
 }
 
 /// Writes that an endpoint ended under a request.
-pub(super) fn end_of_endpoint_frame(request: Fingerprint, run: &Incarnation) -> EndpointEnd {
+pub(super) fn end_of_endpoint_frame(
+    request: Fingerprint,
+    run: &Incarnation,
+    age: Duration,
+) -> EndpointEnd {
     EndpointEnd {
         request: bytes_of(request),
         endpoint: run.endpoint.to_string(),
         born: run.born,
+        age_ms: age.as_millis() as u64,
     }
 }
 
-/// Reads that an endpoint ended under a request; `None` if it can't be read.
-pub(super) fn end_of_endpoint(frame: &EndpointEnd) -> Option<(Fingerprint, Incarnation)> {
+/// Reads that an endpoint ended under a request, and how long ago; `None` if it
+/// can't be read.
+pub(super) fn end_of_endpoint(frame: &EndpointEnd) -> Option<(Fingerprint, Incarnation, Duration)> {
     let run = Incarnation {
         endpoint: frame.endpoint.parse().ok()?,
         born: frame.born,
     };
-    Some((fingerprint(&frame.request)?, run))
+    let age = Duration::from_millis(frame.age_ms);
+    Some((fingerprint(&frame.request)?, run, age))
 }
 
 /// Writes a verdict on a request.
--- a/gateway/src/dispatch/crashes.rs
+++ b/gateway/src/dispatch/crashes.rs
@@ -54,7 +54,7 @@
                 let look = look(run, address, self.inbox.clone());
                 self.scope.spawn(look);
             }
-            Broke::Ended => self.ended_under(&run, request),
+            Broke::Ended => self.ended_under(now, &run, request),
             Broke::Waits | Broke::Lives => {}
         }
     }
@@ -65,21 +65,18 @@
         if !ended {
             log::info!(event = "endpoint-lives", endpoint = run.to_string().as_str(); "");
         }
-        for request in requests {
-            self.ended_under(run, request);
+        for (at, request) in requests {
+            self.ended_under(at, run, request);
         }
     }
 
     /// Counts an end, and tells the nodes that count for the request.
-    fn ended_under(&mut self, run: &Incarnation, request: Fingerprint) {
+    fn ended_under(&mut self, at: Time, run: &Incarnation, request: Fingerprint) {
         metrics::counter!("snipeyoke_crash_strikes_total").increment(1);
         log::warn!(event = "endpoint-ended", endpoint = run.to_string().as_str(), fingerprint = request.to_string().as_str(); "");
-        let report = Report {
-            at: self.shared.now(),
-            request,
-            run: run.clone(),
-        };
-        self.count_end(request, run);
+        let run = run.clone();
+        let report = Report { at, request, run };
+        self.count_end(&report);
         self.report(&report, |_| true);
         if self.reports.len() >= REPORTS_MAX {
             self.reports.pop_front();
@@ -92,7 +89,8 @@
         let own = self.shared.settings.listen.peers;
         let counters = self.shared.owners().counters(now, report.request);
         for node in counters.into_iter().filter(|n| *n != own && to(n)) {
-            let frame = convert::end_of_endpoint_frame(report.request, &report.run);
+            let age = now.since(report.at);
+            let frame = convert::end_of_endpoint_frame(report.request, &report.run, age);
             // Without a link yet, it goes out once it is there.
             self.send(node, Body::EndpointEnd(frame));
         }
@@ -127,18 +125,21 @@
 
     /// Takes in that an endpoint ended under another node's request.
     pub(super) fn asked_end(&mut self, frame: &EndpointEnd) {
-        let Some((request, run)) = convert::end_of_endpoint(frame) else {
+        let Some((request, run, age)) = convert::end_of_endpoint(frame) else {
             log::warn!(event = "endpoint-end-unreadable", remedy = "run the same release on all nodes"; "");
             return;
         };
-        self.count_end(request, &run);
+        let at = self.shared.now() - age;
+        self.count_end(&Report { at, request, run });
     }
 
-    fn count_end(&mut self, request: Fingerprint, run: &Incarnation) {
+    fn count_end(&mut self, report: &Report) {
+        let Report { at, request, run } = report;
+        let request = *request;
         let now = self.shared.now();
         let mut crashes = self.shared.crashes();
         let mut ends: Vec<String> = crashes.ends(request).map(ToString::to_string).collect();
-        let verdict = crashes.ended(now, request, run);
+        let verdict = crashes.told_end(now, *at, request, run);
         drop(crashes);
         let Some(verdict) = verdict else {
             return;
--- a/lib/src/serving/crashes.rs
+++ b/lib/src/serving/crashes.rs
@@ -119,37 +119,64 @@
 }
 
 impl Crashes {
-    /// Notes that an endpoint ended under a request.
+    /// Notes that an endpoint has just ended under a request.
     ///
     /// Returns a verdict that all other nodes are to be told.
     pub fn ended(&mut self, now: Time, request: Fingerprint, run: &Incarnation) -> Option<Verdict> {
+        self.told_end(now, now, request, run)
+    }
+
+    /// Notes that an endpoint ended under a request at `at`, as it is told now.
+    ///
+    /// Returns a verdict that all other nodes are to be told.
+    pub fn told_end(
+        &mut self,
+        now: Time,
+        at: Time,
+        request: Fingerprint,
+        run: &Incarnation,
+    ) -> Option<Verdict> {
         self.sweep(now);
+        if now.since(at) >= REMEMBERED || self.is_cleared(at, request) {
+            return None;
+        }
         if let Some(record) = self.records.get(&request).copied()
             && let Some(until) = record.until
         {
             // It was under way when it was quarantined, or was tried after it.
-            let again = until <= now;
+            let again = until <= at;
+            let longer = until.max(at + lasts(at, record.first));
+            if longer == until {
+                return None;
+            }
             let version = record.version + u32::from(again);
-            let until = until.max(now + lasts(now, record.first));
-            let verdict = self.set(now, request, version, Some(until), record.first);
+            let verdict = self.set(now, request, version, Some(longer), record.first);
             return again.then_some(verdict);
         }
         let ends = self.suspects.entry(request).or_default();
         ends.retain(|e| now.since(e.at) < REMEMBERED);
         if ends.iter().all(|e| e.run != *run) {
             let run = run.clone();
-            ends.push(End { at: now, run });
+            ends.push(End { at, run });
         }
         if ends.len() < ENDS {
             self.bound_suspects();
             return None;
         }
-        let first = ends.first().map_or(now, |e| e.at);
+        let first = ends.iter().map(|e| e.at).min().unwrap_or(at);
         let version = self.records.get(&request).map_or(1, |r| r.version + 1);
         let until = now + lasts(now, first);
         Some(self.set(now, request, version, Some(until), first))
     }
 
+    /// Tells whether a request was answered whole, here or as others told,
+    /// after an end at `at`.
+    fn is_cleared(&self, at: Time, request: Fingerprint) -> bool {
+        let answered = self.answered.get(&request).copied();
+        let lifted = self.records.get(&request).filter(|r| r.until.is_none());
+        answered.max(lifted.map(|r| r.at)).is_some_and(|a| a > at)
+    }
+
     /// Notes that a request was answered whole.
     ///
     /// Returns a verdict that all other nodes are to be told.
--- a/lib/src/serving/ends.rs
+++ b/lib/src/serving/ends.rs
@@ -50,7 +50,8 @@
 
 #[derive(Debug, Clone)]
 enum Found {
-    Looking(Vec<Fingerprint>),
+    /// The requests that it had, and when their connections broke.
+    Looking(Vec<(Time, Fingerprint)>),
     Ended,
     Lives,
 }
@@ -71,14 +72,14 @@
         let full = self.found.len() >= ENDPOINTS_MAX;
         match self.found.get_mut(run) {
             Some((_, Found::Looking(waiting))) => {
-                waiting.push(request);
+                waiting.push((now, request));
                 Broke::Waits
             }
             Some((_, Found::Ended)) => Broke::Ended,
             Some((_, Found::Lives)) => Broke::Lives,
             None if full => Broke::Lives,
             None => {
-                let looking = Found::Looking(vec![request]);
+                let looking = Found::Looking(vec![(now, request)]);
                 self.found.insert(run.clone(), (now, looking));
                 Broke::Look
             }
@@ -86,8 +87,13 @@
     }
 
     /// Takes in what a look found; returns the requests under which the
-    /// endpoint ended.
-    pub fn looked(&mut self, now: Time, run: &Incarnation, ended: bool) -> Vec<Fingerprint> {
+    /// endpoint ended, and when.
+    pub fn looked(
+        &mut self,
+        now: Time,
+        run: &Incarnation,
+        ended: bool,
+    ) -> Vec<(Time, Fingerprint)> {
         let found = if ended { Found::Ended } else { Found::Lives };
         let before = self.found.insert(run.clone(), (now, found));
         match before {
--- a/lib/tests/test_crashes.rs
+++ b/lib/tests/test_crashes.rs
@@ -225,3 +225,63 @@
     assert_eq!(text.len(), 32);
     assert_eq!(text.parse(), Ok(REQUEST));
 }
+
+/// Guards against a request that is refused for ends before its answer, because
+/// they are told again after it.
+#[test]
+fn ends_told_again_after_an_answer_do_not_count() {
+    let mut crashes = Crashes::default();
+    crashes.answered(at(3), REQUEST);
+    for n in 0..3 {
+        assert_eq!(crashes.told_end(at(4), at(n), REQUEST, &run(n)), None);
+    }
+    assert_eq!(crashes.quarantined(at(4), REQUEST), None);
+}
+
+/// Guards against a node that takes an answer for older than the ends, because
+/// these are counted when they are told.
+#[test]
+fn a_node_objects_to_ends_that_were_told_late() {
+    let mut counter = Crashes::default();
+    counter.told_end(at(5), at(0), REQUEST, &run(0));
+    counter.ended(at(6), REQUEST, &run(1));
+    let verdict = counter.ended(at(7), REQUEST, &run(2));
+    let verdict = verdict.expect("three have ended");
+    assert_eq!(verdict.span, Duration::from_secs(7));
+    let mut witness = Crashes::default();
+    witness.answered(at(3), REQUEST);
+    let learned = witness.learn(at(7), verdict);
+    assert!(matches!(learned, Learned::Objected(_)), "{learned:?}");
+}
+
+/// Guards against a quarantine that is put back after it was lifted elsewhere, by
+/// ends from before.
+#[test]
+fn ends_told_again_after_a_lifted_quarantine_do_not_count() {
+    let (mut crashes, verdict) = quarantined();
+    let lifted = Verdict {
+        version: verdict.version + 1,
+        left: Duration::ZERO,
+        ..verdict
+    };
+    crashes.learn(at(4), lifted);
+    for n in 1..4 {
+        assert_eq!(crashes.told_end(at(5), at(n - 1), REQUEST, &run(n)), None);
+    }
+    assert_eq!(crashes.quarantined(at(5), REQUEST), None);
+}
+
+/// Guards against a trial that is taken for failed, and repeated, because an end
+/// from before the quarantine is told again.
+#[test]
+fn an_end_told_again_after_the_quarantine_is_no_failed_trial() {
+    let (mut crashes, _) = quarantined();
+    assert!(crashes.may_try(at(62), REQUEST));
+    assert_eq!(crashes.told_end(at(63), at(1), REQUEST, &run(2)), None);
+    assert_eq!(
+        crashes.quarantined(at(63), REQUEST),
+        Some(Duration::from_secs(10)),
+        "it is still over but for trials"
+    );
+    assert!(!crashes.may_try(at(64), REQUEST), "one at a time");
+}
--- a/lib/tests/test_ends.rs
+++ b/lib/tests/test_ends.rs
@@ -22,7 +22,7 @@
     assert_eq!(ends.broke(now, &run(1), Fingerprint(1)), Broke::Look);
     assert_eq!(ends.broke(now, &run(1), Fingerprint(2)), Broke::Waits);
     let ended = ends.looked(now, &run(1), true);
-    assert_eq!(ended, [Fingerprint(1), Fingerprint(2)]);
+    assert_eq!(ended, [(now, Fingerprint(1)), (now, Fingerprint(2))]);
     assert_eq!(ends.broke(now, &run(1), Fingerprint(3)), Broke::Ended);
     assert_eq!(ends.broke(now, &run(2), Fingerprint(3)), Broke::Look);
 }
