crashes: count no end of an endpoint that had announced it

What callers saw: a request that lost three draining endpoints, each taken away while it waited there, was refused with quarantined for a minute, although it ends no endpoint. Quick releases and planned removals do that to long requests.

Cause: after a broken connection one look decides whether the endpoint has ended, and an endpoint that was taken away refuses connections like one that crashed. What it had announced in the registry was not looked at.

Change: such an endpoint has left, which counts against no request; it is logged as endpoint-left.

The new test failed before, twice of two: 503 quarantined, expected 200. A request that ends an endpoint that drains is missed once more; it gets no other of them.

--- a/gateway/src/dispatch/crashes.rs
+++ b/gateway/src/dispatch/crashes.rs
@@ -9,6 +9,7 @@
 use snipeyoke_lib::serving::crashes::Fingerprint;
 use snipeyoke_lib::serving::crashes::Learned;
 use snipeyoke_lib::serving::crashes::Verdict;
+use snipeyoke_lib::serving::directory::Endpoint;
 use snipeyoke_lib::serving::ends::Broke;
 use snipeyoke_lib::serving::ends::Incarnation;
 use snipeyoke_lib::time::Time;
@@ -61,8 +62,11 @@
 
     pub(super) fn looked(&mut self, run: &Incarnation, ended: bool) {
         let now = self.shared.now();
-        let requests = self.ends.looked(now, run, ended);
-        if !ended {
+        let leaves = ended && self.leaves(run);
+        let requests = self.ends.looked(now, run, ended && !leaves);
+        if leaves {
+            log::info!(event = "endpoint-left", endpoint = run.to_string().as_str(); "");
+        } else if !ended {
             log::info!(event = "endpoint-lives", endpoint = run.to_string().as_str(); "");
         }
         for (at, request) in requests {
@@ -70,6 +74,13 @@
         }
     }
 
+    /// Tells whether an endpoint has announced its end.
+    fn leaves(&self, run: &Incarnation) -> bool {
+        let directory = self.shared.directory();
+        let entry = directory.get(&run.endpoint).map(Endpoint::entry);
+        entry.is_some_and(|e| e.born == run.born && e.draining)
+    }
+
     /// Counts an end, and tells the nodes that count for the request.
     fn ended_under(&mut self, at: Time, run: &Incarnation, request: Fingerprint) {
         metrics::counter!("snipeyoke_crash_strikes_total").increment(1);
