crashes: count an end for a request that was given up right before

What callers saw: a request that ends its endpoints some time after it begins to run, and whose callers are impatient, went on ending one endpoint after the other; everybody else's requests there were cut.

Cause: an end is found by the connection that breaks, and a request whose caller has left, or whose time is over, has none.

Change: a host remembers for 1 s which requests were given up at an endpoint that had them. If that endpoint ends, as another request's broken connection or a refused one shows, the end counts for them too. No connection is opened but where one was refused. A request that the endpoint has answered, refused or broken off is not among them.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 use hyper::StatusCode;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::serving::bookings::Wish;
+use snipeyoke_lib::serving::crashes::Fingerprint;
 use snipeyoke_lib::serving::directory::Choice;
 use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::directory::Wanted;
@@ -85,17 +86,37 @@
     address: SocketAddr,
     /// Its booking, if another node may know of it.
     booking: Option<Booking>,
+    request: Fingerprint,
+    /// Set before the first byte of the request may have left.
+    handed: Flag,
+    /// Whether it is known what became of it at the endpoint.
+    settled: bool,
 }
 
 impl InFlight {
-    fn new(shared: &Arc<Shared>, entry: &Entry, booking: Option<Booking>) -> Self {
-        shared.directory().began(&entry.id);
+    fn new(ticket: &Ticket, entry: &Entry, booking: Option<Booking>) -> Self {
+        ticket.shared.directory().began(&entry.id);
         Self {
-            shared: Arc::clone(shared),
+            shared: Arc::clone(&ticket.shared),
             endpoint: entry.id.clone(),
             born: entry.born,
             address: entry.address,
             booking,
+            request: ticket.fingerprint(),
+            handed: Flag::default(),
+            settled: false,
+        }
+    }
+
+    /// Notes that it is known what became of it at the endpoint.
+    pub(crate) const fn settle(&mut self) {
+        self.settled = true;
+    }
+
+    fn run(&self) -> Incarnation {
+        Incarnation {
+            endpoint: self.endpoint.clone(),
+            born: self.born,
         }
     }
 }
@@ -103,6 +124,9 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.shared.directory().ended(&self.endpoint);
+        if !self.settled && self.handed.is_set() {
+            self.shared.dispatcher.given_up(self.run(), self.request);
+        }
     }
 }
 
@@ -131,7 +155,7 @@
             return Tried::Leaving;
         }
         log_choice(ticket, &choice);
-        let mut flight = InFlight::new(&ticket.shared, &choice.entry, booking);
+        let mut flight = InFlight::new(ticket, &choice.entry, booking);
         let sent = ticket.shared.now();
         if !ticket.begun {
             ticket.timeline.sent = Some(sent);
@@ -147,7 +171,7 @@
         let body = ticket.body.clone();
         let request = ticket.shared.dialect.request(&ticket.head, body, with);
         let exec = Arc::clone(&ticket.shared.traffic);
-        let handed = Flag::default();
+        let handed = flight.handed.clone();
         let called = call(&exec, choice.entry.address, request, &handed);
         let may_have_run = std::mem::replace(&mut ticket.may_have_run, true);
         match ticket.within(called).await {
@@ -165,14 +189,21 @@
             }
             Some(Err(error)) => {
                 note_error(ticket, &choice.entry.id, &error);
+                flight.settle();
                 if let Some(booking) = &mut flight.booking {
                     booking.failed();
                 }
                 if !error.is_not_sent() {
-                    note_break(ticket, &flight);
+                    note_break(ticket, &mut flight);
                     ticket.tried.push(choice.entry.id);
                     return Tried::Unknown(Refusal::AnswerLost);
                 }
+                if error.is_refused() {
+                    ticket
+                        .shared
+                        .dispatcher
+                        .refused(flight.run(), flight.address);
+                }
                 ticket.may_have_run = may_have_run;
                 failed.push(choice.entry.id);
                 if failed.len() >= CONNECTS_MAX {
@@ -283,7 +314,7 @@
 fn judge(
     ticket: &mut Ticket,
     call: Call,
-    flight: InFlight,
+    mut flight: InFlight,
     sent: Time,
     may_have_run: bool,
 ) -> Tried {
@@ -296,6 +327,7 @@
     }
     let status = call.head.status;
     if answer.verdict != Verdict::Ran {
+        flight.settle();
         ticket.may_have_run = may_have_run;
         return refused(ticket, &endpoint, answer.verdict, status);
     }
@@ -371,13 +403,10 @@
 }
 
 /// Notes that the connection of a call broke before its whole answer.
-pub(crate) fn note_break(ticket: &Ticket, flight: &InFlight) {
-    let run = Incarnation {
-        endpoint: flight.endpoint.clone(),
-        born: flight.born,
-    };
+pub(crate) fn note_break(ticket: &Ticket, flight: &mut InFlight) {
+    flight.settle();
     let dispatcher = &ticket.shared.dispatcher;
-    dispatcher.broke(run, flight.address, ticket.fingerprint());
+    dispatcher.broke(flight.run(), flight.address, flight.request);
 }
 
 /// Tells whether a status says that the request did not run.
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -57,6 +57,11 @@
 }
 
 impl CallError {
+    /// Tells whether the endpoint's host refused the connection.
+    pub(crate) fn is_refused(&self) -> bool {
+        matches!(self, Self::NotSent(e) if e.kind() == io::ErrorKind::ConnectionRefused)
+    }
+
     /// Tells whether the request surely never left this process.
     pub(crate) const fn is_not_sent(&self) -> bool {
         !matches!(self, Self::Broken(_))
--- a/gateway/src/dispatch/crashes.rs
+++ b/gateway/src/dispatch/crashes.rs
@@ -60,6 +60,14 @@
         }
     }
 
+    pub(super) fn refused(&mut self, run: Incarnation, address: SocketAddr) {
+        let now = self.shared.now();
+        if self.ends.refused(now, &run) {
+            let look = look(run, address, self.inbox.clone());
+            self.scope.spawn(look);
+        }
+    }
+
     pub(super) fn looked(&mut self, run: &Incarnation, ended: bool) {
         let now = self.shared.now();
         let leaves = ended && self.leaves(run);
--- a/gateway/src/dispatch/messages.rs
+++ b/gateway/src/dispatch/messages.rs
@@ -54,6 +54,16 @@
         address: SocketAddr,
         request: Fingerprint,
     },
+    /// A request of this node was given up while an endpoint had it.
+    GivenUp {
+        run: Incarnation,
+        request: Fingerprint,
+    },
+    /// An endpoint refused a connection.
+    Refused {
+        run: Incarnation,
+        address: SocketAddr,
+    },
     /// A look at an endpoint whose connection broke tells whether it has ended.
     Looked { run: Incarnation, ended: bool },
     /// All other nodes are to know this of a request.
--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -138,6 +138,16 @@
         });
     }
 
+    /// Says that a request was given up while an endpoint had it.
+    pub(crate) fn given_up(&self, run: Incarnation, request: Fingerprint) {
+        self.tell(Message::GivenUp { run, request });
+    }
+
+    /// Says that an endpoint refused a connection.
+    pub(crate) fn refused(&self, run: Incarnation, address: SocketAddr) {
+        self.tell(Message::Refused { run, address });
+    }
+
     /// Says what all other nodes are to know of a request.
     pub(crate) fn tell_verdict(&self, verdict: Verdict) {
         self.tell(Message::Verdict(verdict));
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -233,6 +233,11 @@
                 address,
                 request,
             } => self.broke(run, address, request),
+            Message::GivenUp { run, request } => {
+                let now = self.shared.now();
+                self.ends.given_up(now, &run, request);
+            }
+            Message::Refused { run, address } => self.refused(run, address),
             Message::Looked { run, ended } => self.looked(&run, ended),
             Message::Verdict(verdict) => self.tell_all(verdict),
             Message::EndpointsChanged => self.set_endpoints(),
--- a/gateway/src/plain.rs
+++ b/gateway/src/plain.rs
@@ -93,11 +93,14 @@
         match ticket.within(answered.call.next()).await {
             None => return Taken::Timeout,
             Some(Ok(Some(bytes))) => kept.extend_from_slice(&bytes),
-            Some(Ok(None)) => break,
+            Some(Ok(None)) => {
+                answered.flight.settle();
+                break;
+            }
             Some(Err(error)) => {
                 log::warn!(event = "answer-broken", request = ticket.ask.id.as_str(), endpoint = answered.flight.endpoint.to_string().as_str(), error = error.to_string().as_str(); "");
                 note_failure(ticket, &mut answered.flight);
-                note_break(ticket, &answered.flight);
+                note_break(ticket, &mut answered.flight);
                 return Taken::Failed(None);
             }
         }
@@ -142,12 +145,13 @@
         match ticket.in_time(rest.call.next()).await {
             Some(Ok(Some(bytes))) => Some((Ok(bytes), Some((ticket, rest, None)))),
             Some(Ok(None)) => {
+                rest.flight.settle();
                 ticket.end(status, "answered");
                 None
             }
             broken @ (None | Some(Err(_))) => {
                 if broken.is_some() {
-                    note_break(&ticket, &rest.flight);
+                    note_break(&ticket, &mut rest.flight);
                 }
                 ticket.end(status, "cut");
                 Some((Err(Cut), None))
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -127,6 +127,9 @@
                     Err(error) => error.to_string(),
                 },
                 Some(Ok(None)) if !self.events.is_torn() => {
+                    if let Some(answered) = &mut self.answered {
+                        answered.flight.settle();
+                    }
                     self.finish("answered");
                     return None;
                 }
@@ -161,7 +164,7 @@
             let endpoint = answered.flight.endpoint.to_string();
             log::warn!(event = "stream-broken", request = self.ticket.ask.id.as_str(), endpoint = endpoint.as_str(), events = self.events.count(), why; "");
             note_failure(&self.ticket, &mut answered.flight);
-            note_break(&self.ticket, &answered.flight);
+            note_break(&self.ticket, &mut answered.flight);
         }
         self.events.drop_rest();
         if !may_repeat(&self.ticket, "stream-broken") {
--- a/lib/src/serving/ends.rs
+++ b/lib/src/serving/ends.rs
@@ -4,6 +4,7 @@
 //! look at the endpoint tells, for all requests that it had.
 
 use std::collections::BTreeMap;
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use derive_more::Display;
@@ -21,6 +22,14 @@
 /// Its other connections were reset within milliseconds; it may end later.
 const LIVES: Duration = Duration::from_millis(300);
 
+/// How long a request may be the cause of an end after it was given up.
+///
+/// An endpoint that a request ends does so soon after it has begun to run it.
+const GIVEN_UP: Duration = Duration::from_secs(1);
+
+/// The most requests given up that are remembered.
+const GIVEN_UP_MAX: usize = 1_024;
+
 /// The most endpoints that are remembered.
 const ENDPOINTS_MAX: usize = 1_024;
 
@@ -60,6 +69,8 @@
 #[derive(Debug, Clone, Default)]
 pub struct Ends {
     found: BTreeMap<Incarnation, (Time, Found)>,
+    /// Requests that were given up while their endpoints had them, oldest first.
+    given_up: VecDeque<(Time, Incarnation, Fingerprint)>,
 }
 
 impl Ends {
@@ -86,6 +97,37 @@
         }
     }
 
+    /// Notes that a request was given up while an endpoint had it.
+    ///
+    /// Its connection is closed then, and won't tell that the endpoint ends.
+    pub fn given_up(&mut self, now: Time, run: &Incarnation, request: Fingerprint) {
+        self.forget_given_up(now);
+        if self.given_up.len() >= GIVEN_UP_MAX {
+            self.given_up.pop_front();
+        }
+        self.given_up.push_back((now, run.clone(), request));
+    }
+
+    /// Notes that an endpoint refused a connection; tells whether to look
+    /// whether it has ended.
+    pub fn refused(&mut self, now: Time, run: &Incarnation) -> bool {
+        self.forget_given_up(now);
+        let suspected = self.given_up.iter().any(|(_, r, _)| r == run);
+        let known = self.found.contains_key(run) || self.found.len() >= ENDPOINTS_MAX;
+        if suspected && !known {
+            let looking = Found::Looking(Vec::new());
+            self.found.insert(run.clone(), (now, looking));
+        }
+        suspected && !known
+    }
+
+    fn forget_given_up(&mut self, now: Time) {
+        let old = |(at, _, _): &(Time, _, _)| now.since(*at) >= GIVEN_UP;
+        while self.given_up.front().is_some_and(old) {
+            self.given_up.pop_front();
+        }
+    }
+
     /// Takes in what a look found; returns the requests under which the
     /// endpoint ended, and when.
     pub fn looked(
@@ -96,9 +138,19 @@
     ) -> Vec<(Time, Fingerprint)> {
         let found = if ended { Found::Ended } else { Found::Lives };
         let before = self.found.insert(run.clone(), (now, found));
-        match before {
-            Some((_, Found::Looking(waiting))) if ended => waiting,
-            _ => Vec::new(),
+        let Some((broke, Found::Looking(mut requests))) = before else {
+            return Vec::new();
+        };
+        if !ended {
+            return Vec::new();
         }
+        // The look takes a moment: what counts is when the endpoint was found.
+        let given_up = self.given_up.iter().filter(|(at, r, _)| {
+            let soon = broke.since(*at) < GIVEN_UP;
+            r == run && soon
+        });
+        requests.extend(given_up.map(|(_, _, request)| (broke, *request)));
+        self.given_up.retain(|(_, r, _)| r != run);
+        requests
     }
 }
