crashes: try a quarantined request three times at most

What callers saw: a request that ends its endpoints was tried every 10 s after its quarantine for as long as nobody had a verdict (callers that leave, endpoints that refuse), and a fourth time after an hour; each trial could cost one more endpoint, and all requests on it. The bound is three sends after the third end.

Cause: only trials that ended an endpoint were counted, by the length of the quarantine; the others had no end.

Change: trials are counted, with those that failed at other hosts. One without a verdict is followed by the next after 10 s, then 40 s. After three the request is refused until it is forgotten, and its Retry-After says how long that is.

Failed before: 94 trials in 1,000 s, expected 3; trials after three that failed elsewhere; and the older test of failed trials, in which the fourth was let through: it asked for that, against the bound, and now asks that it is not, with the same quarantines (186, 744, 2,976, 3,600 s).

--- a/lib/src/serving/crashes.rs
+++ b/lib/src/serving/crashes.rs
@@ -34,6 +34,12 @@
 /// How long a trial after a quarantine may take before there is another.
 const TRIAL: Duration = Duration::from_secs(10);
 
+/// The most trials of a request until it is answered or forgotten.
+const TRIALS_MAX: u32 = 3;
+
+/// How much longer the next trial waits than the last one that had no verdict.
+const TRIAL_GROWTH: u32 = 4;
+
 /// What is told to be left of a quarantine that is over.
 const LEAST: Duration = Duration::from_millis(1);
 
@@ -104,8 +110,10 @@
     /// When it was last changed, and the number of that change.
     at: Time,
     news: u64,
-    /// Until when this node tries the request again, once it is over.
+    /// When this node may try the request again, once it is over.
     trial: Time,
+    /// The trials that this node knows of.
+    trials: u32,
 }
 
 /// What one node knows of requests under which endpoints end.
@@ -215,7 +223,12 @@
             let lifted = self.set(now, request, told.version + 1, None, now);
             return Learned::Objected(lifted);
         }
+        let tried = held_until.is_some() && !known;
         self.set(now, request, told.version, until, first);
+        if tried && let Some(record) = self.records.get_mut(&request) {
+            // The other node's trial ended an endpoint.
+            record.trials += 1;
+        }
         if known { Learned::Known } else { Learned::News }
     }
 
@@ -224,12 +237,17 @@
     /// Once the quarantine is over it is refused until a trial was answered.
     #[must_use]
     pub fn quarantined(&self, now: Time, request: Fingerprint) -> Option<Duration> {
-        let until = self.records.get(&request)?.until?;
+        let record = self.records.get(&request)?;
+        let until = record.until?;
         if now.since(until) >= REMEMBERED {
             return None;
         }
         let left = until.since(now);
-        Some(if left.is_zero() { TRIAL } else { left })
+        Some(match left {
+            Duration::ZERO if record.trials < TRIALS_MAX => TRIAL,
+            Duration::ZERO => (until + REMEMBERED).since(now),
+            _ => left,
+        })
     }
 
     /// Tells whether a request whose quarantine is over may be tried now.
@@ -240,9 +258,10 @@
             return false;
         };
         let over = record.until.is_some_and(|u| u <= now);
-        let free = over && record.trial <= now;
+        let free = over && record.trial <= now && record.trials < TRIALS_MAX;
         if free {
-            record.trial = now + TRIAL;
+            record.trial = now + TRIAL * TRIAL_GROWTH.pow(record.trials);
+            record.trials += 1;
         }
         free
     }
@@ -308,6 +327,8 @@
     ) -> Verdict {
         self.suspects.remove(&request);
         self.news += 1;
+        let held = self.records.get(&request).filter(|r| r.until.is_some());
+        let trials = held.map_or(0, |r| r.trials);
         let record = Record {
             version,
             until,
@@ -315,6 +336,7 @@
             at: now,
             news: self.news,
             trial: Time::ZERO,
+            trials,
         };
         self.records.insert(request, record);
         if self.records.len() > RECORDS_MAX {
--- a/lib/tests/test_crashes.rs
+++ b/lib/tests/test_crashes.rs
@@ -122,6 +122,8 @@
     assert_eq!(crashes.quarantined(at(64), REQUEST), None);
 }
 
+/// Guards against a fourth endpoint that a request ends in trials, however far
+/// apart they are.
 #[test]
 fn a_trial_that_ends_an_endpoint_puts_the_quarantine_back_for_longer() {
     let (mut crashes, _) = quarantined();
@@ -129,7 +131,7 @@
     let mut lasted = Vec::new();
     for n in 0..4 {
         now = now + crashes.quarantined(now, REQUEST).expect("it is refused");
-        assert!(crashes.may_try(now, REQUEST));
+        assert_eq!(crashes.may_try(now, REQUEST), n < 3, "trial {n}");
         let verdict = crashes.ended(now, REQUEST, &run(9 + n));
         lasted.push(verdict.expect("all are told").left.as_secs());
         assert!(!crashes.may_go_on(now, REQUEST));
@@ -285,3 +287,32 @@
     );
     assert!(!crashes.may_try(at(64), REQUEST), "one at a time");
 }
+
+/// Guards against a request that goes on ending endpoints, because its trials
+/// have no verdict: their callers leave, or the endpoints refuse them.
+#[test]
+fn trials_without_a_verdict_are_three_at_most() {
+    let (mut crashes, _) = quarantined();
+    let tried = (62..1_000).filter(|&secs| crashes.may_try(at(secs), REQUEST));
+    let tried: Vec<u64> = tried.collect();
+    assert_eq!(tried, [62, 72, 112]);
+    assert_eq!(
+        crashes.quarantined(at(120), REQUEST),
+        Some(Duration::from_secs(542)),
+        "it is refused until it is forgotten"
+    );
+}
+
+/// Guards against trials that begin anew at each node that ranks first.
+#[test]
+fn a_trial_that_failed_elsewhere_counts() {
+    let (_, mut verdict) = quarantined();
+    let mut crashes = Crashes::default();
+    let mut now = at(2);
+    for version in 1..=4 {
+        verdict.version = version;
+        assert_eq!(crashes.learn(now, verdict), Learned::News);
+        now = now + verdict.left;
+    }
+    assert!(!crashes.may_try(now, REQUEST));
+}
