crashes: object to a verdict whose first end seems later than it was

What callers saw: a request that had been answered right after the first of three ends was refused for a minute by all hosts.

Cause: a verdict tells how long ago its first end was; each way between hosts makes that younger. A host whose answer came within that time after the first end takes it for older, and does not object.

Change: objections allow 0.5 s for ways.

--- a/lib/src/serving/crashes.rs
+++ b/lib/src/serving/crashes.rs
@@ -48,6 +48,11 @@
 /// Each node that passes a verdict on adds the time of its way.
 const LONGER: Duration = Duration::from_secs(5);
 
+/// How much too late the first end of a verdict may seem to be.
+///
+/// Its age is told, and each way from node to node makes it younger.
+const WAYS: Duration = Duration::from_millis(500);
+
 /// The most requests whose ends are counted.
 const SUSPECTS_MAX: usize = 2_048;
 
@@ -218,7 +223,8 @@
         }
         let known = told.version == version && held_until.is_some();
         let first = now - told.span;
-        let answered = self.answered.get(&request).is_some_and(|&at| at > first);
+        let answered = self.answered.get(&request);
+        let answered = answered.is_some_and(|&at| at + WAYS > first);
         if until.is_some() && answered {
             let lifted = self.set(now, request, told.version + 1, None, now);
             return Learned::Objected(lifted);
--- a/lib/tests/test_crashes.rs
+++ b/lib/tests/test_crashes.rs
@@ -316,3 +316,14 @@
     }
     assert!(!crashes.may_try(now, REQUEST));
 }
+
+/// Guards against a node that takes an answer for older than the first end, because
+/// the verdict has been on its way.
+#[test]
+fn an_answer_right_after_the_first_end_is_an_objection() {
+    let (_, verdict) = quarantined();
+    let mut witness = Crashes::default();
+    witness.answered(at(0) + Duration::from_millis(20), REQUEST);
+    let learned = witness.learn(at(2) + Duration::from_millis(50), verdict);
+    assert!(matches!(learned, Learned::Objected(_)), "{learned:?}");
+}
