--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -78,6 +78,9 @@
 }
 
 /// Counts a call at its endpoint until it is dropped.
+///
+/// Dropped while the endpoint may still work on it, it tells that the request was
+/// given up.
 #[derive(Debug)]
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
--- a/runtime/src/program.rs
+++ b/runtime/src/program.rs
@@ -134,8 +134,7 @@
 }
 
 fn run<P: Program>(args: &Args) -> Result<(), Box<dyn Error>> {
-    // First of all: a process that has nothing running yet still answers to
-    // its signals.
+    // First of all: the signals are held back until here.
     let leave = Leave::register()?;
     let reload = Reload::register()?;
     signals::release()?;
