--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -7,10 +7,12 @@
 use hyper::StatusCode;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::serving::bookings::PlacementRequest;
+use snipeyoke_lib::serving::cold_start::ADMISSION_LIFETIME;
 use snipeyoke_lib::serving::crashes::Fingerprint;
 use snipeyoke_lib::serving::directory::Choice;
 use snipeyoke_lib::serving::directory::EndpointCriteria;
 use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::directory::Unavailable;
 use snipeyoke_lib::serving::durations::Remaining;
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
@@ -21,6 +23,7 @@
 use crate::call::CallError;
 use crate::call::send_request;
 use crate::dialect::ForwardContext;
+use crate::dialect::Prompt;
 use crate::dialect::ResponseHead;
 use crate::dialect::Verdict;
 use crate::dispatch::Booking;
@@ -58,10 +61,8 @@
     Response(Box<OpenResponse>),
     /// The endpoint did not run the request in this attempt.
     NotRun(Refusal),
-    /// Not sent: the service has had no endpoint for a while.
-    NoEndpoint,
-    /// Not sent: this node shuts down before the response would end.
-    ShuttingDown,
+    /// Not sent, and another attempt would not be either.
+    Unserved(Refusal),
     /// An input from an earlier stage is gone; the request did not run.
     InputsGone,
     /// The request may have run, and there is no response.
@@ -99,6 +100,7 @@
 impl InFlight {
     fn new(ctx: &RequestContext, entry: &Entry, booking: Option<Booking>) -> Self {
         ctx.shared.directory().call_started(&entry.id);
+        ctx.shared.record_call(&entry.domain);
         Self {
             shared: Arc::clone(&ctx.shared),
             endpoint: entry.id.clone(),
@@ -143,21 +145,22 @@
 ) -> AttemptResult {
     let mut failed = Vec::new();
     loop {
+        let asked_at = ctx.shared.now();
         let placed = request_placement(ctx, &failed).await;
         let (choice, booking) = match placed {
-            Some((choice, booking)) => (Some(choice), Some(booking)),
-            None => (wait_for_choice(ctx, &failed).await, None),
-        };
-        let Some(choice) = choice else {
-            return AttemptResult::NoEndpoint;
+            Some((choice, booking)) => (choice, Some(booking)),
+            None => match wait_for_choice(ctx, &failed).await {
+                Ok(choice) => (choice, None),
+                Err(refusal) => return AttemptResult::Unserved(refusal),
+            },
         };
         // The request may have been quarantined while its stages ran.
         if ctx.quarantine_remaining().is_some() {
-            return AttemptResult::NotRun(Refusal::Quarantined);
+            return AttemptResult::Unserved(Refusal::Quarantined);
         }
         // A response that has started can no longer be refused.
         if !ctx.response_started && ctx.refused_by_shutdown(Remaining::Answer) {
-            return AttemptResult::ShuttingDown;
+            return AttemptResult::Unserved(Refusal::ShuttingDown);
         }
         log_choice(ctx, &choice);
         let mut flight = InFlight::new(ctx, &choice.entry, booking);
@@ -177,7 +180,15 @@
         let request = ctx.shared.dialect.forward_request(&ctx.head, body, context);
         let exec = Arc::clone(&ctx.shared.traffic);
         let handed_off = flight.handed_off.clone();
-        let response = send_request(&exec, choice.entry.address, request, &handed_off);
+        let limited = choice.cold && ctx.limits_cold_calls();
+        let shared = Arc::clone(&ctx.shared);
+        let may_send = || !limited || shared.now().since(asked_at) <= ADMISSION_LIFETIME;
+        let response = send_request(
+            &exec,
+            choice.entry.address,
+            request,
+            (&handed_off, &may_send),
+        );
         let may_have_run = std::mem::replace(&mut ctx.may_have_run, true);
         match ctx.before_give_up(response).await {
             None if !handed_off.is_set() => {
@@ -193,10 +204,12 @@
                 return classify_response(ctx, call, flight, sent, may_have_run);
             }
             Some(Err(error)) => {
-                record_connect_error(ctx, &choice.entry.id, &error);
                 flight.settle();
-                if let Some(booking) = &mut flight.booking {
-                    booking.mark_failed();
+                if !error.is_expired() {
+                    record_connect_error(ctx, &choice.entry.id, &error);
+                    if let Some(booking) = &mut flight.booking {
+                        booking.mark_failed();
+                    }
                 }
                 if !error.is_not_sent() {
                     report_break(ctx, &mut flight);
@@ -226,10 +239,13 @@
     failed: &[EndpointId],
 ) -> Option<(Choice, Booking)> {
     let shared = &ctx.shared;
-    let prompt = ctx.request.prompt?;
-    if !ctx.catalog.service(&ctx.service)?.is_engine {
+    let prompt = if ctx.catalog.service(&ctx.service)?.is_engine {
+        ctx.request.prompt?
+    } else if needs_admission(ctx) {
+        Prompt::default()
+    } else {
         return None;
-    }
+    };
     let has_shared = prompt.shared >= SHARED_TOKENS_MIN;
     let mut avoid = ctx.attempted.clone();
     avoid.extend_from_slice(failed);
@@ -240,6 +256,7 @@
         input_domain: ctx.inputs.as_ref().map(|(domain, _)| domain.clone()),
         remote_cost: ctx.inputs.as_ref().map_or(0, |(_, tokens)| *tokens),
         avoid,
+        homes: ctx.homes.clone(),
     };
     let (booking, endpoint) = shared
         .dispatcher
@@ -256,17 +273,34 @@
     Some((choice, booking))
 }
 
-async fn wait_for_choice(ctx: &RequestContext, failed: &[EndpointId]) -> Option<Choice> {
+/// Returns whether all endpoints of the request's service are cold, so that
+/// another node has to admit the call.
+fn needs_admission(ctx: &RequestContext) -> bool {
+    let now = ctx.shared.now();
+    let warm_only = ctx.limits_cold_calls();
+    let directory = ctx.shared.directory();
+    let why = directory.unavailability(now, &ctx.service, (&ctx.homes, warm_only));
+    why == Some(Unavailable::Cold)
+}
+
+/// Waits for an endpoint that may get the request.
+async fn wait_for_choice(ctx: &RequestContext, failed: &[EndpointId]) -> Result<Choice, Refusal> {
     let shared = &ctx.shared;
     let deadline = shared.now() + ENDPOINT_WAIT;
     loop {
         let changed = shared.endpoints_changed.listen();
         if let Some(choice) = choose_now(ctx, failed) {
-            return Some(choice);
+            return Ok(choice);
+        }
+        if let Some(why) = ctx.unavailability(&ctx.service) {
+            return Err(why.into());
+        }
+        if needs_admission(ctx) {
+            return Err(Refusal::Cold);
         }
         let remaining = deadline.min(ctx.deadline).since(shared.now());
         if remaining.is_zero() {
-            return None;
+            return Err(Refusal::NoEndpoint);
         }
         let expiry = async_io::Timer::after(remaining);
         let timer = async {
@@ -287,6 +321,8 @@
         domain: required.or(Some(&ctx.shared.settings.domain)),
         strict: required.is_some(),
         prefix: prompt.map(|p| p.prefix),
+        homes: &ctx.homes,
+        warm_only: ctx.limits_cold_calls(),
     };
     ctx.shared.directory().choose(ctx.shared.now(), wanted)
 }
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -51,6 +51,9 @@
     /// The connection accepted no request; the request was not sent.
     #[display("the connection closed before the request was sent: {_0}")]
     NotAccepted(hyper::Error),
+    /// The call may no longer be sent.
+    #[display("the admission to a cold endpoint expired before the request was sent")]
+    Expired,
     /// The connection failed after the endpoint may have read the request.
     #[display("the connection failed: {_0}; the request may have run")]
     Broken(hyper::Error),
@@ -62,6 +65,11 @@
         matches!(self, Self::NotSent(e) if e.kind() == io::ErrorKind::ConnectionRefused)
     }
 
+    /// Returns whether the admission of the call expired before it was sent.
+    pub(crate) const fn is_expired(&self) -> bool {
+        matches!(self, Self::Expired)
+    }
+
     /// Returns whether the request certainly was not sent.
     pub(crate) const fn is_not_sent(&self) -> bool {
         !matches!(self, Self::Broken(_))
@@ -92,12 +100,13 @@
 
 /// Sends a request and waits for the head of the response.
 ///
-/// Sets `handed_off` before the first byte may be sent.
+/// Sets `handed_off` before the first byte may be sent. `may_send` returns
+/// whether the request may still be sent once the connection is up.
 pub(crate) async fn send_request(
     exec: &Exec,
     address: SocketAddr,
     request: Request<Full<Bytes>>,
-    handed_off: &Flag,
+    (handed_off, may_send): (&Flag, &(dyn Fn() -> bool + Sync)),
 ) -> Result<Call, CallError> {
     let stream = link::connect(address, CONNECT_TIMEOUT);
     let stream = stream.await.map_err(CallError::NotSent)?;
@@ -109,6 +118,9 @@
         // Errors of the connection surface in the response or its body.
         let _ended = conn.await;
     });
+    if !may_send() {
+        return Err(CallError::Expired);
+    }
     handed_off.set();
     match sender.try_send_request(request).await {
         Ok(response) => {
--- a/gateway/src/dispatch/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -32,7 +32,14 @@
     let request = shared.dialect.batch_request(&batch.entry.id, &batch.items);
     let response = async {
         let sent = Flag::default();
-        match send_request(&shared.traffic, batch.entry.address, request, &sent).await {
+        match send_request(
+            &shared.traffic,
+            batch.entry.address,
+            request,
+            (&sent, &|| true),
+        )
+        .await
+        {
             Ok(call) => read_response(&shared, &batch, call).await,
             Err(error) => {
                 if !error.is_not_sent() {
@@ -108,8 +115,13 @@
 pub(super) async fn release_results(shared: Arc<Shared>, entry: Entry, handles: &[String]) {
     let request = shared.dialect.release_request(handles);
     let released = async {
-        let Ok(mut call) =
-            send_request(&shared.traffic, entry.address, request, &Flag::default()).await
+        let Ok(mut call) = send_request(
+            &shared.traffic,
+            entry.address,
+            request,
+            (&Flag::default(), &|| true),
+        )
+        .await
         else {
             return false;
         };
--- a/gateway/src/dispatch/convert.rs
+++ b/gateway/src/dispatch/convert.rs
@@ -9,6 +9,7 @@
 use snipeyoke_lib::serving::crashes::Fingerprint;
 use snipeyoke_lib::serving::crashes::Verdict;
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
+use snipeyoke_lib::serving::homes::Homes;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Bytes;
@@ -50,6 +51,7 @@
         priority: u32::from(job.priority),
         inputs_domain: near.map(ToString::to_string).unwrap_or_default(),
         inputs_bytes: job.input_source.as_ref().map_or(0, |(_, bytes)| bytes.0),
+        homes: home_names(&job.homes),
     }
 }
 
@@ -75,9 +77,20 @@
         result_domain: frame.domain.parse().ok(),
         priority: u8::try_from(frame.priority).unwrap_or(u8::MAX),
         input_source: near.map(|domain| (domain, Bytes(frame.inputs_bytes))),
+        homes: homes_of(&frame.homes),
     }
 }
 
+/// Converts homes to their field of a frame.
+pub(super) fn home_names(homes: &Homes) -> Vec<String> {
+    homes.iter().map(ToString::to_string).collect()
+}
+
+/// Converts a field of a frame to homes.
+pub(super) fn homes_of(names: &[String]) -> Homes {
+    Homes::new(names.iter().filter_map(|name| name.parse().ok()))
+}
+
 /// Converts a job's outcome to a frame for the node that submitted it.
 pub(super) fn job_end_frame(result: &JobResult) -> PieceJobEnd {
     let results = result.results.iter().map(|r| snipeyoke_wire::PieceResult {
--- a/gateway/src/dispatch/placement.rs
+++ b/gateway/src/dispatch/placement.rs
@@ -8,12 +8,14 @@
 use snipeyoke_lib::serving::bookings::BookingId;
 use snipeyoke_lib::serving::bookings::PlacementRequest;
 use snipeyoke_lib::serving::bookings::Shard;
+use snipeyoke_lib::serving::registry_polling::ReplicaKind;
 use snipeyoke_wire::PlaceAsk;
 use snipeyoke_wire::PlaceNote;
 use snipeyoke_wire::Placed;
 use snipeyoke_wire::frame::Body;
 
 use super::Dispatcher;
+use super::convert;
 use super::messages::LinkNumber;
 use super::messages::Message;
 use super::run::State;
@@ -193,11 +195,38 @@
         if !self.bookings.contains_key(&key) {
             log::info!(event = "bookings-owned", service = service.as_str(), part = shard.index, parts = shard.count; "");
         }
+        let cold_share = self.cold_share(service, Some(shard));
         let bookings = self.bookings.entry(key).or_default();
+        bookings.set_cold_share(cold_share);
         let directory = self.shared.directory();
         bookings.place(now, &directory, (service, shard), id, request)
     }
 
+    /// Returns the calls per second that this node may admit to a cold endpoint
+    /// of a service, or of one of its shards; `None` if there is no limit.
+    pub(super) fn cold_share(&self, service: &PoolName, shard: Option<Shard>) -> Option<usize> {
+        let catalog = self.shared.catalog.get();
+        let found = catalog.as_ref().as_ref()?.service(service)?;
+        let cold_start = found.cold_start?;
+        let now = self.shared.now();
+        // A node without a recent replica may know neither the endpoints that are cold nor
+        // the nodes that admit calls to them.
+        if self
+            .shared
+            .registry_polling()
+            .is_stale(now, ReplicaKind::Endpoints)
+        {
+            return Some(0);
+        }
+        let owners = self.shared.owners();
+        let rank = match shard {
+            Some(shard) => owners.shard_admitter_rank(now, service, shard),
+            None => owners.batch_admitter_rank(now, service),
+        };
+        let bound = self.shared.settings.cold;
+        Some(rank.map_or(0, |rank| bound.share(cold_start, rank)))
+    }
+
     pub(super) fn handle_place_request(&mut self, link: LinkNumber, frame: &PlaceAsk) {
         let number = frame.number;
         let id = BookingId {
@@ -263,6 +292,7 @@
             .unwrap_or_default(),
         afar: request.remote_cost,
         avoid: request.avoid.iter().map(ToString::to_string).collect(),
+        homes: convert::home_names(&request.homes),
     }
 }
 
@@ -274,6 +304,7 @@
         input_domain: frame.domain.parse().ok(),
         remote_cost: frame.afar,
         avoid: frame.avoid.iter().filter_map(|e| e.parse().ok()).collect(),
+        homes: convert::homes_of(&frame.homes),
     }
 }
 
--- a/gateway/src/dispatch/queues.rs
+++ b/gateway/src/dispatch/queues.rs
@@ -14,7 +14,6 @@
 use snipeyoke_lib::serving::batching::Job;
 use snipeyoke_lib::serving::batching::JobId;
 use snipeyoke_lib::serving::batching::JobOutcome;
-use snipeyoke_lib::serving::directory::Endpoint;
 use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_wire::frame::Body;
@@ -78,6 +77,7 @@
                 .clone();
             let mut queue = BatchQueue::new(found?);
             set_endpoints(&self.shared, service, &mut queue);
+            queue.set_cold_share(self.cold_share(service, None));
             log::info!(event = "service-owned", service = service.as_str(); "");
             let owned = ServiceQueue {
                 queue,
@@ -109,7 +109,10 @@
         self.request_config();
         self.poll_reader(now);
         let mut ended_jobs = Vec::new();
-        for (service, owned) in &mut self.queues {
+        let limits = self.queues.keys().map(|s| self.cold_share(s, None));
+        let limits: Vec<Option<usize>> = limits.collect();
+        for ((service, owned), limit) in self.queues.iter_mut().zip(limits) {
+            owned.queue.set_cold_share(limit);
             let batches = owned.queue.poll(now);
             let waiting = owned.queue.waiting_items();
             for batch in batches {
@@ -213,6 +216,7 @@
     scope.spawn(async move {
         let call = batch.id;
         let started_at = shared.now();
+        shared.record_call(&batch.entry.domain);
         let endpoint = batch.entry.id.to_string();
         let result = calls::run_batch(Arc::clone(&shared), batch).await;
         log_call(
@@ -276,11 +280,8 @@
 
 fn set_endpoints(shared: &Shared, service: &PoolName, queue: &mut BatchQueue) {
     let directory = shared.directory();
-    let entries = directory
-        .iter()
-        .filter(|e| e.is_open())
-        .map(Endpoint::entry);
-    queue.set_endpoints(entries.filter(|e| e.service == *service));
+    let present = directory.iter().filter(|e| e.is_present());
+    queue.set_endpoints(present.filter(|e| e.entry().service == *service));
 }
 
 const fn failure_of(outcome: &ItemOutcome) -> JobFailure {
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -1,5 +1,6 @@
 //! Follows the registry's topics.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -19,10 +20,11 @@
 use crate::registry::Update;
 use crate::shared::Shared;
 
-/// The pauses before the first reads of the list of nodes.
+/// The pauses before further reads of the list of nodes.
 ///
-/// The first read is immediate, since nodes that restart after a power loss are
-/// still listed. Nodes that start for the first time find each other later.
+/// A node reads the list before it registers, since nodes that restart after a
+/// power loss are still listed. Nodes that start for the first time find each
+/// other later.
 const DISCOVERY_PAUSES: [Duration; 3] = [
     Duration::ZERO,
     Duration::from_millis(500),
@@ -179,28 +181,41 @@
         address: shared.settings.listen.peers,
         power: Some(shared.settings.power),
     };
+    let before = learn_peers(&shared).await;
+    // The other nodes may already know this node from before it restarted.
+    if before.contains(&own.address) {
+        shared.owners().mark_known();
+    }
+    let mut listed = before.len() > 1;
     while !shared.registry.register(&node, own).await {
         Timer::after(backoff.failed()).await;
     }
     let later = std::iter::repeat(DISCOVERY_INTERVAL);
-    let mut listed = false;
     for pause in DISCOVERY_PAUSES.into_iter().chain(later) {
         Timer::after(pause).await;
         // A node that has a list of peers leaves later reads to one node.
-        if listed && !shared.is_reader() {
-            continue;
+        if !listed || shared.is_reader() {
+            listed |= learn_peers(&shared).await.len() > 1;
         }
-        match read_pages(&shared, Topic::Nodes).await {
-            Ok((records, end)) => {
-                listed = records.len() > 1;
-                shared.replace(Topic::Nodes, records, end);
-                if listed {
-                    shared.peers_listed.set();
-                }
-            }
-            Err(error) => {
-                log::warn!(event = "registry-failed", topic = "nodes", call = "list", why = error.to_string().as_str(); "");
+    }
+}
+
+/// Reads the list of nodes. Returns their addresses; none if it can't be read.
+async fn learn_peers(shared: &Shared) -> Vec<SocketAddr> {
+    match read_pages(shared, Topic::Nodes).await {
+        Ok((records, end)) => {
+            let values = records.iter().filter_map(|r| r.value.as_ref());
+            let nodes = values.filter_map(|v| shared.registry.parse_node(v));
+            let nodes: Vec<SocketAddr> = nodes.map(|n| n.address).collect();
+            shared.replace(Topic::Nodes, records, end);
+            if nodes.len() > 1 {
+                shared.peers_listed.set();
             }
+            nodes
+        }
+        Err(error) => {
+            log::warn!(event = "registry-failed", topic = "nodes", call = "list", why = error.to_string().as_str(); "");
+            Vec::new()
         }
     }
 }
--- a/gateway/src/ingress.rs
+++ b/gateway/src/ingress.rs
@@ -1,5 +1,6 @@
 //! The ingress: admission of every caller's request.
 
+use std::collections::BTreeSet;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use hyper::header::HeaderValue;
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::request;
+use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::catalog::Denial;
 use snipeyoke_lib::serving::durations::Remaining;
@@ -192,6 +194,13 @@
             return refuse(ctx, Refusal::Malformed);
         }
     };
+    // Stage work would be in vain if a later service has no endpoint to use.
+    let needed = stages.iter().flat_map(StageWork::services);
+    let needed = needed.chain([&ctx.service]).cloned();
+    let needed: BTreeSet<PoolName> = needed.collect();
+    if let Some(why) = needed.iter().find_map(|s| ctx.unavailability(s)) {
+        return refuse(ctx, why.into());
+    }
     if ctx.route.kind.is_stream() {
         serve_stream(ctx, stages).await
     } else {
--- a/gateway/src/polling.rs
+++ b/gateway/src/polling.rs
@@ -137,6 +137,9 @@
             ReplicaKind::Endpoints => metrics::gauge!("snipeyoke_endpoints_age_seconds"),
         };
         gauge.set(age.as_secs_f64());
+        if freshness.cannot_read(freshness.age(now)) {
+            shared.owners().defer_admissions(now);
+        }
         let lost = freshness.is_expired(now);
         if lost == self.lost {
             return;
--- a/gateway/src/records.rs
+++ b/gateway/src/records.rs
@@ -3,10 +3,13 @@
 use std::sync::Arc;
 
 use snipeyoke_lib::ids::EndpointId;
+use snipeyoke_lib::ids::FailureDomain;
 use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::replica::Record;
 
+use crate::registry::OperatorRecord;
 use crate::registry::Topic;
 use crate::shared::Shared;
 
@@ -14,7 +17,7 @@
     fn on_config_records(&self, changes: &[Record], source: &str) {
         let next = self.replicas().config.next();
         self.catch_up().advance_to(next);
-        self.apply_config(changes, source);
+        self.apply_operator_records(changes, source);
         self.config_grown.notify(usize::MAX);
         // The other nodes poll this one soon; a notification reaches them at once.
         if !changes.is_empty() && self.is_reader() {
@@ -22,25 +25,76 @@
         }
     }
 
-    fn apply_config(&self, changes: &[Record], source: &str) {
+    fn apply_operator_records(&self, changes: &[Record], source: &str) {
+        let mut catalogs = Vec::new();
         for record in changes {
-            let Some(value) = &record.value else {
-                continue;
-            };
             let started_at = self.now();
-            match self.registry.parse_catalog(&record.key, value) {
-                Some(Ok(catalog)) => {
+            let value = record.value.as_deref();
+            match self.registry.parse_operator_record(&record.key, value) {
+                Some(Ok(OperatorRecord::Catalog(catalog))) => {
                     let elapsed_ms = self.now().since(started_at).as_millis() as u64;
                     let version = catalog.version();
-                    log::info!(event = "config-read", version, bytes = value.len(), took_ms = elapsed_ms, source; "");
-                    self.activate(catalog, record, source);
+                    let bytes = value.map_or(0, <[u8]>::len);
+                    log::info!(event = "config-read", version, bytes, took_ms = elapsed_ms, source; "");
+                    catalogs.push((*catalog, record));
+                }
+                Some(Ok(OperatorRecord::Evacuation { domain, active })) => {
+                    self.set_evacuated(&domain, active, source);
                 }
                 Some(Err(error)) => {
-                    log::error!(event = "config-refused", offset = record.offset.0, error = error.to_string().as_str(); "");
+                    log::error!(event = "config-refused", key = record.key.as_str(), offset = record.offset.0, error = error.to_string().as_str(); "");
                 }
                 None => {}
             }
         }
+        // A node that starts begins to serve with its first configuration, and then has
+        // to know the evacuations that came with it.
+        for (catalog, record) in catalogs {
+            self.activate(catalog, record, source);
+        }
+    }
+
+    fn set_evacuated(&self, domain: &FailureDomain, active: bool, source: &str) {
+        let now = self.now();
+        let catalog = self.catalog.get();
+        let cold_time = |service: &PoolName| {
+            let service = catalog.as_ref().as_ref()?.service(service)?;
+            service.cold_start.map(|c| c.duration)
+        };
+        let mut directory = self.directory();
+        let known = directory.knows_domain(domain);
+        let changed = if active {
+            directory.begin_evacuation(domain)
+        } else {
+            directory.end_evacuation(now, domain, cold_time)
+        };
+        let evacuations = directory.evacuations();
+        let last_call = evacuations.last_call(domain).map(|at| now.since(at));
+        let count = evacuations.iter().count();
+        drop(directory);
+        if !changed {
+            return;
+        }
+        metrics::gauge!("snipeyoke_evacuated_domains").set(count as f64);
+        let domain = domain.to_string();
+        if active && !known {
+            log::warn!(event = "evacuation-unknown-domain", domain = domain.as_str(), remedy = "check the name of the failure domain"; "");
+        }
+        if active {
+            let last_call_ms = last_call.map_or(-1, |age| age.as_millis() as i64);
+            log::info!(event = "evacuation-begun", domain = domain.as_str(), last_call_ms, source; "");
+        } else {
+            log::info!(event = "evacuation-ended", domain = domain.as_str(), source; "");
+        }
+        self.endpoints_changed.notify(usize::MAX);
+        self.dispatcher.endpoints_changed();
+    }
+
+    /// Records a call to an endpoint of a failure domain.
+    pub(crate) fn record_call(&self, domain: &FailureDomain) {
+        if self.directory().record_call(self.now(), domain) {
+            log::info!(event = "evacuation-first-call", domain = domain.to_string().as_str(); "");
+        }
     }
 
     // A late response or an older peer may bring an older version, which would
@@ -72,15 +126,19 @@
         match self.registry.parse_endpoint(&record.key, value) {
             Ok(entry) => {
                 let id = entry.id.clone();
+                let cold_left = entry.cold_left;
                 let mut directory = self.directory();
                 let previous = directory.get(&id).map(|e| e.entry().clone());
                 let draining = entry.draining;
                 let changed = previous.is_none_or(|previous| previous != entry);
                 let fresh = directory.set(entry);
+                if !cold_left.is_zero() {
+                    directory.mark_cold(&id, self.now() + cold_left);
+                }
                 drop(directory);
                 if changed {
                     let id = id.to_string();
-                    log::info!(event = "endpoint-known", endpoint = id.as_str(), draining, fresh, offset = record.offset.0, source; "");
+                    log::info!(event = "endpoint-known", endpoint = id.as_str(), draining, fresh, cold_ms = cold_left.as_millis() as u64, offset = record.offset.0, source; "");
                 }
                 changed
             }
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -6,6 +6,7 @@
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
 use hyper::header::RETRY_AFTER;
+use snipeyoke_lib::serving::directory::Unavailable;
 use snipeyoke_runtime::http::Reply;
 use snipeyoke_runtime::http::full;
 
@@ -40,12 +41,28 @@
     Quarantined,
     /// The node shuts down before the response would end, and nothing was sent.
     ShuttingDown,
+    /// All endpoints are in evacuated failure domains.
+    Evacuated,
+    /// No endpoint is in a region where the request may be served.
+    OutsideHomes,
+    /// All endpoints are cold and get as many calls as they tolerate.
+    Cold,
     /// The deadline passed, and the request may have run.
     Timeout,
     /// The endpoint's response was lost or can't be used.
     ResponseLost,
 }
 
+impl From<Unavailable> for Refusal {
+    fn from(why: Unavailable) -> Self {
+        match why {
+            Unavailable::OutsideHomes => Self::OutsideHomes,
+            Unavailable::Evacuated => Self::Evacuated,
+            Unavailable::Cold => Self::Cold,
+        }
+    }
+}
+
 impl Refusal {
     /// Returns the name in logs and metrics.
     pub(crate) const fn name(self) -> &'static str {
@@ -63,6 +80,9 @@
             Self::TimeoutNotRun => "timeout-not-run",
             Self::Quarantined => "quarantined",
             Self::ShuttingDown => "leaving",
+            Self::Evacuated => "evacuated",
+            Self::OutsideHomes => "outside-homes",
+            Self::Cold => "endpoints-cold",
             Self::Timeout => "timeout",
             Self::ResponseLost => "answer-lost",
         }
@@ -84,7 +104,10 @@
             | Self::StageFailed
             | Self::TimeoutNotRun
             | Self::Quarantined
-            | Self::ShuttingDown => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::ShuttingDown
+            | Self::Evacuated
+            | Self::OutsideHomes
+            | Self::Cold => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -6,6 +6,7 @@
 
 use derive_more::Display;
 use derive_more::Error;
+use snipeyoke_lib::ids::FailureDomain;
 use snipeyoke_lib::ids::NodeId;
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::LogFuture;
@@ -112,6 +113,20 @@
     },
 }
 
+/// A record of the operator.
+#[derive(Debug, Clone, PartialEq)]
+pub enum OperatorRecord {
+    /// A version of the configuration.
+    Catalog(Box<Catalog>),
+    /// The evacuation of a failure domain.
+    Evacuation {
+        /// The failure domain.
+        domain: FailureDomain,
+        /// Whether it is evacuated; otherwise it is restored.
+        active: bool,
+    },
+}
+
 /// What a node registers about itself.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct NodeEntry {
@@ -154,12 +169,17 @@
     /// Registers this node; returns whether the registration is confirmed.
     fn register(&self, node: &NodeId, entry: NodeEntry) -> LogFuture<'_, bool>;
 
-    /// Parses a configuration record; returns `None` if it has another key.
+    /// Parses a record of the topic of the configuration; `value` is `None` if
+    /// its key was dropped. Returns `None` for a record without a meaning.
     ///
     /// # Errors
     ///
     /// Returns [`RecordError`] if it can't be used.
-    fn parse_catalog(&self, key: &str, value: &[u8]) -> Option<Result<Catalog, RecordError>>;
+    fn parse_operator_record(
+        &self,
+        key: &str,
+        value: Option<&[u8]>,
+    ) -> Option<Result<OperatorRecord, RecordError>>;
 
     /// Parses an endpoint's record.
     ///
--- a/gateway/src/request_context.rs
+++ b/gateway/src/request_context.rs
@@ -18,8 +18,10 @@
 use snipeyoke_lib::serving::catalog::KeyHolder;
 use snipeyoke_lib::serving::catalog::Route;
 use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::directory::Unavailable;
 use snipeyoke_lib::serving::durations::Remaining;
 use snipeyoke_lib::serving::durations::RequestTiming;
+use snipeyoke_lib::serving::homes::Homes;
 use snipeyoke_lib::time::Time;
 
 use crate::dialect::RequestHead;
@@ -41,6 +43,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: PoolName,
     pub(crate) holder: Option<KeyHolder>,
+    /// The regions in which it may be served, by its route and client account.
+    pub(crate) homes: Homes,
     pub(crate) started_at: Time,
     /// When the response stops being on time.
     pub(crate) target: Time,
@@ -92,7 +96,10 @@
             .remaining
             .unwrap_or(route.timeout)
             .min(route.timeout);
+        let own_homes = holder.as_ref().map(|h| &h.homes);
+        let homes = own_homes.map_or_else(|| route.homes.clone(), |h| route.homes.intersection(h));
         Some(Self {
+            homes,
             target: started_at + route.target_time,
             deadline: started_at + remaining,
             shared,
@@ -160,6 +167,23 @@
         own.unwrap_or(self.route.priority)
     }
 
+    /// Returns whether only warm endpoints of the request's own service may get
+    /// calls that no other node has admitted.
+    pub(crate) fn limits_cold_calls(&self) -> bool {
+        let service = self.catalog.service(&self.service);
+        service.is_some_and(|s| s.cold_start.is_some())
+    }
+
+    /// Returns why no endpoint of a service may run this request or its stages.
+    pub(crate) fn unavailability(&self, service: &PoolName) -> Option<Unavailable> {
+        if self.homes.is_empty() {
+            return Some(Unavailable::OutsideHomes);
+        }
+        let now = self.shared.now();
+        let directory = self.shared.directory();
+        directory.unavailability(now, service, (&self.homes, false))
+    }
+
     /// Returns the remaining time.
     pub(crate) fn remaining(&self) -> Duration {
         self.deadline.since(self.shared.now())
--- a/gateway/src/retry.rs
+++ b/gateway/src/retry.rs
@@ -34,12 +34,11 @@
             Some(Ok(())) if try_retry(ctx, "inputs-gone") => Step::Retry,
             Some(_) | None => Step::Refused(Refusal::StageFailed),
         },
-        AttemptResult::NoEndpoint => Step::Refused(Refusal::NoEndpoint),
-        AttemptResult::ShuttingDown => Step::Refused(Refusal::ShuttingDown),
-        AttemptResult::NotRun(Refusal::Quarantined) => Step::Refused(Refusal::Quarantined),
         AttemptResult::NotRun(_) if try_retry(ctx, "not-run") => Step::Retry,
         AttemptResult::Unknown(_) if try_repeat(ctx, "answer-lost") => Step::Retry,
-        AttemptResult::NotRun(refusal) | AttemptResult::Unknown(refusal) => Step::Refused(refusal),
+        AttemptResult::NotRun(refusal)
+        | AttemptResult::Unknown(refusal)
+        | AttemptResult::Unserved(refusal) => Step::Refused(refusal),
     }
 }
 
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -1,5 +1,6 @@
 //! The settings of a gateway.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,6 +11,7 @@
 use snipeyoke_lib::ids::NodeId;
 use snipeyoke_lib::ids::Region;
 use snipeyoke_lib::serving::budget::BudgetLimits;
+use snipeyoke_lib::serving::cold_start::ColdBound;
 use snipeyoke_lib::units::MilliCores;
 use snipeyoke_runtime::settings::Checked;
 
@@ -31,6 +33,9 @@
 /// The longest allowed time for a change, in milliseconds.
 const CHANGE_MAX_MS: f64 = 60_000.0;
 
+/// The largest factor on the rate of calls that a cold endpoint tolerates.
+const COLD_EXCESS_MAX: f64 = 100.0;
+
 /// The settings as written in the file.
 #[derive(Debug, Clone)]
 #[derive(Deserialize)]
@@ -62,6 +67,16 @@
     /// effect, in milliseconds.
     #[serde(default = "change_ms")]
     pub change_ms: f64,
+    /// The time within which an evacuation takes effect, in milliseconds; that
+    /// of a change of the configuration if missing.
+    #[serde(default)]
+    pub evacuate_ms: Option<f64>,
+    /// The region of each failure domain.
+    #[serde(default)]
+    pub regions: BTreeMap<FailureDomain, Region>,
+    /// The bound on calls to cold endpoints across all nodes.
+    #[serde(default)]
+    pub cold: Cold,
     /// The limit on retries across all nodes.
     pub retries: Retries,
     /// The log filter: `LEVEL` or `TARGET=LEVEL,…`.
@@ -117,6 +132,24 @@
     }
 }
 
+/// The bound on calls to a cold endpoint in any second, across all nodes.
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Cold {
+    /// The factor on the rate that the endpoint's service states.
+    pub excess: f64,
+    /// The calls beyond that.
+    pub slack: f64,
+}
+
+impl Default for Cold {
+    fn default() -> Self {
+        let ColdBound { excess, slack } = ColdBound::default();
+        Self { excess, slack }
+    }
+}
+
 /// The limit on retries across all nodes.
 #[derive(Debug, Clone, Copy)]
 #[derive(Deserialize)]
@@ -150,8 +183,13 @@
     /// The time within which an endpoint that shuts down receives its last
     /// request.
     pub notice: Duration,
-    /// The time within which a confirmed change takes effect.
+    /// The time within which a confirmed change takes effect, the evacuation of
+    /// a failure domain included.
     pub change: Duration,
+    /// The region of each failure domain.
+    pub regions: BTreeMap<FailureDomain, Region>,
+    /// The bound on calls to cold endpoints across all nodes.
+    pub cold: ColdBound,
     /// The limit on retries across all nodes.
     pub retries: BudgetLimits,
     /// The log filter.
@@ -162,10 +200,10 @@
 #[derive(Debug, Clone, PartialEq)]
 #[derive(Display, Error)]
 pub enum ValueError {
-    /// A number is out of range.
+    /// Numbers are out of range, or values contradict each other.
     #[display("{}", join(found))]
     Range {
-        /// The key, value and remedy of each value out of range.
+        /// The key, value and remedy of each refused value.
         found: Vec<String>,
     },
 }
@@ -187,24 +225,44 @@
         check("grace_s", raw.grace_s, 1.0, GRACE_MAX_S);
         check("notice_ms", raw.notice_ms, 1_000.0, NOTICE_MAX_MS);
         check("change_ms", raw.change_ms, CHANGE_MIN_MS, CHANGE_MAX_MS);
+        if let Some(evacuate_ms) = raw.evacuate_ms {
+            check("evacuate_ms", evacuate_ms, CHANGE_MIN_MS, CHANGE_MAX_MS);
+        }
+        check("excess", raw.cold.excess, 1.0, COLD_EXCESS_MAX);
+        check("slack", raw.cold.slack, 0.0, 1e6);
         check("share", raw.processor.share, 0.001, 1_024.0);
         check("speed", raw.processor.speed, 0.01, 100.0);
         check("ratio", raw.retries.ratio, 0.0, 10.0);
         check("window_s", raw.retries.window_s, 0.1, 3_600.0);
         check("extra", raw.retries.extra, 0.0, 1e6);
+        let region = raw.regions.get(&raw.domain);
+        if let Some(region) = region.filter(|region| **region != raw.region) {
+            let (domain, own) = (&raw.domain, &raw.region);
+            found.push(format!(
+                "`regions` has {region} for {domain}, but `region` is {own}: give both the same"
+            ));
+        }
         if !found.is_empty() {
             return Err(ValueError::Range { found });
         }
+        let mut regions = raw.regions;
+        regions.insert(raw.domain.clone(), raw.region);
+        let change_ms = raw.change_ms.min(raw.evacuate_ms.unwrap_or(raw.change_ms));
         Ok(Self {
             node: raw.node,
             domain: raw.domain,
+            regions,
+            cold: ColdBound {
+                excess: raw.cold.excess,
+                slack: raw.cold.slack,
+            },
             listen: raw.listen,
             seeds: raw.seeds,
             registry: raw.registry,
             power: MilliCores((raw.processor.share * raw.processor.speed * 1_000.0) as u32),
             grace: Duration::from_secs_f64(raw.grace_s),
             notice: Duration::from_secs_f64(raw.notice_ms / 1_000.0),
-            change: Duration::from_secs_f64(raw.change_ms / 1_000.0),
+            change: Duration::from_secs_f64(change_ms / 1_000.0),
             retries: BudgetLimits {
                 ratio: raw.retries.ratio,
                 window: Duration::from_secs_f64(raw.retries.window_s),
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -107,7 +107,7 @@
     ) -> Self {
         Self {
             clock: Clock::start(),
-            directory: Mutex::default(),
+            directory: Mutex::new(Directory::new(settings.regions.clone())),
             budget: Mutex::new(SharedBudget::new(settings.retries)),
             owners: Mutex::new(Owners::new(settings.listen.peers, settings.power)),
             paces: Mutex::default(),
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -46,6 +46,8 @@
 #[derive(Debug)]
 pub(crate) struct StageWork {
     dispatcher: Dispatcher,
+    /// The service of each stage.
+    services: Vec<PoolName>,
     plan: StagePlan,
     results: BTreeMap<String, HeldResult>,
     jobs: BTreeMap<JobNumber, (usize, Vec<u32>)>,
@@ -61,6 +63,7 @@
         let plan = StagePlan::new(&ctx.route.stages, &ctx.request.item_counts)?;
         Ok(Some(Self {
             dispatcher: ctx.shared.dispatcher.clone(),
+            services: ctx.route.stages.iter().map(|s| s.service.clone()).collect(),
             plan,
             results: BTreeMap::new(),
             jobs: BTreeMap::new(),
@@ -68,6 +71,12 @@
         }))
     }
 
+    /// Returns the services of the stages that the request uses.
+    pub(crate) fn services(&self) -> impl Iterator<Item = &PoolName> {
+        let stages = self.services.iter().zip(self.plan.item_counts());
+        stages.filter_map(|(service, count)| (count > 0).then_some(service))
+    }
+
     /// Runs the missing stage work and returns the inputs of the request
     /// itself.
     pub(crate) async fn inputs(
@@ -138,6 +147,7 @@
             result_domain: prompt_domain(ctx),
             priority: ctx.urgency(),
             input_source: inputs,
+            homes: ctx.homes.clone(),
         };
         let number = self
             .dispatcher
--- a/lib/benches/batching.rs
+++ b/lib/benches/batching.rs
@@ -11,6 +11,7 @@
 use snipeyoke_lib::serving::batching::StageInput;
 use snipeyoke_lib::serving::catalog::BatchLimits;
 use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::homes::Homes;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Bytes;
 
@@ -35,6 +36,7 @@
         domain: format!("d{}", n % 3).parse().expect("a name"),
         slots: 1,
         draining: false,
+        cold_left: Duration::ZERO,
     };
     let entries: Vec<Entry> = (1..=5).map(entry).collect();
     queue.set_endpoints(entries.iter());
@@ -58,6 +60,7 @@
         priority: (n % 3) as u8,
         result_domain: Some("d1".parse().expect("a name")),
         input_source: None,
+        homes: Homes::default(),
     }
 }
 
--- a/lib/src/serving/batching/endpoint.rs
+++ b/lib/src/serving/batching/endpoint.rs
@@ -1,10 +1,53 @@
 //! State of an endpoint of a stage service, as seen by the queue.
 
+use std::collections::VecDeque;
+use std::time::Duration;
+
 use super::result_memory::ResultMemory;
+use crate::ids::Region;
+use crate::serving::directory::Endpoint;
 use crate::serving::directory::Entry;
 use crate::serving::health::Health;
 use crate::time::Time;
 
+/// The time over which calls to a cold endpoint are counted.
+const COLD_WINDOW: Duration = Duration::from_secs(1);
+
+/// What a queue needs to know of an endpoint of its service.
+#[derive(Debug, Clone, Copy)]
+pub struct EndpointState<'a> {
+    /// Its registration.
+    pub entry: &'a Entry,
+    /// Its region, if known.
+    pub region: Option<&'a Region>,
+    /// Whether its failure domain is evacuated.
+    pub evacuated: bool,
+    /// When it stops being cold.
+    pub cold_until: Time,
+}
+
+impl<'a> From<&'a Entry> for EndpointState<'a> {
+    fn from(entry: &'a Entry) -> Self {
+        Self {
+            entry,
+            region: None,
+            evacuated: false,
+            cold_until: Time::ZERO,
+        }
+    }
+}
+
+impl<'a> From<&'a Endpoint> for EndpointState<'a> {
+    fn from(endpoint: &'a Endpoint) -> Self {
+        Self {
+            entry: endpoint.entry(),
+            region: endpoint.region(),
+            evacuated: endpoint.is_present() && !endpoint.is_open(),
+            cold_until: endpoint.cold_until(),
+        }
+    }
+}
+
 #[derive(Debug, Clone)]
 pub(super) struct StageEndpoint {
     pub(super) entry: Entry,
@@ -21,6 +64,11 @@
     pub(super) releases_since: Option<Time>,
     /// When its last call ended, if that call was sent under backlog.
     pub(super) last_call_end: Option<Time>,
+    region: Option<Region>,
+    evacuated: bool,
+    pub(super) cold_until: Time,
+    /// The calls of the last second.
+    recent_calls: VecDeque<Time>,
 }
 
 impl StageEndpoint {
@@ -37,10 +85,53 @@
             releases_since: None,
             max_items: usize::MAX,
             last_call_end: None,
+            region: None,
+            evacuated: false,
+            cold_until: Time::ZERO,
+            recent_calls: VecDeque::new(),
         }
     }
 
+    pub(super) fn update(&mut self, state: EndpointState<'_>) {
+        self.present = true;
+        self.entry = state.entry.clone();
+        self.region = state.region.cloned();
+        self.evacuated = state.evacuated;
+        self.cold_until = state.cold_until;
+    }
+
+    pub(super) const fn region(&self) -> Option<&Region> {
+        self.region.as_ref()
+    }
+
     pub(super) const fn is_usable(&self) -> bool {
-        self.present && !self.entry.draining
+        self.present && !self.entry.draining && !self.evacuated
+    }
+
+    /// Returns whether it gets no calls only because its domain is evacuated.
+    pub(super) const fn is_evacuated(&self) -> bool {
+        self.present && self.evacuated
+    }
+
+    pub(super) fn record_call(&mut self, now: Time) {
+        self.recent_calls.retain(|&at| now.since(at) < COLD_WINDOW);
+        self.recent_calls.push_back(now);
+    }
+
+    /// Returns when it may get a call, given the calls per second that it may
+    /// get while it is cold; [`Time::ZERO`] if now.
+    pub(super) fn cold_pause_end(&self, now: Time, share: Option<usize>) -> Time {
+        let Some(share) = share.filter(|_| now < self.cold_until) else {
+            return Time::ZERO;
+        };
+        let is_recent = |at: &&Time| now.since(**at) < COLD_WINDOW;
+        let recent = self.recent_calls.iter().filter(is_recent);
+        if recent.clone().count() < share {
+            return Time::ZERO;
+        }
+        // The call whose end of the window leaves room for another one.
+        let blocking = recent.rev().nth(share.saturating_sub(1));
+        let next = blocking.filter(|_| share > 0).map(|&at| at + COLD_WINDOW);
+        next.map_or(self.cold_until, |at| at.min(self.cold_until))
     }
 }
--- a/lib/src/serving/batching/fill.rs
+++ b/lib/src/serving/batching/fill.rs
@@ -39,7 +39,8 @@
         let order = self.send_order();
         for &(_, id) in &order {
             let job_state = &self.jobs[&id];
-            if free < self.min_memory(job_state) {
+            let permitted = candidates.iter().any(|c| self.permits(&c.id, job_state));
+            if free < self.min_memory(job_state) || !permitted {
                 continue;
             }
             let candidate = self.best_candidate(now, job_state, &candidates)?;
@@ -182,6 +183,9 @@
         (first, per_endpoint): (JobId, usize),
         filled: usize,
     ) -> usize {
+        if !self.permits(endpoint, &self.jobs[&id]) {
+            return 0;
+        }
         let waiting = self.jobs[&id].waiting_items();
         let max = self
             .limits
@@ -260,6 +264,7 @@
             endpoint.free_at.max(now)
         };
         endpoint.in_flight += 1;
+        endpoint.record_call(now);
         endpoint.free_at = started_at + expected.mul_f32(endpoint.health.slowness(now).max(0.5));
         let in_flight_call = InFlightCall {
             endpoint: endpoint.entry.id.clone(),
--- a/lib/src/serving/batching/mod.rs
+++ b/lib/src/serving/batching/mod.rs
@@ -11,6 +11,7 @@
 mod result_memory;
 mod stage_times;
 
+pub use endpoint::EndpointState;
 pub use plan::PlanError;
 pub use plan::ReadyStage;
 pub use plan::StageInput;
--- a/lib/src/serving/batching/placement.rs
+++ b/lib/src/serving/batching/placement.rs
@@ -76,7 +76,9 @@
             } else {
                 endpoint.free_at.max(now)
             };
-            let start = start.max(endpoint.full_until);
+            let start = start
+                .max(endpoint.full_until)
+                .max(endpoint.cold_pause_end(now, self.cold_share));
             let duration = self
                 .expected_time(items)
                 .mul_f32(endpoint.health.slowness(now).max(0.5));
@@ -84,7 +86,22 @@
             start + duration + retry_cost + transfer_cost(job_state, endpoint)
         };
         let has_memory = |c: &&Candidate| !c.is_ready || c.free_memory >= min_memory;
-        candidates.iter().filter(has_memory).min_by_key(completion)
+        let permitted = candidates.iter().filter(|c| self.permits(&c.id, job_state));
+        permitted.filter(has_memory).min_by_key(completion)
+    }
+
+    /// Returns whether an endpoint is in a region where a job may run.
+    pub(super) fn permits(&self, endpoint: &EndpointId, job_state: &JobState) -> bool {
+        let endpoint = self.endpoints.get(endpoint);
+        endpoint.is_some_and(|e| job_state.job.homes.allows(e.region()))
+    }
+
+    /// Returns whether all endpoints that a job could use are evacuated.
+    pub(super) fn is_evacuated_for(&self, job_state: &JobState) -> bool {
+        let permitted = |e: &&StageEndpoint| job_state.job.homes.allows(e.region());
+        let mut all = self.endpoints.values().filter(permitted);
+        let usable = all.clone().any(StageEndpoint::is_usable);
+        !usable && all.any(StageEndpoint::is_evacuated)
     }
 
     /// Returns whether an endpoint can be sent a call now.
@@ -93,7 +110,7 @@
     /// that the endpoint isn't idle for a round trip.
     fn is_ready(&self, now: Time, id: &EndpointId) -> bool {
         let endpoint = &self.endpoints[id];
-        if endpoint.full_until > now {
+        if endpoint.full_until > now || endpoint.cold_pause_end(now, self.cold_share) > now {
             return false;
         }
         endpoint.in_flight < self.limits.slots
--- a/lib/src/serving/batching/queue.rs
+++ b/lib/src/serving/batching/queue.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::endpoint::EndpointState;
 use super::endpoint::StageEndpoint;
 use super::first_targets::FirstTargets;
 use super::plan::StageInput;
@@ -15,6 +16,7 @@
 use crate::serving::catalog::BatchLimits;
 use crate::serving::crashes::Fingerprint;
 use crate::serving::directory::Entry;
+use crate::serving::homes::Homes;
 use crate::time::Time;
 use crate::units::Bytes;
 
@@ -81,6 +83,8 @@
     pub result_domain: Option<FailureDomain>,
     /// The failure domain that holds most of the inputs, and the bytes that each item reads.
     pub input_source: Option<(FailureDomain, Bytes)>,
+    /// The regions in which it may run.
+    pub homes: Homes,
 }
 
 /// One item of a batch.
@@ -221,6 +225,8 @@
     pub(super) item_rate: Option<f64>,
     /// When late jobs were last marked.
     pub(super) late_updated_at: Time,
+    /// The calls per second to a cold endpoint; `None` if it has no limit.
+    pub(super) cold_share: Option<usize>,
 }
 
 impl BatchQueue {
@@ -238,6 +244,7 @@
             first_targets: FirstTargets::default(),
             item_rate: None,
             late_updated_at: Time::ZERO,
+            cold_share: None,
         }
     }
 
@@ -252,23 +259,29 @@
         self.limits.result_ttl
     }
 
-    /// Sets the endpoints that may receive calls.
-    pub fn set_endpoints<'a>(&mut self, entries: impl Iterator<Item = &'a Entry>) {
+    /// Sets the calls per second that this node may send to a cold endpoint; `None` if there is
+    /// no limit.
+    pub const fn set_cold_share(&mut self, share: Option<usize>) {
+        self.cold_share = share;
+    }
+
+    /// Sets the endpoints that may receive calls, now or after an evacuation.
+    pub fn set_endpoints<'a>(&mut self, endpoints: impl Iterator<Item: Into<EndpointState<'a>>>) {
         for endpoint in self.endpoints.values_mut() {
             endpoint.present = false;
         }
-        for entry in entries {
+        for state in endpoints {
+            let state: EndpointState<'_> = state.into();
+            let entry = state.entry;
             let is_same = |e: &StageEndpoint| {
                 e.entry.started_at == entry.started_at && e.entry.address == entry.address
             };
             match self.endpoints.get_mut(&entry.id) {
-                Some(endpoint) if is_same(endpoint) => {
-                    endpoint.present = true;
-                    endpoint.entry = entry.clone();
-                }
+                Some(endpoint) if is_same(endpoint) => endpoint.update(state),
                 _ => {
-                    self.endpoints
-                        .insert(entry.id.clone(), StageEndpoint::new(entry.clone()));
+                    let mut endpoint = StageEndpoint::new(entry.clone());
+                    endpoint.update(state);
+                    self.endpoints.insert(entry.id.clone(), endpoint);
                 }
             }
         }
@@ -346,7 +359,8 @@
         let capacity = self.limits.result_memory.0 as f64;
         let mut out = Vec::new();
         for endpoint in self.endpoints.values_mut() {
-            let Some(since) = endpoint.releases_since else {
+            // An evacuated endpoint gets no calls at all. Its results expire by themselves.
+            let Some(since) = endpoint.releases_since.filter(|_| !endpoint.is_evacuated()) else {
                 continue;
             };
             let is_short = endpoint.memory.used(now).0 as f64 > RELEASE_FILL_FRACTION * capacity;
@@ -386,14 +400,19 @@
         let expiry = waiting.map(|j| j.job.deadline - self.expected_time(1));
         let full_until = self.endpoints.values().map(|e| e.full_until);
         let full_until = full_until.filter(|&at| at > Time::ZERO);
-        let releases = self.endpoints.values().filter_map(|e| e.releases_since);
+        let releasing = self.endpoints.values().filter(|e| !e.is_evacuated());
+        let releases = releasing.filter_map(|e| e.releases_since);
         let releases = releases.map(|since| since + MAX_RELEASE_DELAY);
+        let cold = self.endpoints.values();
+        let cold = cold.map(|e| e.cold_pause_end(now, self.cold_share));
+        let cold = cold.filter(|&at| at > now);
         let send_ahead = self.next_send_ahead().filter(|&at| at > now);
         let all = overdue
             .chain(expiry)
             .chain(full_until)
             .chain(releases)
-            .chain(send_ahead);
+            .chain(send_ahead)
+            .chain(cold);
         all.min().unwrap_or(Time::NEVER)
     }
 
@@ -475,7 +494,8 @@
         let hopeless = |j: &JobState| {
             let remaining = j.job.deadline.since(now);
             let late = j.late && backlog > remaining.mul_f64(MAX_BACKLOG_FRACTION);
-            j.waiting_items() > 0 && !j.is_running() && (min_time > remaining || late)
+            let hopeless = min_time > remaining || late || self.is_evacuated_for(j);
+            j.waiting_items() > 0 && !j.is_running() && hopeless
         };
         let found = self.jobs.iter().filter(|(_, j)| hopeless(j));
         let ids: Vec<JobId> = found.map(|(&id, _)| id).collect();
--- a/lib/src/serving/bookings.rs
+++ b/lib/src/serving/bookings.rs
@@ -13,10 +13,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::cold_start::Admissions;
 use super::directory::Directory;
 use super::directory::Endpoint;
 use super::directory::median;
 use super::directory::rank;
+use super::homes::Homes;
 use crate::ids::EndpointId;
 use crate::ids::FailureDomain;
 use crate::ids::PoolName;
@@ -118,6 +120,8 @@
     pub remote_cost: u32,
     /// Endpoints to avoid unless there is no other.
     pub avoid: Vec<EndpointId>,
+    /// The regions in which it may run.
+    pub homes: Homes,
 }
 
 #[derive(Debug, Clone)]
@@ -148,10 +152,22 @@
     loads: BTreeMap<EndpointId, Load>,
     prefix_holders: BTreeMap<u64, Vec<PrefixHolder>>,
     last_sweep: Time,
+    admissions: Admissions,
+    /// The calls per second to a cold endpoint; `None` if it has no limit.
+    cold_share: Option<usize>,
 }
 
 impl Bookings {
+    /// Sets the calls per second that this node may admit to a cold endpoint;
+    /// `None` if there is no limit.
+    pub const fn set_cold_share(&mut self, share: Option<usize>) {
+        self.cold_share = share;
+    }
+
     /// Chooses the endpoint for a request and books it there.
+    ///
+    /// Returns `None` if there is none, or if all are cold and get as many calls
+    /// as this node may admit.
     pub fn place(
         &mut self,
         now: Time,
@@ -163,7 +179,8 @@
         self.sweep(now);
         self.end(id);
         let in_shard = |e: &&Endpoint| Shard::of(&e.entry().id, shard.count) == shard;
-        let all: Vec<&Endpoint> = directory.open_endpoints(service).filter(in_shard).collect();
+        let mut all: Vec<&Endpoint> = directory.open_endpoints(service).filter(in_shard).collect();
+        all.retain(|e| request.homes.allows(e.region()) && self.admits(now, e));
         let not_avoided = |e: &&Endpoint| !request.avoid.contains(&e.entry().id);
         let mut pool: Vec<&Endpoint> = all.iter().copied().filter(not_avoided).collect();
         if pool.is_empty() {
@@ -186,6 +203,7 @@
         let entry = best.entry();
         let (endpoint, started_at) = (entry.id.clone(), entry.started_at);
         self.record_prefix(now, request, &endpoint, started_at);
+        self.admissions.record(now, &endpoint);
         let load = self.loads.entry(endpoint.clone()).or_default();
         load.calls += 1;
         load.pending_tokens += u64::from(pending_tokens);
@@ -258,6 +276,14 @@
         self.loads.get(endpoint).map_or(0, |l| l.pending_tokens)
     }
 
+    /// Returns whether an endpoint may get a call.
+    fn admits(&mut self, now: Time, endpoint: &Endpoint) -> bool {
+        let Some(share) = self.cold_share.filter(|_| endpoint.is_cold(now)) else {
+            return true;
+        };
+        self.admissions.has_room(now, &endpoint.entry().id, share)
+    }
+
     fn cost(
         &self,
         now: Time,
@@ -347,6 +373,7 @@
             return;
         }
         self.last_sweep = now;
+        self.admissions.sweep(now);
         self.prefix_holders.retain(|_, all| {
             all.retain(|w| now.since(w.last_used) < PREFIX_RETENTION);
             !all.is_empty()
--- a/lib/src/serving/catalog.rs
+++ b/lib/src/serving/catalog.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use super::cold_start::ColdStart;
+use super::homes::Homes;
 use crate::ids::ClientAccount;
 use crate::ids::PoolName;
 use crate::units::Bytes;
@@ -83,6 +85,8 @@
     pub stages: Vec<Stage>,
     /// Whether callers need no API key.
     pub allows_anonymous: bool,
+    /// The regions in which its requests may be served.
+    pub homes: Homes,
 }
 
 impl Route {
@@ -135,6 +139,8 @@
     pub batching: Option<BatchLimits>,
     /// Whether its endpoints are model engines.
     pub is_engine: bool,
+    /// How its endpoints start, if calls to cold ones are limited.
+    pub cold_start: Option<ColdStart>,
 }
 
 /// Size and time limits of callers' requests.
@@ -157,6 +163,8 @@
     pub account: ClientAccount,
     /// The priority, which overrides that of the route.
     pub priority: Option<u8>,
+    /// The regions in which its requests may be served.
+    pub homes: Homes,
 }
 
 /// One version of the configuration, indexed for lookups.
--- a/lib/src/serving/directory.rs
+++ b/lib/src/serving/directory.rs
@@ -8,10 +8,13 @@
 use rapidhash::v3::rapidhash_v3_seeded;
 
 use super::bookings::Shard;
+use super::evacuation::Evacuations;
 use super::health::Health;
+use super::homes::Homes;
 use crate::ids::EndpointId;
 use crate::ids::FailureDomain;
 use crate::ids::PoolName;
+use crate::ids::Region;
 use crate::time::Time;
 
 /// How long a load report is used, with a weight that falls to zero.
@@ -67,6 +70,8 @@
     pub slots: u32,
     /// Whether it is leaving and accepts no new calls.
     pub draining: bool,
+    /// How much longer it is cold, as of when it registered.
+    pub cold_left: Duration,
 }
 
 impl Entry {
@@ -101,12 +106,19 @@
     reported_at: Time,
     health: Health,
     replaced: bool,
+    /// Whether its failure domain is evacuated.
+    evacuated: bool,
+    cold_until: Time,
+    region: Option<Region>,
 }
 
 impl Endpoint {
     fn new(entry: Entry) -> Self {
         Self {
             entry,
+            evacuated: false,
+            cold_until: Time::ZERO,
+            region: None,
             own_calls: 0,
             other_calls: 0,
             reported_at: Time::ZERO,
@@ -130,9 +142,34 @@
     /// Returns whether it may get new calls.
     #[must_use]
     pub const fn is_open(&self) -> bool {
+        self.is_present() && !self.evacuated
+    }
+
+    /// Returns whether it may get new calls unless its failure domain is
+    /// evacuated.
+    #[must_use]
+    pub const fn is_present(&self) -> bool {
         !self.entry.draining && !self.replaced
     }
 
+    /// Returns whether it is cold.
+    #[must_use]
+    pub fn is_cold(&self, now: Time) -> bool {
+        now < self.cold_until
+    }
+
+    /// Returns when it stops being cold.
+    #[must_use]
+    pub const fn cold_until(&self) -> Time {
+        self.cold_until
+    }
+
+    /// Returns its region, if known.
+    #[must_use]
+    pub const fn region(&self) -> Option<&Region> {
+        self.region.as_ref()
+    }
+
     /// Returns its estimated number of current calls.
     #[must_use]
     pub fn calls(&self, now: Time) -> f32 {
@@ -162,6 +199,21 @@
     /// The hash of the prompt's shared prefix; `None` if reuse is not
     /// worthwhile.
     pub prefix: Option<u64>,
+    /// The regions in which the call may run.
+    pub homes: &'a Homes,
+    /// Whether cold endpoints are left out.
+    pub warm_only: bool,
+}
+
+/// Why the endpoints of a service get no calls, although some are known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Unavailable {
+    /// None is in a region where the request may be served.
+    OutsideHomes,
+    /// All are in evacuated failure domains.
+    Evacuated,
+    /// All are cold.
+    Cold,
 }
 
 /// The reason why an endpoint was chosen.
@@ -197,6 +249,8 @@
     pub calls: f32,
     /// The age of its last load report.
     pub report_age: Duration,
+    /// Whether it is cold.
+    pub cold: bool,
 }
 
 /// All endpoints known to this node.
@@ -204,9 +258,21 @@
 pub struct Directory {
     endpoints: BTreeMap<EndpointId, Endpoint>,
     checksum: u64,
+    /// The region of each failure domain.
+    regions: BTreeMap<FailureDomain, Region>,
+    evacuations: Evacuations,
 }
 
 impl Directory {
+    /// Creates a directory without endpoints.
+    #[must_use]
+    pub fn new(regions: BTreeMap<FailureDomain, Region>) -> Self {
+        Self {
+            regions,
+            ..Self::default()
+        }
+    }
+
     /// Adds or updates an endpoint. Returns whether it is a new one.
     ///
     /// An endpoint that restarted under its name is a new one: the load and
@@ -219,19 +285,90 @@
         let same = |e: &Endpoint| {
             e.entry.started_at == entry.started_at && e.entry.address == entry.address
         };
+        let evacuated = self.evacuations.contains(&entry.domain);
+        let region = self.regions.get(&entry.domain).cloned();
         match held {
             Some(endpoint) if same(endpoint) => {
                 endpoint.entry = entry;
+                endpoint.evacuated = evacuated;
+                endpoint.region = region;
                 false
             }
             _ => {
-                self.endpoints
-                    .insert(entry.id.clone(), Endpoint::new(entry));
+                let endpoint = Endpoint {
+                    evacuated,
+                    region,
+                    ..Endpoint::new(entry)
+                };
+                self.endpoints.insert(endpoint.entry.id.clone(), endpoint);
                 true
             }
         }
     }
 
+    /// Returns the evacuations of failure domains.
+    #[must_use]
+    pub const fn evacuations(&self) -> &Evacuations {
+        &self.evacuations
+    }
+
+    /// Returns whether a failure domain is known, from the settings or by one of
+    /// its endpoints.
+    #[must_use]
+    pub fn knows_domain(&self, domain: &FailureDomain) -> bool {
+        let in_domain = |e: &Endpoint| e.entry.domain == *domain;
+        self.regions.contains_key(domain) || self.endpoints.values().any(in_domain)
+    }
+
+    /// Begins the evacuation of a failure domain. Returns whether it was not
+    /// evacuated.
+    pub fn begin_evacuation(&mut self, domain: &FailureDomain) -> bool {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.evacuated |= endpoint.entry.domain == *domain;
+        }
+        self.evacuations.begin(domain)
+    }
+
+    /// Ends the evacuation of a failure domain. Returns whether it was
+    /// evacuated.
+    ///
+    /// Its endpoints may have become cold without a call. Those of a service for
+    /// which `cold_time` returns a duration count as cold for that long, also if
+    /// their registrations still say otherwise.
+    pub fn end_evacuation(
+        &mut self,
+        now: Time,
+        domain: &FailureDomain,
+        cold_time: impl Fn(&PoolName) -> Option<Duration>,
+    ) -> bool {
+        if !self.evacuations.end(domain) {
+            return false;
+        }
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.entry.domain != *domain {
+                continue;
+            }
+            endpoint.evacuated = false;
+            if let Some(duration) = cold_time(&endpoint.entry.service) {
+                endpoint.cold_until = endpoint.cold_until.max(now + duration);
+            }
+        }
+        true
+    }
+
+    /// Records a call to an endpoint of a failure domain. Returns whether it is
+    /// the first one since an evacuation ended.
+    pub fn record_call(&mut self, now: Time, domain: &FailureDomain) -> bool {
+        self.evacuations.record_call(now, domain)
+    }
+
+    /// Records that an endpoint is cold until some time.
+    pub fn mark_cold(&mut self, id: &EndpointId, until: Time) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.cold_until = endpoint.cold_until.max(until);
+        }
+    }
+
     /// Removes an endpoint. Returns whether it was known.
     pub fn remove(&mut self, id: &EndpointId) -> bool {
         let removed = self.endpoints.remove(id);
@@ -265,6 +402,32 @@
         self.open_endpoints(service).next().is_some()
     }
 
+    /// Returns why no endpoint of a service gets a call; `None` if one does, or
+    /// if none is known at all.
+    #[must_use]
+    pub fn unavailability(
+        &self,
+        now: Time,
+        service: &PoolName,
+        (homes, warm_only): (&Homes, bool),
+    ) -> Option<Unavailable> {
+        let present = |e: &&Endpoint| e.is_present() && e.entry.service == *service;
+        let mut usable: Vec<&Endpoint> = self.endpoints.values().filter(present).collect();
+        if usable.is_empty() {
+            return None;
+        }
+        usable.retain(|e| homes.allows(e.region()));
+        if usable.is_empty() {
+            return Some(Unavailable::OutsideHomes);
+        }
+        usable.retain(|e| e.is_open());
+        if usable.is_empty() {
+            return Some(Unavailable::Evacuated);
+        }
+        let all_cold = warm_only && usable.iter().all(|e| e.is_cold(now));
+        all_cold.then_some(Unavailable::Cold)
+    }
+
     pub(super) fn open_endpoints<'a>(
         &'a self,
         service: &PoolName,
@@ -294,7 +457,11 @@
     /// Chooses the endpoint for a call.
     #[must_use]
     pub fn choose(&self, now: Time, criteria: EndpointCriteria<'_>) -> Option<Choice> {
-        let all: Vec<&Endpoint> = self.open_endpoints(criteria.service).collect();
+        let permitted = |e: &&Endpoint| {
+            criteria.homes.allows(e.region()) && !(criteria.warm_only && e.is_cold(now))
+        };
+        let all = self.open_endpoints(criteria.service).filter(permitted);
+        let all: Vec<&Endpoint> = all.collect();
         let not_avoided = |e: &&Endpoint| !criteria.avoid.contains(&e.entry.id);
         let usable: Vec<&Endpoint> = all.iter().copied().filter(not_avoided).collect();
         let healthy = |e: &&Endpoint| !e.health.is_paused(now);
@@ -378,6 +545,7 @@
         reason,
         calls: endpoint.calls(now),
         report_age: now.since(endpoint.reported_at),
+        cold: endpoint.is_cold(now),
     }
 }
 
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -16,6 +16,7 @@
 use rapidhash::v3::rapidhash_v3_seeded;
 
 use super::bookings::Shard;
+use super::cold_start::AdmitterRank;
 use super::crashes::Fingerprint;
 use crate::ids::PoolName;
 use crate::time::Time;
@@ -53,6 +54,20 @@
 /// excluded.
 const STRONG_FRACTION: f64 = 0.5;
 
+/// How long a node admits no calls to cold endpoints after others may first
+/// have heard of it.
+///
+/// Nodes that do not know it yet rank two others. One node reads the list of all
+/// nodes every fifteen seconds, and its peers learn of it within a few more.
+const ADMITTER_DELAY: Duration = Duration::from_secs(20);
+
+/// How long a node admits no calls to cold endpoints after its replicas were
+/// stale.
+///
+/// Nodes may have joined meanwhile. The first polls after a partition bring the
+/// nodes that others know.
+const REJOIN_DELAY: Duration = Duration::from_secs(5);
+
 /// The ranking subject for the registry reader; no service has such a name.
 const READER_SUBJECT: &str = "configuration, of all nodes";
 
@@ -88,6 +103,8 @@
     peers: BTreeMap<SocketAddr, Peer>,
     /// The number of changes of other nodes so far.
     last_change: u64,
+    /// When all other nodes know this one, and this one knows them.
+    known_from: Time,
 }
 
 impl Owners {
@@ -102,9 +119,21 @@
             cannot_read: false,
             peers: BTreeMap::new(),
             last_change: 0,
+            known_from: Time::ZERO + ADMITTER_DELAY,
         }
     }
 
+    /// Records that the other nodes knew this one before it started.
+    pub const fn mark_known(&mut self) {
+        self.known_from = Time::ZERO;
+    }
+
+    /// Records that this node's replicas are stale, so that it may not know nodes
+    /// that have joined.
+    pub fn defer_admissions(&mut self, now: Time) {
+        self.known_from = self.known_from.max(now + REJOIN_DELAY);
+    }
+
     /// Returns the address of this node.
     #[must_use]
     pub const fn own(&self) -> SocketAddr {
@@ -252,7 +281,47 @@
     /// service's endpoints.
     #[must_use]
     pub fn booking_owner(&self, now: Time, service: &PoolName, shard: Shard) -> SocketAddr {
-        self.first_ranked(now, &format!("{service}, part {}", shard.index))
+        self.first_ranked(now, &shard_subject(service, shard))
+    }
+
+    /// Returns the rank of this node among those that may send batch calls to
+    /// the cold endpoints of a service; `None` if it may not send any.
+    #[must_use]
+    pub fn batch_admitter_rank(&self, now: Time, service: &PoolName) -> Option<AdmitterRank> {
+        self.admitter_rank(now, service.as_str())
+    }
+
+    /// Returns the rank of this node among those that admit calls to the cold
+    /// endpoints of a shard; `None` if it may not admit any.
+    #[must_use]
+    pub fn shard_admitter_rank(
+        &self,
+        now: Time,
+        service: &PoolName,
+        shard: Shard,
+    ) -> Option<AdmitterRank> {
+        self.admitter_rank(now, &shard_subject(service, shard))
+    }
+
+    /// Returns the rank of this node among those that admit calls to the cold
+    /// endpoints of a subject.
+    ///
+    /// Silent and leaving nodes keep their ranks: they may be alive and admit
+    /// calls of nodes that this one does not reach.
+    fn admitter_rank(&self, now: Time, subject: &str) -> Option<AdmitterRank> {
+        if now < self.known_from {
+            return None;
+        }
+        let others = self.peers.iter().map(|(&a, p)| (a, self.power_of(p)));
+        let all = others.chain([(self.own, self.power)]);
+        let ranked = strongest(all.collect()).map(|a| (rank(subject, &a), a));
+        let mut ranked: Vec<(u64, SocketAddr)> = ranked.collect();
+        ranked.sort_unstable_by(|a, b| b.cmp(a));
+        match ranked.iter().position(|&(_, node)| node == self.own)? {
+            0 => Some(AdmitterRank::First),
+            1 => Some(AdmitterRank::Second),
+            _ => None,
+        }
     }
 
     /// Returns the nodes that currently count the lost endpoints of a request.
@@ -304,17 +373,31 @@
     fn strong(&self, now: Time) -> impl Iterator<Item = SocketAddr> {
         let usable = self.peers.iter();
         let usable = usable.filter(|(_, p)| p.silent_until <= now && !p.leaving);
-        // A node of unknown power counts as strong as this one: a newly
-        // discovered node reports its power with its first response.
-        let others = usable.map(|(&address, p)| (address, p.power.unwrap_or(self.power)));
+        let others = usable.map(|(&address, p)| (address, self.power_of(p)));
         let own = (!self.leaving).then_some((self.own, self.power));
-        let all: Vec<(SocketAddr, MilliCores)> = others.chain(own).collect();
-        let most = all.iter().map(|(_, power)| power.0).max();
-        let least = f64::from(most.unwrap_or_default()) * STRONG_FRACTION;
-        let strong = move |power: MilliCores| f64::from(power.0) >= least;
-        all.into_iter()
-            .filter_map(move |(a, power)| strong(power).then_some(a))
+        strongest(others.chain(own).collect())
     }
+
+    /// Returns the power of a node's host.
+    ///
+    /// A node of unknown power counts as strong as this one: a newly discovered
+    /// node reports its power with its first response.
+    fn power_of(&self, peer: &Peer) -> MilliCores {
+        peer.power.unwrap_or(self.power)
+    }
+}
+
+/// Returns the nodes whose power comes close to that of the strongest.
+fn strongest(all: Vec<(SocketAddr, MilliCores)>) -> impl Iterator<Item = SocketAddr> {
+    let most = all.iter().map(|(_, power)| power.0).max();
+    let least = f64::from(most.unwrap_or_default()) * STRONG_FRACTION;
+    let strong = move |power: MilliCores| f64::from(power.0) >= least;
+    all.into_iter()
+        .filter_map(move |(a, power)| strong(power).then_some(a))
+}
+
+fn shard_subject(service: &PoolName, shard: Shard) -> String {
+    format!("{service}, part {}", shard.index)
 }
 
 fn rank(subject: &str, peer: &SocketAddr) -> u64 {
--- a/lib/tests/pipeline_world.rs
+++ b/lib/tests/pipeline_world.rs
@@ -20,6 +20,7 @@
 use snipeyoke_lib::serving::catalog::BatchLimits;
 use snipeyoke_lib::serving::catalog::Stage;
 use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::homes::Homes;
 use snipeyoke_lib::time::Time;
 
 /// The one-way delay between a node and an endpoint.
@@ -220,6 +221,7 @@
                 priority: spec.priority,
                 result_domain: None,
                 input_source: None,
+                homes: Homes::default(),
             };
             let id = self.queues[service].submit(job);
             self.job_requests.insert((service, id), number);
@@ -375,5 +377,6 @@
         domain: "a".parse().expect("a name"),
         slots: 1,
         draining: false,
+        cold_left: Duration::ZERO,
     }
 }
--- a/lib/tests/test_batching.rs
+++ b/lib/tests/test_batching.rs
@@ -13,6 +13,7 @@
 use snipeyoke_lib::serving::catalog::BatchLimits;
 use snipeyoke_lib::serving::crashes::Fingerprint;
 use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::homes::Homes;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Bytes;
 
@@ -44,6 +45,7 @@
         domain: domain.parse().expect("a name"),
         slots: 1,
         draining: false,
+        cold_left: Duration::ZERO,
     }
 }
 
@@ -72,6 +74,7 @@
         priority: 0,
         result_domain: None,
         input_source: None,
+        homes: Homes::default(),
     }
 }
 
--- a/lib/tests/test_bookings.rs
+++ b/lib/tests/test_bookings.rs
@@ -15,6 +15,7 @@
 use snipeyoke_lib::serving::directory::EndpointCriteria;
 use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::directory::LoadReport;
+use snipeyoke_lib::serving::homes::Homes;
 use snipeyoke_lib::time::Time;
 
 /// The tokens that an engine reads per millisecond.
@@ -45,6 +46,7 @@
         domain: domain.parse().expect("a name"),
         slots: 64,
         draining: false,
+        cold_left: Duration::ZERO,
     }
 }
 
@@ -171,12 +173,15 @@
         |_, prompt| {
             let mut nodes = nodes.borrow_mut();
             let service = service();
+            let homes = Homes::default();
             let wanted = EndpointCriteria {
                 service: &service,
                 avoid: &[],
                 domain: None,
                 strict: false,
                 prefix: Some(prompt.prefix),
+                homes: &homes,
+                warm_only: false,
             };
             let node = &mut nodes[prompt.node];
             let choice = node.choose(ms(prompt.at), wanted).expect("there are some");
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -1,9 +1,12 @@
 //! The choice of an endpoint.
 
+use std::time::Duration;
+
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::serving::directory::Directory;
 use snipeyoke_lib::serving::directory::EndpointCriteria;
 use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::homes::Homes;
 use snipeyoke_lib::time::Time;
 
 const NOW: Time = Time::from_millis(1_000);
@@ -17,6 +20,7 @@
         domain: domain.parse().expect("a name"),
         slots: 64,
         draining: false,
+        cold_left: Duration::ZERO,
     }
 }
 
@@ -37,6 +41,8 @@
         domain: Some(&domain),
         strict: false,
         prefix,
+        homes: &Homes::default(),
+        warm_only: false,
     };
     directory
         .choose(NOW, criteria)
--- a/lib/tests/test_plan.rs
+++ b/lib/tests/test_plan.rs
@@ -1,7 +1,16 @@
 //! Tests of the stage plan of a request.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
+use proptest::collection::vec;
+use proptest::prelude::any;
+use proptest::prop_assert;
+use proptest::prop_assert_eq;
+use proptest::test_runner::Config;
+use proptest::test_runner::RngAlgorithm;
+use proptest::test_runner::TestRng;
+use proptest::test_runner::TestRunner;
 use snipeyoke_lib::serving::batching::PlanError;
 use snipeyoke_lib::serving::batching::StageInput;
 use snipeyoke_lib::serving::batching::StagePlan;
@@ -100,3 +109,61 @@
         Err(PlanError::ResultsLost { stage: 0 })
     );
 }
+
+#[test]
+fn only_items_of_the_request_are_ordered() {
+    // Guards against stage work that no request asked for: items beyond the counts
+    // of the request, items that are done or in flight already, or a key where
+    // results are due, on random stages whose calls end in any way.
+    let config = Config {
+        cases: 2_000,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let schedule = (vec((0..4_u32, any::<u8>()), 1..6), vec(any::<u8>(), 1..60));
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    let outcome = TestRunner::new_with_rng(config, rng).run(&schedule, |(graph, ends)| {
+        let counts: Vec<u32> = graph.iter().map(|&(count, _)| count).collect();
+        let depends_on = graph.iter().enumerate().map(|(stage, &(_, bits))| {
+            let earlier = (0..stage).filter(|s| bits & (1 << s) > 0);
+            earlier.collect::<Vec<usize>>()
+        });
+        let depends_on: Vec<Vec<usize>> = depends_on.collect();
+        let slices: Vec<&[usize]> = depends_on.iter().map(Vec::as_slice).collect();
+        let mut plan = StagePlan::new(&stages(&slices), &counts).expect("a count each");
+        let times = uniform_times(counts.len());
+        let mut in_flight = BTreeSet::new();
+        for end in ends {
+            for order in plan.start_ready(&times) {
+                let present = |&&d: &&usize| counts[d] > 0;
+                let inputs = depends_on[order.stage].iter().filter(present);
+                let inputs: u32 = inputs.map(|&d| counts[d]).sum();
+                let given = match &order.input {
+                    StageInput::Key => 0,
+                    StageInput::Results(handles) => handles.len(),
+                };
+                prop_assert_eq!(given, inputs as usize);
+                for item in order.items {
+                    prop_assert!(item < counts[order.stage]);
+                    prop_assert!(in_flight.insert((order.stage, item)), "it is in flight");
+                }
+            }
+            let Some((stage, item)) = in_flight.pop_first() else {
+                break;
+            };
+            let ended = match end % 4 {
+                0 => plan.on_failure(stage, item),
+                1 => plan.on_inputs_gone(stage, item),
+                _ => {
+                    plan.on_result(stage, item, format!("h{stage}.{item}"));
+                    Ok(())
+                }
+            };
+            if ended.is_err() {
+                break;
+            }
+        }
+        Ok(())
+    });
+    outcome.expect("every order belongs to the request");
+}
