query: evacuate and restore failure domains

The command language of the older routers could drain a domain, which takes its routers out of service too. 'evacuate domain NAME' leaves out its endpoints only; 'show domains' has the column 'evacuated'. An unknown domain is accepted with a note, as with drains, since the list of hosts may lag. Test over a whole deployment: site/tests/test_operators.rs.

--- a/lib/src/config/change.rs
+++ b/lib/src/config/change.rs
@@ -140,6 +140,19 @@
         /// The target.
         target: DrainTarget,
     },
+    /// Sends no new calls to the endpoints of a failure domain until it is
+    /// restored. Its routers stay in service.
+    #[display("evacuate domain {domain}")]
+    Evacuate {
+        /// The failure domain.
+        domain: FailureDomain,
+    },
+    /// Ends the evacuation of a failure domain.
+    #[display("restore domain {domain}")]
+    Restore {
+        /// The failure domain.
+        domain: FailureDomain,
+    },
 }
 
 impl Change {
@@ -215,6 +228,15 @@
                     .then_some(())
                     .ok_or_else(|| missing(format!("the drain of {target}")))?;
             }
+            Self::Evacuate { domain } => {
+                config.evacuations.insert(domain.clone());
+            }
+            Self::Restore { domain } => {
+                let ended = config.evacuations.remove(domain);
+                ended
+                    .then_some(())
+                    .ok_or_else(|| missing(format!("the evacuation of domain {domain}")))?;
+            }
         }
         Ok(())
     }
--- a/lib/src/config/model.rs
+++ b/lib/src/config/model.rs
@@ -13,6 +13,7 @@
 
 use crate::config::DrainTarget;
 use crate::ids::ClientAccount;
+use crate::ids::FailureDomain;
 use crate::ids::ModelName;
 use crate::ids::PipelineName;
 use crate::ids::PoolName;
@@ -206,6 +207,9 @@
     /// The targets that operators drain.
     #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
     pub drains: BTreeSet<DrainTarget>,
+    /// The failure domains whose endpoints get no new calls.
+    #[serde(default, skip_serializing_if = "BTreeSet::is_empty")]
+    pub evacuations: BTreeSet<FailureDomain>,
 }
 
 /// The reason for which a configuration is refused.
--- a/lib/src/query/apply.rs
+++ b/lib/src/query/apply.rs
@@ -148,6 +148,8 @@
             }
             Self::Drain(target) => Change::Drain { target },
             Self::Resume(target) => Change::Resume { target },
+            Self::Evacuate(domain) => Change::Evacuate { domain },
+            Self::Restore(domain) => Change::Restore { domain },
         })
     }
 }
--- a/lib/src/query/edit.rs
+++ b/lib/src/query/edit.rs
@@ -8,6 +8,7 @@
 use crate::config::KeyDigest;
 use crate::config::Stage;
 use crate::ids::ClientAccount;
+use crate::ids::FailureDomain;
 use crate::ids::PipelineName;
 use crate::ids::PoolName;
 use crate::ids::RequestKind;
@@ -158,6 +159,12 @@
     /// Puts the target back into service.
     #[display("resume {_0}")]
     Resume(DrainTarget),
+    /// Sends no new calls to the endpoints of a failure domain.
+    #[display("evacuate domain {_0}")]
+    Evacuate(FailureDomain),
+    /// Ends the evacuation of a failure domain.
+    #[display("restore domain {_0}")]
+    Restore(FailureDomain),
 }
 
 fn join_spaced(items: &[impl ToString]) -> String {
--- a/lib/src/query/evaluate.rs
+++ b/lib/src/query/evaluate.rs
@@ -212,6 +212,7 @@
         domain: domain.clone(),
         region,
         draining: is_drained(&config, domain),
+        evacuated: config.evacuations.contains(domain),
         count: 0,
         active: 0,
     };
--- a/lib/src/query/explain.rs
+++ b/lib/src/query/explain.rs
@@ -204,10 +204,13 @@
         kinds.iter().map(bind)
     });
     let drains = config.drains.iter().map(|target| format!("drain {target}"));
+    let evacuations = config.evacuations.iter();
+    let evacuations = evacuations.map(|domain| format!("evacuate domain {domain}"));
     pools
         .chain(pipelines)
         .chain(accounts)
         .chain(bindings)
         .chain(drains)
+        .chain(evacuations)
         .collect()
 }
--- a/lib/src/query/facts.rs
+++ b/lib/src/query/facts.rs
@@ -387,6 +387,7 @@
     pub domain: FailureDomain,
     pub region: Region,
     pub draining: bool,
+    pub evacuated: bool,
     pub count: u32,
     pub active: u32,
 }
@@ -397,6 +398,7 @@
             Field::Domain => text(&self.domain),
             Field::Region => text(&self.region),
             Field::Draining => self.draining.into(),
+            Field::Evacuated => self.evacuated.into(),
             Field::Count => number(self.count),
             Field::Active => number(self.active),
             _ => Value::Absent,
--- a/lib/src/query/field.rs
+++ b/lib/src/query/field.rs
@@ -90,6 +90,8 @@
     Elapsed("elapsed", Interval),
     /// The endpoint.
     Endpoint("endpoint", Text),
+    /// Whether its endpoints get no new calls.
+    Evacuated("evacuated", Flag),
     /// The kind of event.
     Event("event", Text),
     /// The fencing number.
@@ -215,7 +217,7 @@
     /// Hosts of the host list.
     Hosts("hosts", [Host, Domain, Region, State, Draining]),
     /// Failure domains, with their endpoint and call counts.
-    Domains("domains", [Domain, Region, Draining, Count, Active]),
+    Domains("domains", [Domain, Region, Draining, Evacuated, Count, Active]),
     /// Router and agent processes as known to the router.
     Nodes("nodes", [Node, Kind, Host, Domain, Address, Revision, Report, Fresh, Draining]),
     /// Leases as recorded in the log.
--- a/lib/src/query/parse_edit.rs
+++ b/lib/src/query/parse_edit.rs
@@ -63,6 +63,8 @@
         },
         Rule::drain => Edit::Drain(target(&child(change, Rule::target)?)?),
         Rule::resume => Edit::Resume(target(&child(change, Rule::target)?)?),
+        Rule::evacuate => Edit::Evacuate(parse_word(&child(change, Rule::name)?)?),
+        Rule::restore => Edit::Restore(parse_word(&child(change, Rule::name)?)?),
         _ => return Err(missing_error(change)),
     })
 }
--- a/lib/src/query/words.rs
+++ b/lib/src/query/words.rs
@@ -22,6 +22,7 @@
     "drop",
     "dry-run",
     "endpoint",
+    "evacuate",
     "every",
     "explain",
     "help",
@@ -40,6 +41,7 @@
     "price",
     "request",
     "requests",
+    "restore",
     "resume",
     "revision",
     "router",
@@ -106,7 +108,7 @@
         Rule::clause => "deadline, lateness, cost or stages",
         Rule::statement | Rule::script => {
             "a statement, which begins with show, explain, watch, create, alter, drop, bind, \
-             unbind, set, drain, resume, stop, dry-run or help"
+             unbind, set, drain, resume, evacuate, restore, stop, dry-run or help"
         }
         _ => return describe_keyword(rule),
     };
--- a/router/src/control/drains.rs
+++ b/router/src/control/drains.rs
@@ -9,7 +9,8 @@
 
 use crate::settings::Raw;
 
-/// Returns whether an operator drains an endpoint, its host or its domain.
+/// Returns whether an operator drains an endpoint, its host or its domain, or
+/// evacuates its domain.
 pub(crate) fn covers(
     config: &Config,
     endpoint: &EndpointId,
@@ -17,7 +18,7 @@
     domain: &FailureDomain,
 ) -> bool {
     // Fast path: every load report calls this, and drains are rare.
-    if config.drains.is_empty() {
+    if config.drains.is_empty() && config.evacuations.is_empty() {
         return false;
     }
     let targets = [
@@ -25,7 +26,7 @@
         DrainTarget::Host(host.clone()),
         DrainTarget::Domain(domain.clone()),
     ];
-    targets.iter().any(|t| config.drains.contains(t))
+    config.evacuations.contains(domain) || targets.iter().any(|t| config.drains.contains(t))
 }
 
 /// Returns whether an operator drains this router, its host or its domain.
--- a/router/src/control/port.rs
+++ b/router/src/control/port.rs
@@ -11,6 +11,7 @@
 use hyper::StatusCode;
 use hyper::header::CONTENT_TYPE;
 use hyper::header::HeaderValue;
+use snipeyoke_lib::config::DrainTarget;
 use snipeyoke_lib::ids::Operator;
 use snipeyoke_lib::log::LogStore;
 use snipeyoke_lib::query::AnswerLine;
@@ -135,13 +136,15 @@
         self.reply(StatusCode::OK, lines, 0)
     }
 
-    // A drain with a mistyped name is accepted but drains nothing.
+    // A drain or evacuation with a mistyped name is accepted but has no effect.
     fn unknown_target_note(&self, edit: &Edit) -> Option<AnswerLine> {
-        let Edit::Drain(target) = edit else {
-            return None;
+        let target = match edit {
+            Edit::Drain(target) => target.clone(),
+            Edit::Evacuate(domain) => DrainTarget::Domain(domain.clone()),
+            _ => return None,
         };
         let known = NodeFacts(&self.node);
-        (!super::drains::is_known(&known, target)).then(|| AnswerLine::Note {
+        (!super::drains::is_known(&known, &target)).then(|| AnswerLine::Note {
             text: format!("{target} is not known to this router: check its name with 'show'"),
         })
     }
--- a/site/tests/test_operators.rs
+++ b/site/tests/test_operators.rs
@@ -230,6 +230,42 @@
     });
 }
 
+#[test]
+fn an_evacuated_domain_gets_no_new_work_until_it_is_restored() {
+    // Unlike a drain, the evacuation leaves the domain's routers in service.
+    with_bed(async |bed| {
+        let mut operator = bed.operator();
+        let of_desk = "show endpoints where endpoint = ordredesk-0 by domain";
+        let table = run(&mut operator, of_desk).await.table;
+        let domain = table.expect("the answer has rows").rows[0].0[0].to_string();
+        let report = run(&mut operator, &format!("evacuate domain {domain}")).await;
+        assert_eq!(report.exit, Exit::Done, "{}", report.text());
+        let shown = run(&mut operator, "show domains where evacuated by domain").await;
+        assert_eq!(count(&shown, &domain), 1, "{}", shown.text());
+        operator.pause(Duration::from_millis(1_500)).await;
+        let by = "show requests where stage = call by endpoint";
+        let before = count(&run(&mut operator, by).await, "ordredesk-0");
+        for number in 0..30 {
+            bed.lookup(number).await;
+        }
+        let after = run(&mut operator, by).await;
+        assert_eq!(count(&after, "ordredesk-0"), before);
+        let answered = run(&mut operator, "show requests by outcome").await;
+        assert!(count(&answered, "completed") >= 30, "{}", answered.text());
+        run(&mut operator, &format!("restore domain {domain}")).await;
+        operator.pause(Duration::from_millis(1_500)).await;
+        for number in 0..60 {
+            bed.lookup(number).await;
+        }
+        let restored = run(&mut operator, by).await;
+        assert!(
+            count(&restored, "ordredesk-0") > before,
+            "{}",
+            restored.text()
+        );
+    });
+}
+
 #[test]
 fn a_request_is_explained_and_routers_that_are_away_are_named() {
     with_bed(async |bed| {
