cold_start: count batch calls to cold endpoints like admissions

Homes in a frame that can't be read permit nothing instead of any region, and a stage queue counts its calls to a cold endpoint over the window of admissions, not over exactly a second.

--- a/gateway/src/dispatch/convert.rs
+++ b/gateway/src/dispatch/convert.rs
@@ -86,9 +86,12 @@
     homes.iter().map(ToString::to_string).collect()
 }
 
-/// Converts a field of a frame to homes.
+/// Converts a field of a frame to homes; an unreadable name permits nothing.
 pub(super) fn homes_of(names: &[String]) -> Homes {
-    Homes::new(names.iter().filter_map(|name| name.parse().ok()))
+    if names.is_empty() {
+        return Homes::default();
+    }
+    Homes::only(names.iter().filter_map(|name| name.parse().ok()))
 }
 
 /// Converts a job's outcome to a frame for the node that submitted it.
--- a/lib/src/serving/batching/endpoint.rs
+++ b/lib/src/serving/batching/endpoint.rs
@@ -1,18 +1,15 @@
 //! State of an endpoint of a stage service, as seen by the queue.
 
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use super::result_memory::ResultMemory;
 use crate::ids::Region;
+use crate::serving::cold_start::ADMISSION_WINDOW;
 use crate::serving::directory::Endpoint;
 use crate::serving::directory::Entry;
 use crate::serving::health::Health;
 use crate::time::Time;
 
-/// The time over which calls to a cold endpoint are counted.
-const COLD_WINDOW: Duration = Duration::from_secs(1);
-
 /// What a queue needs to know of an endpoint of its service.
 #[derive(Debug, Clone, Copy)]
 pub struct EndpointState<'a> {
@@ -67,7 +64,7 @@
     region: Option<Region>,
     evacuated: bool,
     pub(super) cold_until: Time,
-    /// The calls of the last second.
+    /// The calls within the last [`ADMISSION_WINDOW`].
     recent_calls: VecDeque<Time>,
 }
 
@@ -114,7 +111,8 @@
     }
 
     pub(super) fn record_call(&mut self, now: Time) {
-        self.recent_calls.retain(|&at| now.since(at) < COLD_WINDOW);
+        self.recent_calls
+            .retain(|&at| now.since(at) < ADMISSION_WINDOW);
         self.recent_calls.push_back(now);
     }
 
@@ -124,14 +122,16 @@
         let Some(share) = share.filter(|_| now < self.cold_until) else {
             return Time::ZERO;
         };
-        let is_recent = |at: &&Time| now.since(**at) < COLD_WINDOW;
+        let is_recent = |at: &&Time| now.since(**at) < ADMISSION_WINDOW;
         let recent = self.recent_calls.iter().filter(is_recent);
         if recent.clone().count() < share {
             return Time::ZERO;
         }
-        // The call whose end of the window leaves room for another one.
+        // Once this call has left the window there is room for another one.
         let blocking = recent.rev().nth(share.saturating_sub(1));
-        let next = blocking.filter(|_| share > 0).map(|&at| at + COLD_WINDOW);
+        let next = blocking
+            .filter(|_| share > 0)
+            .map(|&at| at + ADMISSION_WINDOW);
         next.map_or(self.cold_until, |at| at.min(self.cold_until))
     }
 }
--- a/lib/src/serving/bookings.rs
+++ b/lib/src/serving/bookings.rs
@@ -182,6 +182,7 @@
     admissions: Admissions,
     /// The calls per second to a cold endpoint; `None` if it has no limit.
     cold_share: Option<usize>,
+    /// When the first request was booked.
     started_at: Option<Time>,
     /// Whether endpoints may have cached prefixes before this node booked them.
     took_over: bool,
@@ -226,11 +227,12 @@
         let home = home.entry().id.clone();
         self.took_over |= request.moved;
         let started_at = *self.started_at.get_or_insert(now);
-        let is_known = !self.took_over || now.since(started_at) >= PREFIX_RETENTION;
+        // Until then endpoints may have cached prefixes that this node does not know of.
+        let is_complete = !self.took_over || now.since(started_at) >= PREFIX_RETENTION;
         let is_first = self.is_first(request);
         let slowness = median(pool.iter().map(|e| e.health().slowness(now)).collect());
         let unread_tokens = |e: &Endpoint| {
-            let is_expected = is_first && !is_known && e.entry().id == home;
+            let is_expected = is_first && !is_complete && e.entry().id == home;
             let missing = if is_expected {
                 0
             } else {
--- a/lib/src/serving/cold_start.rs
+++ b/lib/src/serving/cold_start.rs
@@ -18,13 +18,13 @@
 
 /// How long a node may use an admission.
 ///
-/// Calls admitted at the end of one second and at the begin of the next one must
+/// Calls admitted at the end of one second and at the start of the next one must
 /// not arrive together.
 pub const ADMISSION_LIFETIME: Duration = Duration::from_millis(100);
 
 /// The time in which a node admits its share: the second of the bound and the
 /// spread of the arrivals.
-const WINDOW: Duration = Duration::from_millis(1_100);
+pub const ADMISSION_WINDOW: Duration = Duration::from_millis(1_100);
 
 /// The cold start of a service's endpoints.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -109,8 +109,11 @@
 
     /// Forgets endpoints without recent calls.
     pub fn sweep(&mut self, now: Time) {
-        let is_recent =
-            |calls: &VecDeque<Time>| calls.back().is_some_and(|&at| now.since(at) < WINDOW);
+        let is_recent = |calls: &VecDeque<Time>| {
+            calls
+                .back()
+                .is_some_and(|&at| now.since(at) < ADMISSION_WINDOW)
+        };
         self.calls.retain(|_, calls| is_recent(calls));
     }
 
@@ -118,7 +121,10 @@
         let Some(calls) = self.calls.get_mut(endpoint) else {
             return 0;
         };
-        while calls.front().is_some_and(|&at| now.since(at) >= WINDOW) {
+        while calls
+            .front()
+            .is_some_and(|&at| now.since(at) >= ADMISSION_WINDOW)
+        {
             calls.pop_front();
         }
         calls.len()
--- a/lib/src/serving/homes.rs
+++ b/lib/src/serving/homes.rs
@@ -22,6 +22,14 @@
         }
     }
 
+    /// Creates homes that permit the given regions only, possibly none.
+    #[must_use]
+    pub fn only(regions: impl IntoIterator<Item = Region>) -> Self {
+        Self {
+            regions: Some(regions.into_iter().collect()),
+        }
+    }
+
     /// Returns the regions that both permit.
     #[must_use]
     pub fn intersection(&self, other: &Self) -> Self {
--- a/lib/tests/test_evacuation.rs
+++ b/lib/tests/test_evacuation.rs
@@ -180,6 +180,7 @@
     assert_eq!(Homes::default().intersection(&north), north);
     let none = north.intersection(&south);
     assert!(none.is_empty() && !none.allows(Some(&region("north"))));
+    assert!(Homes::only([]).is_empty());
     // An empty list in the configuration is no restriction.
     assert!(homes(&[]).allows(None));
 }
