gateway: report headers of endpoints that are not read

Change: a response header that the adapter does not know is logged once for each name (header-unread) and counted (snipeyoke_unread_headers_total).

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -370,6 +370,7 @@
     let head = shared.dialect.parse_response(&call.head);
     let now = shared.now();
     let endpoint = flight.endpoint.clone();
+    shared.report_unread(&endpoint, &head.unread);
     if let Some(load) = head.load {
         shared.directory().apply_load(now, &endpoint, load);
     }
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -9,6 +9,7 @@
 use http_body_util::Full;
 use hyper::HeaderMap;
 use hyper::Request;
+use hyper::header::HeaderName;
 use hyper::http::request;
 use hyper::http::response;
 use snipeyoke_lib::ids::ClientAccount;
@@ -128,6 +129,8 @@
     pub load: Option<LoadReport>,
     /// The headers to relay to the caller.
     pub headers: HeaderMap,
+    /// The names of those that the dialect does not know.
+    pub unread: Vec<HeaderName>,
 }
 
 /// Translates between the node and the protocols of callers and endpoints.
--- a/gateway/src/dispatch/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -77,6 +77,7 @@
 
 async fn read_response(shared: &Shared, batch: &BatchCall, mut call: Call) -> CallResult {
     let response = shared.dialect.parse_response(&call.head);
+    shared.report_unread(&batch.entry.id, &response.unread);
     match response.verdict {
         Verdict::WrongEndpoint => return CallResult::WrongEndpoint,
         Verdict::NotRun => return CallResult::Refused,
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -1,5 +1,6 @@
 //! The shared state of a gateway, written by controllers and read by traffic.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -11,6 +12,8 @@
 use std::time::Duration;
 
 use event_listener::Event;
+use hyper::header::HeaderName;
+use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::serving::budget::SharedBudget;
 use snipeyoke_lib::serving::catalog::Catalog;
@@ -46,6 +49,11 @@
 /// The registry responds within milliseconds, unless it is down.
 const PEER_LIST_WAIT: Duration = Duration::from_millis(400);
 
+/// The maximum number of unknown headers that are reported.
+///
+/// Endpoints choose the names; without a bound they could fill memory and logs.
+const UNREAD_HEADERS_MAX: usize = 64;
+
 /// The state that the tasks of a node share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -88,6 +96,8 @@
     catch_up: Mutex<CatchUp>,
     crashes: Mutex<CrashTracker>,
     polling: Mutex<RegistryPolling>,
+    /// The unknown headers of endpoints that have been reported.
+    unread_headers: Mutex<BTreeSet<String>>,
 }
 
 /// The replicas of the registry's topics.
@@ -112,6 +122,7 @@
             owners: Mutex::new(Owners::new(settings.listen.peers, settings.power)),
             paces: Mutex::default(),
             crashes: Mutex::default(),
+            unread_headers: Mutex::default(),
             durations: Mutex::default(),
             replicas: Mutex::default(),
             polling: Mutex::new(RegistryPolling::new(settings.change, settings.notice)),
@@ -176,6 +187,17 @@
         lock(&self.polling)
     }
 
+    /// Reports each header of an endpoint's response that is not read, once.
+    pub(crate) fn report_unread(&self, endpoint: &EndpointId, names: &[HeaderName]) {
+        for name in names {
+            let mut reported = lock(&self.unread_headers);
+            if reported.len() < UNREAD_HEADERS_MAX && reported.insert(name.to_string()) {
+                log::warn!(event = "header-unread", name = name.as_str(), endpoint = endpoint.to_string().as_str(), remedy = "look it up in the protocol of the endpoints; it is relayed as it is"; "");
+                metrics::counter!("snipeyoke_unread_headers_total", "name" => name.to_string()).increment(1);
+            }
+        }
+    }
+
     /// Returns whether this node currently reads the registry for all nodes.
     pub(crate) fn is_reader(&self) -> bool {
         let now = self.now();
