--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -193,7 +193,8 @@
             let mut reported = lock(&self.unread_headers);
             if reported.len() < UNREAD_HEADERS_MAX && reported.insert(name.to_string()) {
                 log::warn!(event = "header-unread", name = name.as_str(), endpoint = endpoint.to_string().as_str(), remedy = "look it up in the protocol of the endpoints; it is relayed as it is"; "");
-                metrics::counter!("snipeyoke_unread_headers_total", "name" => name.to_string()).increment(1);
+                metrics::counter!("snipeyoke_unread_headers_total", "name" => name.to_string())
+                    .increment(1);
             }
         }
     }
