gateway: keep the rates that endpoints name on all nodes together

Callers: an endpoint in need named 1 request a second and got 12 in 4 s from nodes that it had told; the bound is 11. Cause: no node read the header, so endpoints were chosen as if they had named nothing.

Change: the adapter reads the rate. Each request, batch call and release to an endpoint that names one needs a grant from one node: the one that books the shard, or the owner of the batch queue. The second in rank grants what the bound leaves. Nodes tell each other of rates with placements and polls. A limit ends only by a response without a rate to a request that was sent after it was last named, so one request at the granted rate finds out. A request that no endpoint may get is refused at once (endpoints-limited), with a Retry-After from the rate. The rate outlives a registration that lapses while the store is away.

Why it holds: at most two nodes have a share, and their shares add up to the bound whoever of them is thought to be alive.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -15,8 +15,11 @@
 use snipeyoke_lib::serving::directory::Unavailable;
 use snipeyoke_lib::serving::durations::Remaining;
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
+use snipeyoke_lib::serving::rate_limit::RateNotice;
+use snipeyoke_lib::serving::rate_limit::interval;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
 use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::RequestRate;
 use snipeyoke_runtime::flag::Flag;
 
 use crate::call::Call;
@@ -151,7 +154,12 @@
             Some((choice, booking)) => (choice, Some(booking)),
             None => match wait_for_choice(ctx, &failed).await {
                 Ok(choice) => (choice, None),
-                Err(refusal) => return AttemptResult::Unserved(refusal),
+                Err(refusal) => {
+                    if refusal == Refusal::Limited {
+                        ctx.backlog = total_rate(ctx).map_or(Duration::ZERO, interval);
+                    }
+                    return AttemptResult::Unserved(refusal);
+                }
             },
         };
         // The request may have been quarantined while its stages ran.
@@ -239,13 +247,7 @@
     failed: &[EndpointId],
 ) -> Option<(Choice, Booking)> {
     let shared = &ctx.shared;
-    let prompt = if ctx.catalog.service(&ctx.service)?.is_engine {
-        ctx.request.prompt?
-    } else if needs_admission(ctx) {
-        Prompt::default()
-    } else {
-        return None;
-    };
+    let Placeable { prompt, limited } = placeable(ctx, failed)?;
     let has_shared = prompt.shared >= SHARED_TOKENS_MIN;
     let mut avoid = ctx.attempted.clone();
     avoid.extend_from_slice(failed);
@@ -259,6 +261,7 @@
         homes: ctx.homes.clone(),
         leading: ctx.request.leading.clone(),
         moved: false,
+        only: limited.clone().filter(|_| total_rate(ctx).is_none()),
     };
     let (booking, endpoint) = shared
         .dispatcher
@@ -268,13 +271,61 @@
         async_io::Timer::after(PLACEMENT_WAIT).await;
         None
     };
-    let endpoint = futures_lite::future::or(placed, timeout).await?;
+    let Some(endpoint) = futures_lite::future::or(placed, timeout).await else {
+        if let Some(limited) = limited {
+            shared.directory().pause_grants(shared.now(), &limited);
+        }
+        return None;
+    };
     let attempted = ctx.attempted.contains(&endpoint) || failed.contains(&endpoint);
     let choice = shared.directory().booked_choice(shared.now(), &endpoint);
     let choice = choice.filter(|_| !attempted)?;
     Some((choice, booking))
 }
 
+/// A request for which another node chooses the endpoint.
+struct Placeable {
+    prompt: Prompt,
+    /// The endpoint that this node would choose, if it names a rate, so that
+    /// another node has to grant the request.
+    limited: Option<EndpointId>,
+}
+
+/// Returns what another node has to place; `None` if this node chooses by itself.
+fn placeable(ctx: &RequestContext, failed: &[EndpointId]) -> Option<Placeable> {
+    let is_engine = ctx.catalog.service(&ctx.service)?.is_engine;
+    let prompt = ctx.request.prompt.filter(|_| is_engine);
+    if prompt.is_some() || needs_admission(ctx) {
+        let prompt = prompt.unwrap_or_default();
+        return Some(Placeable {
+            prompt,
+            limited: None,
+        });
+    }
+    let endpoint = choose_now(ctx, failed, Limits::Any)?.entry.id;
+    let now = ctx.shared.now();
+    let directory = ctx.shared.directory();
+    let paused_until = directory.get(&endpoint)?.rate_limit()?.paused_until;
+    drop(directory);
+    if now < paused_until {
+        ctx.shared.record_held_back(&endpoint);
+        return None;
+    }
+    Some(Placeable {
+        prompt: Prompt::default(),
+        limited: Some(endpoint),
+    })
+}
+
+/// Returns the rate of all endpoints that the request may use, if none of them
+/// gets requests without a grant.
+fn total_rate(ctx: &RequestContext) -> Option<RequestRate> {
+    let now = ctx.shared.now();
+    let criteria = (&ctx.homes, ctx.limits_cold_calls());
+    let directory = ctx.shared.directory();
+    directory.total_rate(now, &ctx.service, criteria)
+}
+
 /// Returns whether all endpoints of the request's service are cold, so that
 /// another node has to admit the call.
 fn needs_admission(ctx: &RequestContext) -> bool {
@@ -291,7 +342,7 @@
     let deadline = shared.now() + ENDPOINT_WAIT;
     loop {
         let changed = shared.endpoints_changed.listen();
-        if let Some(choice) = choose_now(ctx, failed) {
+        if let Some(choice) = choose_now(ctx, failed, Limits::UnlimitedOnly) {
             return Ok(choice);
         }
         if let Some(why) = ctx.unavailability(&ctx.service) {
@@ -300,6 +351,9 @@
         if needs_admission(ctx) {
             return Err(Refusal::Cold);
         }
+        if total_rate(ctx).is_some() {
+            return Err(Refusal::Limited);
+        }
         let remaining = deadline.min(ctx.deadline).since(shared.now());
         if remaining.is_zero() {
             return Err(Refusal::NoEndpoint);
@@ -312,7 +366,16 @@
     }
 }
 
-fn choose_now(ctx: &RequestContext, failed: &[EndpointId]) -> Option<Choice> {
+/// The endpoints among which a node chooses.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Limits {
+    /// Those that name a rate, too.
+    Any,
+    /// Only those that name none.
+    UnlimitedOnly,
+}
+
+fn choose_now(ctx: &RequestContext, failed: &[EndpointId], limits: Limits) -> Option<Choice> {
     let mut avoid = ctx.attempted.clone();
     avoid.extend_from_slice(failed);
     let prompt = ctx.request.prompt.filter(|p| p.shared >= SHARED_TOKENS_MIN);
@@ -325,6 +388,7 @@
         prefix: prompt.map(|p| p.prefix),
         homes: &ctx.homes,
         warm_only: ctx.limits_cold_calls(),
+        unlimited_only: limits == Limits::UnlimitedOnly,
     };
     ctx.shared.directory().choose(ctx.shared.now(), wanted)
 }
@@ -374,6 +438,10 @@
     if let Some(load) = head.load {
         shared.directory().apply_load(now, &endpoint, load);
     }
+    let is_own = head.id.as_deref() == Some(ctx.request.id.as_str());
+    if head.verdict == Verdict::NotRun || head.verdict == Verdict::Ran && is_own {
+        record_rate(ctx, &flight, sent, head.rate);
+    }
     let status = call.head.status;
     if head.verdict != Verdict::Ran {
         flight.settle();
@@ -382,7 +450,7 @@
     }
     // An endpoint may send a second response to another request. Without this
     // check the caller would receive data of another caller.
-    if head.id.as_deref() != Some(ctx.request.id.as_str()) || head.encoded {
+    if !is_own || head.encoded {
         log::warn!(event = "answer-of-another", request = ctx.request.id.as_str(), endpoint = endpoint.to_string().as_str(), found = head.id.as_deref().unwrap_or("-"); "");
         if let Some(health) = shared.directory().health_mut(&endpoint) {
             health.record_failure(now);
@@ -397,6 +465,18 @@
     }))
 }
 
+/// Records what a response says about the rate of its endpoint, also at the node
+/// that grants the requests to it.
+fn record_rate(ctx: &RequestContext, flight: &InFlight, sent: Time, notice: RateNotice) {
+    let endpoint = &flight.endpoint;
+    let was_limited = ctx.shared.rate_of(endpoint).is_some();
+    ctx.shared.on_rate_notice(endpoint, sent, notice);
+    let is_news = was_limited || notice != RateNotice::Unlimited;
+    if let Some(booking) = flight.booking.as_ref().filter(|_| is_news) {
+        booking.rate_notice(notice);
+    }
+}
+
 /// Maps an endpoint's refusal to the result of the attempt.
 fn classify_refusal(
     ctx: &mut RequestContext,
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -18,6 +18,7 @@
 use snipeyoke_lib::serving::batching::ItemOutcome;
 use snipeyoke_lib::serving::bookings::LeadingPrefix;
 use snipeyoke_lib::serving::directory::LoadReport;
+use snipeyoke_lib::serving::rate_limit::RateNotice;
 
 /// What a request declares about its prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -115,7 +116,7 @@
 }
 
 /// The parsed head of an endpoint's response.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ResponseHead {
     /// The id of the client attempt that it responds to.
     pub id: Option<String>,
@@ -127,6 +128,8 @@
     pub encoded: bool,
     /// The endpoint's load.
     pub load: Option<LoadReport>,
+    /// What it says about the rate that the endpoint accepts.
+    pub rate: RateNotice,
     /// The headers to relay to the caller.
     pub headers: HeaderMap,
     /// The names of those that the dialect does not know.
--- a/gateway/src/dispatch/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -10,6 +10,7 @@
 use snipeyoke_lib::serving::batching::CallResult;
 use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
+use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::flag::Flag;
 
 use crate::call::Call;
@@ -32,6 +33,7 @@
     let request = shared.dialect.batch_request(&batch.entry.id, &batch.items);
     let response = async {
         let sent = Flag::default();
+        let sent_at = shared.now();
         match send_request(
             &shared.traffic,
             batch.entry.address,
@@ -40,7 +42,7 @@
         )
         .await
         {
-            Ok(call) => read_response(&shared, &batch, call).await,
+            Ok(call) => read_response(&shared, &batch, call, sent_at).await,
             Err(error) => {
                 if !error.is_not_sent() {
                     report_break(&shared, &batch);
@@ -75,9 +77,17 @@
     }
 }
 
-async fn read_response(shared: &Shared, batch: &BatchCall, mut call: Call) -> CallResult {
+async fn read_response(
+    shared: &Shared,
+    batch: &BatchCall,
+    mut call: Call,
+    sent_at: Time,
+) -> CallResult {
     let response = shared.dialect.parse_response(&call.head);
     shared.report_unread(&batch.entry.id, &response.unread);
+    if response.verdict != Verdict::WrongEndpoint {
+        shared.on_rate_notice(&batch.entry.id, sent_at, response.rate);
+    }
     match response.verdict {
         Verdict::WrongEndpoint => return CallResult::WrongEndpoint,
         Verdict::NotRun => return CallResult::Refused,
@@ -115,6 +125,7 @@
 /// There is no retry: a result that is not released expires by itself.
 pub(super) async fn release_results(shared: Arc<Shared>, entry: Entry, handles: &[String]) {
     let request = shared.dialect.release_request(handles);
+    let sent_at = shared.now();
     let released = async {
         let Ok(mut call) = send_request(
             &shared.traffic,
@@ -126,6 +137,10 @@
         else {
             return false;
         };
+        let response = shared.dialect.parse_response(&call.head);
+        if response.verdict != Verdict::WrongEndpoint {
+            shared.on_rate_notice(&entry.id, sent_at, response.rate);
+        }
         while let Ok(Some(_)) = call.next().await {}
         call.head.status.is_success()
     };
--- a/gateway/src/dispatch/inbound.rs
+++ b/gateway/src/dispatch/inbound.rs
@@ -220,11 +220,13 @@
             if let Some(inbound) = self.inbound.get_mut(&link) {
                 inbound.node = Some(address);
             }
+            self.shared.on_rate_news(&poll.rates, address);
         }
         if poll.brief {
             self.shared.registry_polling().on_polled(now);
         }
         let mut reply = self.sync_reply(Some(poll));
+        reply.rates = self.rate_news(poll.brief);
         let Some(inbound) = self.inbound.get_mut(&link) else {
             return;
         };
--- a/gateway/src/dispatch/peers.rs
+++ b/gateway/src/dispatch/peers.rs
@@ -8,6 +8,7 @@
 use snipeyoke_lib::serving::registry_polling::ReplicaStatus;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::MilliCores;
+use snipeyoke_wire::EndpointRate;
 use snipeyoke_wire::KnownNode;
 use snipeyoke_wire::SyncReply;
 use snipeyoke_wire::SyncRequest;
@@ -50,7 +51,7 @@
             Body::SyncReply(reply) => self.handle_sync_reply(peer, reply),
             Body::RecordSlice(slice) => self.handle_slice(peer, slice),
             Body::Quarantine(frame) => self.handle_verdict(&frame),
-            Body::Placed(placed) => self.handle_placed(&placed),
+            Body::Placed(placed) => self.handle_placed(peer, &placed),
             _ => {
                 log::warn!(event = "frame-unexpected", peer = peer.to_string().as_str(), remedy = "run the same release on all nodes"; "");
             }
@@ -66,6 +67,7 @@
         }
         let count = owners.count();
         drop(owners);
+        self.shared.on_rate_news(&reply.rates, peer);
         for frame in &reply.quarantines {
             self.handle_verdict(frame);
         }
@@ -187,6 +189,7 @@
             power: self.shared.settings.power.0,
             brief,
             stamp: now.as_micros(),
+            rates: self.rate_news(brief),
         };
         drop(replicas);
         let stale = !brief && self.shared.lacks_endpoints() && self.can_request_endpoints(now);
@@ -202,6 +205,18 @@
         }
     }
 
+    /// Returns the recent rates of endpoints for a poll or its reply.
+    ///
+    /// They spread with the polls between all nodes. Polls of the reader are
+    /// brief: it would send them to hundreds of nodes several times a second.
+    pub(super) fn rate_news(&self, brief: bool) -> Vec<EndpointRate> {
+        if brief {
+            Vec::new()
+        } else {
+            self.shared.recent_rates()
+        }
+    }
+
     /// Returns whether no request for the full list of endpoints is in flight.
     ///
     /// Hundreds of endpoints fill a frame of a hundred kilobytes. Responses from
--- a/gateway/src/dispatch/placement.rs
+++ b/gateway/src/dispatch/placement.rs
@@ -11,11 +11,14 @@
 use snipeyoke_lib::serving::bookings::PREFIX_RETENTION;
 use snipeyoke_lib::serving::bookings::PlacementRequest;
 use snipeyoke_lib::serving::bookings::Shard;
+use snipeyoke_lib::serving::rate_limit::NamedRate;
+use snipeyoke_lib::serving::rate_limit::RateNotice;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
 use snipeyoke_wire::PlaceAsk;
 use snipeyoke_wire::PlaceNote;
 use snipeyoke_wire::Placed;
 use snipeyoke_wire::frame::Body;
+use snipeyoke_wire::place_note;
 
 use super::Dispatcher;
 use super::convert;
@@ -44,6 +47,8 @@
         /// The ratio of the elapsed to the expected time.
         pace: f32,
     },
+    /// The response says something new about the rate of its endpoint.
+    RateNotice(RateNotice),
     /// The request ended.
     Ended {
         /// Whether its endpoint failed.
@@ -73,6 +78,11 @@
         self.send(BookingEvent::FirstEvent { pace });
     }
 
+    /// Reports what the response says about the rate of its endpoint.
+    pub(crate) fn rate_notice(&self, notice: RateNotice) {
+        self.send(BookingEvent::RateNotice(notice));
+    }
+
     /// Records that the endpoint failed.
     pub(crate) const fn mark_failed(&mut self) {
         self.failed = true;
@@ -102,10 +112,12 @@
         reply: Sender<Option<EndpointId>>,
     ) {
         let now = self.shared.now();
-        let shard = self
-            .shared
-            .directory()
-            .shard(&service, request.prefix.unwrap_or(number));
+        let directory = self.shared.directory();
+        let shard = match &request.only {
+            Some(endpoint) => directory.shard_of(&service, endpoint),
+            None => directory.shard(&service, request.prefix.unwrap_or(number)),
+        };
+        drop(directory);
         let booker = self.shared.owners().booking_owner(now, &service, shard);
         let before = self
             .last_bookers
@@ -128,7 +140,11 @@
             self.reply_placement(number, endpoint);
             return;
         }
-        let frame = place_frame(number, &placement, request);
+        let rates = self.shared.rates_of(&placement.service);
+        let frame = PlaceAsk {
+            rates,
+            ..place_frame(number, &placement, request)
+        };
         let up = self.peers.get(&booker).is_some_and(|p| p.sender.is_some());
         self.placements.insert(number, placement);
         // Without a link, this only opens one for the next request.
@@ -146,7 +162,8 @@
         }
     }
 
-    pub(super) fn handle_placed(&mut self, placed: &Placed) {
+    pub(super) fn handle_placed(&mut self, peer: SocketAddr, placed: &Placed) {
+        self.shared.on_rate_news(placed.rate.as_slice(), peer);
         self.reply_placement(placed.number, placed.endpoint.parse().ok());
     }
 
@@ -176,6 +193,7 @@
                 // This node has already updated its endpoints' health.
                 let _endpoint = match event {
                     BookingEvent::FirstEvent { .. } => bookings.on_prompt_read(id).cloned(),
+                    BookingEvent::RateNotice(_) => None,
                     BookingEvent::Ended { .. } => bookings.end(id),
                 };
             }
@@ -205,6 +223,8 @@
         }
         let cold_share = self.cold_share(service, Some(shard));
         let was_known = self.shared.owners().is_known_before();
+        let rank = self.shared.owners().shard_granter_rank(now, service, shard);
+        let uses = self.granting_uses(service);
         let bookings = self.bookings.entry(key).or_insert_with(|| {
             let mut bookings = Bookings::default();
             if was_known {
@@ -213,8 +233,26 @@
             bookings
         });
         bookings.set_cold_share(cold_share);
+        bookings.set_granter(rank, uses);
         let directory = self.shared.directory();
-        bookings.place(now, &directory, (service, shard), id, request)
+        let endpoint = bookings.place(now, &directory, (service, shard), id, request);
+        drop(directory);
+        for held_back in bookings.take_held_back() {
+            self.shared.record_held_back(&held_back);
+        }
+        endpoint
+    }
+
+    /// Returns the number of places that grant requests to the same endpoints of
+    /// a service.
+    pub(super) fn granting_uses(&self, service: &PoolName) -> u32 {
+        let catalog = self.shared.catalog.get();
+        let catalog = catalog.as_ref().as_ref();
+        if catalog.is_some_and(|c| c.has_two_uses(service)) {
+            2
+        } else {
+            1
+        }
     }
 
     /// Returns the calls per second that this node may admit to a cold endpoint
@@ -252,15 +290,20 @@
             index: frame.shard,
             count: frame.shards,
         };
+        let source = self.inbound.get(&link).and_then(|l| l.node);
+        let source = source.unwrap_or(self.shared.settings.listen.peers);
+        self.shared.on_rate_news(&frame.rates, source);
         let endpoint = frame.service.parse::<PoolName>().ok().and_then(|service| {
             let request = request_of(frame);
             self.book(&service, shard, id, &request)
         });
-        let endpoint = endpoint.map(|e| e.to_string()).unwrap_or_default();
+        let placed = Placed {
+            number,
+            rate: endpoint.as_ref().and_then(|e| self.shared.rate_of(e)),
+            endpoint: endpoint.map(|e| e.to_string()).unwrap_or_default(),
+        };
         if let Some(inbound) = self.inbound.get(&link) {
-            let _full = inbound
-                .sender
-                .send(Body::Placed(Placed { number, endpoint }));
+            let _full = inbound.sender.send(Body::Placed(placed));
         }
     }
 
@@ -270,6 +313,14 @@
             link: link.0 + 1,
             number: note.number,
         };
+        if let Some(notice) = rate_notice_of(note) {
+            let booked = self.bookings.values().find_map(|b| b.booked(id));
+            let booked = booked.map(|(endpoint, since)| (endpoint.clone(), since));
+            if let Some((endpoint, since)) = booked {
+                self.shared.on_rate_notice(&endpoint, since, notice);
+            }
+            return;
+        }
         for bookings in self.bookings.values_mut() {
             let endpoint = if note.ended {
                 bookings.end(id)
@@ -311,6 +362,8 @@
         leading: request.leading.iter().map(|p| p.hash).collect(),
         leading_tokens: request.leading.iter().map(|p| p.tokens).collect(),
         moved: request.moved,
+        only: request.only.map(|e| e.to_string()).unwrap_or_default(),
+        rates: Vec::new(),
     }
 }
 
@@ -327,18 +380,43 @@
         avoid: frame.avoid.iter().filter_map(|e| e.parse().ok()).collect(),
         homes: convert::homes_of(&frame.homes),
         moved: frame.moved,
+        only: frame.only.parse().ok(),
     }
 }
 
 fn note_frame(number: u64, event: BookingEvent) -> PlaceNote {
-    let (pace, ended, failed) = match event {
-        BookingEvent::FirstEvent { pace } => (Some((pace * 100.0) as u32), false, false),
-        BookingEvent::Ended { failed } => (None, true, failed),
-    };
-    PlaceNote {
+    let note = PlaceNote {
         number,
-        pace,
-        ended,
-        failed,
+        ..PlaceNote::default()
+    };
+    match event {
+        BookingEvent::FirstEvent { pace } => PlaceNote {
+            pace: Some((pace * 100.0) as u32),
+            ..note
+        },
+        BookingEvent::RateNotice(notice) => PlaceNote {
+            rate_notice: match notice {
+                RateNotice::Limited(rate) => Some(place_note::RateNotice::Rate(rate.per_second())),
+                RateNotice::Unlimited => Some(place_note::RateNotice::Unlimited(true)),
+                RateNotice::Malformed(_) => None,
+            },
+            ..note
+        },
+        BookingEvent::Ended { failed } => PlaceNote {
+            ended: true,
+            failed,
+            ..note
+        },
     }
 }
+
+fn rate_notice_of(note: &PlaceNote) -> Option<RateNotice> {
+    let notice = match note.rate_notice? {
+        place_note::RateNotice::Unlimited(_) => RateNotice::Unlimited,
+        place_note::RateNotice::Rate(rate) => match NamedRate::try_from(rate) {
+            Ok(rate) => RateNotice::Limited(rate),
+            Err(error) => RateNotice::Malformed(error),
+        },
+    };
+    Some(notice)
+}
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -16,6 +16,7 @@
 mod node;
 mod polling;
 mod program;
+mod rate_limits;
 mod ready;
 mod records;
 mod refusal;
--- a/gateway/src/records.rs
+++ b/gateway/src/records.rs
@@ -155,7 +155,7 @@
         let Ok(id) = key.parse::<EndpointId>() else {
             return false;
         };
-        let known = self.directory().remove(&id);
+        let known = self.directory().remove(self.now(), &id);
         if known {
             log::info!(event = "endpoint-gone", endpoint = key, why, offset = record.offset.0, source; "");
         }
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -47,6 +47,8 @@
     OutsideHomes,
     /// All endpoints are cold and get as many calls as they tolerate.
     Cold,
+    /// All endpoints name a rate and get as many requests as they accept.
+    Limited,
     /// The deadline passed, and the request may have run.
     Timeout,
     /// The endpoint's response was lost or can't be used.
@@ -83,6 +85,7 @@
             Self::Evacuated => "evacuated",
             Self::OutsideHomes => "outside-homes",
             Self::Cold => "endpoints-cold",
+            Self::Limited => "endpoints-limited",
             Self::Timeout => "timeout",
             Self::ResponseLost => "answer-lost",
         }
@@ -107,7 +110,8 @@
             | Self::ShuttingDown
             | Self::Evacuated
             | Self::OutsideHomes
-            | Self::Cold => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::Cold
+            | Self::Limited => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
--- a/lib/src/serving/batching/endpoint.rs
+++ b/lib/src/serving/batching/endpoint.rs
@@ -1,13 +1,17 @@
 //! State of an endpoint of a stage service, as seen by the queue.
 
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use super::result_memory::ResultMemory;
 use crate::ids::Region;
 use crate::serving::cold_start::ADMISSION_WINDOW;
+use crate::serving::cold_start::AdmitterRank;
 use crate::serving::directory::Endpoint;
 use crate::serving::directory::Entry;
 use crate::serving::health::Health;
+use crate::serving::rate_limit::NamedRate;
+use crate::serving::rate_limit::Quota;
 use crate::time::Time;
 
 /// What a queue needs to know of an endpoint of its service.
@@ -21,6 +25,8 @@
     pub evacuated: bool,
     /// When it stops being cold.
     pub cold_until: Time,
+    /// The rate that it names, if any.
+    pub rate: Option<NamedRate>,
 }
 
 impl<'a> From<&'a Entry> for EndpointState<'a> {
@@ -30,6 +36,7 @@
             region: None,
             evacuated: false,
             cold_until: Time::ZERO,
+            rate: None,
         }
     }
 }
@@ -41,6 +48,7 @@
             region: endpoint.region(),
             evacuated: endpoint.is_present() && !endpoint.is_open(),
             cold_until: endpoint.cold_until(),
+            rate: endpoint.rate_limit().map(|l| l.rate),
         }
     }
 }
@@ -66,6 +74,10 @@
     pub(super) cold_until: Time,
     /// The calls within the last [`ADMISSION_WINDOW`].
     recent_calls: VecDeque<Time>,
+    /// The rate that it names, if any.
+    rate: Option<NamedRate>,
+    /// The calls left within that rate.
+    quota: Option<Quota>,
 }
 
 impl StageEndpoint {
@@ -86,6 +98,8 @@
             evacuated: false,
             cold_until: Time::ZERO,
             recent_calls: VecDeque::new(),
+            rate: None,
+            quota: None,
         }
     }
 
@@ -95,6 +109,41 @@
         self.region = state.region.cloned();
         self.evacuated = state.evacuated;
         self.cold_until = state.cold_until;
+        self.rate = state.rate;
+    }
+
+    /// Updates the calls left within the rate that it names.
+    pub(super) fn update_quota(&mut self, now: Time, (rank, uses): (Option<AdmitterRank>, u32)) {
+        let share = self.rate.map(|rate| rate.share(rank, uses));
+        self.quota = share.map(|share| {
+            let mut quota = self.quota.unwrap_or_else(|| Quota::new(now, share));
+            quota.set_share(now, share);
+            quota
+        });
+    }
+
+    /// Returns whether it names a rate.
+    pub(super) const fn is_limited(&self) -> bool {
+        self.rate.is_some()
+    }
+
+    /// Spends a call of the rate that it names; returns whether one was left.
+    pub(super) fn try_grant(&mut self, now: Time) -> bool {
+        self.quota.as_mut().is_none_or(|q| q.try_grant(now))
+    }
+
+    /// Returns the fraction of its time in which it may be called, with calls of
+    /// a given duration.
+    pub(super) fn usable_fraction(&self, call: Duration) -> f64 {
+        let calls = self.quota.map(|q| q.share().per_second());
+        calls.map_or(1.0, |c| (c * call.as_secs_f64()).min(1.0))
+    }
+
+    /// Returns when it may get a call, as far as the limits on its calls are
+    /// concerned; at most `now` if it may now.
+    pub(super) fn pause_end(&self, now: Time, cold_share: Option<usize>) -> Time {
+        let grant = self.quota.map_or(Time::ZERO, |q| q.next_grant(now));
+        grant.max(self.cold_pause_end(now, cold_share))
     }
 
     pub(super) const fn region(&self) -> Option<&Region> {
@@ -114,11 +163,13 @@
         self.recent_calls
             .retain(|&at| now.since(at) < ADMISSION_WINDOW);
         self.recent_calls.push_back(now);
+        // A call that is sent is always granted.
+        let _granted = self.try_grant(now);
     }
 
     /// Returns when it may get a call, given the calls per second that it may
     /// get while it is cold; [`Time::ZERO`] if now.
-    pub(super) fn cold_pause_end(&self, now: Time, share: Option<usize>) -> Time {
+    fn cold_pause_end(&self, now: Time, share: Option<usize>) -> Time {
         let Some(share) = share.filter(|_| now < self.cold_until) else {
             return Time::ZERO;
         };
--- a/lib/src/serving/batching/fill.rs
+++ b/lib/src/serving/batching/fill.rs
@@ -84,7 +84,10 @@
     /// Returns the number of usable endpoints, counting slow ones as fractions.
     pub(super) fn effective_endpoints(&self, now: Time) -> f64 {
         let healthy = |e: &&StageEndpoint| e.is_usable() && !e.health.is_paused(now);
-        let speed = |e: &StageEndpoint| 1.0 / f64::from(e.health.slowness(now).max(0.5));
+        let call = self.expected_time(self.limits.max_items);
+        let speed = |e: &StageEndpoint| {
+            e.usable_fraction(call) / f64::from(e.health.slowness(now).max(0.5))
+        };
         let speeds: f64 = self.endpoints.values().filter(healthy).map(speed).sum();
         speeds.max(0.1)
     }
--- a/lib/src/serving/batching/placement.rs
+++ b/lib/src/serving/batching/placement.rs
@@ -78,7 +78,7 @@
             };
             let start = start
                 .max(endpoint.full_until)
-                .max(endpoint.cold_pause_end(now, self.cold_share));
+                .max(endpoint.pause_end(now, self.cold_share));
             let duration = self
                 .expected_time(items)
                 .mul_f32(endpoint.health.slowness(now).max(0.5));
@@ -110,7 +110,7 @@
     /// that the endpoint isn't idle for a round trip.
     fn is_ready(&self, now: Time, id: &EndpointId) -> bool {
         let endpoint = &self.endpoints[id];
-        if endpoint.full_until > now || endpoint.cold_pause_end(now, self.cold_share) > now {
+        if endpoint.full_until > now || endpoint.pause_end(now, self.cold_share) > now {
             return false;
         }
         endpoint.in_flight < self.limits.slots
--- a/lib/src/serving/batching/queue.rs
+++ b/lib/src/serving/batching/queue.rs
@@ -14,6 +14,7 @@
 use crate::ids::EndpointId;
 use crate::ids::FailureDomain;
 use crate::serving::catalog::BatchLimits;
+use crate::serving::cold_start::AdmitterRank;
 use crate::serving::crashes::Fingerprint;
 use crate::serving::directory::Entry;
 use crate::serving::homes::Homes;
@@ -227,6 +228,9 @@
     pub(super) late_updated_at: Time,
     /// The calls per second to a cold endpoint; `None` if it has no limit.
     pub(super) cold_share: Option<usize>,
+    /// This node's rank among those that send calls to endpoints that name a
+    /// rate, and the number of places that do so for the same endpoints.
+    granter: (Option<AdmitterRank>, u32),
 }
 
 impl BatchQueue {
@@ -245,6 +249,7 @@
             item_rate: None,
             late_updated_at: Time::ZERO,
             cold_share: None,
+            granter: (None, 1),
         }
     }
 
@@ -265,6 +270,12 @@
         self.cold_share = share;
     }
 
+    /// Sets this node's rank among those that send calls to endpoints that name a
+    /// rate; `uses` is the number of places that do so for the same endpoints.
+    pub const fn set_granter(&mut self, rank: Option<AdmitterRank>, uses: u32) {
+        self.granter = (rank, uses);
+    }
+
     /// Sets the endpoints that may receive calls, now or after an evacuation.
     pub fn set_endpoints<'a>(&mut self, endpoints: impl Iterator<Item: Into<EndpointState<'a>>>) {
         for endpoint in self.endpoints.values_mut() {
@@ -357,6 +368,7 @@
     /// memory allows.
     pub fn take_releases(&mut self, now: Time) -> Vec<(Entry, Vec<String>)> {
         let capacity = self.limits.result_memory.0 as f64;
+        let items_wait = self.waiting_items() > 0;
         let mut out = Vec::new();
         for endpoint in self.endpoints.values_mut() {
             // An evacuated endpoint gets no calls at all. Its results expire by themselves.
@@ -364,7 +376,16 @@
                 continue;
             };
             let is_short = endpoint.memory.used(now).0 as f64 > RELEASE_FILL_FRACTION * capacity;
-            if is_short || now.since(since) >= MAX_RELEASE_DELAY {
+            if endpoint.is_limited() && now.since(since) >= self.limits.result_ttl {
+                // These results have expired: a release would only take up its rate.
+                endpoint.releases_since = None;
+                endpoint.releases.clear();
+                continue;
+            }
+            let is_due = is_short || now.since(since) >= MAX_RELEASE_DELAY;
+            // Calls go first at an endpoint that names a rate.
+            let is_granted = !(endpoint.is_limited() && items_wait);
+            if is_due && is_granted && endpoint.try_grant(now) {
                 endpoint.releases_since = None;
                 let handles = std::mem::take(&mut endpoint.releases);
                 out.push((endpoint.entry.clone(), handles));
@@ -401,21 +422,37 @@
         let full_until = self.endpoints.values().map(|e| e.full_until);
         let full_until = full_until.filter(|&at| at > Time::ZERO);
         let releasing = self.endpoints.values().filter(|e| !e.is_evacuated());
-        let releases = releasing.filter_map(|e| e.releases_since);
-        let releases = releases.map(|since| since + MAX_RELEASE_DELAY);
-        let cold = self.endpoints.values();
-        let cold = cold.map(|e| e.cold_pause_end(now, self.cold_share));
-        let cold = cold.filter(|&at| at > now);
+        let releases = releasing.filter_map(|e| self.next_release(now, e));
+        let paused = self.endpoints.values();
+        let paused = paused.map(|e| e.pause_end(now, self.cold_share));
+        let paused = paused.filter(|&at| at > now);
         let send_ahead = self.next_send_ahead().filter(|&at| at > now);
         let all = overdue
             .chain(expiry)
             .chain(full_until)
             .chain(releases)
             .chain(send_ahead)
-            .chain(cold);
+            .chain(paused);
         all.min().unwrap_or(Time::NEVER)
     }
 
+    /// Returns when the results of an endpoint are released, or expire unreleased.
+    fn next_release(&self, now: Time, endpoint: &StageEndpoint) -> Option<Time> {
+        let since = endpoint.releases_since?;
+        let due = since + MAX_RELEASE_DELAY;
+        if !endpoint.is_limited() {
+            return Some(due);
+        }
+        let expiry = since + self.limits.result_ttl;
+        let granted = due.max(endpoint.pause_end(now, self.cold_share));
+        let items_wait = self.waiting_items() > 0;
+        Some(if items_wait {
+            expiry
+        } else {
+            granted.min(expiry)
+        })
+    }
+
     /// Runs the timers and returns the batches to send now.
     pub fn poll(&mut self, now: Time) -> Vec<BatchCall> {
         self.first_targets.sweep(now);
@@ -426,6 +463,7 @@
             if endpoint.full_until <= now {
                 endpoint.full_until = Time::ZERO;
             }
+            endpoint.update_quota(now, self.granter);
         }
         let mut calls = Vec::new();
         while let Some(call) = self.next_batch(now) {
--- a/lib/src/serving/bookings.rs
+++ b/lib/src/serving/bookings.rs
@@ -14,11 +14,13 @@
 use std::time::Duration;
 
 use super::cold_start::Admissions;
+use super::cold_start::AdmitterRank;
 use super::directory::Directory;
 use super::directory::Endpoint;
 use super::directory::median;
 use super::directory::rank;
 use super::homes::Homes;
+use super::rate_limit::Quota;
 use crate::ids::EndpointId;
 use crate::ids::FailureDomain;
 use crate::ids::PoolName;
@@ -149,6 +151,8 @@
     pub homes: Homes,
     /// Whether another node booked the shard until lately.
     pub moved: bool,
+    /// The only endpoint that it may get, if any.
+    pub only: Option<EndpointId>,
 }
 
 #[derive(Debug, Clone)]
@@ -182,6 +186,13 @@
     admissions: Admissions,
     /// The calls per second to a cold endpoint; `None` if it has no limit.
     cold_share: Option<usize>,
+    /// The grants for endpoints that name a rate.
+    quotas: BTreeMap<EndpointId, Quota>,
+    /// This node's rank among those that grant requests, and the number of
+    /// places that do so for the same endpoints.
+    granter: (Option<AdmitterRank>, u32),
+    /// The endpoints that were left out because of their rates.
+    held_back: Vec<EndpointId>,
     /// When the first request was booked.
     started_at: Option<Time>,
     /// Whether endpoints may have cached prefixes before this node booked them.
@@ -200,10 +211,17 @@
         self.cold_share = share;
     }
 
+    /// Sets this node's rank among those that grant requests to endpoints that
+    /// name a rate; `uses` is the number of places that do so for the same
+    /// endpoints.
+    pub const fn set_granter(&mut self, rank: Option<AdmitterRank>, uses: u32) {
+        self.granter = (rank, uses);
+    }
+
     /// Chooses the endpoint for a request and books it there.
     ///
-    /// Returns `None` if there is none, or if all are cold and get as many calls
-    /// as this node may admit.
+    /// Returns `None` if there is none, or if all are cold or name a rate, and
+    /// get as many requests as this node may admit.
     pub fn place(
         &mut self,
         now: Time,
@@ -216,7 +234,8 @@
         self.end(id);
         let in_shard = |e: &&Endpoint| Shard::of(&e.entry().id, shard.count) == shard;
         let mut all: Vec<&Endpoint> = directory.open_endpoints(service).filter(in_shard).collect();
-        all.retain(|e| request.homes.allows(e.region()) && self.admits(now, e));
+        let is_wanted = |e: &Endpoint| request.only.as_ref().is_none_or(|id| *id == e.entry().id);
+        all.retain(|e| is_wanted(e) && request.homes.allows(e.region()) && self.admits(now, e));
         let not_avoided = |e: &&Endpoint| !request.avoid.contains(&e.entry().id);
         let mut pool: Vec<&Endpoint> = all.iter().copied().filter(not_avoided).collect();
         if pool.is_empty() {
@@ -255,6 +274,9 @@
         let (endpoint, started_at) = (entry.id.clone(), entry.started_at);
         self.record_prefix(now, request, &endpoint, started_at);
         self.admissions.record(now, &endpoint);
+        if let Some(quota) = self.quotas.get_mut(&endpoint) {
+            quota.try_grant(now);
+        }
         let load = self.loads.entry(endpoint.clone()).or_default();
         load.calls += 1;
         load.pending_tokens += u64::from(pending_tokens);
@@ -327,8 +349,48 @@
         self.loads.get(endpoint).map_or(0, |l| l.pending_tokens)
     }
 
+    /// Returns the endpoint where a request was booked, and when.
+    #[must_use]
+    pub fn booked(&self, id: BookingId) -> Option<(&EndpointId, Time)> {
+        let booking = self.in_flight.get(&id)?;
+        Some((&booking.endpoint, booking.since))
+    }
+
     /// Returns whether an endpoint may get a call.
     fn admits(&mut self, now: Time, endpoint: &Endpoint) -> bool {
+        self.has_grant(now, endpoint) && self.admits_cold(now, endpoint)
+    }
+
+    /// Returns whether a request to an endpoint is within the rate that it names.
+    fn has_grant(&mut self, now: Time, endpoint: &Endpoint) -> bool {
+        let id = &endpoint.entry().id;
+        let Some(limit) = endpoint.rate_limit() else {
+            self.quotas.remove(id);
+            return true;
+        };
+        let (rank, uses) = self.granter;
+        let share = limit.rate.share(rank, uses);
+        if !self.quotas.contains_key(id) {
+            self.quotas.insert(id.clone(), Quota::new(now, share));
+        }
+        let quota = self.quotas.get_mut(id);
+        let has_grant = quota.is_some_and(|quota| {
+            quota.set_share(now, share);
+            quota.next_grant(now) <= now
+        });
+        if !has_grant {
+            self.held_back.push(id.clone());
+        }
+        has_grant
+    }
+
+    /// Takes the endpoints that were left out because of their rates, one for
+    /// each request.
+    pub fn take_held_back(&mut self) -> Vec<EndpointId> {
+        std::mem::take(&mut self.held_back)
+    }
+
+    fn admits_cold(&mut self, now: Time, endpoint: &Endpoint) -> bool {
         let Some(share) = self.cold_share.filter(|_| endpoint.is_cold(now)) else {
             return true;
         };
--- a/lib/src/serving/catalog.rs
+++ b/lib/src/serving/catalog.rs
@@ -241,6 +241,14 @@
         self.services.values()
     }
 
+    /// Returns whether a service gets both batch calls and requests.
+    #[must_use]
+    pub fn has_two_uses(&self, service: &PoolName) -> bool {
+        let is_batched = self.service(service).is_some_and(|s| s.batching.is_some());
+        let mut routes = self.routes.values().flatten();
+        is_batched && routes.any(|r| r.targets.iter().any(|t| t.service == *service))
+    }
+
     /// Returns the route with the longest prefix of the path.
     #[must_use]
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
--- a/lib/src/serving/directory.rs
+++ b/lib/src/serving/directory.rs
@@ -11,11 +11,18 @@
 use super::evacuation::Evacuations;
 use super::health::Health;
 use super::homes::Homes;
+use super::rate_limit::NEWS_LIFETIME;
+use super::rate_limit::NamedRate;
+use super::rate_limit::RateChange;
+use super::rate_limit::RateLimit;
+use super::rate_limit::RateNotice;
+use super::rate_limit::RateState;
 use crate::ids::EndpointId;
 use crate::ids::FailureDomain;
 use crate::ids::PoolName;
 use crate::ids::Region;
 use crate::time::Time;
+use crate::units::RequestRate;
 
 /// How long a load report is used, with a weight that falls to zero.
 ///
@@ -51,6 +58,11 @@
 /// but a busy local one is not.
 const REMOTE_COST: f32 = 0.5;
 
+/// How long the rate of an endpoint that has disappeared is remembered.
+///
+/// Registrations disappear for seconds while the registry is away.
+const RATE_RETENTION: Duration = Duration::from_mins(1);
+
 const SECRETS: RapidSecrets = RapidSecrets::seed(0);
 
 /// The registration of an endpoint.
@@ -75,6 +87,11 @@
 }
 
 impl Entry {
+    /// Returns whether an entry of the same name is of the same run.
+    fn is_same_run(&self, other: &Self) -> bool {
+        self.started_at == other.started_at && self.address == other.address
+    }
+
     fn hash(&self) -> u64 {
         let Self {
             id,
@@ -110,6 +127,7 @@
     evacuated: bool,
     cold_until: Time,
     region: Option<Region>,
+    rate: RateState,
 }
 
 impl Endpoint {
@@ -119,6 +137,7 @@
             evacuated: false,
             cold_until: Time::ZERO,
             region: None,
+            rate: RateState::default(),
             own_calls: 0,
             other_calls: 0,
             reported_at: Time::ZERO,
@@ -164,6 +183,12 @@
         self.cold_until
     }
 
+    /// Returns the limit on its requests, if it names one.
+    #[must_use]
+    pub const fn rate_limit(&self) -> Option<&RateLimit> {
+        self.rate.limit()
+    }
+
     /// Returns its region, if known.
     #[must_use]
     pub const fn region(&self) -> Option<&Region> {
@@ -203,6 +228,8 @@
     pub homes: &'a Homes,
     /// Whether cold endpoints are left out.
     pub warm_only: bool,
+    /// Whether endpoints that name a rate are left out.
+    pub unlimited_only: bool,
 }
 
 /// Why the endpoints of a service get no calls, although some are known.
@@ -251,6 +278,8 @@
     pub report_age: Duration,
     /// Whether it is cold.
     pub cold: bool,
+    /// Whether it names a rate.
+    pub limited: bool,
 }
 
 /// All endpoints known to this node.
@@ -261,6 +290,15 @@
     /// The region of each failure domain.
     regions: BTreeMap<FailureDomain, Region>,
     evacuations: Evacuations,
+    /// What is known of the rates of endpoints that have disappeared.
+    departed_rates: BTreeMap<EndpointId, DepartedRate>,
+}
+
+#[derive(Debug, Clone)]
+struct DepartedRate {
+    entry: Entry,
+    rate: RateState,
+    since: Time,
 }
 
 impl Directory {
@@ -282,9 +320,7 @@
         let held = self.endpoints.get_mut(&entry.id);
         let previous_hash = held.as_ref().map_or(0, |e| e.entry.hash());
         self.checksum = self.checksum.wrapping_sub(previous_hash);
-        let same = |e: &Endpoint| {
-            e.entry.started_at == entry.started_at && e.entry.address == entry.address
-        };
+        let same = |e: &Endpoint| e.entry.is_same_run(&entry);
         let evacuated = self.evacuations.contains(&entry.domain);
         let region = self.regions.get(&entry.domain).cloned();
         match held {
@@ -295,9 +331,12 @@
                 false
             }
             _ => {
+                let departed = self.departed_rates.remove(&entry.id);
+                let departed = departed.filter(|d| d.entry.is_same_run(&entry));
                 let endpoint = Endpoint {
                     evacuated,
                     region,
+                    rate: departed.map(|d| d.rate).unwrap_or_default(),
                     ..Endpoint::new(entry)
                 };
                 self.endpoints.insert(endpoint.entry.id.clone(), endpoint);
@@ -370,11 +409,96 @@
     }
 
     /// Removes an endpoint. Returns whether it was known.
-    pub fn remove(&mut self, id: &EndpointId) -> bool {
-        let removed = self.endpoints.remove(id);
-        let previous_hash = removed.as_ref().map_or(0, |e| e.entry.hash());
-        self.checksum = self.checksum.wrapping_sub(previous_hash);
-        removed.is_some()
+    pub fn remove(&mut self, now: Time, id: &EndpointId) -> bool {
+        let Some(removed) = self.endpoints.remove(id) else {
+            return false;
+        };
+        self.checksum = self.checksum.wrapping_sub(removed.entry.hash());
+        let retained = |d: &DepartedRate| now.since(d.since) < RATE_RETENTION;
+        self.departed_rates.retain(|_, d| retained(d));
+        if removed.rate_limit().is_some() {
+            let departed = DepartedRate {
+                entry: removed.entry,
+                rate: removed.rate,
+                since: now,
+            };
+            self.departed_rates.insert(id.clone(), departed);
+        }
+        true
+    }
+
+    /// Handles what a response says about the rate of its endpoint.
+    pub fn on_rate_notice(
+        &mut self,
+        now: Time,
+        id: &EndpointId,
+        (sent, notice): (Time, RateNotice),
+    ) -> Option<RateChange> {
+        let endpoint = self.endpoints.get_mut(id)?;
+        endpoint.rate.on_response(now, sent, notice)
+    }
+
+    /// Handles the rate of an endpoint that another node heard.
+    pub fn on_rate_news(
+        &mut self,
+        now: Time,
+        (id, rate, age): (&EndpointId, NamedRate, Duration),
+        source: SocketAddr,
+    ) -> Option<RateChange> {
+        let endpoint = self.endpoints.get_mut(id)?;
+        endpoint.rate.on_news(now, (rate, age), source)
+    }
+
+    /// Returns the endpoints that named a rate recently, with their ages.
+    pub fn recent_rates(
+        &self,
+        now: Time,
+    ) -> impl Iterator<Item = (&EndpointId, NamedRate, Duration)> {
+        let rates = self.limits().map(move |(e, limit)| {
+            let age = now.since(limit.named_at);
+            (&e.entry.id, limit.rate, age)
+        });
+        rates.filter(|(_, _, age)| *age < NEWS_LIFETIME)
+    }
+
+    /// Returns the endpoints that name a rate.
+    pub fn limits(&self) -> impl Iterator<Item = (&Endpoint, &RateLimit)> {
+        let all = self.endpoints.values();
+        all.filter_map(|e| Some((e, e.rate_limit()?)))
+    }
+
+    /// Records that a request did not go to an endpoint because of its rate.
+    pub fn record_held_back(&mut self, id: &EndpointId) {
+        let endpoint = self.endpoints.get_mut(id);
+        if let Some(limit) = endpoint.and_then(|e| e.rate.limit_mut()) {
+            limit.held_back += 1;
+        }
+    }
+
+    /// Records that this node was refused a grant for an endpoint; it asks for
+    /// none for a while.
+    pub fn pause_grants(&mut self, now: Time, id: &EndpointId) {
+        let endpoint = self.endpoints.get_mut(id);
+        if let Some(limit) = endpoint.and_then(|e| e.rate.limit_mut()) {
+            limit.paused_until = now + limit.rate.refusal_pause();
+        }
+    }
+
+    /// Returns the rate that the endpoints which a request may use accept
+    /// together, if all of them name one or are too cold.
+    #[must_use]
+    pub fn total_rate(
+        &self,
+        now: Time,
+        service: &PoolName,
+        (homes, warm_only): (&Homes, bool),
+    ) -> Option<RequestRate> {
+        let usable = self.open_endpoints(service);
+        let usable = usable.filter(|e| homes.allows(e.region()));
+        let mut usable = usable.filter(|e| !(warm_only && e.is_cold(now))).peekable();
+        usable.peek()?;
+        let rate = |e: &Endpoint| Some(e.rate_limit()?.rate.per_second());
+        usable.map(rate).sum::<Option<f64>>().map(RequestRate)
     }
 
     /// Returns an endpoint by its name.
@@ -454,11 +578,19 @@
         home.map_or(Shard { index: 0, count }, |e| Shard::of(&e.id, count))
     }
 
+    /// Returns the shard of a service's endpoints that an endpoint is in.
+    #[must_use]
+    pub fn shard_of(&self, service: &PoolName, endpoint: &EndpointId) -> Shard {
+        Shard::of(endpoint, Shard::count(self.open_endpoints(service).count()))
+    }
+
     /// Chooses the endpoint for a call.
     #[must_use]
     pub fn choose(&self, now: Time, criteria: EndpointCriteria<'_>) -> Option<Choice> {
         let permitted = |e: &&Endpoint| {
-            criteria.homes.allows(e.region()) && !(criteria.warm_only && e.is_cold(now))
+            let too_cold = criteria.warm_only && e.is_cold(now);
+            let limited = criteria.unlimited_only && e.rate_limit().is_some();
+            criteria.homes.allows(e.region()) && !too_cold && !limited
         };
         let all = self.open_endpoints(criteria.service).filter(permitted);
         let all: Vec<&Endpoint> = all.collect();
@@ -546,6 +678,7 @@
         calls: endpoint.calls(now),
         report_age: now.since(endpoint.reported_at),
         cold: endpoint.is_cold(now),
+        limited: endpoint.rate_limit().is_some(),
     }
 }
 
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -68,6 +68,11 @@
 /// nodes that others know.
 const REJOIN_DELAY: Duration = Duration::from_secs(5);
 
+/// How long a node grants no requests when all nodes start together.
+///
+/// Within it each of them has read the list of all nodes.
+const FIRST_START_DELAY: Duration = Duration::from_secs(2);
+
 /// The ranking subject for the registry reader; no service has such a name.
 const READER_SUBJECT: &str = "configuration, of all nodes";
 
@@ -107,6 +112,8 @@
     known_from: Time,
     /// Whether the other nodes knew this one before it started.
     known_before: bool,
+    /// When this node may first grant requests to endpoints that name a rate.
+    grants_from: Time,
 }
 
 impl Owners {
@@ -123,15 +130,22 @@
             last_change: 0,
             known_from: Time::ZERO + ADMITTER_DELAY,
             known_before: false,
+            grants_from: Time::ZERO + ADMITTER_DELAY,
         }
     }
 
     /// Records that the other nodes knew this one before it started.
     pub const fn mark_known(&mut self) {
         self.known_from = Time::ZERO;
+        self.grants_from = Time::ZERO;
         self.known_before = true;
     }
 
+    /// Records that all nodes start together, for the first time.
+    pub fn mark_first_start(&mut self) {
+        self.grants_from = self.grants_from.min(Time::ZERO + FIRST_START_DELAY);
+    }
+
     /// Returns whether this node has run before under its address.
     #[must_use]
     pub const fn is_known_before(&self) -> bool {
@@ -313,15 +327,45 @@
         self.admitter_rank(now, &shard_subject(service, shard))
     }
 
+    /// Returns the rank of this node among those that grant requests to the
+    /// endpoints of a shard that name a rate; `None` if it may not grant any.
+    ///
+    /// Unlike an admission to a cold endpoint, a grant does not need recent
+    /// replicas: a node that is cut off ranks the same nodes as before.
+    #[must_use]
+    pub fn shard_granter_rank(
+        &self,
+        now: Time,
+        service: &PoolName,
+        shard: Shard,
+    ) -> Option<AdmitterRank> {
+        self.granter_rank(now, &shard_subject(service, shard))
+    }
+
+    /// Returns the rank of this node among those that send batch calls to the
+    /// endpoints of a service that name a rate; `None` if it may not send any.
+    #[must_use]
+    pub fn batch_granter_rank(&self, now: Time, service: &PoolName) -> Option<AdmitterRank> {
+        self.granter_rank(now, service.as_str())
+    }
+
+    fn granter_rank(&self, now: Time, subject: &str) -> Option<AdmitterRank> {
+        let is_known = now >= self.grants_from;
+        is_known.then(|| self.own_rank(subject)).flatten()
+    }
+
     /// Returns the rank of this node among those that admit calls to the cold
     /// endpoints of a subject.
+    fn admitter_rank(&self, now: Time, subject: &str) -> Option<AdmitterRank> {
+        let is_known = now >= self.known_from;
+        is_known.then(|| self.own_rank(subject)).flatten()
+    }
+
+    /// Returns whether this node is one of the first two for a subject.
     ///
     /// Silent and leaving nodes keep their ranks: they may be alive and admit
     /// calls of nodes that this one does not reach.
-    fn admitter_rank(&self, now: Time, subject: &str) -> Option<AdmitterRank> {
-        if now < self.known_from {
-            return None;
-        }
+    fn own_rank(&self, subject: &str) -> Option<AdmitterRank> {
         let others = self.peers.iter().map(|(&a, p)| (a, self.power_of(p)));
         let all = others.chain([(self.own, self.power)]);
         let ranked = strongest(all.collect()).map(|a| (rank(subject, &a), a));
--- a/lib/tests/test_bookings.rs
+++ b/lib/tests/test_bookings.rs
@@ -183,6 +183,7 @@
                 prefix: Some(prompt.prefix),
                 homes: &homes,
                 warm_only: false,
+                unlimited_only: false,
             };
             let node = &mut nodes[prompt.node];
             let choice = node.choose(ms(prompt.at), wanted).expect("there are some");
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -43,6 +43,7 @@
         prefix,
         homes: &Homes::default(),
         warm_only: false,
+        unlimited_only: false,
     };
     directory
         .choose(NOW, criteria)
--- a/lib/tests/test_evacuation.rs
+++ b/lib/tests/test_evacuation.rs
@@ -72,6 +72,7 @@
             prefix,
             homes,
             warm_only: false,
+            unlimited_only: false,
         };
         let choice = directory.choose(NOW, criteria).map(|c| c.entry.id);
         let request = PlacementRequest {
