tests: share the simulation of nodes that join, freeze and are cut off

Cause: rates that endpoints name need the same schedules as cold endpoints. Change: the nodes, faults and polls of test_cold_start.rs move to node_world.rs; what a request does stays in the test. The random samples are drawn in the same order and no check changes.

--- a/lib/tests/test_cold_start.rs
+++ b/lib/tests/test_cold_start.rs
@@ -1,13 +1,9 @@
 //! The bound on calls to a cold endpoint, over nodes that join, restart, freeze
 //! and are cut off.
 
-use std::collections::BTreeSet;
-use std::collections::VecDeque;
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use proptest::collection::vec;
-use proptest::prelude::Strategy;
 use proptest::test_runner::Config;
 use proptest::test_runner::RngAlgorithm;
 use proptest::test_runner::TestRng;
@@ -24,6 +20,12 @@
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::MilliCores;
 
+use crate::node_world::Fault;
+use crate::node_world::LENGTH;
+use crate::node_world::World;
+use crate::node_world::address;
+use crate::node_world::fault;
+
 const BOUND: ColdBound = ColdBound {
     excess: 1.5,
     slack: 5.0,
@@ -34,84 +36,9 @@
     rate: 8.4,
 };
 
-/// One step of the virtual clock, in milliseconds.
-const STEP: u64 = 20;
-
-/// The length of a schedule, in milliseconds.
-const LENGTH: u64 = 60_000;
-
-/// The interval between two polls of a node, in milliseconds.
-const POLL_INTERVAL: u64 = 500;
-
-/// The interval between two reads of the list of all nodes, in milliseconds.
-const LIST_INTERVAL: u64 = 15_000;
-
-/// How long other nodes take to detect a silent node.
-const SILENCE_LIMIT: Duration = Duration::from_millis(750);
-
-/// The age from which a node's replica of the endpoints is stale.
-const STALE: Duration = Duration::from_millis(1_700);
-
 /// The random schedules of the property.
 const CASES: u32 = 48;
 
-#[derive(Debug, Clone, Copy)]
-enum Fault {
-    /// A new node joins.
-    Join,
-    /// A node is killed and starts again after some time.
-    Restart(usize, u64),
-    /// A node is cut off from all others and from the registry.
-    Cut(usize, u64),
-    /// A node stands still; its clock does too.
-    Freeze(usize, u64),
-    /// The nodes fall into two groups that can't reach each other; the second
-    /// can't reach the registry.
-    Split(u64),
-}
-
-#[derive(Debug)]
-struct Node {
-    owners: Owners,
-    admissions: Admissions,
-    /// When its clock began, and the time for which it stood still.
-    started_at: u64,
-    frozen_for: u64,
-    frozen_until: u64,
-    down_until: u64,
-    cut_until: u64,
-    /// By its own clock.
-    fresh_at: Time,
-    reached_at: Vec<Time>,
-}
-
-impl Node {
-    fn clock(&self, now: u64) -> Time {
-        Time::from_millis(now.saturating_sub(self.started_at + self.frozen_for))
-    }
-
-    fn is_running(&self, now: u64) -> bool {
-        now >= self.down_until && now >= self.frozen_until
-    }
-}
-
-#[derive(Debug)]
-struct World {
-    now: u64,
-    nodes: Vec<Node>,
-    /// The nodes that ever registered.
-    listed: BTreeSet<usize>,
-    split_until: u64,
-    /// When calls arrived at the endpoint.
-    arrivals: Vec<u64>,
-    /// Random samples for choices and delays, used in turn.
-    samples: VecDeque<u8>,
-}
-
-fn address(n: usize) -> SocketAddr {
-    ([10, 0, 0, 1], 1_000 + n as u16).into()
-}
-
 fn service() -> PoolName {
     "llm".parse().expect("a name")
 }
@@ -122,193 +49,44 @@
 
 const SHARD: Shard = Shard { index: 0, count: 1 };
 
-impl World {
-    /// Starts nodes that have known each other for long.
-    fn new(count: usize, samples: Vec<u8>) -> Self {
-        let mut world = Self {
-            now: 100_000,
-            nodes: Vec::new(),
-            listed: (0..count).collect(),
-            split_until: 0,
-            arrivals: Vec::new(),
-            samples: samples.into(),
-        };
-        for _ in 0..count {
-            world.add_node(0);
-        }
-        world
-    }
-
-    fn add_node(&mut self, started_at: u64) {
-        let n = self.nodes.len();
-        self.listed.insert(n);
-        let node = self.new_node(n, started_at);
-        self.nodes.push(node);
-    }
-
-    fn new_node(&self, n: usize, started_at: u64) -> Node {
-        let mut node = Node {
-            owners: Owners::new(address(n), MilliCores(500)),
-            admissions: Admissions::default(),
-            started_at,
-            frozen_for: 0,
-            frozen_until: 0,
-            down_until: 0,
-            cut_until: 0,
-            fresh_at: Time::ZERO,
-            reached_at: Vec::new(),
-        };
-        let now = node.clock(self.now);
-        node.fresh_at = now;
-        for &other in &self.listed {
-            node.owners.discover(now, address(other));
-        }
-        node
-    }
-
-    fn sample(&mut self) -> usize {
-        let sample = self.samples.pop_front().unwrap_or(7);
-        self.samples
-            .push_back(sample.wrapping_mul(5).wrapping_add(113));
-        usize::from(sample)
-    }
-
-    fn reaches_registry(&self, n: usize) -> bool {
-        let cut = self.nodes[n].cut_until > self.now;
-        !cut && (self.now >= self.split_until || n.is_multiple_of(2))
-    }
-
-    fn reaches(&self, a: usize, b: usize) -> bool {
-        let is_cut = |n: usize| self.nodes[n].cut_until > self.now;
-        let same_side = a % 2 == b % 2 || self.now >= self.split_until;
-        a == b || !is_cut(a) && !is_cut(b) && same_side && self.nodes[b].is_running(self.now)
-    }
-
-    fn apply(&mut self, fault: Fault) {
-        let now = self.now;
-        let count = self.nodes.len();
-        match fault {
-            Fault::Join => self.add_node(now),
-            Fault::Restart(n, time) => {
-                let n = n % count;
-                let mut node = self.new_node(n, now);
-                node.owners.mark_known();
-                node.down_until = now + time;
-                self.nodes[n] = node;
-            }
-            Fault::Cut(n, time) => self.nodes[n % count].cut_until = now + time,
-            Fault::Freeze(n, time) => {
-                let node = &mut self.nodes[n % count];
-                if node.is_running(now) {
-                    node.frozen_until = now + time;
-                    node.frozen_for += time;
-                }
-            }
-            Fault::Split(time) => self.split_until = now + time,
-        }
-    }
-
-    fn step(&mut self) {
-        self.now += STEP;
-        for n in 0..self.nodes.len() {
-            if !self.nodes[n].is_running(self.now) {
-                continue;
-            }
-            if self.reaches_registry(n) {
-                let now = self.nodes[n].clock(self.now);
-                self.nodes[n].fresh_at = now;
-            }
-            self.update_staleness(n);
-            let phase = self.now + 37 * n as u64;
-            if phase % POLL_INTERVAL < STEP {
-                self.poll(n);
-            }
-            if self.now % LIST_INTERVAL < STEP && self.reaches_registry(n) {
-                self.learn_all(n);
-            }
-        }
-    }
-
-    fn update_staleness(&mut self, n: usize) {
-        if self.is_stale(n) {
-            let now = self.nodes[n].clock(self.now);
-            self.nodes[n].owners.defer_admissions(now);
-        }
-    }
-
-    fn is_stale(&self, n: usize) -> bool {
-        let node = &self.nodes[n];
-        node.clock(self.now).since(node.fresh_at) > STALE
-    }
-
-    fn learn_all(&mut self, n: usize) {
-        let now = self.nodes[n].clock(self.now);
-        for other in self.listed.clone() {
-            self.nodes[n].owners.discover(now, address(other));
-        }
-    }
-
-    /// Polls a random node, from which the node learns others.
-    fn poll(&mut self, n: usize) {
-        let now = self.nodes[n].clock(self.now);
-        let live: Vec<SocketAddr> = self.nodes[n].owners.live(now).map(|(a, _)| a).collect();
-        if live.is_empty() {
-            return;
-        }
-        let sample = self.sample();
-        let peer = live[sample % live.len()];
-        let other = usize::from(peer.port()) - 1_000;
-        if !self.reaches(n, other) {
-            self.miss(n, other);
-            return;
-        }
-        let then = self.nodes[other].clock(self.now);
-        let known: Vec<SocketAddr> = self.nodes[other]
-            .owners
-            .live(then)
-            .map(|(a, _)| a)
-            .collect();
-        self.nodes[other].owners.discover(then, address(n));
-        let owners = &mut self.nodes[n].owners;
-        owners.mark_heard(now, peer);
-        for address in known {
-            owners.discover(now, address);
-        }
-    }
-
-    /// Marks a node as silent once it has not responded for a while.
-    fn miss(&mut self, n: usize, other: usize) {
-        let now = self.nodes[n].clock(self.now);
-        let node = &mut self.nodes[n];
-        node.reached_at.push(now);
-        node.reached_at.retain(|&at| now.since(at) <= SILENCE_LIMIT);
-        node.owners.mark_silent(now, address(other));
-    }
+/// Nodes with one cold endpoint.
+#[derive(Debug)]
+struct ColdWorld {
+    world: World,
+    /// The admissions of each node, and the start of the node that made them.
+    admissions: Vec<(u32, Admissions)>,
+    /// When calls arrived at the endpoint.
+    arrivals: Vec<u64>,
+}
 
+impl ColdWorld {
     /// A request of a node for the cold endpoint.
     fn request(&mut self, n: usize) {
-        if !self.nodes[n].is_running(self.now) {
+        let world = &mut self.world;
+        if !world.nodes[n].is_running(world.now) {
             return;
         }
-        let now = self.nodes[n].clock(self.now);
-        let owner = self.nodes[n].owners.booking_owner(now, &service(), SHARD);
-        let owner = usize::from(owner.port()) - 1_000;
-        if !self.reaches(n, owner) {
-            self.miss(n, owner);
+        let Some(owner) = world.reachable_booker(n, &service(), SHARD) else {
             return;
-        }
-        if self.is_stale(owner) {
+        };
+        if world.is_stale(owner) {
             return;
         }
-        let node = &mut self.nodes[owner];
-        let then = node.clock(self.now);
+        self.admissions
+            .resize_with(world.nodes.len(), Default::default);
+        let node = &mut world.nodes[owner];
+        let (starts, admissions) = &mut self.admissions[owner];
+        if *starts != node.starts {
+            (*starts, *admissions) = (node.starts, Admissions::default());
+        }
+        let then = node.clock(world.now);
         let rank = node.owners.shard_admitter_rank(then, &service(), SHARD);
         let share = rank.map_or(0, |rank| BOUND.share(START, rank));
-        if node.admissions.has_room(then, &endpoint(), share) {
-            node.admissions.record(then, &endpoint());
+        if admissions.has_room(then, &endpoint(), share) {
+            admissions.record(then, &endpoint());
             let lifetime = ADMISSION_LIFETIME.as_millis() as usize;
-            let delay = self.sample() * lifetime / 255;
-            self.arrivals.push(self.now + delay as u64);
+            let delay = world.sample() * lifetime / 255;
+            self.arrivals.push(world.now + delay as u64);
         }
     }
 
@@ -331,39 +109,22 @@
     }
 }
 
-fn fault() -> impl Strategy<Value = (u64, Fault)> {
-    let fault = (0..6_u8, 0..64_usize, 500..9_000_u64).prop_map(|(kind, node, time)| match kind {
-        0 | 1 => Fault::Join,
-        2 => Fault::Restart(node, time),
-        3 => Fault::Cut(node, time * 4),
-        4 => Fault::Freeze(node, time),
-        _ => Fault::Split(time * 3),
-    });
-    (0..LENGTH, fault)
-}
-
 /// Plays a schedule with three requests from random nodes in each step.
-fn play(count: usize, mut faults: Vec<(u64, Fault)>, samples: Vec<u8>) -> World {
-    faults.sort_by_key(|&(at, _)| at);
-    let mut faults: VecDeque<(u64, Fault)> = faults.into();
-    let mut world = World::new(count, samples);
-    let begin = world.now;
-    while world.now < begin + LENGTH {
-        while faults
-            .front()
-            .is_some_and(|&(at, _)| begin + at <= world.now)
-        {
-            if let Some((_, fault)) = faults.pop_front() {
-                world.apply(fault);
-            }
-        }
-        world.step();
+fn play(count: usize, faults: Vec<(u64, Fault)>, samples: Vec<u8>) -> ColdWorld {
+    let mut cold = ColdWorld {
+        world: World::new(count, samples),
+        admissions: Vec::new(),
+        arrivals: Vec::new(),
+    };
+    cold.world.schedule(faults);
+    while cold.world.is_playing() {
+        let _polls = cold.world.step();
         for _ in 0..3 {
-            let n = world.sample() * 31 + world.sample();
-            world.request(n % world.nodes.len());
+            let n = cold.world.random_node();
+            cold.request(n);
         }
     }
-    world
+    cold
 }
 
 #[test]
