--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -33,6 +33,7 @@
 mod test_placement;
 mod test_plan;
 mod test_query;
+mod test_rate_limits;
 mod test_releases;
 mod test_serving;
 mod test_shutdown;
