gateway: end a limit only by responses to requests that ran

Cause: read of the change. An endpoint names its rate "in its answers"; a refusal or the response to a release that lacks it would have ended the limit. Change: without a rate, only a response to a request or batch call that ran counts.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -439,8 +439,13 @@
         shared.directory().apply_load(now, &endpoint, load);
     }
     let is_own = head.id.as_deref() == Some(ctx.request.id.as_str());
-    if head.verdict == Verdict::NotRun || head.verdict == Verdict::Ran && is_own {
-        record_rate(ctx, &flight, sent, head.rate);
+    // A refusal without a rate is no evidence that the endpoint names none.
+    match head.verdict {
+        Verdict::Ran if is_own => record_rate(ctx, &flight, sent, head.rate),
+        Verdict::NotRun if head.rate != RateNotice::Unlimited => {
+            record_rate(ctx, &flight, sent, head.rate);
+        }
+        Verdict::Ran | Verdict::NotRun | Verdict::WrongEndpoint => {}
     }
     let status = call.head.status;
     if head.verdict != Verdict::Ran {
--- a/gateway/src/dispatch/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -10,6 +10,7 @@
 use snipeyoke_lib::serving::batching::CallResult;
 use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
+use snipeyoke_lib::serving::rate_limit::RateNotice;
 use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::flag::Flag;
 
@@ -85,7 +86,9 @@
 ) -> CallResult {
     let response = shared.dialect.parse_response(&call.head);
     shared.report_unread(&batch.entry.id, &response.unread);
-    if response.verdict != Verdict::WrongEndpoint {
+    // A refusal without a rate is no evidence that the endpoint names none.
+    let is_evidence = response.verdict == Verdict::Ran || response.rate != RateNotice::Unlimited;
+    if is_evidence && response.verdict != Verdict::WrongEndpoint {
         shared.on_rate_notice(&batch.entry.id, sent_at, response.rate);
     }
     match response.verdict {
@@ -138,7 +141,8 @@
             return false;
         };
         let response = shared.dialect.parse_response(&call.head);
-        if response.verdict != Verdict::WrongEndpoint {
+        let names_rate = response.rate != RateNotice::Unlimited;
+        if names_rate && response.verdict != Verdict::WrongEndpoint {
             shared.on_rate_notice(&entry.id, sent_at, response.rate);
         }
         while let Ok(Some(_)) = call.next().await {}
