gateway: answer show endpoints, with the rates that they name

Cause: operators had no list of what a gateway knows of its endpoints; the rate, its age, where it was learned and what it held back were in logs and metrics only. Change: the port for metrics also answers 'show endpoints' of the operators' tool, read only; the answers of gateways and routers have the columns rate, named, source and held-back.

--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod follow;
 mod ingress;
 mod node;
+mod operators;
 mod polling;
 mod program;
 mod rate_limits;
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -28,7 +28,7 @@
 use crate::dispatch::Dispatcher;
 use crate::follow;
 use crate::ingress::Ingress;
-use crate::ready::Metrics;
+use crate::operators::OperatorPort;
 use crate::ready::Readiness;
 use crate::registry::Registry;
 use crate::settings::Settings;
@@ -144,7 +144,10 @@
             Arc::new(Readiness(Arc::clone(&gateway.shared))),
         );
         if let Some(listener) = metrics_listener {
-            gateway.serve_http(listener, Arc::new(Metrics));
+            gateway.serve_http(
+                listener,
+                Arc::new(OperatorPort(Arc::clone(&gateway.shared))),
+            );
         }
         gateway.run_control(peers_listener, messages);
         log::info!(
--- /dev/null
+++ b/gateway/src/operators.rs
@@ -0,0 +1,218 @@
+//! Answers operators' queries about endpoints, beside the metrics.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_io::Timer;
+use futures_lite::FutureExt;
+use hyper::Method;
+use hyper::StatusCode;
+use hyper::header::CONTENT_TYPE;
+use hyper::header::HeaderValue;
+use snipeyoke_lib::ids::ClientAccount;
+use snipeyoke_lib::ids::Region;
+use snipeyoke_lib::ids::RequestId;
+use snipeyoke_lib::ids::Revision;
+use snipeyoke_lib::journal::Request as RequestRecord;
+use snipeyoke_lib::query::AnswerLine;
+use snipeyoke_lib::query::ChangeFact;
+use snipeyoke_lib::query::ConfigFact;
+use snipeyoke_lib::query::EndpointFact;
+use snipeyoke_lib::query::FactError;
+use snipeyoke_lib::query::Facts;
+use snipeyoke_lib::query::HostFact;
+use snipeyoke_lib::query::LeaseFact;
+use snipeyoke_lib::query::LimitFact;
+use snipeyoke_lib::query::NodeFact;
+use snipeyoke_lib::query::Query;
+use snipeyoke_lib::query::Statement;
+use snipeyoke_lib::query::Subject;
+use snipeyoke_lib::query::TEXT_MAX_BYTES;
+use snipeyoke_lib::query::evaluate;
+use snipeyoke_lib::query::parse_one;
+use snipeyoke_lib::serving::directory::Endpoint;
+use snipeyoke_lib::serving::rate_limit::RateLimit;
+use snipeyoke_lib::serving::registry_polling::ReplicaKind;
+use snipeyoke_lib::time::Time;
+use snipeyoke_runtime::http::Handler;
+use snipeyoke_runtime::http::Reply;
+use snipeyoke_runtime::http::Request;
+use snipeyoke_runtime::http::collect;
+use snipeyoke_runtime::http::full;
+use snipeyoke_runtime::measures;
+
+use crate::shared::Shared;
+
+/// The time-out for reading a statement.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Where an operator finds what a gateway does not keep.
+const REMEDY: &str = "a gateway answers 'show endpoints'; the rest is in its logs and metrics";
+
+/// Serves metrics scrapers and the queries of operators.
+pub(crate) struct OperatorPort(pub(crate) Arc<Shared>);
+
+impl OperatorPort {
+    async fn route(&self, request: Request) -> Reply {
+        match (request.method(), request.uri().path()) {
+            (&Method::POST, "/control/query") => self.query(request).await,
+            (&Method::GET, "/control/revision") => self.reply(StatusCode::OK, Vec::new(), 0),
+            _ => Reply::new(full(measures::render())),
+        }
+    }
+
+    async fn query(&self, request: Request) -> Reply {
+        let text = match read_statement(request).await {
+            Ok(text) => text,
+            Err(text) => return self.error(StatusCode::BAD_REQUEST, text),
+        };
+        let query = match parse_one(&text) {
+            Ok(Statement::Query(query)) => query,
+            Ok(Statement::Watch { show, .. }) => Query::Show(show),
+            Ok(_) => return self.error(StatusCode::BAD_REQUEST, not_kept("changes").to_string()),
+            Err(error) => return self.error(StatusCode::BAD_REQUEST, error.to_string()),
+        };
+        let is_kept = matches!(&query, Query::Show(show) if show.subject == Subject::Endpoints);
+        let table = if is_kept {
+            evaluate(&query, &NodeFacts(&self.0))
+        } else {
+            Err(not_kept("this"))
+        };
+        match table {
+            Ok(table) => {
+                let omitted = table.omitted;
+                self.reply(StatusCode::OK, AnswerLine::from_table(table), omitted)
+            }
+            Err(error) => self.error(StatusCode::OK, error.to_string()),
+        }
+    }
+
+    fn error(&self, status: StatusCode, text: String) -> Reply {
+        self.reply(status, vec![AnswerLine::Error { text }], 0)
+    }
+
+    fn reply(&self, status: StatusCode, mut lines: Vec<AnswerLine>, omitted: u64) -> Reply {
+        let catalog = self.0.catalog.get();
+        let version = catalog.as_ref().as_ref().map_or(0, |c| c.version());
+        lines.push(AnswerLine::End {
+            router: self.0.settings.node.clone(),
+            revision: Revision(version),
+            omitted,
+        });
+        let mut reply = Reply::new(full(AnswerLine::to_json(&lines)));
+        *reply.status_mut() = status;
+        let kind = HeaderValue::from_static("application/jsonl");
+        reply.headers_mut().insert(CONTENT_TYPE, kind);
+        reply
+    }
+}
+
+impl Handler for OperatorPort {
+    fn handle(&self, request: Request) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>> {
+        Box::pin(self.route(request))
+    }
+}
+
+async fn read_statement(request: Request) -> Result<String, String> {
+    let read = async {
+        let body = collect(request.into_body(), TEXT_MAX_BYTES).await;
+        body.map_err(|error| error.to_string())
+    };
+    let timeout = async {
+        Timer::after(BODY_TIMEOUT).await;
+        Err(format!(
+            "the statement did not arrive within {BODY_TIMEOUT:?}: send it in one request"
+        ))
+    };
+    let body = read.or(timeout).await?;
+    String::from_utf8(body.into()).map_err(|_binary| "the statement is not UTF-8".to_owned())
+}
+
+const fn not_kept(what: &'static str) -> FactError {
+    FactError::NotKept {
+        what,
+        remedy: REMEDY,
+    }
+}
+
+/// The facts of a gateway: its endpoints.
+struct NodeFacts<'a>(&'a Shared);
+
+impl Facts for NodeFacts<'_> {
+    fn now(&self) -> Time {
+        self.0.now()
+    }
+
+    fn requests(&self, _visit: &mut dyn FnMut(&RequestRecord)) {}
+
+    fn request(&self, _id: RequestId) -> Option<RequestRecord> {
+        None
+    }
+
+    fn config(&self, _at: Option<Revision>) -> Result<ConfigFact, FactError> {
+        Err(not_kept("the configuration"))
+    }
+
+    fn active_requests(&self, _account: &ClientAccount) -> u32 {
+        0
+    }
+
+    fn endpoints(&self) -> Vec<EndpointFact> {
+        let now = self.now();
+        let stale = self
+            .0
+            .registry_polling()
+            .is_stale(now, ReplicaKind::Endpoints);
+        let directory = self.0.directory();
+        let facts = directory.iter().filter_map(|e| endpoint_fact(now, e));
+        facts.map(|f| EndpointFact { fresh: !stale, ..f }).collect()
+    }
+
+    fn hosts(&self) -> Result<Vec<HostFact>, FactError> {
+        Err(not_kept("the host list"))
+    }
+
+    fn nodes(&self) -> Vec<NodeFact> {
+        Vec::new()
+    }
+
+    fn leases(&self) -> Result<Vec<LeaseFact>, FactError> {
+        Err(not_kept("leases"))
+    }
+
+    fn changes(&self) -> Vec<ChangeFact> {
+        Vec::new()
+    }
+}
+
+fn endpoint_fact(now: Time, endpoint: &Endpoint) -> Option<EndpointFact> {
+    let entry = endpoint.entry();
+    let unknown_region = || "unknown".parse::<Region>().ok();
+    Some(EndpointFact {
+        endpoint: entry.id.clone(),
+        pool: entry.service.clone(),
+        host: entry.address.ip().to_string().parse().ok()?,
+        domain: entry.domain.clone(),
+        region: endpoint.region().cloned().or_else(unknown_region)?,
+        active: endpoint.calls(now).round() as u32,
+        queued: 0,
+        slots: entry.slots,
+        pending: 0,
+        report_age: endpoint.report_age(now),
+        fresh: true,
+        healthy: !endpoint.health().is_paused(now),
+        draining: !endpoint.is_open(),
+        models: Vec::new(),
+        limit: endpoint.rate_limit().map(|limit| limit_fact(now, limit)),
+    })
+}
+
+fn limit_fact(now: Time, limit: &RateLimit) -> LimitFact {
+    LimitFact {
+        rate: limit.rate.into(),
+        age: now.since(limit.named_at),
+        source: limit.source.to_string(),
+        held_back: limit.held_back,
+    }
+}
--- a/gateway/src/ready.rs
+++ b/gateway/src/ready.rs
@@ -1,4 +1,4 @@
-//! Serves readiness to a load balancer and metrics to scrapers.
+//! Serves readiness to a load balancer.
 
 use std::pin::Pin;
 use std::sync::Arc;
@@ -8,8 +8,6 @@
 use snipeyoke_runtime::http::Reply;
 use snipeyoke_runtime::http::Request;
 use snipeyoke_runtime::http::empty;
-use snipeyoke_runtime::http::full;
-use snipeyoke_runtime::measures;
 
 use crate::shared::Shared;
 
@@ -29,12 +27,3 @@
         Box::pin(async { reply })
     }
 }
-
-/// Serves metrics scrapers.
-pub(crate) struct Metrics;
-
-impl Handler for Metrics {
-    fn handle(&self, _request: Request) -> Pin<Box<dyn Future<Output = Reply> + Send + '_>> {
-        Box::pin(async { Reply::new(full(measures::render())) })
-    }
-}
--- a/lib/src/query/facts.rs
+++ b/lib/src/query/facts.rs
@@ -27,6 +27,7 @@
 use crate::ids::Revision;
 use crate::journal::Request;
 use crate::time::Time;
+use crate::units::RequestRate;
 
 /// The facts that a router can report to its operators.
 pub trait Facts {
@@ -143,6 +144,21 @@
     pub draining: bool,
     /// The models loaded.
     pub models: Vec<ModelName>,
+    /// The limit on its requests, if it names one.
+    pub limit: Option<LimitFact>,
+}
+
+/// The limit on the requests to an endpoint, as known to the router.
+#[derive(Debug, Clone, PartialEq)]
+pub struct LimitFact {
+    /// The requests per second that it accepts from all nodes together.
+    pub rate: RequestRate,
+    /// The time since it last named the rate.
+    pub age: Duration,
+    /// Where the router learned of it.
+    pub source: String,
+    /// The requests that went elsewhere or were refused because of it.
+    pub held_back: u64,
 }
 
 /// A host of the host list.
@@ -363,6 +379,13 @@
                 let models: Vec<_> = self.models.iter().map(ModelName::as_str).collect();
                 Value::Text(models.join(","))
             }
+            Field::Rate => Value::from_option(self.limit.as_ref().map(|l| l.rate.0)),
+            Field::Named => Value::from_option(self.limit.as_ref().map(|l| l.age)),
+            Field::Source => Value::from_option(self.limit.as_ref().map(|l| l.source.as_str())),
+            Field::HeldBack => {
+                let held_back = self.limit.as_ref().map(|l| l.held_back);
+                Value::from_option(held_back.map(Value::from_count))
+            }
             _ => Value::Absent,
         }
     }
--- a/lib/src/query/field.rs
+++ b/lib/src/query/field.rs
@@ -100,6 +100,8 @@
     Fresh("fresh", Flag),
     /// Whether the endpoint answered its last health probe.
     Healthy("healthy", Flag),
+    /// The requests that were held back by an endpoint's rate.
+    HeldBack("held-back", Number),
     /// The node that holds a lease.
     Holder("holder", Text),
     /// The host.
@@ -118,6 +120,8 @@
     Left("left", Interval),
     /// The loaded models.
     Models("models", Text),
+    /// The time since an endpoint named its rate.
+    Named("named", Interval),
     /// The node.
     Node("node", Text),
     /// The outcome of a request.
@@ -136,6 +140,8 @@
     Price("price", Number),
     /// Calls in the queue of an endpoint.
     Queued("queued", Number),
+    /// The requests per second that an endpoint accepts.
+    Rate("rate", Number),
     /// The reason for a refusal or failure.
     Reason("reason", Text),
     /// Whether the request was refused with "not run".
@@ -156,6 +162,8 @@
     Share("share", Number),
     /// The maximum number of concurrent calls at an endpoint.
     Slots("slots", Number),
+    /// Where an endpoint's rate was learned.
+    Source("source", Text),
     /// The latest stage.
     Stage("stage", Text),
     /// The stages of a pipeline, in order.
@@ -212,7 +220,7 @@
     /// Endpoints as known to the router.
     Endpoints("endpoints", [
         Endpoint, Pool, Host, Domain, Region, Active, Queued, Slots, Pending, Report, Fresh,
-        Healthy, Draining, Models
+        Healthy, Draining, Models, Rate, Named, Source, HeldBack
     ]),
     /// Hosts of the host list.
     Hosts("hosts", [Host, Domain, Region, State, Draining]),
--- a/lib/src/query/mod.rs
+++ b/lib/src/query/mod.rs
@@ -51,6 +51,7 @@
 pub use facts::Facts;
 pub use facts::HostFact;
 pub use facts::LeaseFact;
+pub use facts::LimitFact;
 pub use facts::NodeFact;
 pub use field::Field;
 pub use field::Kind;
--- a/lib/src/serving/directory.rs
+++ b/lib/src/serving/directory.rs
@@ -202,6 +202,12 @@
         self.own_calls as f32 + self.other_calls as f32 * (1.0 - age).max(0.0)
     }
 
+    /// Returns the age of its last load report.
+    #[must_use]
+    pub const fn report_age(&self, now: Time) -> Duration {
+        now.since(self.reported_at)
+    }
+
     fn weighted_load(&self, now: Time) -> f32 {
         let failures = 1.0 + FAILURE_WEIGHT * self.health.failure_rate(now);
         let slowness = self.health.slowness(now).max(0.5);
@@ -676,7 +682,7 @@
         entry: endpoint.entry.clone(),
         reason,
         calls: endpoint.calls(now),
-        report_age: now.since(endpoint.reported_at),
+        report_age: endpoint.report_age(now),
         cold: endpoint.is_cold(now),
         limited: endpoint.rate_limit().is_some(),
     }
--- a/lib/src/serving/rate_limit.rs
+++ b/lib/src/serving/rate_limit.rs
@@ -106,6 +106,12 @@
     }
 }
 
+impl From<NamedRate> for RequestRate {
+    fn from(rate: NamedRate) -> Self {
+        rate.0
+    }
+}
+
 impl NamedRate {
     /// Returns the requests per second.
     #[must_use]
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -27,6 +27,7 @@
 use snipeyoke_lib::query::HostFact;
 use snipeyoke_lib::query::Interval;
 use snipeyoke_lib::query::LeaseFact;
+use snipeyoke_lib::query::LimitFact;
 use snipeyoke_lib::query::NodeFact;
 use snipeyoke_lib::query::Statement;
 use snipeyoke_lib::query::Table;
@@ -35,6 +36,7 @@
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Bytes;
 use snipeyoke_lib::units::Cost;
+use snipeyoke_lib::units::RequestRate;
 use uuid::Uuid;
 
 /// Router facts set by a test script.
@@ -206,6 +208,12 @@
             healthy: true,
             draining: false,
             models: Vec::new(),
+            limit: args.named.get("rate").map(|rate| LimitFact {
+                rate: RequestRate(rate.parse().expect("a number")),
+                age: args.duration("named"),
+                source: "response".to_owned(),
+                held_back: 3,
+            }),
         });
     }
 
--- a/router/src/control/endpoints.rs
+++ b/router/src/control/endpoints.rs
@@ -114,6 +114,7 @@
             healthy: self.load.healthy,
             draining: self.load.draining,
             models: self.load.models.clone(),
+            limit: None,
         };
         fact.draining |= drains::covers(config, id, &fact.host, &fact.domain);
         Some(fact)
