--- a/lib/tests/node_world.rs
+++ b/lib/tests/node_world.rs
@@ -155,7 +155,7 @@
         usize::from(sample)
     }
 
-    fn reaches_registry(&self, n: usize) -> bool {
+    pub(crate) fn reaches_registry(&self, n: usize) -> bool {
         let cut = self.nodes[n].cut_until > self.now;
         !cut && (self.now >= self.split_until || n.is_multiple_of(2))
     }
--- a/lib/tests/test_rate_limits.rs
+++ b/lib/tests/test_rate_limits.rs
@@ -108,6 +108,8 @@
     sent: Time,
     /// The node that granted it, if any, and the booking.
     granter: Option<(usize, u32, BookingId)>,
+    /// Whether that node knew of a rate.
+    granted: bool,
     /// What the endpoint said, once it has responded.
     notice: Option<RateNotice>,
 }
@@ -116,6 +118,8 @@
 #[derive(Debug, Clone, Copy)]
 struct Arrival {
     at: u64,
+    /// Whether a node that knew of a rate granted it.
+    granted: bool,
     /// Whether the endpoint had told the node its rate, and nothing excuses the
     /// node.
     counts: bool,
@@ -175,10 +179,7 @@
                 self.states[n] = NodeState::new(node.starts);
                 self.faulty_at.insert(n, now);
             }
-            let is_cut = (0..self.world.nodes.len()).any(|other| {
-                !self.world.reaches(n, other) && self.world.nodes[other].is_running(now)
-            });
-            if !node.is_running(now) || is_cut {
+            if !node.is_running(now) || !self.world.reaches_registry(n) {
                 self.faulty_at.insert(n, now);
             }
         }
@@ -213,19 +214,23 @@
         }
     }
 
+    /// Returns whether a node knows of a rate.
+    fn is_limited(&self, n: usize) -> bool {
+        self.states[n].directory.limits().next().is_some()
+    }
+
     /// Has a node send a request, if it may; a prompt is always placed by the
     /// booker. Returns whether it was sent.
     fn request(&mut self, n: usize, is_prompt: bool) -> bool {
         if !self.world.nodes[n].is_running(self.world.now) {
             return false;
         }
-        let limited = |s: &NodeState| s.directory.limits().next().is_some();
-        if !is_prompt && !limited(&self.states[n]) {
+        if !is_prompt && !self.is_limited(n) {
             self.send(n, None);
             return true;
         }
         let Some(booker) = self.world.reachable_booker(n, &service(), SHARD) else {
-            let alone = !limited(&self.states[n]);
+            let alone = !self.is_limited(n);
             if alone {
                 self.send(n, None);
             }
@@ -272,6 +277,7 @@
             starts: self.world.nodes[n].starts,
             sent: self.clock(n),
             granter,
+            granted: granter.is_some_and(|(granter, ..)| self.is_limited(granter)),
             notice: None,
         };
         let at = self.world.now + (self.world.sample() * TRANSIT_MAX / 255) as u64;
@@ -299,6 +305,7 @@
         let excused = self.faulty_at.get(&n).is_some_and(|&at| now < at + CONTACT);
         self.arrivals.push(Arrival {
             at: now,
+            granted: flight.granted,
             counts: told && !excused,
         });
         let notice = self
@@ -349,10 +356,10 @@
         state.bookings.end(id);
     }
 
-    /// Returns the first window in which more requests arrived than the bound
-    /// allows.
-    fn violation(&self) -> Option<String> {
-        let counted = self.arrivals.iter().filter(|a| a.counts).map(|a| a.at);
+    /// Returns the first window in which more requests of a kind arrived than the
+    /// bound allows.
+    fn violation(&self, counts: fn(&Arrival) -> bool) -> Option<String> {
+        let counted = self.arrivals.iter().filter(|a| counts(a)).map(|a| a.at);
         let mut window: VecDeque<u64> = VecDeque::new();
         for at in counted {
             window.push_back(at);
@@ -433,8 +440,8 @@
     (0..LENGTH, select(rates))
 }
 
-#[test]
-fn the_bound_holds_on_random_schedules() {
+/// Plays random schedules and checks the bound for a kind of requests.
+fn check_bound(counts: fn(&Arrival) -> bool) {
     let config = Config {
         cases: CASES,
         failure_persistence: None,
@@ -447,13 +454,24 @@
     );
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let outcome = TestRunner::new_with_rng(config, rng).run(&schedule, |(count, plan, samples)| {
-        let violation = play(count, plan, samples, 3).violation();
+        let violation = play(count, plan, samples, 3).violation(counts);
         proptest::prop_assert!(violation.is_none(), "{violation:?}");
         Ok(())
     });
     outcome.expect("the sum over all nodes stays within the bound");
 }
 
+#[test]
+fn the_bound_holds_for_all_nodes_that_were_told() {
+    check_bound(|arrival| arrival.counts);
+}
+
+#[test]
+fn the_bound_holds_for_all_grants_also_of_nodes_with_faults() {
+    // Guards against granting nodes that are thought to be gone and are not.
+    check_bound(|arrival| arrival.granted);
+}
+
 #[test]
 fn an_endpoint_in_need_gets_the_rate_that_it_names() {
     // With more demand than it accepts, at least 0.8 of the rate is used, and not
@@ -471,7 +489,7 @@
                 used <= 1.05 * per_second,
                 "{count} nodes, {per_second}: {used}"
             );
-            assert_eq!(played.violation(), None);
+            assert_eq!(played.violation(|a| a.counts), None);
         }
     }
 }
@@ -504,7 +522,7 @@
         let played = play(9, plan, vec![3, 50, 180, 90], 3);
         let used = played.used(20_000, LENGTH);
         assert!(used >= 0.4, "{fault:?}: {used} requests a second");
-        assert_eq!(played.violation(), None);
+        assert_eq!(played.violation(|a| a.counts), None);
     }
 }
 
