gateway: let a new node grant requests after six seconds in touch

Waiting 20 s, as for cold endpoints, leaves an endpoint in need unused after each join of a node that ranks first, and at the first start. A new node polls four others a second, so all know it within seconds. Change: six seconds, and only once it hears of another node after that. The rank of a node, which takes a hash of each node, is worked out only for services with a limit; a value that is not usable is logged once.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -474,7 +474,7 @@
 /// that grants the requests to it.
 fn record_rate(ctx: &RequestContext, flight: &InFlight, sent: Time, notice: RateNotice) {
     let endpoint = &flight.endpoint;
-    let was_limited = ctx.shared.rate_of(endpoint).is_some();
+    let was_limited = ctx.shared.is_limited(endpoint);
     ctx.shared.on_rate_notice(endpoint, sent, notice);
     let is_news = was_limited || notice != RateNotice::Unlimited;
     if let Some(booking) = flight.booking.as_ref().filter(|_| is_news) {
--- a/gateway/src/dispatch/placement.rs
+++ b/gateway/src/dispatch/placement.rs
@@ -11,6 +11,7 @@
 use snipeyoke_lib::serving::bookings::PREFIX_RETENTION;
 use snipeyoke_lib::serving::bookings::PlacementRequest;
 use snipeyoke_lib::serving::bookings::Shard;
+use snipeyoke_lib::serving::cold_start::AdmitterRank;
 use snipeyoke_lib::serving::rate_limit::NamedRate;
 use snipeyoke_lib::serving::rate_limit::RateNotice;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
@@ -223,8 +224,7 @@
         }
         let cold_share = self.cold_share(service, Some(shard));
         let was_known = self.shared.owners().is_known_before();
-        let rank = self.shared.owners().shard_granter_rank(now, service, shard);
-        let uses = self.granting_uses(service);
+        let granter = self.granter(service, Some(shard));
         let bookings = self.bookings.entry(key).or_insert_with(|| {
             let mut bookings = Bookings::default();
             if was_known {
@@ -233,7 +233,9 @@
             bookings
         });
         bookings.set_cold_share(cold_share);
-        bookings.set_granter(rank, uses);
+        if let Some((rank, uses)) = granter {
+            bookings.set_granter(rank, uses);
+        }
         let directory = self.shared.directory();
         let endpoint = bookings.place(now, &directory, (service, shard), id, request);
         drop(directory);
@@ -243,16 +245,28 @@
         endpoint
     }
 
-    /// Returns the number of places that grant requests to the same endpoints of
-    /// a service.
-    pub(super) fn granting_uses(&self, service: &PoolName) -> u32 {
+    /// Returns this node's rank among those that grant requests to the endpoints
+    /// of a service, or of one of its shards, and the number of places that do so
+    /// for the same endpoints; `None` if no endpoint names a rate.
+    pub(super) fn granter(
+        &self,
+        service: &PoolName,
+        shard: Option<Shard>,
+    ) -> Option<(Option<AdmitterRank>, u32)> {
+        // The rank takes a hash of each node, and most services have no limits.
+        if !self.shared.directory().has_limits(service) {
+            return None;
+        }
+        let now = self.shared.now();
+        let owners = self.shared.owners();
+        let rank = match shard {
+            Some(shard) => owners.shard_granter_rank(now, service, shard),
+            None => owners.batch_granter_rank(now, service),
+        };
         let catalog = self.shared.catalog.get();
         let catalog = catalog.as_ref().as_ref();
-        if catalog.is_some_and(|c| c.has_two_uses(service)) {
-            2
-        } else {
-            1
-        }
+        let has_two_uses = catalog.is_some_and(|c| c.has_two_uses(service));
+        Some((rank, if has_two_uses { 2 } else { 1 }))
     }
 
     /// Returns the calls per second that this node may admit to a cold endpoint
--- a/gateway/src/dispatch/queues.rs
+++ b/gateway/src/dispatch/queues.rs
@@ -109,14 +109,14 @@
         self.request_config();
         self.poll_reader(now);
         let mut ended_jobs = Vec::new();
-        let limits = self.queues.keys().map(|s| {
-            let rank = self.shared.owners().batch_granter_rank(now, s);
-            (self.cold_share(s, None), rank, self.granting_uses(s))
-        });
+        let services = self.queues.keys();
+        let limits = services.map(|s| (self.cold_share(s, None), self.granter(s, None)));
         let limits: Vec<_> = limits.collect();
-        for ((service, owned), (cold_share, rank, uses)) in self.queues.iter_mut().zip(limits) {
+        for ((service, owned), (cold_share, granter)) in self.queues.iter_mut().zip(limits) {
             owned.queue.set_cold_share(cold_share);
-            owned.queue.set_granter(rank, uses);
+            if let Some((rank, uses)) = granter {
+                owned.queue.set_granter(rank, uses);
+            }
             let batches = owned.queue.poll(now);
             let waiting = owned.queue.waiting_items();
             for batch in batches {
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -124,9 +124,6 @@
         let seeds = settings.seeds.clone();
         let shared = Shared::new(settings, dialect, registry, traffic, dispatcher);
         let shared = Arc::new(shared);
-        if shared.settings.first_start {
-            shared.owners().mark_first_start();
-        }
         for seed in seeds {
             shared.owners().discover(shared.now(), seed);
         }
--- a/gateway/src/rate_limits.rs
+++ b/gateway/src/rate_limits.rs
@@ -21,9 +21,8 @@
     /// Handles what the response to a request that was sent at `sent` says about
     /// the rate of its endpoint.
     pub(crate) fn on_rate_notice(&self, endpoint: &EndpointId, sent: Time, notice: RateNotice) {
-        if let RateNotice::Malformed(error) = notice {
+        if let RateNotice::Malformed(_) = notice {
             metrics::counter!("snipeyoke_endpoint_rates_malformed_total").increment(1);
-            log::warn!(event = "endpoint-rate-malformed", endpoint = endpoint.to_string().as_str(), error = error.to_string().as_str(); "");
         }
         let now = self.now();
         let change = self
@@ -79,6 +78,14 @@
         Some(rate_frame(endpoint, limit.rate, now.since(limit.named_at)))
     }
 
+    /// Returns whether an endpoint names a rate.
+    pub(crate) fn is_limited(&self, endpoint: &EndpointId) -> bool {
+        let directory = self.directory();
+        directory
+            .get(endpoint)
+            .is_some_and(|e| e.rate_limit().is_some())
+    }
+
     /// Records that a request did not go to an endpoint because of its rate.
     pub(crate) fn record_held_back(&self, endpoint: &EndpointId) {
         self.directory().record_held_back(endpoint);
@@ -128,6 +135,10 @@
                 );
                 f64::INFINITY
             }
+            RateChange::Refused(error) => {
+                log::warn!(event = "endpoint-rate-malformed", endpoint = name.as_str(), error = error.to_string().as_str(); "");
+                return;
+            }
         };
         metrics::gauge!("snipeyoke_endpoint_rate", "endpoint" => name).set(rate);
         let limited = self.directory().limits().count();
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -74,9 +74,6 @@
     /// The region of each failure domain.
     #[serde(default)]
     pub regions: BTreeMap<FailureDomain, Region>,
-    /// Whether all nodes start together, for the first time.
-    #[serde(default)]
-    pub first_start: bool,
     /// The bound on calls to cold endpoints across all nodes.
     #[serde(default)]
     pub cold: Cold,
@@ -191,8 +188,6 @@
     pub change: Duration,
     /// The region of each failure domain.
     pub regions: BTreeMap<FailureDomain, Region>,
-    /// Whether all nodes start together, for the first time.
-    pub first_start: bool,
     /// The bound on calls to cold endpoints across all nodes.
     pub cold: ColdBound,
     /// The limit on retries across all nodes.
@@ -257,7 +252,6 @@
             node: raw.node,
             domain: raw.domain,
             regions,
-            first_start: raw.first_start,
             cold: ColdBound {
                 excess: raw.cold.excess,
                 slack: raw.cold.slack,
--- a/lib/src/serving/catalog.rs
+++ b/lib/src/serving/catalog.rs
@@ -1,6 +1,7 @@
 //! Routes, services and API keys of one version of the configuration.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -176,6 +177,8 @@
     /// `None` if no route requires an API key.
     keys: Option<BTreeMap<String, KeyHolder>>,
     limits: CallerLimits,
+    /// The services that get both batch calls and requests.
+    two_uses: BTreeSet<PoolName>,
 }
 
 /// Why a request is not admitted.
@@ -208,6 +211,11 @@
         for routes in by_host.values_mut() {
             routes.sort_by_key(|r| std::cmp::Reverse(r.prefix.len()));
         }
+        let targets = by_host.values().flatten().flat_map(|r| &r.targets);
+        let targets: BTreeSet<&PoolName> = targets.map(|t| &t.service).collect();
+        let two_uses = services.iter().filter(|s| s.batching.is_some());
+        let two_uses = two_uses.filter(|s| targets.contains(&s.name));
+        let two_uses = two_uses.map(|s| s.name.clone()).collect();
         let services = services.into_iter();
         Self {
             version,
@@ -215,6 +223,7 @@
             services: services.map(|s| (s.name.clone(), Arc::new(s))).collect(),
             keys,
             limits,
+            two_uses,
         }
     }
 
@@ -244,9 +253,7 @@
     /// Returns whether a service gets both batch calls and requests.
     #[must_use]
     pub fn has_two_uses(&self, service: &PoolName) -> bool {
-        let is_batched = self.service(service).is_some_and(|s| s.batching.is_some());
-        let mut routes = self.routes.values().flatten();
-        is_batched && routes.any(|r| r.targets.iter().any(|t| t.service == *service))
+        self.two_uses.contains(service)
     }
 
     /// Returns the route with the longest prefix of the path.
--- a/lib/src/serving/directory.rs
+++ b/lib/src/serving/directory.rs
@@ -1,6 +1,7 @@
 //! Directory of the endpoints of all services, and the choice among them.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -296,6 +297,8 @@
     /// The region of each failure domain.
     regions: BTreeMap<FailureDomain, Region>,
     evacuations: Evacuations,
+    /// The endpoints that name a rate.
+    limited: BTreeSet<EndpointId>,
     /// What is known of the rates of endpoints that have disappeared.
     departed_rates: BTreeMap<EndpointId, DepartedRate>,
 }
@@ -345,12 +348,23 @@
                     rate: departed.map(|d| d.rate).unwrap_or_default(),
                     ..Endpoint::new(entry)
                 };
-                self.endpoints.insert(endpoint.entry.id.clone(), endpoint);
+                let id = endpoint.entry.id.clone();
+                self.endpoints.insert(id.clone(), endpoint);
+                self.update_limited(&id);
                 true
             }
         }
     }
 
+    fn update_limited(&mut self, id: &EndpointId) {
+        let limit = self.endpoints.get(id).and_then(Endpoint::rate_limit);
+        if limit.is_some() {
+            self.limited.insert(id.clone());
+        } else {
+            self.limited.remove(id);
+        }
+    }
+
     /// Returns the evacuations of failure domains.
     #[must_use]
     pub const fn evacuations(&self) -> &Evacuations {
@@ -430,6 +444,7 @@
             };
             self.departed_rates.insert(id.clone(), departed);
         }
+        self.update_limited(id);
         true
     }
 
@@ -441,7 +456,9 @@
         (sent, notice): (Time, RateNotice),
     ) -> Option<RateChange> {
         let endpoint = self.endpoints.get_mut(id)?;
-        endpoint.rate.on_response(now, sent, notice)
+        let change = endpoint.rate.on_response(now, sent, notice)?;
+        self.update_limited(id);
+        Some(change)
     }
 
     /// Handles the rate of an endpoint that another node heard.
@@ -452,7 +469,9 @@
         source: SocketAddr,
     ) -> Option<RateChange> {
         let endpoint = self.endpoints.get_mut(id)?;
-        endpoint.rate.on_news(now, (rate, age), source)
+        let change = endpoint.rate.on_news(now, (rate, age), source)?;
+        self.update_limited(id);
+        Some(change)
     }
 
     /// Returns the endpoints that named a rate recently, with their ages.
@@ -469,8 +488,15 @@
 
     /// Returns the endpoints that name a rate.
     pub fn limits(&self) -> impl Iterator<Item = (&Endpoint, &RateLimit)> {
-        let all = self.endpoints.values();
-        all.filter_map(|e| Some((e, e.rate_limit()?)))
+        let limited = self.limited.iter();
+        let limited = limited.filter_map(|id| self.endpoints.get(id));
+        limited.filter_map(|e| Some((e, e.rate_limit()?)))
+    }
+
+    /// Returns whether an endpoint of a service names a rate.
+    #[must_use]
+    pub fn has_limits(&self, service: &PoolName) -> bool {
+        self.limits().any(|(e, _)| e.entry.service == *service)
     }
 
     /// Records that a request did not go to an endpoint because of its rate.
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -68,10 +68,11 @@
 /// nodes that others know.
 const REJOIN_DELAY: Duration = Duration::from_secs(5);
 
-/// How long a node grants no requests when all nodes start together.
+/// How long a new node grants no requests to endpoints that name a rate.
 ///
-/// Within it each of them has read the list of all nodes.
-const FIRST_START_DELAY: Duration = Duration::from_secs(2);
+/// It polls four nodes a second, and these tell of it in turn: hundreds know it
+/// within five seconds. Until then another node grants as the first one.
+const GRANTER_DELAY: Duration = Duration::from_secs(6);
 
 /// The ranking subject for the registry reader; no service has such a name.
 const READER_SUBJECT: &str = "configuration, of all nodes";
@@ -112,8 +113,9 @@
     known_from: Time,
     /// Whether the other nodes knew this one before it started.
     known_before: bool,
-    /// When this node may first grant requests to endpoints that name a rate.
-    grants_from: Time,
+    /// From when on this node may grant requests to endpoints that name a rate,
+    /// once it hears of another node; `None` if it may already.
+    grants_from: Option<Time>,
 }
 
 impl Owners {
@@ -130,22 +132,17 @@
             last_change: 0,
             known_from: Time::ZERO + ADMITTER_DELAY,
             known_before: false,
-            grants_from: Time::ZERO + ADMITTER_DELAY,
+            grants_from: Some(Time::ZERO + GRANTER_DELAY),
         }
     }
 
     /// Records that the other nodes knew this one before it started.
     pub const fn mark_known(&mut self) {
         self.known_from = Time::ZERO;
-        self.grants_from = Time::ZERO;
+        self.grants_from = None;
         self.known_before = true;
     }
 
-    /// Records that all nodes start together, for the first time.
-    pub fn mark_first_start(&mut self) {
-        self.grants_from = self.grants_from.min(Time::ZERO + FIRST_START_DELAY);
-    }
-
     /// Returns whether this node has run before under its address.
     #[must_use]
     pub const fn is_known_before(&self) -> bool {
@@ -198,6 +195,7 @@
     /// Records a response of a node.
     pub fn mark_heard(&mut self, now: Time, peer: SocketAddr) {
         self.discover(now, peer);
+        self.grants_from = self.grants_from.filter(|&at| now < at);
         if let Some(known) = self.peers.get_mut(&peer) {
             known.last_heard = now;
             known.answered = true;
@@ -350,8 +348,12 @@
     }
 
     fn granter_rank(&self, now: Time, subject: &str) -> Option<AdmitterRank> {
-        let is_known = now >= self.grants_from;
-        is_known.then(|| self.own_rank(subject)).flatten()
+        let is_alone = self.peers.is_empty();
+        let waits = |at| now < at || !is_alone;
+        if self.grants_from.is_some_and(waits) {
+            return None;
+        }
+        self.own_rank(subject)
     }
 
     /// Returns the rank of this node among those that admit calls to the cold
--- a/lib/src/serving/rate_limit.rs
+++ b/lib/src/serving/rate_limit.rs
@@ -287,6 +287,8 @@
     },
     /// It names none any more.
     Ended(RateLimit),
+    /// It names one that is not usable, and did not before.
+    Refused(RateError),
 }
 
 /// What a node knows of the rate that one endpoint accepts.
@@ -295,6 +297,8 @@
     limit: Option<RateLimit>,
     /// When the last request was sent whose response named no rate.
     unlimited_at: Option<Time>,
+    /// Why the last value that it named was not usable.
+    refused: Option<RateError>,
 }
 
 impl RateState {
@@ -311,8 +315,15 @@
 
     /// Handles a response to a request that was sent at `sent`.
     pub fn on_response(&mut self, now: Time, sent: Time, notice: RateNotice) -> Option<RateChange> {
+        let refused = match notice {
+            RateNotice::Malformed(error) => Some(error),
+            RateNotice::Limited(_) | RateNotice::Unlimited => None,
+        };
+        let previous = std::mem::replace(&mut self.refused, refused);
         match notice {
-            RateNotice::Malformed(_) => None,
+            RateNotice::Malformed(error) => {
+                (previous != refused).then_some(RateChange::Refused(error))
+            }
             RateNotice::Limited(rate) => self.set(rate, now, RateSource::Response),
             RateNotice::Unlimited => {
                 // The response may have been written before the endpoint named its rate.
--- a/lib/tests/test_rate_limits.rs
+++ b/lib/tests/test_rate_limits.rs
@@ -509,7 +509,11 @@
 
 #[test]
 fn the_second_node_grants_requests_while_the_first_is_gone() {
-    let world = World::new(9, vec![1]);
+    let mut world = World::new(9, vec![1]);
+    // Each node has to hear from another one first.
+    for _ in 0..50 {
+        let _polls = world.step();
+    }
     let rank = |n: usize| {
         let now = world.nodes[n].clock(world.now);
         let owners = &world.nodes[n].owners;
@@ -602,7 +606,9 @@
     assert_eq!(early, None);
     assert!(state.limit().is_some());
     let malformed = RateNotice::Malformed(RateError::Negative);
-    assert_eq!(state.on_response(at(10_200), at(10_100), malformed), None);
+    let refused = state.on_response(at(10_200), at(10_100), malformed);
+    assert_eq!(refused, Some(RateChange::Refused(RateError::Negative)));
+    assert_eq!(state.on_response(at(10_300), at(10_200), malformed), None);
     assert_eq!(state.limit().map(|l| l.rate), Some(rate(1.0)));
     let ended = state.on_response(at(12_000), at(11_000), RateNotice::Unlimited);
     assert!(matches!(ended, Some(RateChange::Ended(_))));
