gateway: label the metrics of rates by service

Endpoints get a new name at each start, so series labelled by endpoint would grow without bound; docs/operators/metrics.md rules that out. Change: the number of limited endpoints by service and source, the sum of their rates, the age of the oldest one, and what was held back, by service; the log and 'show endpoints' name the endpoint.

--- a/gateway/src/polling.rs
+++ b/gateway/src/polling.rs
@@ -137,7 +137,7 @@
             ReplicaKind::Endpoints => metrics::gauge!("snipeyoke_endpoints_age_seconds"),
         };
         gauge.set(age.as_secs_f64());
-        shared.report_rate_ages();
+        shared.report_rates();
         if freshness.cannot_read(freshness.age(now)) {
             shared.owners().defer_admissions(now);
         }
--- a/gateway/src/rate_limits.rs
+++ b/gateway/src/rate_limits.rs
@@ -1,6 +1,7 @@
 //! Rates that endpoints name: what this node learns of them, tells other nodes
 //! and reports.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -8,7 +9,9 @@
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::rate_limit::NamedRate;
 use snipeyoke_lib::serving::rate_limit::RateChange;
+use snipeyoke_lib::serving::rate_limit::RateLimit;
 use snipeyoke_lib::serving::rate_limit::RateNotice;
+use snipeyoke_lib::serving::rate_limit::RateSource;
 use snipeyoke_lib::time::Time;
 use snipeyoke_wire::EndpointRate;
 
@@ -22,7 +25,7 @@
     /// the rate of its endpoint.
     pub(crate) fn on_rate_notice(&self, endpoint: &EndpointId, sent: Time, notice: RateNotice) {
         if let RateNotice::Malformed(_) = notice {
-            metrics::counter!("snipeyoke_endpoint_rates_malformed_total").increment(1);
+            metrics::counter!("snipeyoke_malformed_rates_total").increment(1);
         }
         let now = self.now();
         let change = self
@@ -88,28 +91,56 @@
 
     /// Records that a request did not go to an endpoint because of its rate.
     pub(crate) fn record_held_back(&self, endpoint: &EndpointId) {
-        self.directory().record_held_back(endpoint);
-        metrics::counter!("snipeyoke_endpoint_held_back_total", "endpoint" => endpoint.to_string())
-            .increment(1);
+        let mut directory = self.directory();
+        directory.record_held_back(endpoint);
+        if let Some(endpoint) = directory.get(endpoint) {
+            let service = endpoint.entry().service.to_string();
+            metrics::counter!("snipeyoke_held_back_total", "service" => service).increment(1);
+        }
     }
 
-    /// Updates the metrics of the ages of rates.
-    pub(crate) fn report_rate_ages(&self) {
-        let now = self.now();
-        for (endpoint, limit) in self.directory().limits() {
-            let age = now.since(limit.named_at).as_secs_f64();
-            let endpoint = endpoint.entry().id.to_string();
-            metrics::gauge!("snipeyoke_endpoint_rate_age_seconds", "endpoint" => endpoint).set(age);
+    /// Updates the metrics of the rates that are in force.
+    pub(crate) fn report_rates(&self) {
+        let directory = self.directory();
+        let services = directory.limits().map(|(e, _)| e.entry().service.clone());
+        let services: BTreeSet<PoolName> = services.collect();
+        drop(directory);
+        for service in &services {
+            self.report_rates_of(service);
         }
     }
 
+    /// Updates the metrics of the rates of a service's endpoints.
+    fn report_rates_of(&self, service: &PoolName) {
+        let now = self.now();
+        let directory = self.directory();
+        let limits = directory.limits();
+        let limits = limits.filter(|(e, _)| e.entry().service == *service);
+        let limits: Vec<&RateLimit> = limits.map(|(_, limit)| limit).collect();
+        let rate: f64 = limits.iter().map(|l| l.rate.per_second()).sum();
+        let ages = limits.iter().map(|l| now.since(l.named_at));
+        let oldest = ages.max().unwrap_or_default();
+        let is_heard = |l: &&&RateLimit| l.source == RateSource::Response;
+        let heard = limits.iter().filter(is_heard).count();
+        let gauge = |source, count| {
+            let labels = [("service", service.to_string()), ("source", source)];
+            metrics::gauge!("snipeyoke_limited_endpoints", &labels).set(count as f64);
+        };
+        gauge("response".to_owned(), heard);
+        gauge("node".to_owned(), limits.len() - heard);
+        let name = || service.to_string();
+        metrics::gauge!("snipeyoke_limited_rate", "service" => name()).set(rate);
+        metrics::gauge!("snipeyoke_limited_age_seconds", "service" => name())
+            .set(oldest.as_secs_f64());
+    }
+
     fn report_rate(&self, endpoint: &EndpointId, change: Option<RateChange>) {
         let Some(change) = change else {
             return;
         };
         let name = endpoint.to_string();
         let now = self.now();
-        let rate = match change {
+        match change {
             RateChange::Named { limit, previous } => {
                 log::info!(
                     event = "endpoint-rate-named",
@@ -121,7 +152,6 @@
                     held_back = limit.held_back;
                     ""
                 );
-                limit.rate.per_second()
             }
             RateChange::Ended(limit) => {
                 log::info!(
@@ -133,16 +163,19 @@
                     held_back = limit.held_back;
                     ""
                 );
-                f64::INFINITY
             }
             RateChange::Refused(error) => {
                 log::warn!(event = "endpoint-rate-malformed", endpoint = name.as_str(), error = error.to_string().as_str(); "");
                 return;
             }
-        };
-        metrics::gauge!("snipeyoke_endpoint_rate", "endpoint" => name).set(rate);
-        let limited = self.directory().limits().count();
-        metrics::gauge!("snipeyoke_limited_endpoints").set(limited as f64);
+        }
+        let service = self
+            .directory()
+            .get(endpoint)
+            .map(|e| e.entry().service.clone());
+        if let Some(service) = service {
+            self.report_rates_of(&service);
+        }
         // The work queues keep the rates of their endpoints.
         self.dispatcher.endpoints_changed();
     }
