--- a/lib/tests/test_rate_limits.rs
+++ b/lib/tests/test_rate_limits.rs
@@ -47,7 +47,7 @@
 const CONTACT: u64 = 3_000;
 
 /// The time after which a response with a rate binds its node, in milliseconds.
-const TOLD: u64 = 500;
+const NOTICE_DELAY: u64 = 500;
 
 /// The longest time from the choice of an endpoint to the arrival of the
 /// request, in milliseconds.
@@ -187,11 +187,11 @@
 
     /// Two nodes tell each other the rates that they know.
     fn exchange_rates(&mut self, a: usize, b: usize) {
-        self.tell(a, b);
-        self.tell(b, a);
+        self.send_news(a, b);
+        self.send_news(b, a);
     }
 
-    fn tell(&mut self, from: usize, to: usize) {
+    fn send_news(&mut self, from: usize, to: usize) {
         let (then, now) = (self.clock(from), self.clock(to));
         let news = self.states[from].directory.recent_rates(then);
         let news: Vec<(NamedRate, Duration)> = news.map(|(_, rate, age)| (rate, age)).collect();
@@ -203,7 +203,7 @@
     }
 
     /// Tells a node the rate that another one knows, however old it is.
-    fn tell_limit(&mut self, from: usize, to: usize) {
+    fn send_limit(&mut self, from: usize, to: usize) {
         let (then, now) = (self.clock(from), self.clock(to));
         let limits = self.states[from].directory.limits();
         let limit = limits.map(|(_, l)| (l.rate, then.since(l.named_at))).next();
@@ -237,7 +237,7 @@
             return alone;
         };
         if booker != n {
-            self.tell_limit(n, booker);
+            self.send_limit(n, booker);
         }
         let id = BookingId {
             link: n as u64,
@@ -248,7 +248,7 @@
             return false;
         }
         if booker != n {
-            self.tell_limit(booker, n);
+            self.send_limit(booker, n);
         }
         let starts = self.world.nodes[booker].starts;
         self.send(n, Some((booker, starts, id)));
@@ -301,7 +301,8 @@
         let now = self.world.now;
         let n = flight.node;
         let told = self.told_at.get(&n);
-        let told = told.is_some_and(|&(starts, at)| starts == flight.starts && now >= at + TOLD);
+        let told =
+            told.is_some_and(|&(starts, at)| starts == flight.starts && now >= at + NOTICE_DELAY);
         let excused = self.faulty_at.get(&n).is_some_and(|&at| now < at + CONTACT);
         self.arrivals.push(Arrival {
             at: now,
