--- a/lib/src/serving/cold_start.rs
+++ b/lib/src/serving/cold_start.rs
@@ -54,7 +54,8 @@
     }
 }
 
-/// The rank of a node that may admit calls to cold endpoints.
+/// The rank of a node that may admit calls to endpoints that are cold or name a
+/// rate.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum AdmitterRank {
     /// The node that admits calls while it is alive.
