--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -9,7 +9,10 @@
 use snipeyoke_lib::ids::SoftwareVersion;
 use snipeyoke_lib::serving::bookings::PlacementRequest;
 use snipeyoke_lib::serving::cold_start::ADMISSION_LIFETIME;
+use snipeyoke_lib::serving::crashes::Casualty;
 use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::PartId;
+use snipeyoke_lib::serving::crashes::RunNumber;
 use snipeyoke_lib::serving::directory::Choice;
 use snipeyoke_lib::serving::directory::EndpointCriteria;
 use snipeyoke_lib::serving::directory::Entry;
@@ -96,6 +99,10 @@
     /// The booking, if another node may hold it.
     booking: Option<Booking>,
     request: Fingerprint,
+    parts: Arc<[PartId]>,
+    sent: Time,
+    /// When the answer began, and the number of the run.
+    run: Option<(Time, RunNumber)>,
     /// Set before the first byte of the request may be sent.
     handed_off: Flag,
     /// Whether the outcome at the endpoint is known.
@@ -114,6 +121,9 @@
             version: entry.version.clone(),
             booking,
             request: ctx.fingerprint(),
+            parts: Arc::clone(&ctx.request.parts),
+            sent: ctx.shared.now(),
+            run: None,
             handed_off: Flag::default(),
             settled: false,
         }
@@ -124,6 +134,36 @@
         self.settled = true;
     }
 
+    /// Returns whether the answer has begun.
+    pub(crate) const fn has_begun(&self) -> bool {
+        self.run.is_some()
+    }
+
+    /// Records that the answer has begun.
+    pub(crate) fn begin(&mut self) {
+        if self.run.is_some() {
+            return;
+        }
+        let now = self.shared.now();
+        let number = self.shared.dispatcher.next_run();
+        self.run = Some((now, number));
+        let parts = Arc::clone(&self.parts);
+        self.shared.crashes().on_answer_began(now, number, parts);
+    }
+
+    /// Returns what the endpoint loses with this request if it ends now.
+    fn casualty(&self) -> Casualty {
+        let now = self.shared.now();
+        Casualty {
+            request: self.request,
+            parts: Arc::clone(&self.parts),
+            sent: self.sent,
+            answered: self
+                .run
+                .map_or(Duration::ZERO, |(began, _)| now.since(began)),
+        }
+    }
+
     fn incarnation(&self) -> Incarnation {
         Incarnation {
             endpoint: self.endpoint.clone(),
@@ -135,10 +175,13 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.shared.directory().call_ended(&self.endpoint);
+        if let Some((_, number)) = self.run {
+            self.shared.crashes().on_run_ended(number);
+        }
         if !self.settled && self.handed_off.is_set() {
             self.shared
                 .dispatcher
-                .request_abandoned(self.incarnation(), self.request);
+                .request_abandoned(self.incarnation(), self.casualty());
         }
     }
 }
@@ -201,7 +244,15 @@
             (&handed_off, &may_send),
         );
         let may_have_run = std::mem::replace(&mut ctx.may_have_run, true);
-        match ctx.before_give_up(response).await {
+        match ctx.before_quarantine(response).await {
+            None if !handed_off.is_set() && ctx.quarantine_remaining().is_some() => {
+                ctx.may_have_run = may_have_run;
+                return AttemptResult::Unserved(Refusal::Quarantined);
+            }
+            None if ctx.quarantine_remaining().is_some() => {
+                ctx.attempted.push(choice.entry.id);
+                return AttemptResult::Unserved(Refusal::ResponseLost);
+            }
             None if !handed_off.is_set() => {
                 ctx.may_have_run = may_have_run;
                 return AttemptResult::NotRun(ctx.timeout_refusal());
@@ -552,7 +603,7 @@
 pub(crate) fn report_break(ctx: &RequestContext, flight: &mut InFlight) {
     flight.settle();
     let dispatcher = &ctx.shared.dispatcher;
-    dispatcher.connection_broke(flight.incarnation(), flight.address, flight.request);
+    dispatcher.connection_broke(flight.incarnation(), flight.address, flight.casualty());
 }
 
 /// Returns whether a status claims that the request did not run.
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -1,6 +1,7 @@
 //! The interface to the protocols of callers and endpoints.
 
 use std::fmt::Debug;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -17,6 +18,7 @@
 use snipeyoke_lib::serving::batching::BatchItem;
 use snipeyoke_lib::serving::batching::ItemOutcome;
 use snipeyoke_lib::serving::bookings::LeadingPrefix;
+use snipeyoke_lib::serving::crashes::PartId;
 use snipeyoke_lib::serving::directory::LoadReport;
 use snipeyoke_lib::serving::rate_limit::RateNotice;
 
@@ -62,6 +64,8 @@
     pub prompt: Option<Prompt>,
     /// The shorter prefixes of the prompt that others share, shortest first.
     pub leading: Vec<LeadingPrefix>,
+    /// The parts of the prompt that others may share, in order.
+    pub parts: Arc<[PartId]>,
     /// The number of batch items of each stage.
     pub item_counts: Vec<u32>,
     /// The key from which the first stages derive their input.
--- a/gateway/src/dispatch/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -8,6 +8,7 @@
 use futures_lite::FutureExt;
 use snipeyoke_lib::serving::batching::BatchCall;
 use snipeyoke_lib::serving::batching::CallResult;
+use snipeyoke_lib::serving::crashes::Casualty;
 use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
 use snipeyoke_lib::serving::rate_limit::RateNotice;
@@ -46,7 +47,7 @@
             Ok(call) => read_response(&shared, &batch, call, sent_at).await,
             Err(error) => {
                 if !error.is_not_sent() {
-                    report_break(&shared, &batch);
+                    report_break(&shared, &batch, sent_at);
                 }
                 log_broken(&batch.entry, &error)
             }
@@ -66,7 +67,7 @@
 }
 
 /// Reports that the connection of a call broke before the whole response.
-fn report_break(shared: &Shared, batch: &BatchCall) {
+fn report_break(shared: &Shared, batch: &BatchCall, sent_at: Time) {
     let incarnation = Incarnation {
         endpoint: batch.entry.id.clone(),
         started_at: batch.entry.started_at,
@@ -74,6 +75,13 @@
     let requests = batch.items.iter().filter_map(|i| i.fingerprint);
     for request in requests.collect::<BTreeSet<_>>() {
         let dispatcher = &shared.dispatcher;
+        // Endpoints of stages do not read prompts.
+        let request = Casualty {
+            request,
+            parts: Arc::default(),
+            sent: sent_at,
+            answered: Duration::ZERO,
+        };
         dispatcher.connection_broke(incarnation.clone(), batch.entry.address, request);
     }
 }
@@ -105,7 +113,7 @@
             Ok(None) => break,
             Ok(Some(_)) => return CallResult::Broken,
             Err(_) => {
-                report_break(shared, batch);
+                report_break(shared, batch, sent_at);
                 return CallResult::Broken;
             }
         }
--- a/gateway/src/dispatch/convert.rs
+++ b/gateway/src/dispatch/convert.rs
@@ -6,18 +6,28 @@
 use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::serving::batching::Job;
 use snipeyoke_lib::serving::batching::StageInput;
+use snipeyoke_lib::serving::crashes::Casualty;
+use snipeyoke_lib::serving::crashes::Clearance;
+use snipeyoke_lib::serving::crashes::EndReport;
 use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Inquiry;
+use snipeyoke_lib::serving::crashes::PartId;
+use snipeyoke_lib::serving::crashes::Suspect;
 use snipeyoke_lib::serving::crashes::Verdict;
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
 use snipeyoke_lib::serving::homes::Homes;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Bytes;
+use snipeyoke_wire::EndedRequest;
 use snipeyoke_wire::EndpointEnd;
 use snipeyoke_wire::KeyedRecord;
 use snipeyoke_wire::PieceJob;
 use snipeyoke_wire::PieceJobEnd;
 use snipeyoke_wire::Quarantine;
+use snipeyoke_wire::SuspectAge;
+use snipeyoke_wire::SuspectAsk;
+use snipeyoke_wire::SuspectsCleared;
 
 use super::JobNumber;
 use super::JobResult;
@@ -148,56 +158,149 @@
     }
 }
 
-/// Converts the crash of an endpoint under a request to its frame.
-pub(super) fn endpoint_end_frame(
-    request: Fingerprint,
-    incarnation: &Incarnation,
-    age: Duration,
-) -> EndpointEnd {
+/// Converts the end of an endpoint to its frame.
+pub(super) fn endpoint_end_frame(now: Time, report: &EndReport) -> EndpointEnd {
+    let requests = report.casualties.iter().map(|casualty| EndedRequest {
+        fingerprint: bytes_of(casualty.request),
+        parts: casualty.parts.iter().map(|part| id_bytes(part.0)).collect(),
+        sent_ms: report.at.since(casualty.sent).as_millis() as u64,
+        answered_ms: casualty.answered.as_millis() as u64,
+    });
     EndpointEnd {
-        request: bytes_of(request),
-        endpoint: incarnation.endpoint.to_string(),
-        born: incarnation.started_at,
-        age_ms: age.as_millis() as u64,
+        endpoint: report.incarnation.endpoint.to_string(),
+        born: report.incarnation.started_at,
+        age_ms: now.since(report.at).as_millis() as u64,
+        requests: requests.collect(),
     }
 }
 
-/// Converts a frame to a request, the endpoint that crashed, and the crash's
-/// age; `None` if the frame is invalid.
-pub(super) fn endpoint_end_of(frame: &EndpointEnd) -> Option<(Fingerprint, Incarnation, Duration)> {
+/// Converts a frame to the end of an endpoint; `None` if the frame is invalid.
+pub(super) fn endpoint_end_of(now: Time, frame: &EndpointEnd) -> Option<EndReport> {
     let incarnation = Incarnation {
         endpoint: frame.endpoint.parse().ok()?,
         started_at: frame.born,
     };
-    let age = Duration::from_millis(frame.age_ms);
-    Some((fingerprint(&frame.request)?, incarnation, age))
+    let at = now - Duration::from_millis(frame.age_ms);
+    let casualty = |request: &EndedRequest| {
+        let parts = request.parts.iter().map(|id| Some(PartId(id_of(id)?)));
+        Some(Casualty {
+            request: fingerprint(&request.fingerprint)?,
+            parts: parts.collect::<Option<_>>()?,
+            sent: at - Duration::from_millis(request.sent_ms),
+            answered: Duration::from_millis(request.answered_ms),
+        })
+    };
+    let casualties: Option<Vec<Casualty>> = frame.requests.iter().map(casualty).collect();
+    Some(EndReport {
+        at,
+        incarnation,
+        casualties: casualties?,
+    })
 }
 
-/// Converts a verdict on a request to its frame.
+/// Converts questions for answers that clear suspects to their frame.
+pub(super) fn inquiry_frame(now: Time, inquiries: &[Inquiry]) -> SuspectAsk {
+    let suspects = inquiries.iter();
+    let suspects = suspects.map(|i| suspect_age(now, i.suspect, i.first_end));
+    SuspectAsk {
+        suspects: suspects.collect(),
+    }
+}
+
+/// Converts a frame to questions; leaves out invalid ones.
+pub(super) fn inquiries_of(now: Time, frame: &SuspectAsk) -> Vec<Inquiry> {
+    let inquiries = frame.suspects.iter().filter_map(|asked| {
+        let (suspect, first_end) = suspect_at(now, asked)?;
+        Some(Inquiry { suspect, first_end })
+    });
+    inquiries.collect()
+}
+
+/// Converts clearances to their frame.
+pub(super) fn clearance_frame(now: Time, clearances: &[Clearance]) -> SuspectsCleared {
+    let suspects = clearances.iter();
+    let suspects = suspects.map(|c| suspect_age(now, c.suspect, c.at));
+    SuspectsCleared {
+        suspects: suspects.collect(),
+    }
+}
+
+/// Converts a frame to clearances; leaves out invalid ones.
+pub(super) fn clearances_of(now: Time, frame: &SuspectsCleared) -> Vec<Clearance> {
+    let clearances = frame.suspects.iter().filter_map(|cleared| {
+        let (suspect, at) = suspect_at(now, cleared)?;
+        Some(Clearance { suspect, at })
+    });
+    clearances.collect()
+}
+
+/// Converts a verdict to its frame.
 pub(super) fn quarantine_frame(verdict: &Verdict) -> Quarantine {
     Quarantine {
-        request: bytes_of(verdict.request),
+        suspect: Some(suspect_frame(verdict.suspect)),
         version: verdict.version,
         left_ms: verdict.remaining.as_millis() as u64,
         span_ms: verdict.first_end_age.as_millis() as u64,
+        trials: verdict.trials,
     }
 }
 
-/// Converts a frame to a verdict on a request; `None` if the frame is invalid.
+/// Converts a frame to a verdict; `None` if the frame is invalid.
 pub(super) fn verdict_of(frame: &Quarantine) -> Option<Verdict> {
     Some(Verdict {
-        request: fingerprint(&frame.request)?,
+        suspect: suspect_of(frame.suspect.as_ref()?)?,
         version: frame.version,
         remaining: Duration::from_millis(frame.left_ms),
         first_end_age: Duration::from_millis(frame.span_ms),
+        trials: frame.trials,
+    })
+}
+
+fn suspect_age(now: Time, suspect: Suspect, at: Time) -> SuspectAge {
+    SuspectAge {
+        suspect: Some(suspect_frame(suspect)),
+        age_ms: now.since(at).as_millis() as u64,
+    }
+}
+
+fn suspect_at(now: Time, frame: &SuspectAge) -> Option<(Suspect, Time)> {
+    let suspect = suspect_of(frame.suspect.as_ref()?)?;
+    Some((suspect, now - Duration::from_millis(frame.age_ms)))
+}
+
+fn suspect_frame(suspect: Suspect) -> snipeyoke_wire::Suspect {
+    let (part, id) = match suspect {
+        Suspect::Request(request) => (false, request.0),
+        Suspect::Part(part) => (true, part.0),
+    };
+    snipeyoke_wire::Suspect {
+        part,
+        id: id_bytes(id),
+    }
+}
+
+fn suspect_of(frame: &snipeyoke_wire::Suspect) -> Option<Suspect> {
+    let id = id_of(&frame.id)?;
+    Some(if frame.part {
+        Suspect::Part(PartId(id))
+    } else {
+        Suspect::Request(Fingerprint(id))
     })
 }
 
 fn bytes_of(request: Fingerprint) -> bytes::Bytes {
-    request.0.to_be_bytes().to_vec().into()
+    id_bytes(request.0)
 }
 
 fn fingerprint(bytes: &[u8]) -> Option<Fingerprint> {
+    id_of(bytes).map(Fingerprint)
+}
+
+fn id_bytes(id: u128) -> bytes::Bytes {
+    id.to_be_bytes().to_vec().into()
+}
+
+fn id_of(bytes: &[u8]) -> Option<u128> {
     let bytes = <[u8; 16]>::try_from(bytes).ok()?;
-    Some(Fingerprint(u128::from_be_bytes(bytes)))
+    Some(u128::from_be_bytes(bytes))
 }
--- a/gateway/src/dispatch/crashes.rs
+++ b/gateway/src/dispatch/crashes.rs
@@ -1,12 +1,17 @@
-//! Detection of requests that crash endpoints.
+//! Detection of requests, and parts of prompts, that crash endpoints.
 
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use async_channel::Sender;
 use async_io::Timer;
+use snipeyoke_lib::serving::crashes::Casualty;
+use snipeyoke_lib::serving::crashes::Clearance;
+use snipeyoke_lib::serving::crashes::EndReport;
 use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Suspect;
 use snipeyoke_lib::serving::crashes::Verdict;
 use snipeyoke_lib::serving::crashes::VerdictOutcome;
 use snipeyoke_lib::serving::directory::Endpoint;
@@ -16,6 +21,8 @@
 use snipeyoke_runtime::link;
 use snipeyoke_wire::EndpointEnd;
 use snipeyoke_wire::Quarantine;
+use snipeyoke_wire::SuspectAsk;
+use snipeyoke_wire::SuspectsCleared;
 use snipeyoke_wire::frame::Body;
 
 use super::convert;
@@ -40,12 +47,12 @@
 /// The number of latest verdicts sent to a node when a link to it comes up.
 const VERDICTS_ON_CONNECT: usize = 16;
 
-/// The reported crash of an endpoint while it processed a request.
-#[derive(Debug, Clone)]
-pub(super) struct Report {
-    at: Time,
-    request: Fingerprint,
-    incarnation: Incarnation,
+/// The ends of endpoints that this node reported recently.
+#[derive(Debug, Default)]
+pub(super) struct CrashReports {
+    recent: VecDeque<EndReport>,
+    /// The nodes that counted when the reports were last sent.
+    counters: Vec<SocketAddr>,
 }
 
 impl State {
@@ -53,18 +60,18 @@
         &mut self,
         incarnation: Incarnation,
         address: SocketAddr,
-        request: Fingerprint,
+        request: Casualty,
     ) {
         let now = self.shared.now();
         match self
             .endpoint_loss
-            .on_connection_lost(now, &incarnation, request)
+            .on_connection_lost(now, &incarnation, request.clone())
         {
             LossAction::Probe => {
                 let probe = probe(incarnation, address, self.inbox.clone());
                 self.scope.spawn(probe);
             }
-            LossAction::Ended => self.record_crash(now, &incarnation, request),
+            LossAction::Ended => self.record_crash(now, incarnation, vec![request]),
             LossAction::AwaitProbe | LossAction::Alive => {}
         }
     }
@@ -95,8 +102,10 @@
         } else if !ended {
             log::info!(event = "endpoint-lives", endpoint = incarnation.to_string().as_str(); "");
         }
-        for (at, request) in requests {
-            self.record_crash(at, incarnation, request);
+        let at = requests.iter().map(|(at, _)| *at).min();
+        if let Some(at) = at {
+            let requests = requests.into_iter().map(|(_, request)| request);
+            self.record_crash(at, incarnation.clone(), requests.collect());
         }
     }
 
@@ -116,12 +125,12 @@
         drop(directory);
         let booker = self.shared.owners().booking_owner(now, &service, shard);
         if booker != self.shared.settings.listen.peers {
-            let frame = EndpointEnd {
-                request: bytes::Bytes::new(),
-                endpoint: incarnation.endpoint.to_string(),
-                born: incarnation.started_at,
-                age_ms: 0,
+            let report = EndReport {
+                at: now,
+                incarnation: incarnation.clone(),
+                casualties: Vec::new(),
             };
+            let frame = convert::endpoint_end_frame(now, &report);
             self.send(booker, Body::EndpointEnd(frame));
         }
     }
@@ -133,42 +142,50 @@
         entry.is_some_and(|e| e.started_at == incarnation.started_at && e.draining)
     }
 
-    /// Counts a crash and reports it to the nodes that count for the request.
-    fn record_crash(&mut self, at: Time, incarnation: &Incarnation, request: Fingerprint) {
-        metrics::counter!("snipeyoke_crash_strikes_total").increment(1);
-        log::warn!(event = "endpoint-ended", endpoint = incarnation.to_string().as_str(), fingerprint = request.to_string().as_str(); "");
-        let incarnation = incarnation.clone();
-        let report = Report {
+    /// Reports the end of an endpoint to the nodes that count.
+    fn record_crash(&mut self, at: Time, incarnation: Incarnation, casualties: Vec<Casualty>) {
+        for casualty in &casualties {
+            metrics::counter!("snipeyoke_crash_strikes_total").increment(1);
+            let parts: Vec<String> = casualty.parts.iter().map(ToString::to_string).collect();
+            log::warn!(event = "endpoint-ended", endpoint = incarnation.to_string().as_str(), fingerprint = casualty.request.to_string().as_str(), parts = parts.join(",").as_str(), sent_ms = at.since(casualty.sent).as_millis() as u64; "");
+        }
+        let report = EndReport {
             at,
-            request,
             incarnation,
+            casualties,
         };
-        self.count_crash(&report);
-        self.send_report(&report, |_| true);
-        if self.reports.len() >= REPORTS_MAX {
-            self.reports.pop_front();
+        let counters = self.shared.owners().crash_counters(self.shared.now());
+        self.send_report(&report, &counters);
+        self.crash_reports.counters = counters;
+        let recent = &mut self.crash_reports.recent;
+        if recent.len() >= REPORTS_MAX {
+            recent.pop_front();
         }
-        self.reports.push_back(report);
+        recent.push_back(report);
     }
 
-    fn send_report(&mut self, report: &Report, to: impl Fn(&SocketAddr) -> bool) {
+    fn send_report(&mut self, report: &EndReport, counters: &[SocketAddr]) {
         let now = self.shared.now();
-        let own = self.shared.settings.listen.peers;
-        let counters = self.shared.owners().crash_counters(now, report.request);
-        for node in counters.into_iter().filter(|n| *n != own && to(n)) {
-            let age = now.since(report.at);
-            let frame = convert::endpoint_end_frame(report.request, &report.incarnation, age);
-            // If the link is not up yet, `send_recent` sends the report.
-            self.send(node, Body::EndpointEnd(frame));
+        for &node in counters {
+            if node == self.shared.settings.listen.peers {
+                self.count_end(report);
+            } else {
+                // If the link is not up yet, `send_recent` sends the report.
+                let frame = convert::endpoint_end_frame(now, report);
+                self.send(node, Body::EndpointEnd(frame));
+            }
         }
     }
 
     /// Sends the recent reports and verdicts to a node whose link came up.
     pub(super) fn send_recent(&mut self, peer: SocketAddr) {
-        for report in self.recent() {
-            self.send_report(&report, |node| *node == peer);
-        }
         let now = self.shared.now();
+        let counters = self.shared.owners().crash_counters(now);
+        if counters.contains(&peer) {
+            for report in self.recent_reports() {
+                self.send_report(&report, &[peer]);
+            }
+        }
         let crashes = self.shared.crashes();
         let verdicts = crashes.latest(now, VERDICTS_ON_CONNECT);
         drop(crashes);
@@ -177,70 +194,131 @@
         }
     }
 
-    /// Resends the recent reports to the nodes that count now.
-    ///
-    /// Called after a node was lost that may have counted.
-    pub(super) fn resend_reports(&mut self) {
-        for report in self.recent() {
-            self.send_report(&report, |_| true);
+    /// Resends the recent reports if other nodes count now.
+    fn resend_reports(&mut self) {
+        if self.crash_reports.recent.is_empty() {
+            return;
+        }
+        let counters = self.shared.owners().crash_counters(self.shared.now());
+        if counters == self.crash_reports.counters {
+            return;
+        }
+        self.crash_reports.counters.clone_from(&counters);
+        for report in self.recent_reports() {
+            self.send_report(&report, &counters);
         }
     }
 
-    fn recent(&mut self) -> Vec<Report> {
+    fn recent_reports(&mut self) -> Vec<EndReport> {
         let now = self.shared.now();
-        self.reports
-            .retain(|r| now.since(r.at) < REPORT_RESEND_PERIOD);
-        self.reports.iter().cloned().collect()
+        let recent = &mut self.crash_reports.recent;
+        recent.retain(|r| now.since(r.at) < REPORT_RESEND_PERIOD);
+        recent.iter().cloned().collect()
     }
 
-    /// Counts the crash of an endpoint that another node reported.
+    /// Handles the end of an endpoint that another node reported.
     pub(super) fn handle_endpoint_end(&mut self, frame: &EndpointEnd) {
-        if let Ok(endpoint) = frame.endpoint.parse() {
-            let started_at = frame.born;
-            let run = Incarnation {
-                endpoint,
-                started_at,
-            };
-            self.shared.directory().mark_ended(self.shared.now(), &run);
-        }
-        if frame.request.is_empty() {
-            return;
-        }
-        let Some((request, incarnation, age)) = convert::endpoint_end_of(frame) else {
+        let now = self.shared.now();
+        let Some(report) = convert::endpoint_end_of(now, frame) else {
             log::warn!(event = "endpoint-end-unreadable", remedy = "run the same release on all nodes"; "");
             return;
         };
-        let at = self.shared.now() - age;
-        self.count_crash(&Report {
-            at,
-            request,
-            incarnation,
-        });
+        self.shared.directory().mark_ended(now, &report.incarnation);
+        if !report.casualties.is_empty() {
+            self.count_end(&report);
+        }
     }
 
-    fn count_crash(&mut self, report: &Report) {
-        let Report {
-            at,
-            request,
-            incarnation,
-        } = report;
-        let request = *request;
+    fn count_end(&mut self, report: &EndReport) {
+        let now = self.shared.now();
+        let failed_trials = self.shared.crashes().on_end(now, report);
+        for verdict in failed_trials {
+            self.announce_quarantine(verdict);
+        }
+    }
+
+    /// Sends what follows from the ends and answers so far.
+    pub(super) fn process_crashes(&mut self, now: Time) {
+        self.resend_reports();
+        let cleared = self.shared.crashes().take_clearances(now);
+        self.send_clearances(&cleared);
+        let own = self.shared.settings.listen.peers;
+        let counters = self.shared.owners().crash_counters(now);
+        let rank = counters.iter().position(|&node| node == own);
+        let findings = self.shared.crashes().poll(now, rank.map(|r| r as u32));
+        if !findings.inquiries.is_empty() {
+            let suspects = findings.inquiries.iter().map(|i| i.suspect.to_string());
+            let suspects: Vec<String> = suspects.collect();
+            log::info!(event = "suspects-asked", suspects = suspects.join(",").as_str(); "");
+            let frame = convert::inquiry_frame(now, &findings.inquiries);
+            self.send_to_all(&Body::SuspectAsk(frame));
+        }
+        for verdict in findings.verdicts {
+            self.announce_quarantine(verdict);
+        }
+    }
+
+    /// Handles the questions of a node that counts.
+    pub(super) fn handle_inquiry(&mut self, frame: &SuspectAsk) {
         let now = self.shared.now();
+        let inquiries = convert::inquiries_of(now, frame);
         let mut crashes = self.shared.crashes();
-        let mut endpoints: Vec<String> = crashes
-            .lost_endpoints(request)
-            .map(ToString::to_string)
-            .collect();
-        let verdict = crashes.on_reported_end(now, *at, request, incarnation);
+        let cleared = inquiries.into_iter();
+        let cleared = cleared.filter_map(|inquiry| crashes.on_inquiry(now, inquiry));
+        let cleared: Vec<Clearance> = cleared.collect();
         drop(crashes);
-        let Some(verdict) = verdict else {
+        self.send_clearances(&cleared);
+    }
+
+    /// Sends clearances to the nodes that count.
+    pub(super) fn send_clearances(&mut self, clearances: &[Clearance]) {
+        if clearances.is_empty() {
             return;
-        };
-        endpoints.push(incarnation.to_string());
-        metrics::counter!("snipeyoke_quarantines_total").increment(1);
-        log::warn!(event = "request-quarantined", fingerprint = request.to_string().as_str(), endpoints = endpoints.join(",").as_str(), span_ms = verdict.first_end_age.as_millis() as u64, left_ms = verdict.remaining.as_millis() as u64; "");
-        self.announce_verdict(verdict);
-        self.refuse_jobs(request);
+        }
+        let now = self.shared.now();
+        let own = self.shared.settings.listen.peers;
+        let frame = convert::clearance_frame(now, clearances);
+        let counters = self.shared.owners().crash_counters(now);
+        for node in counters.into_iter().filter(|&node| node != own) {
+            self.send(node, Body::SuspectsCleared(frame.clone()));
+        }
+        self.apply_clearances(clearances);
+    }
+
+    pub(super) fn handle_clearances(&mut self, frame: &SuspectsCleared) {
+        let clearances = convert::clearances_of(self.shared.now(), frame);
+        self.apply_clearances(&clearances);
+    }
+
+    fn apply_clearances(&mut self, clearances: &[Clearance]) {
+        let now = self.shared.now();
+        for &clearance in clearances {
+            let lifted = self.shared.crashes().on_clearance(now, clearance);
+            if let Some(lifted) = lifted {
+                self.announce_verdict(lifted, "answered");
+            }
+        }
+    }
+
+    /// Logs and announces a quarantine that this node has imposed.
+    fn announce_quarantine(&mut self, verdict: Verdict) {
+        let crashes = self.shared.crashes();
+        let endpoints = crashes.lost_endpoints(verdict.suspect);
+        let endpoints: Vec<String> = endpoints.map(ToString::to_string).collect();
+        drop(crashes);
+        metrics::counter!("snipeyoke_quarantines_total", "kind" => verdict.suspect.kind())
+            .increment(1);
+        log::warn!(event = "quarantined", suspect = verdict.suspect.to_string().as_str(), ends = endpoints.len(), endpoints = endpoints.join(",").as_str(), span_ms = verdict.first_end_age.as_millis() as u64, left_ms = verdict.remaining.as_millis() as u64, trials = verdict.trials; "");
+        self.announce_verdict(verdict, "");
+        self.withdraw(verdict.suspect);
+    }
+
+    /// Withdraws what waits on this node and is refused from now on.
+    fn withdraw(&mut self, suspect: Suspect) {
+        if let Suspect::Request(request) = suspect {
+            self.refuse_jobs(request);
+        }
+        self.shared.quarantines_changed.notify(usize::MAX);
     }
 
     fn refuse_jobs(&mut self, request: Fingerprint) {
@@ -262,41 +340,48 @@
             VerdictOutcome::New => {
                 log_learned(&verdict);
                 if !verdict.remaining.is_zero() {
-                    self.refuse_jobs(verdict.request);
+                    self.withdraw(verdict.suspect);
                 }
             }
-            VerdictOutcome::Overruled(lifted) => self.announce_verdict(lifted),
+            VerdictOutcome::Overruled(lifted) => self.announce_verdict(lifted, "answered"),
         }
     }
 
-    /// Announces this node's verdict on a request to all nodes.
-    pub(super) fn announce_verdict(&mut self, verdict: Verdict) {
+    /// Announces this node's verdict to all nodes.
+    ///
+    /// `why` says why a quarantine was lifted.
+    pub(super) fn announce_verdict(&mut self, verdict: Verdict, why: &str) {
         if verdict.remaining.is_zero() {
-            log::info!(event = "quarantine-lifted", fingerprint = verdict.request.to_string().as_str(), why = "answered"; "");
+            log::info!(event = "quarantine-lifted", suspect = verdict.suspect.to_string().as_str(), why; "");
         }
+        let frame = convert::quarantine_frame(&verdict);
+        self.send_to_all(&Body::Quarantine(frame));
+    }
+
+    /// Sends a frame to all nodes, over links of either direction.
+    fn send_to_all(&mut self, body: &Body) {
         let now = self.shared.now();
         let nodes: Vec<SocketAddr> = self.shared.owners().live(now).map(|(a, _)| a).collect();
-        let frame = convert::quarantine_frame(&verdict);
         for node in nodes {
             let linked = self.peers.get(&node).is_some_and(|p| p.sender.is_some());
             let inbound = self.inbound.values().find(|l| l.node == Some(node));
             match inbound {
                 Some(inbound) if !linked => {
-                    let _full = inbound.sender.send(Body::Quarantine(frame.clone()));
+                    let _full = inbound.sender.send(body.clone());
                 }
-                _ => self.send(node, Body::Quarantine(frame.clone())),
+                _ => self.send(node, body.clone()),
             }
         }
     }
 }
 
 fn log_learned(verdict: &Verdict) {
-    let fingerprint = verdict.request.to_string();
+    let suspect = verdict.suspect.to_string();
     if verdict.remaining.is_zero() {
-        log::info!(event = "quarantine-lifted", fingerprint = fingerprint.as_str(), why = "told"; "");
+        log::info!(event = "quarantine-lifted", suspect = suspect.as_str(), why = "told"; "");
         return;
     }
-    log::info!(event = "quarantine-learned", fingerprint = fingerprint.as_str(), left_ms = verdict.remaining.as_millis() as u64; "");
+    log::info!(event = "quarantine-learned", suspect = suspect.as_str(), left_ms = verdict.remaining.as_millis() as u64, trials = verdict.trials; "");
 }
 
 /// Probes whether an endpoint whose connection broke has ended.
--- a/gateway/src/dispatch/inbound.rs
+++ b/gateway/src/dispatch/inbound.rs
@@ -47,7 +47,7 @@
 /// full list of hundreds occupies the link for a tenth of a second.
 const CHANGES_MAX: usize = 64;
 
-/// The most verdicts on requests in a response; the next response has more.
+/// The most verdicts in a response; the next response has more.
 const VERDICTS_MAX: usize = 64;
 
 impl State {
@@ -61,6 +61,8 @@
             Body::PlaceAsk(request) => self.handle_place_request(link, &request),
             Body::EndpointEnd(end) => self.handle_endpoint_end(&end),
             Body::Quarantine(frame) => self.handle_verdict(&frame),
+            Body::SuspectAsk(frame) => self.handle_inquiry(&frame),
+            Body::SuspectsCleared(frame) => self.handle_clearances(&frame),
             Body::PlaceNote(note) => self.handle_place_note(link, &note),
             Body::StreamsBegun(frame) => self.handle_streams_begun(&frame),
             Body::VersionsRecorded(frame) => self.handle_recorded_versions(&frame),
--- a/gateway/src/dispatch/messages.rs
+++ b/gateway/src/dispatch/messages.rs
@@ -10,7 +10,8 @@
 use snipeyoke_lib::serving::batching::CallResult;
 use snipeyoke_lib::serving::batching::Job;
 use snipeyoke_lib::serving::bookings::PlacementRequest;
-use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Casualty;
+use snipeyoke_lib::serving::crashes::Clearance;
 use snipeyoke_lib::serving::crashes::Verdict;
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
 use snipeyoke_lib::serving::stream_origins::OriginAnswer;
@@ -73,12 +74,12 @@
     ConnectionBroke {
         incarnation: Incarnation,
         address: SocketAddr,
-        request: Fingerprint,
+        request: Casualty,
     },
     /// A request of this node was abandoned while an endpoint was processing it.
     RequestAbandoned {
         incarnation: Incarnation,
-        request: Fingerprint,
+        request: Casualty,
     },
     /// An endpoint refused a connection.
     ConnectionRefused {
@@ -92,6 +93,8 @@
     },
     /// This node has reached a verdict that all other nodes need.
     Verdict(Verdict),
+    /// Answers of this node clear suspects.
+    Clearances(Vec<Clearance>),
     /// The set of endpoints changed.
     EndpointsChanged,
     /// This node has a newer configuration.
--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -29,7 +29,9 @@
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::batching::Job;
 use snipeyoke_lib::serving::bookings::PlacementRequest;
-use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Casualty;
+use snipeyoke_lib::serving::crashes::Clearance;
+use snipeyoke_lib::serving::crashes::RunNumber;
 use snipeyoke_lib::serving::crashes::Verdict;
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
 
@@ -142,7 +144,7 @@
         &self,
         incarnation: Incarnation,
         address: SocketAddr,
-        request: Fingerprint,
+        request: Casualty,
     ) {
         self.send(Message::ConnectionBroke {
             incarnation,
@@ -152,7 +154,7 @@
     }
 
     /// Reports that a request was abandoned while an endpoint was processing it.
-    pub(crate) fn request_abandoned(&self, incarnation: Incarnation, request: Fingerprint) {
+    pub(crate) fn request_abandoned(&self, incarnation: Incarnation, request: Casualty) {
         self.send(Message::RequestAbandoned {
             incarnation,
             request,
@@ -167,11 +169,21 @@
         });
     }
 
-    /// Announces a quarantine verdict on a request to all other nodes.
+    /// Announces a quarantine verdict to all other nodes.
     pub(crate) fn announce_verdict(&self, verdict: Verdict) {
         self.send(Message::Verdict(verdict));
     }
 
+    /// Sends what clears suspects to the nodes that count lost endpoints.
+    pub(crate) fn send_clearances(&self, clearances: Vec<Clearance>) {
+        self.send(Message::Clearances(clearances));
+    }
+
+    /// Returns the number of a new run of a request at an endpoint.
+    pub(crate) fn next_run(&self) -> RunNumber {
+        RunNumber(self.next_number())
+    }
+
     /// Notifies the task that the set of endpoints changed.
     pub(crate) fn endpoints_changed(&self) {
         self.send(Message::EndpointsChanged);
--- a/gateway/src/dispatch/peers.rs
+++ b/gateway/src/dispatch/peers.rs
@@ -51,6 +51,7 @@
             Body::SyncReply(reply) => self.handle_sync_reply(peer, reply),
             Body::RecordSlice(slice) => self.handle_slice(peer, slice),
             Body::Quarantine(frame) => self.handle_verdict(&frame),
+            Body::SuspectAsk(frame) => self.handle_inquiry(&frame),
             Body::Placed(placed) => self.handle_placed(peer, &placed),
             Body::OriginReply(frame) => self.handle_origin_reply(frame),
             _ => {
@@ -272,7 +273,6 @@
         let numbers: Vec<JobNumber> = held.map(|(&n, _)| n).collect();
         log::info!(event = "node-lost", peer = peer.to_string().as_str(), why, jobs = numbers.len(); "");
         self.release_missed(peer);
-        self.resend_reports();
         self.handle_keeper_lost(peer);
         for number in numbers {
             if let Some(pending) = self.pending.remove(&number) {
--- a/gateway/src/dispatch/queues.rs
+++ b/gateway/src/dispatch/queues.rs
@@ -14,6 +14,7 @@
 use snipeyoke_lib::serving::batching::Job;
 use snipeyoke_lib::serving::batching::JobId;
 use snipeyoke_lib::serving::batching::JobOutcome;
+use snipeyoke_lib::serving::crashes::Suspect;
 use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_wire::frame::Body;
@@ -55,7 +56,10 @@
         origin: Origin,
     ) -> Option<JobId> {
         let now = self.shared.now();
-        let quarantined = |r| !self.shared.crashes().may_continue(now, r);
+        let quarantined = |r| {
+            let crashes = self.shared.crashes();
+            !crashes.may_continue(now, Suspect::Request(r))
+        };
         if job.fingerprint.is_some_and(quarantined) {
             return None;
         }
@@ -109,6 +113,7 @@
         self.request_config();
         self.poll_reader(now);
         self.process_origins(now);
+        self.process_crashes(now);
         let mut ended_jobs = Vec::new();
         let services = self.queues.keys();
         let limits = services.map(|s| (self.cold_share(s, None), self.granter(s, None)));
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -1,7 +1,6 @@
 //! The dispatcher's task.
 
 use std::collections::BTreeMap;
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -33,7 +32,7 @@
 use super::JobNumber;
 use super::JobResult;
 use super::convert;
-use super::crashes::Report;
+use super::crashes::CrashReports;
 use super::links;
 use super::messages::LinkNumber;
 use super::messages::Message;
@@ -143,7 +142,7 @@
         assembly: Assembly::default(),
         endpoints_request: None,
         endpoint_loss: EndpointLoss::default(),
-        reports: VecDeque::new(),
+        crash_reports: CrashReports::default(),
         origins: OriginState::default(),
     };
     loop {
@@ -197,8 +196,8 @@
     pub(super) endpoints_request: Option<(SocketAddr, Time)>,
     /// Endpoints whose connections broke recently.
     pub(super) endpoint_loss: EndpointLoss,
-    /// Endpoint crashes that this node reported recently.
-    pub(super) reports: VecDeque<Report>,
+    /// The ends of endpoints that this node reported recently.
+    pub(super) crash_reports: CrashReports,
     /// Questions about the origins of streams, and what is saved of them.
     pub(super) origins: OriginState,
 }
@@ -216,10 +215,12 @@
             Time::NEVER
         };
         let next_origins = self.origins.wake(&self.shared);
+        let next_crashes = self.shared.crashes().wake(now);
         let deadline = next_poll
             .min(next_request)
             .min(self.reader_poll_at())
             .min(next_origins)
+            .min(next_crashes)
             .min(next_check);
         queues.fold(deadline, Time::min)
     }
@@ -271,7 +272,8 @@
                 address,
             } => self.handle_connection_refused(incarnation, address),
             Message::Probed { incarnation, ended } => self.handle_probe(&incarnation, ended),
-            Message::Verdict(verdict) => self.announce_verdict(verdict),
+            Message::Verdict(verdict) => self.announce_verdict(verdict, "answered"),
+            Message::Clearances(clearances) => self.send_clearances(&clearances),
             Message::EndpointsChanged => {
                 self.update_endpoints();
                 self.record_versions(self.shared.now());
--- a/gateway/src/request_context.rs
+++ b/gateway/src/request_context.rs
@@ -19,6 +19,7 @@
 use snipeyoke_lib::serving::catalog::KeyHolder;
 use snipeyoke_lib::serving::catalog::Route;
 use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Suspect;
 use snipeyoke_lib::serving::directory::Unavailable;
 use snipeyoke_lib::serving::directory::VersionRule;
 use snipeyoke_lib::serving::durations::Remaining;
@@ -40,8 +41,8 @@
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
     fingerprint: OnceLock<Fingerprint>,
-    /// Whether this is the trial attempt after a quarantine.
-    pub(crate) trial: bool,
+    /// The suspect of which this is a trial, after its quarantine.
+    pub(crate) trial: Option<Suspect>,
     pub(crate) route: Arc<Route>,
     pub(crate) service: PoolName,
     pub(crate) holder: Option<KeyHolder>,
@@ -114,7 +115,7 @@
             head,
             body: Bytes::new(),
             fingerprint: OnceLock::new(),
-            trial: false,
+            trial: None,
             route,
             service,
             holder,
@@ -142,29 +143,63 @@
         *self.fingerprint.get_or_init(hash)
     }
 
-    /// Returns the remaining quarantine, imposed because endpoints crashed
-    /// while running the request.
-    pub(crate) fn quarantine_remaining(&self) -> Option<Duration> {
+    /// Returns the suspects of the request that are refused, and for how much longer.
+    fn quarantined(&self) -> Vec<(Suspect, Duration)> {
         let now = self.shared.now();
-        let request = self.fingerprint();
         let crashes = self.shared.crashes();
-        let remaining = crashes.quarantine_remaining(now, request);
-        remaining.filter(|_| !self.trial || !crashes.may_continue(now, request))
+        crashes.quarantined(now, self.fingerprint(), &self.request.parts)
+    }
+
+    /// Returns the remaining quarantine, imposed because endpoints crashed
+    /// while running the request or others with a part of its prompt.
+    pub(crate) fn quarantine_remaining(&self) -> Option<Duration> {
+        let mut refused = self.quarantined();
+        if let Some(tried) = self.trial {
+            let may_continue = self.shared.crashes().may_continue(self.shared.now(), tried);
+            refused.retain(|(suspect, _)| *suspect != tried || !may_continue);
+        }
+        refused.into_iter().map(|(_, remaining)| remaining).max()
     }
 
     /// Starts the trial attempt after a quarantine, if this node may run it.
     pub(crate) fn start_trial(&mut self) -> bool {
         let now = self.shared.now();
-        let request = self.fingerprint();
-        let counters = self.shared.owners().crash_counters(now, request);
+        let [(suspect, _)] = self.quarantined()[..] else {
+            return false;
+        };
         let own = self.shared.settings.listen.peers;
         // A trial on each node could crash as many endpoints as there are nodes.
-        self.trial =
-            counters.first() == Some(&own) && self.shared.crashes().try_start_trial(now, request);
-        if self.trial {
-            log::info!(event = "quarantine-trial", request = self.request.id.as_str(), fingerprint = request.to_string().as_str(); "");
+        if self.shared.owners().trial_node(now, suspect) != Some(own) {
+            return false;
+        }
+        let Some(verdict) = self.shared.crashes().try_start_trial(now, suspect) else {
+            return false;
+        };
+        log::info!(event = "quarantine-trial", request = self.request.id.as_str(), suspect = suspect.to_string().as_str(), trials = verdict.trials; "");
+        self.shared.dispatcher.announce_verdict(verdict);
+        self.trial = Some(suspect);
+        true
+    }
+
+    /// Waits until the request or a part of its prompt is refused.
+    async fn await_quarantine(&self) {
+        loop {
+            let changed = self.shared.quarantines_changed.listen();
+            if self.quarantine_remaining().is_some() {
+                return;
+            }
+            changed.await;
         }
-        self.trial
+    }
+
+    /// Waits for a future until the request has to be given up, also because it
+    /// is refused from now on.
+    pub(crate) async fn before_quarantine<T>(&self, future: impl Future<Output = T>) -> Option<T> {
+        let refused = async {
+            self.await_quarantine().await;
+            None
+        };
+        self.before_give_up(future).or(refused).await
     }
 
     /// Returns the urgency for a model; an account's own priority takes
@@ -258,7 +293,7 @@
         let shutting_down = !self.response_started && self.refused_by_shutdown(Remaining::Answer);
         let time_left = now < self.deadline && !self.shared.given_up.is_set() && !shutting_down;
         // A trial is a single attempt, whatever its outcome.
-        let refused = self.trial || self.quarantine_remaining().is_some();
+        let refused = self.trial.is_some() || self.quarantine_remaining().is_some();
         attempts_left && time_left && !refused && self.shared.budget().try_spend(now, &self.service)
     }
 
@@ -309,9 +344,15 @@
                 };
                 self.shared.durations().observe(&self.route.name, timing);
             }
-            let lifted = self.shared.crashes().on_answered(now, self.fingerprint());
-            if let Some(lifted) = lifted {
-                self.shared.dispatcher.announce_verdict(lifted);
+            let parts = &self.request.parts;
+            let mut crashes = self.shared.crashes();
+            let (lifted, cleared) = crashes.on_answered(now, self.fingerprint(), parts);
+            drop(crashes);
+            for verdict in lifted {
+                self.shared.dispatcher.announce_verdict(verdict);
+            }
+            if !cleared.is_empty() {
+                self.shared.dispatcher.send_clearances(cleared);
             }
         }
         let since =
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -68,6 +68,8 @@
     pub(crate) catalog: WatchedValue<Option<Arc<Catalog>>>,
     /// Notifies tasks that wait for an endpoint.
     pub(crate) endpoints_changed: Event,
+    /// Notifies requests in progress that something else is quarantined.
+    pub(crate) quarantines_changed: Event,
     /// Notifies that the registry responds again after an outage.
     pub(crate) registry_regained: Event,
     /// Whether the endpoints have to be listed again.
@@ -132,6 +134,7 @@
             origins: Mutex::default(),
             catalog: WatchedValue::new(None),
             endpoints_changed: Event::new(),
+            quarantines_changed: Event::new(),
             registry_regained: Event::new(),
             must_relist: AtomicBool::new(false),
             config_grown: Event::new(),
--- a/gateway/src/stages.rs
+++ b/gateway/src/stages.rs
@@ -98,8 +98,12 @@
             for order in work.plan.start_ready(&times) {
                 work.submit(ctx, &times, order);
             }
-            let job_result = ctx.before_latest_send(work.completions.1.recv()).await;
+            let job_result = ctx.before_latest_send(work.completions.1.recv());
+            let job_result = ctx.before_quarantine(job_result).await.flatten();
             let Some(Ok(job_result)) = job_result else {
+                if ctx.quarantine_remaining().is_some() {
+                    return Err(Refusal::Quarantined);
+                }
                 return Err(ctx.timeout_refusal());
             };
             work.handle_job_result(ctx, job_result)?;
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -121,9 +121,16 @@
             let Some(response) = &mut self.response else {
                 return None;
             };
-            let why = match self.ctx.before_deadline(response.call.next()).await {
+            let chunk = response.call.next();
+            let chunk = if response.flight.has_begun() {
+                self.ctx.before_deadline(chunk).await
+            } else {
+                self.ctx.before_quarantine(chunk).await
+            };
+            let why = match chunk {
                 None => {
-                    self.finish("timeout");
+                    let refused = self.ctx.quarantine_remaining().is_some();
+                    self.finish(if refused { "cut" } else { "timeout" });
                     return Some((Err(BodyAborted), self));
                 }
                 Some(Ok(Some(bytes))) => match self.events.push(&bytes) {
@@ -154,6 +161,9 @@
 
     fn record_first_event(&mut self) {
         let now = self.ctx.shared.now();
+        if let Some(response) = &mut self.response {
+            response.flight.begin();
+        }
         if self.ctx.timeline.first_output.is_some() {
             return;
         }
--- a/lib/src/serving/endpoint_loss.rs
+++ b/lib/src/serving/endpoint_loss.rs
@@ -12,7 +12,7 @@
 use crate::ids::EndpointId;
 use crate::time::Time;
 
-use super::crashes::Fingerprint;
+use super::crashes::Casualty;
 
 /// How long the result of a probe that found an endpoint ended is kept.
 const ENDED_RETENTION: Duration = Duration::from_secs(3);
@@ -61,7 +61,7 @@
 enum ProbeState {
     /// The requests that the endpoint had, and when their connections were
     /// lost.
-    Probing(Vec<(Time, Fingerprint)>),
+    Probing(Vec<(Time, Casualty)>),
     Ended,
     Alive,
 }
@@ -71,7 +71,7 @@
 pub struct EndpointLoss {
     probes: BTreeMap<Incarnation, (Time, ProbeState)>,
     /// Requests that were abandoned while an endpoint had them, oldest first.
-    abandoned: VecDeque<(Time, Incarnation, Fingerprint)>,
+    abandoned: VecDeque<(Time, Incarnation, Casualty)>,
 }
 
 impl EndpointLoss {
@@ -81,7 +81,7 @@
         &mut self,
         now: Time,
         incarnation: &Incarnation,
-        request: Fingerprint,
+        request: Casualty,
     ) -> LossAction {
         self.probes.retain(|_, (at, state)| {
             let is_alive = matches!(state, ProbeState::Alive);
@@ -116,7 +116,7 @@
         &mut self,
         now: Time,
         incarnation: &Incarnation,
-        request: Fingerprint,
+        request: Casualty,
     ) {
         self.forget_abandoned(now);
         if self.abandoned.len() >= ABANDONED_MAX {
@@ -153,7 +153,7 @@
         now: Time,
         incarnation: &Incarnation,
         ended: bool,
-    ) -> Vec<(Time, Fingerprint)> {
+    ) -> Vec<(Time, Casualty)> {
         let state = if ended {
             ProbeState::Ended
         } else {
@@ -171,7 +171,7 @@
             let soon = lost_at.since(*at) < BLAME_WINDOW;
             r == incarnation && soon
         });
-        requests.extend(abandoned.map(|(_, _, request)| (lost_at, *request)));
+        requests.extend(abandoned.map(|(_, _, request)| (lost_at, request.clone())));
         self.abandoned.retain(|(_, r, _)| r != incarnation);
         requests
     }
--- a/lib/src/serving/owners.rs
+++ b/lib/src/serving/owners.rs
@@ -17,7 +17,7 @@
 
 use super::bookings::Shard;
 use super::cold_start::AdmitterRank;
-use super::crashes::Fingerprint;
+use super::crashes::Suspect;
 use super::stream_origins::StreamId;
 use crate::ids::PoolName;
 use crate::time::Time;
@@ -39,11 +39,14 @@
 /// enough.
 const READERS_MAX: usize = 3;
 
-/// The number of nodes that count the lost endpoints of one request.
+/// The number of nodes that count lost endpoints.
 ///
 /// With two, the counts survive the loss of one node.
 const CRASH_COUNTERS: usize = 2;
 
+/// The name by which the nodes that count lost endpoints are ranked.
+const CRASH_SUBJECT: &str = "crashes";
+
 /// The number of nodes that keep the origin of one stream.
 ///
 /// With two, it is known when the node that began the stream is one of them and
@@ -412,20 +415,35 @@
         }
     }
 
-    /// Returns the nodes that currently count the lost endpoints of a request.
+    /// Returns the nodes that currently count lost endpoints.
+    ///
+    /// They are the same for all suspects: only who sees all that an endpoint had
+    /// can tell which of it is the cause.
     #[must_use]
-    pub fn crash_counters(&self, now: Time, request: Fingerprint) -> Vec<SocketAddr> {
-        let subject = request.to_string();
+    pub fn crash_counters(&self, now: Time) -> Vec<SocketAddr> {
+        let mut nodes = self.ranked_strong(now, CRASH_SUBJECT);
+        nodes.truncate(CRASH_COUNTERS);
+        nodes
+    }
+
+    /// Returns the node that currently sends the trials of a quarantined suspect.
+    #[must_use]
+    pub fn trial_node(&self, now: Time, suspect: Suspect) -> Option<SocketAddr> {
+        let nodes = self.ranked_strong(now, &suspect.to_string());
+        nodes.first().copied()
+    }
+
+    /// Returns the strong nodes, highest rank first.
+    fn ranked_strong(&self, now: Time, subject: &str) -> Vec<SocketAddr> {
         let mut nodes: Vec<SocketAddr> = self.strong(now).collect();
         // While all nodes leave, each would otherwise count on its own.
         if nodes.is_empty() {
             nodes = self.live(now).map(|(a, _)| a).chain([self.own]).collect();
         }
-        let ranked = nodes.into_iter().map(|a| (rank(&subject, &a), a));
+        let ranked = nodes.into_iter().map(|a| (rank(subject, &a), a));
         let mut ranked: Vec<(u64, SocketAddr)> = ranked.collect();
         ranked.sort_unstable_by(|a, b| b.cmp(a));
-        let counters = ranked.into_iter().take(CRASH_COUNTERS);
-        counters.map(|(_, node)| node).collect()
+        ranked.into_iter().map(|(_, node)| node).collect()
     }
 
     /// Returns the nodes that currently keep the origins of streams for all.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! Runs all integration tests of the library in one binary.
 
 mod chain_world;
+mod crash_world;
 mod node_world;
 mod pipeline_world;
 mod test_admission;
--- a/lib/tests/test_endpoint_loss.rs
+++ b/lib/tests/test_endpoint_loss.rs
@@ -2,12 +2,22 @@
 
 use std::time::Duration;
 
+use snipeyoke_lib::serving::crashes::Casualty;
 use snipeyoke_lib::serving::crashes::Fingerprint;
 use snipeyoke_lib::serving::endpoint_loss::EndpointLoss;
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
 use snipeyoke_lib::serving::endpoint_loss::LossAction;
 use snipeyoke_lib::time::Time;
 
+fn request(number: u128) -> Casualty {
+    Casualty {
+        request: Fingerprint(number),
+        parts: Vec::new().into(),
+        sent: Time::ZERO,
+        answered: Duration::ZERO,
+    }
+}
+
 fn incarnation(started_at: u64) -> Incarnation {
     Incarnation {
         endpoint: "i-1".parse().expect("a name"),
@@ -20,21 +30,21 @@
     let mut loss = EndpointLoss::default();
     let now = Time::from_millis(5_000);
     assert_eq!(
-        loss.on_connection_lost(now, &incarnation(1), Fingerprint(1)),
+        loss.on_connection_lost(now, &incarnation(1), request(1)),
         LossAction::Probe
     );
     assert_eq!(
-        loss.on_connection_lost(now, &incarnation(1), Fingerprint(2)),
+        loss.on_connection_lost(now, &incarnation(1), request(2)),
         LossAction::AwaitProbe
     );
     let ended = loss.on_probe_result(now, &incarnation(1), true);
-    assert_eq!(ended, [(now, Fingerprint(1)), (now, Fingerprint(2))]);
+    assert_eq!(ended, [(now, request(1)), (now, request(2))]);
     assert_eq!(
-        loss.on_connection_lost(now, &incarnation(1), Fingerprint(3)),
+        loss.on_connection_lost(now, &incarnation(1), request(3)),
         LossAction::Ended
     );
     assert_eq!(
-        loss.on_connection_lost(now, &incarnation(2), Fingerprint(3)),
+        loss.on_connection_lost(now, &incarnation(2), request(3)),
         LossAction::Probe
     );
 }
@@ -45,15 +55,15 @@
 fn no_request_is_blamed_for_an_endpoint_that_is_alive() {
     let mut loss = EndpointLoss::default();
     let now = Time::from_millis(5_000);
-    loss.on_connection_lost(now, &incarnation(1), Fingerprint(1));
+    loss.on_connection_lost(now, &incarnation(1), request(1));
     assert!(loss.on_probe_result(now, &incarnation(1), false).is_empty());
     assert_eq!(
-        loss.on_connection_lost(now, &incarnation(1), Fingerprint(2)),
+        loss.on_connection_lost(now, &incarnation(1), request(2)),
         LossAction::Alive
     );
     let later = now + Duration::from_secs(1);
     assert_eq!(
-        loss.on_connection_lost(later, &incarnation(1), Fingerprint(2)),
+        loss.on_connection_lost(later, &incarnation(1), request(2)),
         LossAction::Probe
     );
 }
@@ -64,8 +74,8 @@
 fn a_request_abandoned_right_before_the_end_is_blamed() {
     let mut loss = EndpointLoss::default();
     let now = Time::from_millis(5_000);
-    loss.on_request_abandoned(now, &incarnation(1), Fingerprint(1));
-    loss.on_request_abandoned(now, &incarnation(2), Fingerprint(2));
+    loss.on_request_abandoned(now, &incarnation(1), request(1));
+    loss.on_request_abandoned(now, &incarnation(2), request(2));
     let soon = now + Duration::from_millis(300);
     assert!(
         loss.on_connection_refused(soon, &incarnation(1)),
@@ -75,7 +85,7 @@
     let later = now + Duration::from_millis(400);
     assert_eq!(
         loss.on_probe_result(later, &incarnation(1), true),
-        [(soon, Fingerprint(1))],
+        [(soon, request(1))],
         "the other one was elsewhere"
     );
     assert!(
@@ -90,13 +100,13 @@
 fn a_request_abandoned_long_before_the_end_is_not_blamed() {
     let mut loss = EndpointLoss::default();
     let now = Time::from_millis(5_000);
-    loss.on_request_abandoned(now, &incarnation(1), Fingerprint(1));
+    loss.on_request_abandoned(now, &incarnation(1), request(1));
     let later = now + Duration::from_secs(1);
     assert!(
         !loss.on_connection_refused(later, &incarnation(1)),
         "no probe is needed"
     );
-    loss.on_connection_lost(later, &incarnation(1), Fingerprint(2));
+    loss.on_connection_lost(later, &incarnation(1), request(2));
     let ended = loss.on_probe_result(later, &incarnation(1), true);
-    assert_eq!(ended, [(later, Fingerprint(2))]);
+    assert_eq!(ended, [(later, request(2))]);
 }
--- a/lib/tests/test_owners.rs
+++ b/lib/tests/test_owners.rs
@@ -4,6 +4,7 @@
 
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::crashes::Fingerprint;
+use snipeyoke_lib::serving::crashes::Suspect;
 use snipeyoke_lib::serving::owners::Owners;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::MilliCores;
@@ -86,12 +87,15 @@
             owners.set_peer_leaving(node(n), true);
         }
     }
+    let named = all.iter().map(|o| o.crash_counters(Time::ZERO));
+    let named: Vec<Vec<SocketAddr>> = named.collect();
+    assert_eq!(named[0].len(), 2);
+    assert!(named.iter().all(|n| *n == named[0]), "{named:?}");
     for request in 0..20 {
-        let named = all
-            .iter()
-            .map(|o| o.crash_counters(Time::ZERO, Fingerprint(request)));
-        let named: Vec<Vec<SocketAddr>> = named.collect();
-        assert_eq!(named[0].len(), 2);
+        let suspect = Suspect::Request(Fingerprint(request));
+        let named = all.iter().map(|o| o.trial_node(Time::ZERO, suspect));
+        let named: Vec<Option<SocketAddr>> = named.collect();
+        assert!(named[0].is_some());
         assert!(named.iter().all(|n| *n == named[0]), "{named:?}");
     }
 }
