gateway, lib: show and lift quarantines

An operator could see a quarantine in logs alone, and had to wait until it was over. A gateway now answers 'show quarantines' (suspect, state, time left, age, trials, refusals, endpoints) and lifts one at POST /control/lift for all nodes; a text that names no suspect gets a line that says what to write. Refusals are counted by kind.

--- a/gateway/src/dispatch/messages.rs
+++ b/gateway/src/dispatch/messages.rs
@@ -93,6 +93,8 @@
     },
     /// This node has reached a verdict that all other nodes need.
     Verdict(Verdict),
+    /// An operator has lifted the quarantine of a suspect.
+    Lifted(Verdict),
     /// Answers of this node clear suspects.
     Clearances(Vec<Clearance>),
     /// The set of endpoints changed.
--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -174,6 +174,11 @@
         self.send(Message::Verdict(verdict));
     }
 
+    /// Announces to all other nodes that an operator has lifted a quarantine.
+    pub(crate) fn announce_lifted(&self, verdict: Verdict) {
+        self.send(Message::Lifted(verdict));
+    }
+
     /// Sends what clears suspects to the nodes that count lost endpoints.
     pub(crate) fn send_clearances(&self, clearances: Vec<Clearance>) {
         self.send(Message::Clearances(clearances));
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -273,6 +273,7 @@
             } => self.handle_connection_refused(incarnation, address),
             Message::Probed { incarnation, ended } => self.handle_probe(&incarnation, ended),
             Message::Verdict(verdict) => self.announce_verdict(verdict, "answered"),
+            Message::Lifted(verdict) => self.announce_verdict(verdict, "operator"),
             Message::Clearances(clearances) => self.send_clearances(&clearances),
             Message::EndpointsChanged => {
                 self.update_endpoints();
--- a/gateway/src/ingress.rs
+++ b/gateway/src/ingress.rs
@@ -99,6 +99,7 @@
             }
         }
         if ctx.quarantine_remaining().is_some() && !ctx.start_trial() {
+            ctx.record_quarantine_refusal();
             return refuse(ctx, Refusal::Quarantined);
         }
         if ctx.refused_by_shutdown(Remaining::All) {
--- a/gateway/src/operators.rs
+++ b/gateway/src/operators.rs
@@ -26,6 +26,7 @@
 use snipeyoke_lib::query::LeaseFact;
 use snipeyoke_lib::query::LimitFact;
 use snipeyoke_lib::query::NodeFact;
+use snipeyoke_lib::query::QuarantineFact;
 use snipeyoke_lib::query::Query;
 use snipeyoke_lib::query::Statement;
 use snipeyoke_lib::query::Subject;
@@ -33,6 +34,7 @@
 use snipeyoke_lib::query::VersionFact;
 use snipeyoke_lib::query::evaluate;
 use snipeyoke_lib::query::parse_one;
+use snipeyoke_lib::serving::crashes::Suspect;
 use snipeyoke_lib::serving::directory::Endpoint;
 use snipeyoke_lib::serving::rate_limit::RateLimit;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
@@ -51,7 +53,7 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Where an operator finds what a gateway does not keep.
-const REMEDY: &str = "a gateway answers 'show endpoints'; the rest is in its logs and metrics";
+const REMEDY: &str = "a gateway answers 'show endpoints' and 'show quarantines'; the rest is in its logs and metrics";
 
 /// Serves metrics scrapers and the queries of operators.
 pub(crate) struct OperatorPort(pub(crate) Arc<Shared>);
@@ -60,6 +62,7 @@
     async fn route(&self, request: Request) -> Reply {
         match (request.method(), request.uri().path()) {
             (&Method::POST, "/control/query") => self.query(request).await,
+            (&Method::POST, "/control/lift") => self.lift(request).await,
             (&Method::GET, "/control/revision") => self.reply(StatusCode::OK, Vec::new(), 0),
             _ => Reply::new(full(measures::render())),
         }
@@ -76,7 +79,8 @@
             Ok(_) => return self.error(StatusCode::BAD_REQUEST, not_kept("changes").to_string()),
             Err(error) => return self.error(StatusCode::BAD_REQUEST, error.to_string()),
         };
-        let is_kept = matches!(&query, Query::Show(show) if show.subject == Subject::Endpoints);
+        let kept = [Subject::Endpoints, Subject::Quarantines];
+        let is_kept = matches!(&query, Query::Show(show) if kept.contains(&show.subject));
         let table = if is_kept {
             evaluate(&query, &NodeFacts(&self.0))
         } else {
@@ -91,6 +95,26 @@
         }
     }
 
+    /// Lifts the quarantine of the suspect that the request names, on all nodes.
+    async fn lift(&self, request: Request) -> Reply {
+        let suspect = match read_statement(request).await {
+            Ok(text) => text.trim().parse::<Suspect>().map_err(|e| e.to_string()),
+            Err(text) => Err(text),
+        };
+        let suspect = match suspect {
+            Ok(suspect) => suspect,
+            Err(text) => return self.error(StatusCode::BAD_REQUEST, text),
+        };
+        let now = self.0.now();
+        let lifted = self.0.crashes().lift(now, suspect);
+        let Some(verdict) = lifted else {
+            let text = format!("{suspect} is not quarantined: 'show quarantines' lists what is");
+            return self.error(StatusCode::NOT_FOUND, text);
+        };
+        self.0.dispatcher.announce_lifted(verdict);
+        self.reply(StatusCode::OK, Vec::new(), 0)
+    }
+
     fn error(&self, status: StatusCode, text: String) -> Reply {
         self.reply(status, vec![AnswerLine::Error { text }], 0)
     }
@@ -194,6 +218,10 @@
         Err(not_kept("leases"))
     }
 
+    fn quarantines(&self) -> Result<Vec<QuarantineFact>, FactError> {
+        Ok(self.0.crashes().quarantines(self.now()))
+    }
+
     fn changes(&self) -> Vec<ChangeFact> {
         Vec::new()
     }
--- a/gateway/src/request_context.rs
+++ b/gateway/src/request_context.rs
@@ -161,6 +161,15 @@
         refused.into_iter().map(|(_, remaining)| remaining).max()
     }
 
+    /// Counts a refusal because of what is quarantined.
+    pub(crate) fn record_quarantine_refusal(&self) {
+        for (suspect, _) in self.quarantined() {
+            metrics::counter!("snipeyoke_quarantine_refusals_total", "kind" => suspect.kind())
+                .increment(1);
+            self.shared.crashes().record_refusal(suspect);
+        }
+    }
+
     /// Starts the trial attempt after a quarantine, if this node may run it.
     pub(crate) fn start_trial(&mut self) -> bool {
         let now = self.shared.now();
--- a/lib/src/query/evaluate.rs
+++ b/lib/src/query/evaluate.rs
@@ -159,6 +159,7 @@
         Subject::Domains => add_all(&mut rows, &domains(facts)?),
         Subject::Nodes => add_all(&mut rows, &facts.nodes()),
         Subject::Leases => add_all(&mut rows, &facts.leases()?),
+        Subject::Quarantines => add_all(&mut rows, &facts.quarantines()?),
         Subject::Changes => add_all(&mut rows, &facts.changes()),
         Subject::Pipelines | Subject::Bindings | Subject::Accounts | Subject::Pools => {
             add_config_rows(&mut rows, facts)?;
--- a/lib/src/query/facts.rs
+++ b/lib/src/query/facts.rs
@@ -27,6 +27,7 @@
 use crate::ids::Revision;
 use crate::ids::SoftwareVersion;
 use crate::journal::Request;
+use crate::serving::crashes::Suspect;
 use crate::time::Time;
 use crate::units::RequestRate;
 
@@ -71,6 +72,13 @@
     /// Returns a [`FactError`] if the router does not know them.
     fn leases(&self) -> Result<Vec<LeaseFact>, FactError>;
 
+    /// Returns the requests and parts of prompts that crashed endpoints.
+    ///
+    /// # Errors
+    ///
+    /// Returns a [`FactError`] if the router does not know them.
+    fn quarantines(&self) -> Result<Vec<QuarantineFact>, FactError>;
+
     /// Returns the configuration changes, newest first.
     fn changes(&self) -> Vec<ChangeFact>;
 }
@@ -151,6 +159,37 @@
     pub version: Option<VersionFact>,
 }
 
+/// A request or a part of prompts that crashed endpoints.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct QuarantineFact {
+    /// The suspect.
+    pub suspect: Suspect,
+    /// The remaining time of its quarantine; zero if it is over.
+    pub left: Duration,
+    /// Whether it is refused.
+    pub refused: bool,
+    /// The time since the first crash that led to the verdict.
+    pub age: Duration,
+    /// Its trials so far.
+    pub trials: u32,
+    /// The requests that this node refused because of it.
+    pub refusals: u64,
+    /// The endpoints that it crashed, as far as this node counted them.
+    pub endpoints: Vec<String>,
+}
+
+impl QuarantineFact {
+    const fn state(&self) -> &'static str {
+        if !self.refused {
+            "lifted"
+        } else if self.left.is_zero() {
+            "awaits-trial"
+        } else {
+            "refused"
+        }
+    }
+}
+
 /// The software version of an endpoint, as known to the router.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct VersionFact {
@@ -411,6 +450,22 @@
     }
 }
 
+impl Record for QuarantineFact {
+    fn value(&self, field: Field) -> Value {
+        match field {
+            Field::Suspect => text(&self.suspect),
+            Field::Kind => text(&self.suspect.kind()),
+            Field::State => Value::Text(self.state().to_owned()),
+            Field::Left => self.left.into(),
+            Field::Age => self.age.into(),
+            Field::Trials => number(self.trials),
+            Field::Refusals => Value::from_count(self.refusals),
+            Field::Endpoint => Value::Text(self.endpoints.join(",")),
+            _ => Value::Absent,
+        }
+    }
+}
+
 impl Record for HostFact {
     fn value(&self, field: Field) -> Value {
         match field {
--- a/lib/src/query/field.rs
+++ b/lib/src/query/field.rs
@@ -148,6 +148,8 @@
     Refused("refused", Flag),
     /// The region.
     Region("region", Text),
+    /// The requests that were refused because of a suspect.
+    Refusals("refusals", Number),
     /// The time since the last report.
     Report("report", Interval),
     /// The limit of requests per second.
@@ -170,8 +172,12 @@
     Stages("stages", Text),
     /// The state, in one word.
     State("state", Text),
+    /// A request or a part of prompts that crashes endpoints.
+    Suspect("suspect", Text),
     /// The limit of tokens per second.
     Tokens("tokens", Number),
+    /// The trials of a suspect after its quarantine.
+    Trials("trials", Number),
     /// The software version of an endpoint.
     Version("version", Text),
     /// How long the router has known of an endpoint's version.
@@ -236,6 +242,8 @@
     Nodes("nodes", [Node, Kind, Host, Domain, Address, Revision, Report, Fresh, Draining]),
     /// Leases as recorded in the log.
     Leases("leases", [Lease, Holder, Fence, Left, State]),
+    /// Requests and parts of prompts that are refused because they crash endpoints.
+    Quarantines("quarantines", [Suspect, Kind, State, Left, Age, Trials, Refusals, Endpoint]),
     /// Configuration changes, accepted or lost.
     Changes("changes", [Revision, Author, State, Detail]),
 );
--- a/lib/src/query/mod.rs
+++ b/lib/src/query/mod.rs
@@ -53,6 +53,7 @@
 pub use facts::LeaseFact;
 pub use facts::LimitFact;
 pub use facts::NodeFact;
+pub use facts::QuarantineFact;
 pub use facts::VersionFact;
 pub use field::Field;
 pub use field::Kind;
--- a/lib/src/serving/crashes/tracker.rs
+++ b/lib/src/serving/crashes/tracker.rs
@@ -18,6 +18,7 @@
 use super::suspect::PartId;
 use super::suspect::Suspect;
 use super::suspect::suspects;
+use crate::query::QuarantineFact;
 use crate::serving::endpoint_loss::Incarnation;
 use crate::time::Time;
 
@@ -136,6 +137,8 @@
     next_trial: Time,
     /// The trials known to this node.
     trials: u32,
+    /// The requests that this node refused.
+    refusals: u64,
 }
 
 /// Tracks the suspects under which endpoints are lost, as known to one node.
@@ -481,6 +484,33 @@
         refused.collect()
     }
 
+    /// Counts a request that was refused because of a suspect.
+    pub fn record_refusal(&mut self, suspect: Suspect) {
+        if let Some(record) = self.records.get_mut(&suspect) {
+            record.refusals += 1;
+        }
+    }
+
+    /// Returns the current and past quarantines.
+    #[must_use]
+    pub fn quarantines(&self, now: Time) -> Vec<QuarantineFact> {
+        let facts = self.records.iter().map(|(&suspect, record)| {
+            let endpoints = self.lost_endpoints(suspect).map(ToString::to_string);
+            QuarantineFact {
+                suspect,
+                left: record
+                    .until
+                    .map_or(Duration::ZERO, |until| until.since(now)),
+                refused: record.until.is_some(),
+                age: now.since(record.first_end),
+                trials: record.trials,
+                refusals: record.refusals,
+                endpoints: endpoints.collect(),
+            }
+        });
+        facts.collect()
+    }
+
     fn is_quarantined(&self, suspect: Suspect) -> bool {
         let record = self.records.get(&suspect);
         record.is_some_and(|r| r.until.is_some())
@@ -569,7 +599,7 @@
         self.asked.remove(&suspect);
         self.last_change += 1;
         let held = self.records.get(&suspect).filter(|r| r.until.is_some());
-        let trials = held.map_or(0, |r| r.trials);
+        let (trials, refusals) = held.map_or((0, 0), |r| (r.trials, r.refusals));
         let record = Record {
             version,
             until,
@@ -578,6 +608,7 @@
             last_change: self.last_change,
             next_trial: Time::ZERO,
             trials,
+            refusals,
         };
         self.records.insert(suspect, record);
         if self.records.len() > RECORDS_MAX {
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -29,6 +29,7 @@
 use snipeyoke_lib::query::LeaseFact;
 use snipeyoke_lib::query::LimitFact;
 use snipeyoke_lib::query::NodeFact;
+use snipeyoke_lib::query::QuarantineFact;
 use snipeyoke_lib::query::Statement;
 use snipeyoke_lib::query::Table;
 use snipeyoke_lib::query::VersionFact;
@@ -81,6 +82,13 @@
         self.journal.requests().filter(of_account).count() as u32
     }
 
+    fn quarantines(&self) -> Result<Vec<QuarantineFact>, FactError> {
+        Err(FactError::NotKept {
+            what: "quarantines",
+            remedy: "ask a gateway",
+        })
+    }
+
     fn endpoints(&self) -> Vec<EndpointFact> {
         self.endpoints.clone()
     }
--- a/router/src/control/facts.rs
+++ b/router/src/control/facts.rs
@@ -14,6 +14,7 @@
 use snipeyoke_lib::query::HostFact;
 use snipeyoke_lib::query::LeaseFact;
 use snipeyoke_lib::query::NodeFact;
+use snipeyoke_lib::query::QuarantineFact;
 use snipeyoke_lib::time::Time;
 
 use crate::node::Node;
@@ -78,6 +79,13 @@
         })
     }
 
+    fn quarantines(&self) -> Result<Vec<QuarantineFact>, FactError> {
+        Err(FactError::NotKept {
+            what: "quarantines",
+            remedy: "gateways keep them; ask one at its metrics port",
+        })
+    }
+
     fn changes(&self) -> Vec<ChangeFact> {
         self.0.control.history().changes()
     }
