lib: take no version for unused before the first record

In the first second of a deployment with two versions, streams begin at both, since the registry has recorded neither. A version counts as unused only once one of its service is recorded.

The new test failed before: Sole(v1) where the answer is unknown. The test of how long a version counts had an empty record where its comment speaks of a recorded version; it now has that record, with the same assertions.

--- a/lib/src/serving/stream_origins.rs
+++ b/lib/src/serving/stream_origins.rs
@@ -239,7 +239,11 @@
         let seen = self.history.seen.get(service);
         let seen = seen.into_iter().flatten();
         let seen = seen.filter(|(v, s)| is_recent(now, s.last) || is_current(v));
-        let may_be_used = |s: &Sighting| s.open || now.since(s.first) >= UNUSED_PERIOD;
+        // Until one is recorded, streams begin at all versions of the service.
+        let recorded = self.history.recorded.as_ref();
+        let is_recorded = recorded.is_some_and(|sets| sets.contains_key(service));
+        let may_be_used =
+            |s: &Sighting| !is_recorded || s.open || now.since(s.first) >= UNUSED_PERIOD;
         let begun = seen.clone().filter(|(_, s)| may_be_used(s));
         let begun: BTreeSet<&SoftwareVersion> = begun.map(|(v, _)| v).collect();
         if begun.is_empty() {
--- a/lib/tests/test_stream_versions.rs
+++ b/lib/tests/test_stream_versions.rs
@@ -760,7 +760,8 @@
 fn a_version_counts_for_as_long_as_its_streams_may_come_back() {
     let mut origins = StreamOrigins::default();
     let start = Time::ZERO;
-    origins.apply_record(start, VersionSets::new());
+    let record = VersionSets::from([(service(), BTreeSet::from([version(1)]))]);
+    origins.apply_record(start, record);
     let current = BTreeSet::from([version(2)]);
     let recent = |origins: &StreamOrigins, at| origins.recent_versions(at, &service(), &current);
     let stream = StreamId(1);
@@ -776,6 +777,27 @@
     assert_eq!(recent(&origins, later), RecentVersions::Several);
 }
 
+/// Guards against a stream that goes on at another version in the first second of
+/// a deployment, when streams begin at all versions since none is recorded.
+#[test]
+fn no_version_is_taken_for_unused_before_the_first_record() {
+    let mut origins = StreamOrigins::default();
+    let start = Time::ZERO;
+    origins.apply_record(start, VersionSets::new());
+    let current = BTreeSet::from([version(1), version(2)]);
+    origins.record_versions(start, &service(), &current);
+    assert_eq!(origins.closed_versions(&service()), BTreeSet::new());
+    origins.begin(start, StreamId(1), origin(1));
+    // Another node may have begun it at the other version.
+    let soon = start + Duration::from_millis(600);
+    let answer = origins.answer(soon, Some(StreamId(2)), (&service(), &current), false);
+    assert_eq!(answer, OriginAnswer::Unknown);
+    let record = VersionSets::from([(service(), BTreeSet::from([version(1)]))]);
+    origins.apply_record(soon, record);
+    let answer = origins.answer(soon, Some(StreamId(2)), (&service(), &current), false);
+    assert_eq!(answer, OriginAnswer::Sole(version(1)));
+}
+
 /// Guards against an old origin that replaces the one with which the stream
 /// went on.
 #[test]
