gateway: keep quarantines in the registry

When all nodes died, each part had to crash four more endpoints before the new nodes refused it, and its trials began anew. The first of the nodes that count now records the latest 64 verdicts beside the nodes' own records, once a second at most and only after a change; nodes read them with the list of nodes.

--- a/gateway/src/dispatch/crashes.rs
+++ b/gateway/src/dispatch/crashes.rs
@@ -3,10 +3,13 @@
 use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_channel::Sender;
 use async_io::Timer;
+use bytes::Bytes;
+use prost::Message as _;
 use snipeyoke_lib::serving::crashes::Casualty;
 use snipeyoke_lib::serving::crashes::Clearance;
 use snipeyoke_lib::serving::crashes::EndReport;
@@ -18,9 +21,11 @@
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
 use snipeyoke_lib::serving::endpoint_loss::LossAction;
 use snipeyoke_lib::time::Time;
+use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::link;
 use snipeyoke_wire::EndpointEnd;
 use snipeyoke_wire::Quarantine;
+use snipeyoke_wire::QuarantineRecord;
 use snipeyoke_wire::SuspectAsk;
 use snipeyoke_wire::SuspectsCleared;
 use snipeyoke_wire::frame::Body;
@@ -44,6 +49,12 @@
 /// The most reports that are kept for resending.
 const REPORTS_MAX: usize = 256;
 
+/// The number of latest verdicts that the registry holds.
+const VERDICTS_RECORDED: usize = 64;
+
+/// The shortest interval between two records of the quarantines.
+const RECORD_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The number of latest verdicts sent to a node when a link to it comes up.
 const VERDICTS_ON_CONNECT: usize = 16;
 
@@ -53,6 +64,19 @@
     recent: VecDeque<EndReport>,
     /// The nodes that counted when the reports were last sent.
     counters: Vec<SocketAddr>,
+    /// The last change to a verdict that the registry holds, and whether a record is in flight.
+    recorded_change: u64,
+    recording: bool,
+    record_from: Time,
+}
+
+impl CrashReports {
+    pub(super) const fn on_recorded(&mut self, change: u64, recorded: bool) {
+        self.recording = false;
+        if recorded {
+            self.recorded_change = change;
+        }
+    }
 }
 
 impl State {
@@ -245,6 +269,9 @@
         let own = self.shared.settings.listen.peers;
         let counters = self.shared.owners().crash_counters(now);
         let rank = counters.iter().position(|&node| node == own);
+        if rank == Some(0) {
+            self.record_quarantines(now);
+        }
         let findings = self.shared.crashes().poll(now, rank.map(|r| r as u32));
         if !findings.inquiries.is_empty() {
             let suspects = findings.inquiries.iter().map(|i| i.suspect.to_string());
@@ -258,6 +285,49 @@
         }
     }
 
+    /// Starts to record the quarantines in the registry, if they have changed.
+    ///
+    /// Nodes that start together can't learn them from others.
+    fn record_quarantines(&mut self, now: Time) {
+        let crashes = self.shared.crashes();
+        let change = crashes.last_change();
+        let reports = &mut self.crash_reports;
+        let is_due = change != reports.recorded_change && now >= reports.record_from;
+        if !is_due || reports.recording {
+            return;
+        }
+        let verdicts = crashes.latest(now, VERDICTS_RECORDED);
+        drop(crashes);
+        reports.recording = true;
+        reports.record_from = now + RECORD_INTERVAL;
+        let record = QuarantineRecord {
+            quarantines: verdicts.iter().map(convert::quarantine_frame).collect(),
+            written_ms: Clock::wall().as_millis(),
+        };
+        let shared = Arc::clone(&self.shared);
+        let inbox = self.inbox.clone();
+        self.scope.spawn(async move {
+            let value = Bytes::from(record.encode_to_vec());
+            let recorded = shared.registry.write_quarantines(value).await;
+            let _closed = inbox.try_send(Message::QuarantinesRecorded { change, recorded });
+        });
+    }
+
+    /// Applies the quarantines that the registry holds.
+    pub(super) fn handle_recorded_quarantines(&mut self, value: &Bytes) {
+        let Ok(record) = QuarantineRecord::decode(value.as_ref()) else {
+            log::warn!(event = "quarantine-unreadable", remedy = "look for another writer of the registry's topic"; "");
+            return;
+        };
+        let now = self.shared.now();
+        let age = Clock::wall().as_millis().saturating_sub(record.written_ms);
+        for verdict in record.quarantines.iter().filter_map(convert::verdict_of) {
+            let age = Duration::from_millis(age);
+            let outcome = self.shared.crashes().apply_recorded(now, verdict, age);
+            self.on_verdict_applied(&verdict, outcome);
+        }
+    }
+
     /// Handles the questions of a node that counts.
     pub(super) fn handle_inquiry(&mut self, frame: &SuspectAsk) {
         let now = self.shared.now();
@@ -334,11 +404,15 @@
             return;
         };
         let now = self.shared.now();
-        let learned = self.shared.crashes().apply_verdict(now, verdict);
-        match learned {
+        let outcome = self.shared.crashes().apply_verdict(now, verdict);
+        self.on_verdict_applied(&verdict, outcome);
+    }
+
+    fn on_verdict_applied(&mut self, verdict: &Verdict, outcome: VerdictOutcome) {
+        match outcome {
             VerdictOutcome::Known => {}
             VerdictOutcome::New => {
-                log_learned(&verdict);
+                log_learned(verdict);
                 if !verdict.remaining.is_zero() {
                     self.withdraw(verdict.suspect);
                 }
--- a/gateway/src/dispatch/messages.rs
+++ b/gateway/src/dispatch/messages.rs
@@ -95,6 +95,10 @@
     Verdict(Verdict),
     /// An operator has lifted the quarantine of a suspect.
     Lifted(Verdict),
+    /// The registry holds quarantines.
+    QuarantinesRead(Bytes),
+    /// The record of the quarantines has ended.
+    QuarantinesRecorded { change: u64, recorded: bool },
     /// Answers of this node clear suspects.
     Clearances(Vec<Clearance>),
     /// The set of endpoints changed.
--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -25,6 +25,7 @@
 
 use async_channel::Receiver;
 use async_channel::Sender;
+use bytes::Bytes;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::batching::Job;
@@ -174,6 +175,11 @@
         self.send(Message::Verdict(verdict));
     }
 
+    /// Passes on the quarantines that the registry holds.
+    pub(crate) fn quarantines_read(&self, value: Bytes) {
+        self.send(Message::QuarantinesRead(value));
+    }
+
     /// Announces to all other nodes that an operator has lifted a quarantine.
     pub(crate) fn announce_lifted(&self, verdict: Verdict) {
         self.send(Message::Lifted(verdict));
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -274,6 +274,10 @@
             Message::Probed { incarnation, ended } => self.handle_probe(&incarnation, ended),
             Message::Verdict(verdict) => self.announce_verdict(verdict, "answered"),
             Message::Lifted(verdict) => self.announce_verdict(verdict, "operator"),
+            Message::QuarantinesRead(value) => self.handle_recorded_quarantines(&value),
+            Message::QuarantinesRecorded { change, recorded } => {
+                self.crash_reports.on_recorded(change, recorded);
+            }
             Message::Clearances(clearances) => self.send_clearances(&clearances),
             Message::EndpointsChanged => {
                 self.update_endpoints();
--- a/gateway/src/records.rs
+++ b/gateway/src/records.rs
@@ -227,6 +227,12 @@
                 }
             }
         }
+        for value in records
+            .iter()
+            .filter_map(|r| self.registry.quarantines_of(r))
+        {
+            self.dispatcher.quarantines_read(value);
+        }
         let values = records.iter().filter_map(|r| r.value.as_ref());
         let nodes = values.filter_map(|v| self.registry.parse_node(v));
         let mut owners = self.owners();
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -193,6 +193,13 @@
     /// Returns [`RecordError`] if it can't be used.
     fn parse_versions(&self, record: &Record) -> Option<Result<VersionSets, RecordError>>;
 
+    /// Records the quarantines, among the nodes; returns whether the record is
+    /// confirmed.
+    fn write_quarantines(&self, value: Bytes) -> LogFuture<'_, bool>;
+
+    /// Returns the quarantines if a record of the topic of nodes holds them.
+    fn quarantines_of(&self, record: &Record) -> Option<Bytes>;
+
     /// Parses a record of the topic of the configuration; `value` is `None` if
     /// its key was dropped. Returns `None` for a record without a meaning.
     ///
--- a/lib/src/serving/crashes/tracker.rs
+++ b/lib/src/serving/crashes/tracker.rs
@@ -570,6 +570,38 @@
         )
     }
 
+    /// Returns the number of the last change to a verdict.
+    #[must_use]
+    pub const fn last_change(&self) -> u64 {
+        self.last_change
+    }
+
+    /// Applies a verdict that was recorded `age` ago.
+    ///
+    /// An old record may hold a quarantine that has long been forgotten.
+    pub fn apply_recorded(
+        &mut self,
+        now: Time,
+        recorded: Verdict,
+        age: Duration,
+    ) -> VerdictOutcome {
+        if age >= recorded.remaining + RETENTION {
+            return VerdictOutcome::Known;
+        }
+        let is_lifted = recorded.remaining.is_zero();
+        let remaining = recorded.remaining.saturating_sub(age);
+        let verdict = Verdict {
+            remaining: if is_lifted {
+                Duration::ZERO
+            } else {
+                remaining.max(EXPIRED_REMAINING)
+            },
+            first_end_age: recorded.first_end_age + age,
+            ..recorded
+        };
+        self.apply_verdict(now, verdict)
+    }
+
     /// Returns the latest verdicts, at most `most`.
     #[must_use]
     pub fn latest(&self, now: Time, most: usize) -> Vec<Verdict> {
