--- a/lib/src/serving/directory/mod.rs
+++ b/lib/src/serving/directory/mod.rs
@@ -1,12 +1,14 @@
 //! Directory of the endpoints of all services, and the choice among them.
 
+mod choice;
+mod endpoint;
+
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use rapidhash::v3::RapidSecrets;
-use rapidhash::v3::rapidhash_v3_seeded;
 
 use super::bookings::Shard;
 use super::endpoint_loss::Incarnation;
@@ -27,39 +29,22 @@
 use crate::time::Time;
 use crate::units::RequestRate;
 
-/// How long a load report is used, with a weight that falls to zero.
-///
-/// Calls last from 50 ms to a few seconds; after a second most of the reported
-/// calls have ended.
-const REPORT_LIFETIME: Duration = Duration::from_secs(1);
-
-/// The bound on the load of an endpoint that holds a prefix, relative to the
-/// mean.
-///
-/// Bounded-load hashing: at a quarter above the mean a hot key spills to its
-/// next endpoint, while keys of usual load stay together.
-const BOUND_RATIO: f32 = 1.25;
-
-/// The calls above the mean at which spilling begins.
-///
-/// A handful of running calls costs less than reading a shared prefix again.
-const BOUND_SLACK: f32 = 6.0;
-
-/// The ratio to the slowness of its peers above which an endpoint loses its
-/// prefixes.
-const SLOW_RATIO: f32 = 2.5;
-
-/// The weight of an endpoint's failures in its load.
-///
-/// An endpoint that fails four in ten of its calls then counts as four times as
-/// loaded as its peers.
-const FAILURE_WEIGHT: f32 = 8.0;
+pub use self::choice::Choice;
+pub use self::choice::EndpointCriteria;
+pub use self::choice::Reason;
+pub use self::choice::Unavailable;
+pub use self::choice::VersionRule;
+use self::choice::choice;
+use self::choice::choose_bounded;
+use self::choice::least_loaded;
+pub(super) use self::choice::median;
+pub(super) use self::choice::prefer_for_new;
+pub(super) use self::choice::rank;
+pub use self::endpoint::Endpoint;
+pub use self::endpoint::Entry;
+pub use self::endpoint::LoadReport;
 
-/// The cost of another failure domain, in calls.
-///
-/// At half a call an idle local endpoint is preferred to an idle remote one,
-/// but a busy local one is not.
-const REMOTE_COST: f32 = 0.5;
+const SECRETS: RapidSecrets = RapidSecrets::seed(0);
 
 /// How long the rate of an endpoint that has disappeared is remembered.
 ///
@@ -72,276 +57,6 @@
 /// Until then it may run another version than the one registered.
 const RESTART_DOUBT: Duration = Duration::from_secs(4);
 
-/// The fraction of its slots up to which an endpoint gets new streams while its
-/// service has several versions and others have room.
-///
-/// New streams can start at any version; those that continue have only the
-/// endpoints of their own.
-const NEW_STREAMS_FRACTION: f32 = 0.75;
-
-const SECRETS: RapidSecrets = RapidSecrets::seed(0);
-
-/// The registration of an endpoint.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Entry {
-    /// Its name.
-    pub id: EndpointId,
-    /// The start time reported by the endpoint, since names are reused.
-    pub started_at: Option<u64>,
-    /// Its service.
-    pub service: PoolName,
-    /// The version of its software.
-    pub version: SoftwareVersion,
-    /// The address on which it listens.
-    pub address: SocketAddr,
-    /// Its failure domain.
-    pub domain: FailureDomain,
-    /// The number of calls that it processes concurrently.
-    pub slots: u32,
-    /// Whether it is leaving and accepts no new calls.
-    pub draining: bool,
-    /// How much longer it is cold, as of when it registered.
-    pub cold_left: Duration,
-}
-
-impl Entry {
-    /// Returns whether an entry of the same name is of the same run.
-    fn is_same_run(&self, other: &Self) -> bool {
-        let Self {
-            started_at,
-            address,
-            version,
-            ..
-        } = self;
-        (started_at, address, version) == (&other.started_at, &other.address, &other.version)
-    }
-
-    fn hash(&self) -> u64 {
-        let Self {
-            id,
-            address,
-            started_at,
-            draining,
-            ..
-        } = self;
-        let text = format!("{id} {address} {started_at:?} {draining}");
-        rapidhash_v3_seeded(text.as_bytes(), &SECRETS)
-    }
-}
-
-/// The load that an endpoint reported with a response.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct LoadReport {
-    /// The running and queued calls.
-    pub calls: u32,
-    /// The number of calls that it processes concurrently.
-    pub slots: u32,
-}
-
-/// An endpoint with its load and health as observed by this node.
-#[derive(Debug, Clone)]
-pub struct Endpoint {
-    entry: Entry,
-    own_calls: u32,
-    other_calls: u32,
-    reported_at: Time,
-    health: Health,
-    replaced: bool,
-    /// Whether its failure domain is evacuated.
-    evacuated: bool,
-    cold_until: Time,
-    region: Option<Region>,
-    rate: RateState,
-    /// Until when it may have restarted without this node having heard of it.
-    doubted_until: Time,
-}
-
-impl Endpoint {
-    fn new(entry: Entry) -> Self {
-        Self {
-            entry,
-            evacuated: false,
-            cold_until: Time::ZERO,
-            region: None,
-            rate: RateState::default(),
-            doubted_until: Time::ZERO,
-            own_calls: 0,
-            other_calls: 0,
-            reported_at: Time::ZERO,
-            health: Health::default(),
-            replaced: false,
-        }
-    }
-
-    /// Returns the endpoint's registration.
-    #[must_use]
-    pub const fn entry(&self) -> &Entry {
-        &self.entry
-    }
-
-    /// Returns its health as observed by this node.
-    #[must_use]
-    pub const fn health(&self) -> &Health {
-        &self.health
-    }
-
-    /// Returns whether it may get new calls.
-    #[must_use]
-    pub const fn is_open(&self) -> bool {
-        self.is_present() && !self.evacuated
-    }
-
-    /// Returns whether it may get new calls unless its failure domain is
-    /// evacuated.
-    #[must_use]
-    pub const fn is_present(&self) -> bool {
-        !self.entry.draining && !self.replaced
-    }
-
-    /// Returns whether it is cold.
-    #[must_use]
-    pub fn is_cold(&self, now: Time) -> bool {
-        now < self.cold_until
-    }
-
-    /// Returns whether an endpoint of this version may get a call.
-    #[must_use]
-    pub fn satisfies(&self, now: Time, rule: &VersionRule) -> bool {
-        let version = &self.entry.version;
-        match rule {
-            VersionRule::Any | VersionRule::NewStream { .. } => true,
-            VersionRule::At(wanted) => wanted == version && self.doubted_until <= now,
-        }
-    }
-
-    /// Returns when it stops being cold.
-    #[must_use]
-    pub const fn cold_until(&self) -> Time {
-        self.cold_until
-    }
-
-    /// Returns the limit on its requests, if it names one.
-    #[must_use]
-    pub const fn rate_limit(&self) -> Option<&RateLimit> {
-        self.rate.limit()
-    }
-
-    /// Returns its region, if known.
-    #[must_use]
-    pub const fn region(&self) -> Option<&Region> {
-        self.region.as_ref()
-    }
-
-    /// Returns its estimated number of current calls.
-    #[must_use]
-    pub fn calls(&self, now: Time) -> f32 {
-        let age = now.since(self.reported_at).as_secs_f32() / REPORT_LIFETIME.as_secs_f32();
-        self.own_calls as f32 + self.other_calls as f32 * (1.0 - age).max(0.0)
-    }
-
-    /// Returns the age of its last load report.
-    #[must_use]
-    pub const fn report_age(&self, now: Time) -> Duration {
-        now.since(self.reported_at)
-    }
-
-    fn weighted_load(&self, now: Time) -> f32 {
-        let failures = 1.0 + FAILURE_WEIGHT * self.health.failure_rate(now);
-        let slowness = self.health.slowness(now).max(0.5);
-        (self.calls(now) + 1.0) / self.entry.slots.max(1) as f32 * failures * slowness
-    }
-}
-
-/// The software versions at which a call may run.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub enum VersionRule {
-    /// Any version.
-    #[default]
-    Any,
-    /// Any version, since the call starts a stream that may continue elsewhere.
-    NewStream {
-        /// The versions to avoid unless there is no other.
-        closed: BTreeSet<SoftwareVersion>,
-    },
-    /// The version at which the stream began.
-    At(SoftwareVersion),
-}
-
-/// The requirements of a call on its endpoint.
-#[derive(Debug, Clone, Copy)]
-pub struct EndpointCriteria<'a> {
-    /// The service.
-    pub service: &'a PoolName,
-    /// Endpoints to avoid unless there is no other.
-    pub avoid: &'a [EndpointId],
-    /// The preferred failure domain, if any.
-    pub domain: Option<&'a FailureDomain>,
-    /// Whether other failure domains are used only if the preferred one has no
-    /// usable endpoint.
-    pub strict: bool,
-    /// The hash of the prompt's shared prefix; `None` if reuse is not
-    /// worthwhile.
-    pub prefix: Option<u64>,
-    /// The regions in which the call may run.
-    pub homes: &'a Homes,
-    /// Whether cold endpoints are left out.
-    pub warm_only: bool,
-    /// Whether endpoints that name a rate are left out.
-    pub unlimited_only: bool,
-    /// The versions at which the call may run.
-    pub versions: &'a VersionRule,
-}
-
-/// Why the endpoints of a service get no calls, although some are known.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Unavailable {
-    /// None is in a region where the request may be served.
-    OutsideHomes,
-    /// All are in evacuated failure domains.
-    Evacuated,
-    /// All are cold.
-    Cold,
-}
-
-/// The reason why an endpoint was chosen.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-#[derive(derive_more::Display)]
-pub enum Reason {
-    /// It has the least load.
-    #[display("least-load")]
-    LeastLoad,
-    /// It ranks first for the prompt's prefix.
-    #[display("prefix")]
-    Prefix,
-    /// The endpoint that ranks first for the prefix is full, slow or
-    /// unavailable.
-    #[display("prefix-spill")]
-    Spill,
-    /// The node that books the service's requests chose it.
-    #[display("booked")]
-    Booked,
-    /// All endpoints are paused; this one has the least load.
-    #[display("last-resort")]
-    LastResort,
-}
-
-/// An endpoint chosen for a call.
-#[derive(Debug, Clone)]
-pub struct Choice {
-    /// Its registration.
-    pub entry: Entry,
-    /// The reason for the choice.
-    pub reason: Reason,
-    /// Its estimated number of calls.
-    pub calls: f32,
-    /// The age of its last load report.
-    pub report_age: Duration,
-    /// Whether it is cold.
-    pub cold: bool,
-    /// Whether it names a rate.
-    pub limited: bool,
-}
-
 /// All endpoints known to this node.
 #[derive(Debug, Clone, Default)]
 pub struct Directory {
@@ -806,85 +521,3 @@
         }
     }
 }
-
-/// Leaves out endpoints that a new stream should not get while there are others:
-/// those of closed versions, and of several versions those that are nearly full.
-pub(super) fn prefer_for_new(
-    pool: &mut Vec<&Endpoint>,
-    versions: &VersionRule,
-    calls: impl Fn(&Endpoint) -> f32,
-) {
-    let VersionRule::NewStream { closed } = versions else {
-        return;
-    };
-    let first = pool.first().map(|e| &e.entry.version);
-    if pool.iter().all(|e| Some(&e.entry.version) == first) {
-        return;
-    }
-    let is_open = |e: &&Endpoint| !closed.contains(&e.entry.version);
-    if pool.iter().any(is_open) {
-        pool.retain(is_open);
-    }
-    let has_room = |e: &&Endpoint| calls(e) < e.entry.slots as f32 * NEW_STREAMS_FRACTION;
-    if pool.iter().any(has_room) {
-        pool.retain(has_room);
-    }
-}
-
-fn choice(now: Time, endpoint: &Endpoint, reason: Reason) -> Choice {
-    Choice {
-        entry: endpoint.entry.clone(),
-        reason,
-        calls: endpoint.calls(now),
-        report_age: endpoint.report_age(now),
-        cold: endpoint.is_cold(now),
-        limited: endpoint.rate_limit().is_some(),
-    }
-}
-
-fn least_loaded<'a>(
-    now: Time,
-    pool: &[&'a Endpoint],
-    criteria: EndpointCriteria<'_>,
-) -> Option<&'a Endpoint> {
-    let weighted_load = |e: &Endpoint| {
-        let is_remote = criteria.domain.is_some_and(|d| e.entry.domain != *d);
-        let slots = e.entry.slots.max(1) as f32;
-        e.weighted_load(now) + if is_remote { REMOTE_COST / slots } else { 0.0 }
-    };
-    let ordered = |a: &&&Endpoint, b: &&&Endpoint| weighted_load(a).total_cmp(&weighted_load(b));
-    pool.iter().min_by(ordered).copied()
-}
-
-/// Returns the best-ranked endpoint of a prefix that is not full, slow or
-/// failing.
-fn choose_bounded<'a>(now: Time, pool: &[&'a Endpoint], prefix: u64) -> &'a Endpoint {
-    let mut ranked: Vec<&Endpoint> = pool.to_vec();
-    ranked.sort_by_key(|e| std::cmp::Reverse(rank(prefix, &e.entry.id)));
-    let count = ranked.len().max(1) as f32;
-    let calls: f32 = ranked.iter().map(|e| e.calls(now)).sum();
-    let bound = BOUND_RATIO * calls / count + BOUND_SLACK;
-    let slowness = median(ranked.iter().map(|e| e.health.slowness(now)).collect());
-    let failures = median(ranked.iter().map(|e| e.health.failure_rate(now)).collect());
-    let fits = |e: &&&Endpoint| {
-        let slow = e.health.slowness(now) > SLOW_RATIO * slowness;
-        let failing = e.health.failure_rate(now) > failures + 0.3;
-        e.calls(now) < bound && !slow && !failing
-    };
-    let first = ranked.iter().find(fits).or_else(|| ranked.first());
-    let Some(endpoint) = first else {
-        unreachable!("the caller has at least one endpoint");
-    };
-    endpoint
-}
-
-pub(super) fn median(mut values: Vec<f32>) -> f32 {
-    values.sort_by(f32::total_cmp);
-    values.get(values.len() / 2).copied().unwrap_or(1.0)
-}
-
-pub(super) fn rank(prefix: u64, id: &EndpointId) -> u64 {
-    let mut text = prefix.to_le_bytes().to_vec();
-    text.extend_from_slice(id.as_str().as_bytes());
-    rapidhash_v3_seeded(&text, &SECRETS)
-}
