--- a/lib/src/serving/crashes/ends.rs
+++ b/lib/src/serving/crashes/ends.rs
@@ -179,7 +179,7 @@
         }
     }
 
-    /// Returns the number of suspects that an end has.
+    /// Returns the number of suspects that have ends.
     pub(super) fn suspect_count(&self) -> usize {
         self.by_suspect.len()
     }
@@ -219,24 +219,21 @@
         settled: Time,
         is_eligible: impl Fn(Suspect) -> bool,
     ) -> Option<Suspect> {
-        let rivals = self.by_suspect.iter();
-        let rivals = rivals.filter(|(_, ends)| ends.len() >= END_THRESHOLD);
-        let rivals: Vec<Suspect> = rivals
-            .map(|(&s, _)| s)
-            .filter(|&s| is_eligible(s))
-            .collect();
-        let has_enough = |&&s: &&Suspect| {
-            let ends = self.settled_ends(s, settled).len();
-            self.count(s, settled) >= END_THRESHOLD && ends >= self.needed(s, settled)
+        let many = self.by_suspect.iter();
+        let many = many.filter(|(_, ends)| ends.len() >= END_THRESHOLD);
+        let many = many.map(|(&s, _)| s).filter(|&s| is_eligible(s));
+        let rivals: BTreeMap<Suspect, BTreeSet<u64>> =
+            many.map(|s| (s, self.open_numbers(s))).collect();
+        let has_enough = |s: &Suspect| {
+            let ends = self.settled_ends(*s, settled).len();
+            self.count(*s, settled) >= END_THRESHOLD && ends >= self.needed(*s, settled)
         };
-        let candidates: BTreeSet<Suspect> = rivals.iter().filter(has_enough).copied().collect();
-        let is_beaten = |&s: &Suspect| {
-            let waits = self.waits_for_parts(s, settled);
-            let counts = |rival: &&Suspect| **rival != s && (waits || candidates.contains(rival));
-            self.is_explained_by(
-                s,
-                &rivals.iter().filter(counts).copied().collect::<Vec<_>>(),
-            )
+        let candidates: BTreeSet<Suspect> = rivals.keys().copied().filter(has_enough).collect();
+        let is_beaten = |s: &Suspect| {
+            let waits = self.waits_for_parts(*s, settled);
+            let counts = |rival: &Suspect| rival != s && (waits || candidates.contains(rival));
+            let rivals = rivals.iter().filter(|(rival, _)| counts(rival));
+            self.is_explained_by(*s, rivals)
         };
         candidates.iter().copied().find(|s| !is_beaten(s))
     }
@@ -244,12 +241,15 @@
     /// Returns whether other suspects explain all ends of a suspect better.
     ///
     /// Few suspects with many ends each are likelier than many with few.
-    fn is_explained_by(&self, suspect: Suspect, rivals: &[Suspect]) -> bool {
+    fn is_explained_by<'a>(
+        &self,
+        suspect: Suspect,
+        rivals: impl Iterator<Item = (&'a Suspect, &'a BTreeSet<u64>)>,
+    ) -> bool {
         let own = self.open_numbers(suspect);
         let mut unexplained = own.clone();
-        for &rival in rivals {
-            let ends = self.open_numbers(rival);
-            if ends == own {
+        for (&rival, ends) in rivals {
+            if *ends == own {
                 if self.is_narrower(rival, suspect) {
                     return true;
                 }
