lib: send nothing to an endpoint that has ended while another serves

The booking node had heard of each end, but marked the endpoint for streams that continue only; new requests went there until its registration ran out, and each four refused connections cost a repeat. An ended endpoint now counts as paused for four seconds, unless it registers as a new run.

The new test failed before: the ended endpoint was chosen again.

--- a/lib/src/serving/bookings.rs
+++ b/lib/src/serving/bookings.rs
@@ -427,7 +427,7 @@
         let tokens = load.pending_tokens as f32
             + READ_WEIGHT * unread_tokens as f32
             + (CALL_TOKENS + DISTURBANCE * unread_tokens as f32) * load.calls as f32;
-        let paused_cost = if health.is_paused(now) {
+        let paused_cost = if endpoint.is_paused(now) {
             PAUSED_COST
         } else {
             0.0
--- a/lib/src/serving/directory/endpoint.rs
+++ b/lib/src/serving/directory/endpoint.rs
@@ -162,6 +162,13 @@
         }
     }
 
+    /// Returns whether its connections failed or it is known to have ended, so that
+    /// others are preferred.
+    #[must_use]
+    pub fn is_paused(&self, now: Time) -> bool {
+        self.health.is_paused(now) || now < self.doubted_until
+    }
+
     /// Returns when it stops being cold.
     #[must_use]
     pub const fn cold_until(&self) -> Time {
--- a/lib/src/serving/directory/mod.rs
+++ b/lib/src/serving/directory/mod.rs
@@ -417,7 +417,7 @@
         prefer_for_new(&mut all, criteria.versions, |e| e.calls(now));
         let not_avoided = |e: &&Endpoint| !criteria.avoid.contains(&e.entry.id);
         let usable: Vec<&Endpoint> = all.iter().copied().filter(not_avoided).collect();
-        let healthy = |e: &&Endpoint| !e.health.is_paused(now);
+        let healthy = |e: &&Endpoint| !e.is_paused(now);
         let mut pool: Vec<&Endpoint> = usable.iter().copied().filter(healthy).collect();
         if pool.is_empty() {
             let endpoint = least_loaded(now, &usable, criteria)?;
--- a/lib/tests/test_directory.rs
+++ b/lib/tests/test_directory.rs
@@ -7,6 +7,7 @@
 use snipeyoke_lib::serving::directory::EndpointCriteria;
 use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::directory::VersionRule;
+use snipeyoke_lib::serving::endpoint_loss::Incarnation;
 use snipeyoke_lib::serving::homes::Homes;
 use snipeyoke_lib::time::Time;
 
@@ -132,3 +133,22 @@
     }
     choose(&directory, Some(7));
 }
+
+/// Guards against requests that are sent to an endpoint until its registration runs out, although
+/// its host has refused a connection.
+#[test]
+fn an_ended_endpoint_gets_no_calls_while_others_serve() {
+    let mut directory = directory();
+    let first = choose(&directory, Some(7));
+    let run = Incarnation {
+        endpoint: first.clone(),
+        started_at: Some(1),
+    };
+    directory.mark_ended(NOW, &run);
+    assert_ne!(choose(&directory, Some(7)), first);
+    directory.set(Entry {
+        started_at: Some(2),
+        ..entry(first.as_str(), "d0")
+    });
+    assert_eq!(choose(&directory, Some(7)), first, "it has started again");
+}
