--- a/gateway/src/rate_limits.rs
+++ b/gateway/src/rate_limits.rs
@@ -8,10 +8,10 @@
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::rate_limit::NamedRate;
+use snipeyoke_lib::serving::rate_limit::NewsSource;
 use snipeyoke_lib::serving::rate_limit::RateChange;
 use snipeyoke_lib::serving::rate_limit::RateLimit;
 use snipeyoke_lib::serving::rate_limit::RateNotice;
-use snipeyoke_lib::serving::rate_limit::RateSource;
 use snipeyoke_lib::time::Time;
 use snipeyoke_wire::EndpointRate;
 
@@ -120,7 +120,7 @@
         let rate: f64 = limits.iter().map(|l| l.rate.per_second()).sum();
         let ages = limits.iter().map(|l| now.since(l.named_at));
         let oldest = ages.max().unwrap_or_default();
-        let is_heard = |l: &&&RateLimit| l.source == RateSource::Response;
+        let is_heard = |l: &&&RateLimit| l.source == NewsSource::Response;
         let heard = limits.iter().filter(is_heard).count();
         let gauge = |source, count| {
             let labels = [("service", service.to_string()), ("source", source)];
--- a/lib/src/serving/rate_limit.rs
+++ b/lib/src/serving/rate_limit.rs
@@ -249,9 +249,9 @@
     Malformed(RateError),
 }
 
-/// Where a node learned of a rate.
+/// Where a node learned what an endpoint says of itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
-pub enum RateSource {
+pub enum NewsSource {
     /// From a response of the endpoint.
     #[display("response")]
     Response,
@@ -268,7 +268,7 @@
     /// When it was last named, by the clock of this node.
     pub named_at: Time,
     /// Where this node last learned of it.
-    pub source: RateSource,
+    pub source: NewsSource,
     /// The requests that went elsewhere or were refused because of it.
     pub held_back: u64,
     /// Until when this node asks for no grant.
@@ -324,7 +324,7 @@
             RateNotice::Malformed(error) => {
                 (previous != refused).then_some(RateChange::Refused(error))
             }
-            RateNotice::Limited(rate) => self.set(rate, now, RateSource::Response),
+            RateNotice::Limited(rate) => self.set(rate, now, NewsSource::Response),
             RateNotice::Unlimited => {
                 // The response may have been written before the endpoint named its rate.
                 if self.limit.is_some_and(|l| sent < l.named_at) {
@@ -349,10 +349,10 @@
         if !is_newer {
             return None;
         }
-        self.set(rate, named_at, RateSource::Node(source))
+        self.set(rate, named_at, NewsSource::Node(source))
     }
 
-    fn set(&mut self, rate: NamedRate, named_at: Time, source: RateSource) -> Option<RateChange> {
+    fn set(&mut self, rate: NamedRate, named_at: Time, source: NewsSource) -> Option<RateChange> {
         let previous = self.limit;
         let limit = RateLimit {
             rate,
--- a/lib/tests/test_rate_limits.rs
+++ b/lib/tests/test_rate_limits.rs
@@ -22,11 +22,11 @@
 use snipeyoke_lib::serving::directory::Directory;
 use snipeyoke_lib::serving::directory::Entry;
 use snipeyoke_lib::serving::rate_limit::NamedRate;
+use snipeyoke_lib::serving::rate_limit::NewsSource;
 use snipeyoke_lib::serving::rate_limit::Quota;
 use snipeyoke_lib::serving::rate_limit::RateChange;
 use snipeyoke_lib::serving::rate_limit::RateError;
 use snipeyoke_lib::serving::rate_limit::RateNotice;
-use snipeyoke_lib::serving::rate_limit::RateSource;
 use snipeyoke_lib::serving::rate_limit::RateState;
 use snipeyoke_lib::time::Time;
 
@@ -620,7 +620,7 @@
     assert!(state.on_news(at(12_100), new, node).is_some());
     assert_eq!(
         state.limit().map(|l| l.source),
-        Some(RateSource::Node(node))
+        Some(NewsSource::Node(node))
     );
 }
 
