lib, gateway: send nothing in a rest that an endpoint asked for, or after it leaves

Change: what an endpoint says of itself in a response (load, rate, rest, leave) is one typed report, kept by run of the endpoint in the directory and asked where an endpoint is chosen and again where the bytes leave: attempts, repeats, bookings, batch calls, releases. A rest binds the node that was asked; a leave binds all nodes, who hear of it by their polls. All at rest: 503 endpoints-resting at once. An endpoint that said that it leaves and then ends is not taken for crashed.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -1,12 +1,10 @@
 //! A single attempt of a request at one endpoint.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use hyper::StatusCode;
 use snipeyoke_lib::ids::EndpointId;
-use snipeyoke_lib::ids::SoftwareVersion;
 use snipeyoke_lib::serving::bookings::PlacementRequest;
 use snipeyoke_lib::serving::cold_start::ADMISSION_LIFETIME;
 use snipeyoke_lib::serving::crashes::Casualty;
@@ -22,6 +20,7 @@
 use snipeyoke_lib::serving::rate_limit::RateNotice;
 use snipeyoke_lib::serving::rate_limit::interval;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
+use snipeyoke_lib::serving::self_report::RestNotice;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::RequestRate;
 use snipeyoke_runtime::flag::Flag;
@@ -56,6 +55,11 @@
 /// as good as one known this late: it has read 4,000 tokens by then.
 const PLACEMENT_WAIT: Duration = Duration::from_millis(60);
 
+/// How long a stream that has begun waits for the end of a rest.
+///
+/// Callers abandon a stream after a gap of two seconds.
+const REST_WAIT_MAX: Duration = Duration::from_secs(1);
+
 /// The number of shared tokens from which a prompt stays with one endpoint.
 ///
 /// Reading fewer tokens again costs less time than using a busier endpoint.
@@ -92,10 +96,7 @@
 #[derive(Debug)]
 pub(crate) struct InFlight {
     shared: Arc<Shared>,
-    pub(crate) endpoint: EndpointId,
-    started_at: Option<u64>,
-    address: SocketAddr,
-    pub(crate) version: SoftwareVersion,
+    pub(crate) entry: Entry,
     /// The booking, if another node may hold it.
     booking: Option<Booking>,
     request: Fingerprint,
@@ -115,10 +116,7 @@
         ctx.shared.record_call(&entry.domain);
         Self {
             shared: Arc::clone(&ctx.shared),
-            endpoint: entry.id.clone(),
-            started_at: entry.started_at,
-            address: entry.address,
-            version: entry.version.clone(),
+            entry: entry.clone(),
             booking,
             request: ctx.fingerprint(),
             parts: Arc::clone(&ctx.request.parts),
@@ -166,15 +164,15 @@
 
     fn incarnation(&self) -> Incarnation {
         Incarnation {
-            endpoint: self.endpoint.clone(),
-            started_at: self.started_at,
+            endpoint: self.entry.id.clone(),
+            started_at: self.entry.started_at,
         }
     }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.shared.directory().call_ended(&self.endpoint);
+        self.shared.directory().call_ended(&self.entry.id);
         if let Some((_, number)) = self.run {
             self.shared.crashes().on_run_ended(number);
         }
@@ -195,18 +193,9 @@
     let mut failed = Vec::new();
     loop {
         let asked_at = ctx.shared.now();
-        let placed = request_placement(ctx, &failed).await;
-        let (choice, booking) = match placed {
-            Some((choice, booking)) => (choice, Some(booking)),
-            None => match wait_for_choice(ctx, &failed).await {
-                Ok(choice) => (choice, None),
-                Err(refusal) => {
-                    if refusal == Refusal::Limited {
-                        ctx.backlog = total_rate(ctx).map_or(Duration::ZERO, interval);
-                    }
-                    return AttemptResult::Unserved(refusal);
-                }
-            },
+        let (choice, booking) = match choose_endpoint(ctx, &failed).await {
+            Ok(chosen) => chosen,
+            Err(refusal) => return AttemptResult::Unserved(refusal),
         };
         // The request may have been quarantined while its stages ran.
         if ctx.quarantine_remaining().is_some() {
@@ -236,7 +225,11 @@
         let handed_off = flight.handed_off.clone();
         let limited = choice.cold && ctx.limits_cold_calls();
         let shared = Arc::clone(&ctx.shared);
-        let may_send = || !limited || shared.now().since(asked_at) <= ADMISSION_LIFETIME;
+        let may_send = || {
+            let now = shared.now();
+            let admitted = !limited || now.since(asked_at) <= ADMISSION_LIFETIME;
+            admitted && shared.directory().may_send(now, &choice.entry)
+        };
         let response = send_request(
             &exec,
             choice.entry.address,
@@ -267,7 +260,7 @@
             }
             Some(Err(error)) => {
                 flight.settle();
-                if !error.is_expired() {
+                if !error.is_withheld() {
                     record_connect_error(ctx, &choice.entry.id, &error);
                     if let Some(booking) = &mut flight.booking {
                         booking.mark_failed();
@@ -281,7 +274,7 @@
                 if error.is_refused() {
                     ctx.shared
                         .dispatcher
-                        .connection_refused(flight.incarnation(), flight.address);
+                        .connection_refused(flight.incarnation(), flight.entry.address);
                 }
                 ctx.may_have_run = may_have_run;
                 failed.push(choice.entry.id);
@@ -293,6 +286,30 @@
     }
 }
 
+/// Chooses an endpoint, by the node that books the service or by this one.
+///
+/// If there is none, sets the time after which one may be had.
+async fn choose_endpoint(
+    ctx: &mut RequestContext,
+    failed: &[EndpointId],
+) -> Result<(Choice, Option<Booking>), Refusal> {
+    if let Some((choice, booking)) = request_placement(ctx, failed).await {
+        return Ok((choice, Some(booking)));
+    }
+    let refusal = match wait_for_choice(ctx, failed).await {
+        Ok(choice) => return Ok((choice, None)),
+        Err(refusal) => refusal,
+    };
+    let now = ctx.shared.now();
+    let backlog = match refusal {
+        Refusal::Limited => Some(total_rate(ctx).map_or(Duration::ZERO, interval)),
+        Refusal::Resting => ctx.first_rest_end().map(|end| end.since(now)),
+        _ => None,
+    };
+    ctx.backlog = backlog.unwrap_or(ctx.backlog);
+    Err(refusal)
+}
+
 /// Requests the endpoint for a prompt from the node that books its service.
 ///
 /// Returns `None` if this node has to choose by itself.
@@ -305,6 +322,7 @@
     let has_shared = prompt.shared >= SHARED_TOKENS_MIN;
     let mut avoid = ctx.attempted.clone();
     avoid.extend_from_slice(failed);
+    let resting = shared.directory().resting(shared.now(), &ctx.service);
     let placement = PlacementRequest {
         prefix: has_shared.then_some(prompt.prefix),
         shared_tokens: prompt.shared,
@@ -312,6 +330,7 @@
         input_domain: ctx.inputs.as_ref().map(|(domain, _)| domain.clone()),
         remote_cost: ctx.inputs.as_ref().map_or(0, |(_, tokens)| *tokens),
         avoid,
+        resting,
         homes: ctx.homes.clone(),
         leading: ctx.request.leading.clone(),
         moved: false,
@@ -415,6 +434,14 @@
         if total_rate(ctx).is_some() {
             return Err(Refusal::Limited);
         }
+        if let Some(end) = ctx.first_rest_end() {
+            let rest = end.since(shared.now());
+            if !ctx.response_started || rest > REST_WAIT_MAX || end >= ctx.deadline {
+                return Err(Refusal::Resting);
+            }
+            async_io::Timer::after(rest).await;
+            continue;
+        }
         let remaining = deadline.min(ctx.deadline).since(shared.now());
         if remaining.is_zero() {
             return Err(Refusal::NoEndpoint);
@@ -496,25 +523,22 @@
     let shared = Arc::clone(&ctx.shared);
     let head = shared.dialect.parse_response(&call.head);
     let now = shared.now();
-    let endpoint = flight.endpoint.clone();
+    let endpoint = flight.entry.id.clone();
     shared.report_unread(&endpoint, &head.unread);
-    if let Some(load) = head.load {
-        shared.directory().apply_load(now, &endpoint, load);
-    }
     let is_own = head.id.as_deref() == Some(ctx.request.id.as_str());
-    // A refusal without a rate is no evidence that the endpoint names none.
-    match head.verdict {
-        Verdict::Ran if is_own => record_rate(ctx, &flight, sent, head.rate),
-        Verdict::NotRun if head.rate != RateNotice::Unlimited => {
-            record_rate(ctx, &flight, sent, head.rate);
-        }
-        Verdict::Ran | Verdict::NotRun | Verdict::WrongEndpoint => {}
-    }
+    let rate = head.report.rate.filter(|&rate| match head.verdict {
+        Verdict::Ran => is_own,
+        // A refusal without a rate is no evidence that the endpoint names none.
+        Verdict::NotRun => rate != RateNotice::Unlimited,
+        Verdict::WrongEndpoint => false,
+    });
+    tell_granting_node(&flight, rate);
+    shared.on_response(&flight.entry, sent, &head, rate);
     let status = call.head.status;
     if head.verdict != Verdict::Ran {
         flight.settle();
         ctx.may_have_run = may_have_run;
-        return classify_refusal(ctx, &endpoint, head.verdict, status);
+        return classify_refusal(ctx, &endpoint, &head, status);
     }
     // An endpoint may send a second response to another request. Without this
     // check the caller would receive data of another caller.
@@ -533,14 +557,12 @@
     }))
 }
 
-/// Records what a response says about the rate of its endpoint, also at the node
-/// that grants the requests to it.
-fn record_rate(ctx: &RequestContext, flight: &InFlight, sent: Time, notice: RateNotice) {
-    let endpoint = &flight.endpoint;
-    let was_limited = ctx.shared.is_limited(endpoint);
-    ctx.shared.on_rate_notice(endpoint, sent, notice);
-    let is_news = was_limited || notice != RateNotice::Unlimited;
-    if let Some(booking) = flight.booking.as_ref().filter(|_| is_news) {
+/// Tells the node that grants the requests to an endpoint what a response says about
+/// its rate.
+fn tell_granting_node(flight: &InFlight, rate: Option<RateNotice>) {
+    let was_limited = flight.shared.is_limited(&flight.entry.id);
+    let news = rate.filter(|&rate| was_limited || rate != RateNotice::Unlimited);
+    if let (Some(notice), Some(booking)) = (news, &flight.booking) {
         booking.rate_notice(notice);
     }
 }
@@ -549,10 +571,10 @@
 fn classify_refusal(
     ctx: &mut RequestContext,
     endpoint: &EndpointId,
-    verdict: Verdict,
+    head: &ResponseHead,
     status: StatusCode,
 ) -> AttemptResult {
-    let replaced = verdict == Verdict::WrongEndpoint;
+    let replaced = head.verdict == Verdict::WrongEndpoint;
     log::info!(event = "endpoint-refused", request = ctx.request.id.as_str(), endpoint = endpoint.to_string().as_str(), status = status.as_u16(), replaced; "");
     let now = ctx.shared.now();
     let mut directory = ctx.shared.directory();
@@ -565,7 +587,9 @@
         ctx.attempted.pop();
         return AttemptResult::InputsGone;
     }
-    if let Some(health) = directory.health_mut(endpoint) {
+    // An endpoint that asks for a rest is not sick: it gets nothing for as long.
+    let asks_for_rest = matches!(head.report.rest, RestNotice::Asked(_));
+    if let Some(health) = directory.health_mut(endpoint).filter(|_| !asks_for_rest) {
         health.record_failure(now);
     }
     AttemptResult::NotRun(Refusal::Full)
@@ -574,7 +598,7 @@
 /// Records the latency of a response against the service's expected time.
 pub(crate) fn record_latency(ctx: &RequestContext, flight: &InFlight, sent: Time) {
     let shared = &ctx.shared;
-    let endpoint = &flight.endpoint;
+    let endpoint = &flight.entry.id;
     let now = shared.now();
     let tokens = ctx.request.prompt.map_or(0, |p| p.tokens);
     let ratio = shared
@@ -591,7 +615,7 @@
 /// Records a response that reports an endpoint failure or was cut short.
 pub(crate) fn record_failure(ctx: &RequestContext, flight: &mut InFlight) {
     let now = ctx.shared.now();
-    if let Some(health) = ctx.shared.directory().health_mut(&flight.endpoint) {
+    if let Some(health) = ctx.shared.directory().health_mut(&flight.entry.id) {
         health.record_failure(now);
     }
     if let Some(booking) = &mut flight.booking {
@@ -603,7 +627,11 @@
 pub(crate) fn report_break(ctx: &RequestContext, flight: &mut InFlight) {
     flight.settle();
     let dispatcher = &ctx.shared.dispatcher;
-    dispatcher.connection_broke(flight.incarnation(), flight.address, flight.casualty());
+    dispatcher.connection_broke(
+        flight.incarnation(),
+        flight.entry.address,
+        flight.casualty(),
+    );
 }
 
 /// Returns whether a status claims that the request did not run.
--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -52,8 +52,10 @@
     #[display("the connection closed before the request was sent: {_0}")]
     NotAccepted(hyper::Error),
     /// The call may no longer be sent.
-    #[display("the admission to a cold endpoint expired before the request was sent")]
-    Expired,
+    #[display(
+        "the endpoint may get no request any more: it rests, leaves or is cold; the request was not sent"
+    )]
+    Withheld,
     /// The connection failed after the endpoint may have read the request.
     #[display("the connection failed: {_0}; the request may have run")]
     Broken(hyper::Error),
@@ -65,9 +67,9 @@
         matches!(self, Self::NotSent(e) if e.kind() == io::ErrorKind::ConnectionRefused)
     }
 
-    /// Returns whether the admission of the call expired before it was sent.
-    pub(crate) const fn is_expired(&self) -> bool {
-        matches!(self, Self::Expired)
+    /// Returns whether the call was withheld once the connection was up.
+    pub(crate) const fn is_withheld(&self) -> bool {
+        matches!(self, Self::Withheld)
     }
 
     /// Returns whether the request certainly was not sent.
@@ -119,7 +121,8 @@
         let _ended = conn.await;
     });
     if !may_send() {
-        return Err(CallError::Expired);
+        metrics::counter!("snipeyoke_withheld_calls_total").increment(1);
+        return Err(CallError::Withheld);
     }
     handed_off.set();
     match sender.try_send_request(request).await {
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -19,8 +19,7 @@
 use snipeyoke_lib::serving::batching::ItemOutcome;
 use snipeyoke_lib::serving::bookings::LeadingPrefix;
 use snipeyoke_lib::serving::crashes::PartId;
-use snipeyoke_lib::serving::directory::LoadReport;
-use snipeyoke_lib::serving::rate_limit::RateNotice;
+use snipeyoke_lib::serving::self_report::SelfReport;
 
 /// What a request declares about its prompt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
@@ -158,10 +157,10 @@
     pub verdict: Verdict,
     /// Whether the body has a content encoding, which callers never request.
     pub encoded: bool,
-    /// The endpoint's load.
-    pub load: Option<LoadReport>,
-    /// What it says about the rate that the endpoint accepts.
-    pub rate: RateNotice,
+    /// What it says of its endpoint.
+    pub report: SelfReport,
+    /// The endpoint that sent it, if it names itself.
+    pub instance: Option<EndpointId>,
     /// The headers to relay to the caller.
     pub headers: HeaderMap,
     /// The names of those that the dialect does not know.
--- a/gateway/src/dispatch/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -40,10 +40,13 @@
             &shared.traffic,
             batch.entry.address,
             request,
-            (&sent, &|| true),
+            (&sent, &|| {
+                shared.directory().may_send(shared.now(), &batch.entry)
+            }),
         )
         .await
         {
+            Err(error) if error.is_withheld() => CallResult::Refused,
             Ok(call) => read_response(&shared, &batch, call, sent_at).await,
             Err(error) => {
                 if !error.is_not_sent() {
@@ -95,10 +98,12 @@
     let response = shared.dialect.parse_response(&call.head);
     shared.report_unread(&batch.entry.id, &response.unread);
     // A refusal without a rate is no evidence that the endpoint names none.
-    let is_evidence = response.verdict == Verdict::Ran || response.rate != RateNotice::Unlimited;
-    if is_evidence && response.verdict != Verdict::WrongEndpoint {
-        shared.on_rate_notice(&batch.entry.id, sent_at, response.rate);
-    }
+    let is_evidence = |rate: &RateNotice| {
+        let is_news = response.verdict == Verdict::Ran || *rate != RateNotice::Unlimited;
+        is_news && response.verdict != Verdict::WrongEndpoint
+    };
+    let rate = response.report.rate.filter(is_evidence);
+    shared.on_response(&batch.entry, sent_at, &response, rate);
     match response.verdict {
         Verdict::WrongEndpoint => return CallResult::WrongEndpoint,
         Verdict::NotRun => return CallResult::Refused,
@@ -142,17 +147,20 @@
             &shared.traffic,
             entry.address,
             request,
-            (&Flag::default(), &|| true),
+            (&Flag::default(), &|| {
+                shared.directory().may_send(shared.now(), &entry)
+            }),
         )
         .await
         else {
             return false;
         };
         let response = shared.dialect.parse_response(&call.head);
-        let names_rate = response.rate != RateNotice::Unlimited;
-        if names_rate && response.verdict != Verdict::WrongEndpoint {
-            shared.on_rate_notice(&entry.id, sent_at, response.rate);
-        }
+        let is_evidence = |rate: &RateNotice| {
+            *rate != RateNotice::Unlimited && response.verdict != Verdict::WrongEndpoint
+        };
+        let rate = response.report.rate.filter(is_evidence);
+        shared.on_response(&entry, sent_at, &response, rate);
         while let Ok(Some(_)) = call.next().await {}
         call.head.status.is_success()
     };
--- a/gateway/src/dispatch/crashes.rs
+++ b/gateway/src/dispatch/crashes.rs
@@ -172,8 +172,9 @@
     /// Returns whether an endpoint has announced that it is leaving.
     fn is_leaving(&self, incarnation: &Incarnation) -> bool {
         let directory = self.shared.directory();
-        let entry = directory.get(&incarnation.endpoint).map(Endpoint::entry);
-        entry.is_some_and(|e| e.started_at == incarnation.started_at && e.draining)
+        let endpoint = directory.get(&incarnation.endpoint);
+        let endpoint = endpoint.filter(|e| e.entry().started_at == incarnation.started_at);
+        endpoint.is_some_and(Endpoint::is_leaving)
     }
 
     /// Reports the end of an endpoint to the nodes that count.
--- a/gateway/src/dispatch/inbound.rs
+++ b/gateway/src/dispatch/inbound.rs
@@ -226,12 +226,14 @@
                 inbound.node = Some(address);
             }
             self.shared.on_rate_news(&poll.rates, address);
+            self.shared.on_leave_news(&poll.leaves, address);
         }
         if poll.brief {
             self.shared.registry_polling().on_polled(now);
         }
         let mut reply = self.sync_reply(Some(poll));
         reply.rates = self.rate_news(poll.brief);
+        reply.leaves = self.shared.recent_leaves();
         let Some(inbound) = self.inbound.get_mut(&link) else {
             return;
         };
--- a/gateway/src/dispatch/peers.rs
+++ b/gateway/src/dispatch/peers.rs
@@ -70,6 +70,7 @@
         let count = owners.count();
         drop(owners);
         self.shared.on_rate_news(&reply.rates, peer);
+        self.shared.on_leave_news(&reply.leaves, peer);
         for frame in &reply.quarantines {
             self.handle_verdict(frame);
         }
@@ -192,6 +193,7 @@
             brief,
             stamp: now.as_micros(),
             rates: self.rate_news(brief),
+            leaves: self.shared.recent_leaves(),
         };
         drop(replicas);
         let stale = !brief && self.shared.lacks_endpoints() && self.can_request_endpoints(now);
--- a/gateway/src/dispatch/placement.rs
+++ b/gateway/src/dispatch/placement.rs
@@ -393,6 +393,7 @@
             VersionRule::Any | VersionRule::NewStream { .. } => None,
         },
         new_stream: matches!(request.versions, VersionRule::NewStream { .. }),
+        resting: request.resting.iter().map(ToString::to_string).collect(),
         rates: Vec::new(),
     }
 }
@@ -408,6 +409,11 @@
         input_domain: frame.domain.parse().ok(),
         remote_cost: frame.afar,
         avoid: frame.avoid.iter().filter_map(|e| e.parse().ok()).collect(),
+        resting: frame
+            .resting
+            .iter()
+            .filter_map(|e| e.parse().ok())
+            .collect(),
         homes: convert::homes_of(&frame.homes),
         moved: frame.moved,
         only: frame.only.parse().ok(),
--- a/gateway/src/ingress.rs
+++ b/gateway/src/ingress.rs
@@ -208,6 +208,10 @@
     if let Some(why) = needed.iter().find_map(|s| ctx.unavailability(s)) {
         return refuse(ctx, why.into());
     }
+    if ctx.is_rested_out() {
+        ctx.backlog = ctx.remaining();
+        return refuse(ctx, Refusal::Resting);
+    }
     if ctx.route.kind.is_stream() {
         serve_stream(ctx, stages).await
     } else {
--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod registry;
 mod request_context;
 mod retry;
+mod self_reports;
 pub mod settings;
 mod shared;
 mod shutdown;
--- a/gateway/src/operators.rs
+++ b/gateway/src/operators.rs
@@ -246,6 +246,10 @@
         draining: !endpoint.is_open(),
         models: Vec::new(),
         limit: endpoint.rate_limit().map(|limit| limit_fact(now, limit)),
+        rest: endpoint
+            .is_resting(now)
+            .then(|| endpoint.rest_until().since(now)),
+        leave_age: endpoint.leave().map(|leave| now.since(leave.said_at)),
         version: Some(VersionFact {
             version: entry.version.clone(),
             age: Duration::ZERO,
--- a/gateway/src/polling.rs
+++ b/gateway/src/polling.rs
@@ -138,6 +138,7 @@
         };
         gauge.set(age.as_secs_f64());
         shared.report_rates();
+        shared.report_absences();
         let is_stale = freshness.cannot_read(freshness.age(now));
         if is_stale {
             shared.owners().defer_admissions(now);
--- a/gateway/src/rate_limits.rs
+++ b/gateway/src/rate_limits.rs
@@ -134,7 +134,7 @@
             .set(oldest.as_secs_f64());
     }
 
-    fn report_rate(&self, endpoint: &EndpointId, change: Option<RateChange>) {
+    pub(crate) fn report_rate(&self, endpoint: &EndpointId, change: Option<RateChange>) {
         let Some(change) = change else {
             return;
         };
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -47,6 +47,8 @@
     OutsideHomes,
     /// All endpoints are cold and get as many calls as they tolerate.
     Cold,
+    /// All endpoints have asked this node for a rest.
+    Resting,
     /// All endpoints name a rate and get as many requests as they accept.
     Limited,
     /// No endpoint of the version that began the stream accepts work.
@@ -65,6 +67,7 @@
             Unavailable::OutsideHomes => Self::OutsideHomes,
             Unavailable::Evacuated => Self::Evacuated,
             Unavailable::Cold => Self::Cold,
+            Unavailable::Resting => Self::Resting,
         }
     }
 }
@@ -90,6 +93,7 @@
             Self::OutsideHomes => "outside-homes",
             Self::Cold => "endpoints-cold",
             Self::Limited => "endpoints-limited",
+            Self::Resting => "endpoints-resting",
             Self::VersionGone => "version-gone",
             Self::OriginUnknown => "origin-unknown",
             Self::Timeout => "timeout",
@@ -119,6 +123,7 @@
             | Self::Cold
             | Self::VersionGone
             | Self::OriginUnknown
+            | Self::Resting
             | Self::Limited => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/gateway/src/request_context.rs
+++ b/gateway/src/request_context.rs
@@ -225,14 +225,39 @@
         service.is_some_and(|s| s.cold_start.is_some())
     }
 
-    /// Returns why no endpoint of a service may run this request or its stages.
+    /// Returns why no endpoint of a service may run this request or its stages, but
+    /// for rests: these end, and those of stages bind the nodes that call them.
     pub(crate) fn unavailability(&self, service: &PoolName) -> Option<Unavailable> {
         if self.homes.is_empty() {
             return Some(Unavailable::OutsideHomes);
         }
         let now = self.shared.now();
         let directory = self.shared.directory();
-        directory.unavailability(now, service, (&self.homes, false))
+        let why = directory.unavailability(now, service, (&self.homes, false));
+        why.filter(|&why| why != Unavailable::Resting)
+    }
+
+    /// Returns when the first of the endpoints that rest and that could otherwise run
+    /// this request ends its rest.
+    pub(crate) fn first_rest_end(&self) -> Option<Time> {
+        let rule = self.version_rule();
+        let now = self.shared.now();
+        let directory = self.shared.directory();
+        directory.first_rest_end(now, &self.service, (&self.homes, &rule))
+    }
+
+    /// Returns whether all endpoints that could run this request rest until its
+    /// deadline.
+    pub(crate) fn is_rested_out(&self) -> bool {
+        let now = self.shared.now();
+        let directory = self.shared.directory();
+        let why = directory.unavailability(now, &self.service, (&self.homes, false));
+        drop(directory);
+        let all_rest = why == Some(Unavailable::Resting);
+        all_rest
+            && self
+                .first_rest_end()
+                .is_some_and(|end| end >= self.deadline)
     }
 
     /// Returns the versions at which the request may run.
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -169,7 +169,7 @@
         }
         self.ctx.timeline.first_output = Some(now);
         if let Some(response) = &self.response {
-            let version = response.flight.version.clone();
+            let version = response.flight.entry.version.clone();
             record_origin(&mut self.ctx, &version);
             record_latency(&self.ctx, &response.flight, response.sent);
         }
@@ -183,7 +183,7 @@
     /// response.
     async fn resume(&mut self, why: &str) -> bool {
         if let Some(mut response) = self.response.take() {
-            let endpoint = response.flight.endpoint.to_string();
+            let endpoint = response.flight.entry.id.to_string();
             log::warn!(event = "stream-broken", request = self.ctx.request.id.as_str(), endpoint = endpoint.as_str(), events = self.events.count(), why; "");
             record_failure(&self.ctx, &mut response.flight);
             report_break(&self.ctx, &mut response.flight);
--- a/gateway/src/unary.rs
+++ b/gateway/src/unary.rs
@@ -101,7 +101,7 @@
                 break;
             }
             Some(Err(error)) => {
-                log::warn!(event = "answer-broken", request = ctx.request.id.as_str(), endpoint = response.flight.endpoint.to_string().as_str(), error = error.to_string().as_str(); "");
+                log::warn!(event = "answer-broken", request = ctx.request.id.as_str(), endpoint = response.flight.entry.id.to_string().as_str(), error = error.to_string().as_str(); "");
                 record_failure(ctx, &mut response.flight);
                 report_break(ctx, &mut response.flight);
                 return ReadResult::Failed(None);
--- a/lib/src/query/facts.rs
+++ b/lib/src/query/facts.rs
@@ -155,6 +155,11 @@
     pub models: Vec<ModelName>,
     /// The limit on its requests, if it names one.
     pub limit: Option<LimitFact>,
+    /// The remaining time of the rest that it asked for, if any.
+    pub rest: Option<Duration>,
+    /// The time since the router heard from its responses that it leaves, if it
+    /// did.
+    pub leave_age: Option<Duration>,
     /// The version of its software, if known.
     pub version: Option<VersionFact>,
 }
@@ -444,6 +449,8 @@
                 Value::from_option(version.map(|v| Value::Text(v.version.to_string())))
             }
             Field::VersionAge => Value::from_option(self.version.as_ref().map(|v| v.age)),
+            Field::Rest => Value::from_option(self.rest),
+            Field::Leaving => Value::from_option(self.leave_age),
             Field::NewStreams => Value::from_option(self.version.as_ref().map(|v| v.new_streams)),
             _ => Value::Absent,
         }
--- a/lib/src/query/field.rs
+++ b/lib/src/query/field.rs
@@ -120,6 +120,8 @@
     Left("left", Interval),
     /// The loaded models.
     Models("models", Text),
+    /// The time since an endpoint said in a response that it leaves.
+    Leaving("leaving", Interval),
     /// The time since an endpoint named its rate.
     Named("named", Interval),
     /// The node.
@@ -154,6 +156,8 @@
     Report("report", Interval),
     /// The limit of requests per second.
     Requests("requests", Number),
+    /// The remaining time of the rest that an endpoint asked for.
+    Rest("rest", Interval),
     /// A revision of the configuration.
     Revision("revision", Number),
     /// The router that answered.
@@ -232,7 +236,8 @@
     /// Endpoints as known to the router.
     Endpoints("endpoints", [
         Endpoint, Pool, Host, Domain, Region, Active, Queued, Slots, Pending, Report, Fresh,
-        Healthy, Draining, Models, Rate, Named, Source, HeldBack, Version, VersionAge, NewStreams
+        Healthy, Draining, Models, Rate, Named, Source, HeldBack, Version, VersionAge, NewStreams,
+        Rest, Leaving
     ]),
     /// Hosts of the host list.
     Hosts("hosts", [Host, Domain, Region, State, Draining]),
--- a/lib/src/serving/batching/endpoint.rs
+++ b/lib/src/serving/batching/endpoint.rs
@@ -27,6 +27,8 @@
     pub cold_until: Time,
     /// The rate that it names, if any.
     pub rate: Option<NamedRate>,
+    /// When the rest that it asked this node for ends.
+    pub rest_until: Time,
 }
 
 impl<'a> From<&'a Entry> for EndpointState<'a> {
@@ -37,6 +39,7 @@
             evacuated: false,
             cold_until: Time::ZERO,
             rate: None,
+            rest_until: Time::ZERO,
         }
     }
 }
@@ -49,6 +52,7 @@
             evacuated: endpoint.is_present() && !endpoint.is_open(),
             cold_until: endpoint.cold_until(),
             rate: endpoint.rate_limit().map(|l| l.rate),
+            rest_until: endpoint.rest_until(),
         }
     }
 }
@@ -78,6 +82,7 @@
     rate: Option<NamedRate>,
     /// The calls left within that rate.
     quota: Option<Quota>,
+    rest_until: Time,
 }
 
 impl StageEndpoint {
@@ -100,6 +105,7 @@
             recent_calls: VecDeque::new(),
             rate: None,
             quota: None,
+            rest_until: Time::ZERO,
         }
     }
 
@@ -110,6 +116,7 @@
         self.evacuated = state.evacuated;
         self.cold_until = state.cold_until;
         self.rate = state.rate;
+        self.rest_until = state.rest_until;
     }
 
     /// Updates the calls left within the rate that it names.
@@ -143,7 +150,19 @@
     /// concerned; at most `now` if it may now.
     pub(super) fn pause_end(&self, now: Time, cold_share: Option<usize>) -> Time {
         let grant = self.quota.map_or(Time::ZERO, |q| q.next_grant(now));
-        grant.max(self.cold_pause_end(now, cold_share))
+        grant
+            .max(self.cold_pause_end(now, cold_share))
+            .max(self.rest_until)
+    }
+
+    /// Returns when the rest that it asked for ends.
+    pub(super) const fn rest_until(&self) -> Time {
+        self.rest_until
+    }
+
+    /// Returns whether it asked for a rest that goes on.
+    pub(super) fn is_resting(&self, now: Time) -> bool {
+        now < self.rest_until
     }
 
     pub(super) const fn region(&self) -> Option<&Region> {
--- a/lib/src/serving/batching/fill.rs
+++ b/lib/src/serving/batching/fill.rs
@@ -73,6 +73,15 @@
         order.into_iter().map(|(late, _, id)| (late, id)).collect()
     }
 
+    /// Returns how long all endpoints that a job may use rest; zero if one of them
+    /// does not.
+    pub(super) fn rest_time(&self, now: Time, job_state: &JobState) -> Duration {
+        let usable = self.endpoints.values().filter(|e| e.is_usable());
+        let permitted = usable.filter(|e| job_state.job.homes.allows(e.region()));
+        let first_end = permitted.map(StageEndpoint::rest_until).min();
+        first_end.map_or(Duration::ZERO, |at| at.since(now))
+    }
+
     /// Returns the time needed to clear the backlog.
     pub(super) fn backlog_time(&self, now: Time) -> Duration {
         let calls = self.waiting_items() as f64 / self.limits.max_items as f64;
@@ -83,7 +92,8 @@
 
     /// Returns the number of usable endpoints, counting slow ones as fractions.
     pub(super) fn effective_endpoints(&self, now: Time) -> f64 {
-        let healthy = |e: &&StageEndpoint| e.is_usable() && !e.health.is_paused(now);
+        let healthy =
+            |e: &&StageEndpoint| e.is_usable() && !e.health.is_paused(now) && !e.is_resting(now);
         let call = self.expected_time(self.limits.max_items);
         let speed = |e: &StageEndpoint| {
             e.usable_fraction(call) / f64::from(e.health.slowness(now).max(0.5))
@@ -208,8 +218,10 @@
     /// Returns the items per call if the idle endpoints share the waiting items.
     fn items_per_idle_endpoint(&self, now: Time) -> usize {
         let idle = self.endpoints.values();
-        let idle = idle
-            .filter(|e| e.is_usable() && e.in_flight < self.limits.slots && e.full_until <= now);
+        let idle = idle.filter(|e| {
+            let is_usable = e.is_usable() && !e.is_resting(now);
+            is_usable && e.in_flight < self.limits.slots && e.full_until <= now
+        });
         self.waiting_items().div_ceil(idle.count().max(1))
     }
 
--- a/lib/src/serving/batching/queue.rs
+++ b/lib/src/serving/batching/queue.rs
@@ -376,7 +376,8 @@
                 continue;
             };
             let is_short = endpoint.memory.used(now).0 as f64 > RELEASE_FILL_FRACTION * capacity;
-            if endpoint.is_limited() && now.since(since) >= self.limits.result_ttl {
+            let is_held_back = endpoint.is_resting(now) || endpoint.is_limited();
+            if is_held_back && now.since(since) >= self.limits.result_ttl {
                 // These results have expired: a release would only take up its rate.
                 endpoint.releases_since = None;
                 endpoint.releases.clear();
@@ -384,7 +385,7 @@
             }
             let is_due = is_short || now.since(since) >= MAX_RELEASE_DELAY;
             // Calls go first at an endpoint that names a rate.
-            let is_granted = !(endpoint.is_limited() && items_wait);
+            let is_granted = !(endpoint.is_resting(now) || endpoint.is_limited() && items_wait);
             if is_due && is_granted && endpoint.try_grant(now) {
                 endpoint.releases_since = None;
                 let handles = std::mem::take(&mut endpoint.releases);
@@ -440,10 +441,10 @@
     fn next_release(&self, now: Time, endpoint: &StageEndpoint) -> Option<Time> {
         let since = endpoint.releases_since?;
         let due = since + MAX_RELEASE_DELAY;
+        let expiry = since + self.limits.result_ttl;
         if !endpoint.is_limited() {
-            return Some(due);
+            return Some(due.max(endpoint.rest_until().min(expiry)));
         }
-        let expiry = since + self.limits.result_ttl;
         let granted = due.max(endpoint.pause_end(now, self.cold_share));
         let items_wait = self.waiting_items() > 0;
         Some(if items_wait {
@@ -532,12 +533,14 @@
         let hopeless = |j: &JobState| {
             let remaining = j.job.deadline.since(now);
             let late = j.late && backlog > remaining.mul_f64(MAX_BACKLOG_FRACTION);
-            let hopeless = min_time > remaining || late || self.is_evacuated_for(j);
+            let in_rest = self.rest_time(now, j) + min_time > remaining;
+            let hopeless = in_rest || late || self.is_evacuated_for(j);
             j.waiting_items() > 0 && !j.is_running() && hopeless
         };
         let found = self.jobs.iter().filter(|(_, j)| hopeless(j));
-        let ids: Vec<JobId> = found.map(|(&id, _)| id).collect();
-        for id in ids {
+        let found = found.map(|(&id, j)| (id, backlog.max(self.rest_time(now, j))));
+        let found: Vec<(JobId, Duration)> = found.collect();
+        for (id, backlog) in found {
             self.finish_job(id, Some(ItemOutcome::Late), backlog);
         }
     }
--- a/lib/src/serving/bookings.rs
+++ b/lib/src/serving/bookings.rs
@@ -149,6 +149,8 @@
     pub remote_cost: u32,
     /// Endpoints to avoid unless there is no other.
     pub avoid: Vec<EndpointId>,
+    /// Endpoints that it may not get, since they asked its node for a rest.
+    pub resting: Vec<EndpointId>,
     /// The regions in which it may run.
     pub homes: Homes,
     /// Whether another node booked the shard until lately.
@@ -239,7 +241,10 @@
         let in_shard = |e: &&Endpoint| Shard::of(&e.entry().id, shard.count) == shard;
         let mut all: Vec<&Endpoint> = directory.open_endpoints(service).filter(in_shard).collect();
         let is_only = |e: &Endpoint| request.only.as_ref().is_none_or(|id| *id == e.entry().id);
-        let is_wanted = |e: &Endpoint| is_only(e) && e.satisfies(now, &request.versions);
+        let is_wanted = |e: &Endpoint| {
+            let is_resting = request.resting.contains(&e.entry().id);
+            is_only(e) && !is_resting && e.satisfies(now, &request.versions)
+        };
         all.retain(|e| is_wanted(e) && request.homes.allows(e.region()) && self.admits(now, e));
         prefer_for_new(&mut all, &request.versions, |e| {
             let load = self.loads.get(&e.entry().id);
--- a/lib/src/serving/directory/choice.rs
+++ b/lib/src/serving/directory/choice.rs
@@ -91,6 +91,8 @@
     OutsideHomes,
     /// All are in evacuated failure domains.
     Evacuated,
+    /// All that are left have asked this node for a rest.
+    Resting,
     /// All are cold.
     Cold,
 }
--- a/lib/src/serving/directory/endpoint.rs
+++ b/lib/src/serving/directory/endpoint.rs
@@ -14,7 +14,8 @@
 use crate::ids::SoftwareVersion;
 use crate::serving::health::Health;
 use crate::serving::rate_limit::RateLimit;
-use crate::serving::rate_limit::RateState;
+use crate::serving::self_report::Leave;
+use crate::serving::self_report::ReportedState;
 use crate::time::Time;
 
 /// How long a load report is used, with a weight that falls to zero.
@@ -91,15 +92,13 @@
 pub struct Endpoint {
     pub(super) entry: Entry,
     pub(super) own_calls: u32,
-    pub(super) other_calls: u32,
-    pub(super) reported_at: Time,
+    pub(super) reported: ReportedState,
     pub(super) health: Health,
     pub(super) replaced: bool,
     /// Whether its failure domain is evacuated.
     pub(super) evacuated: bool,
     pub(super) cold_until: Time,
     pub(super) region: Option<Region>,
-    pub(super) rate: RateState,
     /// Until when it may have restarted without this node having heard of it.
     pub(super) doubted_until: Time,
 }
@@ -111,11 +110,9 @@
             evacuated: false,
             cold_until: Time::ZERO,
             region: None,
-            rate: RateState::default(),
             doubted_until: Time::ZERO,
             own_calls: 0,
-            other_calls: 0,
-            reported_at: Time::ZERO,
+            reported: ReportedState::default(),
             health: Health::default(),
             replaced: false,
         }
@@ -143,7 +140,31 @@
     /// evacuated.
     #[must_use]
     pub const fn is_present(&self) -> bool {
-        !self.entry.draining && !self.replaced
+        !self.is_leaving() && !self.replaced
+    }
+
+    /// Returns whether it leaves, by its registration or its own responses.
+    #[must_use]
+    pub const fn is_leaving(&self) -> bool {
+        self.entry.draining || self.reported.leave().is_some()
+    }
+
+    /// Returns the news that it leaves, if its responses or another node said so.
+    #[must_use]
+    pub const fn leave(&self) -> Option<&Leave> {
+        self.reported.leave()
+    }
+
+    /// Returns when the rest that it asked this node for ends.
+    #[must_use]
+    pub const fn rest_until(&self) -> Time {
+        self.reported.rest_until()
+    }
+
+    /// Returns whether it asked this node for a rest that goes on.
+    #[must_use]
+    pub fn is_resting(&self, now: Time) -> bool {
+        now < self.rest_until()
     }
 
     /// Returns whether it is cold.
@@ -178,7 +199,7 @@
     /// Returns the limit on its requests, if it names one.
     #[must_use]
     pub const fn rate_limit(&self) -> Option<&RateLimit> {
-        self.rate.limit()
+        self.reported.rate.limit()
     }
 
     /// Returns its region, if known.
@@ -190,14 +211,15 @@
     /// Returns its estimated number of current calls.
     #[must_use]
     pub fn calls(&self, now: Time) -> f32 {
-        let age = now.since(self.reported_at).as_secs_f32() / REPORT_LIFETIME.as_secs_f32();
-        self.own_calls as f32 + self.other_calls as f32 * (1.0 - age).max(0.0)
+        let age =
+            now.since(self.reported.reported_at).as_secs_f32() / REPORT_LIFETIME.as_secs_f32();
+        self.own_calls as f32 + self.reported.other_calls as f32 * (1.0 - age).max(0.0)
     }
 
     /// Returns the age of its last load report.
     #[must_use]
     pub const fn report_age(&self, now: Time) -> Duration {
-        now.since(self.reported_at)
+        now.since(self.reported.reported_at)
     }
 
     pub(super) fn weighted_load(&self, now: Time) -> f32 {
--- a/lib/src/serving/directory/mod.rs
+++ b/lib/src/serving/directory/mod.rs
@@ -20,7 +20,10 @@
 use super::rate_limit::RateChange;
 use super::rate_limit::RateLimit;
 use super::rate_limit::RateNotice;
-use super::rate_limit::RateState;
+use super::self_report::Leave;
+use super::self_report::ReportChange;
+use super::self_report::ReportedState;
+use super::self_report::SelfReport;
 use crate::ids::EndpointId;
 use crate::ids::FailureDomain;
 use crate::ids::PoolName;
@@ -46,10 +49,10 @@
 
 const SECRETS: RapidSecrets = RapidSecrets::seed(0);
 
-/// How long the rate of an endpoint that has disappeared is remembered.
+/// How long what an endpoint said of itself is remembered once it has disappeared.
 ///
 /// Registrations disappear for seconds while the registry is away.
-const RATE_RETENTION: Duration = Duration::from_mins(1);
+const REPORT_RETENTION: Duration = Duration::from_mins(1);
 
 /// How long an endpoint that may have restarted gets no stream that continues.
 ///
@@ -67,14 +70,16 @@
     evacuations: Evacuations,
     /// The endpoints that name a rate.
     limited: BTreeSet<EndpointId>,
-    /// What is known of the rates of endpoints that have disappeared.
-    departed_rates: BTreeMap<EndpointId, DepartedRate>,
+    /// The endpoints that said that they leave.
+    leaving: BTreeSet<EndpointId>,
+    /// What endpoints that have disappeared said of themselves.
+    departed: BTreeMap<EndpointId, Departed>,
 }
 
 #[derive(Debug, Clone)]
-struct DepartedRate {
+struct Departed {
     entry: Entry,
-    rate: RateState,
+    reported: ReportedState,
     since: Time,
 }
 
@@ -108,28 +113,35 @@
                 false
             }
             _ => {
-                let departed = self.departed_rates.remove(&entry.id);
+                let departed = self.departed.remove(&entry.id);
                 let departed = departed.filter(|d| d.entry.is_same_run(&entry));
                 let endpoint = Endpoint {
                     evacuated,
                     region,
-                    rate: departed.map(|d| d.rate).unwrap_or_default(),
+                    reported: departed.map(|d| d.reported).unwrap_or_default(),
                     ..Endpoint::new(entry)
                 };
                 let id = endpoint.entry.id.clone();
                 self.endpoints.insert(id.clone(), endpoint);
-                self.update_limited(&id);
+                self.update_indexes(&id);
                 true
             }
         }
     }
 
-    fn update_limited(&mut self, id: &EndpointId) {
-        let limit = self.endpoints.get(id).and_then(Endpoint::rate_limit);
-        if limit.is_some() {
-            self.limited.insert(id.clone());
-        } else {
-            self.limited.remove(id);
+    fn update_indexes(&mut self, id: &EndpointId) {
+        let endpoint = self.endpoints.get(id);
+        let is_limited = endpoint.is_some_and(|e| e.rate_limit().is_some());
+        let is_leaving = endpoint.is_some_and(|e| e.leave().is_some());
+        for (index, is_member) in [
+            (&mut self.limited, is_limited),
+            (&mut self.leaving, is_leaving),
+        ] {
+            if is_member {
+                index.insert(id.clone());
+            } else {
+                index.remove(id);
+            }
         }
     }
 
@@ -202,20 +214,123 @@
             return false;
         };
         self.checksum = self.checksum.wrapping_sub(removed.entry.hash());
-        let retained = |d: &DepartedRate| now.since(d.since) < RATE_RETENTION;
-        self.departed_rates.retain(|_, d| retained(d));
-        if removed.rate_limit().is_some() {
-            let departed = DepartedRate {
+        self.forget_departed(now);
+        if removed.reported.is_binding(now) {
+            let departed = Departed {
                 entry: removed.entry,
-                rate: removed.rate,
+                reported: removed.reported,
                 since: now,
             };
-            self.departed_rates.insert(id.clone(), departed);
+            self.departed.insert(id.clone(), departed);
         }
-        self.update_limited(id);
+        self.update_indexes(id);
         true
     }
 
+    fn forget_departed(&mut self, now: Time) {
+        self.departed.retain(|_, d| {
+            let is_recent = now.since(d.since) < REPORT_RETENTION;
+            is_recent || now < d.reported.rest_until()
+        });
+    }
+
+    /// Handles what the response to a request that was sent at `sent` says of its
+    /// endpoint.
+    ///
+    /// Nothing is taken over from another run of the endpoint. A run that has no
+    /// registration now may have one again.
+    pub fn on_report(
+        &mut self,
+        now: Time,
+        entry: &Entry,
+        (sent, report): (Time, &SelfReport),
+    ) -> Vec<ReportChange> {
+        let changes = match self.endpoints.get_mut(&entry.id) {
+            Some(endpoint) if endpoint.entry.is_same_run(entry) => {
+                let request = (sent, endpoint.own_calls);
+                endpoint.reported.on_response(now, request, report)
+            }
+            None if report.is_binding() => {
+                self.forget_departed(now);
+                let departed = self.departed.remove(&entry.id);
+                let departed = departed.filter(|d| d.entry.is_same_run(entry));
+                let mut departed = departed.unwrap_or_else(|| Departed {
+                    entry: entry.clone(),
+                    reported: ReportedState::default(),
+                    since: now,
+                });
+                let changes = departed.reported.on_response(now, (sent, 0), report);
+                self.departed.insert(entry.id.clone(), departed);
+                changes
+            }
+            Some(_) | None => return Vec::new(),
+        };
+        self.update_indexes(&entry.id);
+        changes
+    }
+
+    /// Returns whether a call may leave for a run of an endpoint now: it neither
+    /// leaves nor rests, as far as this node knows.
+    ///
+    /// Asked right before the first byte is sent, since a choice may be hundreds of
+    /// milliseconds old by then.
+    #[must_use]
+    pub fn may_send(&self, now: Time, entry: &Entry) -> bool {
+        if let Some(endpoint) = self.endpoints.get(&entry.id) {
+            let is_same = endpoint.entry.is_same_run(entry);
+            return !is_same || endpoint.is_present() && !endpoint.is_resting(now);
+        }
+        let departed = self.departed.get(&entry.id);
+        let departed = departed.filter(|d| d.entry.is_same_run(entry));
+        departed.is_none_or(|d| d.reported.leave().is_none() && d.reported.rest_until() <= now)
+    }
+
+    /// Handles the news of another node that a run of an endpoint leaves.
+    pub fn on_leave_news(
+        &mut self,
+        now: Time,
+        (run, age): (&Incarnation, Duration),
+        source: SocketAddr,
+    ) -> Option<ReportChange> {
+        let endpoint = self.endpoints.get_mut(&run.endpoint)?;
+        if endpoint.entry.started_at != run.started_at {
+            return None;
+        }
+        let change = endpoint.reported.on_leave_news(now, age, source)?;
+        self.update_indexes(&run.endpoint);
+        Some(change)
+    }
+
+    /// Returns the endpoints that said that they leave.
+    pub fn leaves(&self) -> impl Iterator<Item = (&Endpoint, &Leave)> {
+        let leaving = self.leaving.iter();
+        let leaving = leaving.filter_map(|id| self.endpoints.get(id));
+        leaving.filter_map(|e| Some((e, e.leave()?)))
+    }
+
+    /// Returns the endpoints of a service that asked this node for a rest.
+    #[must_use]
+    pub fn resting(&self, now: Time, service: &PoolName) -> Vec<EndpointId> {
+        let all = self.open_endpoints(service);
+        let resting = all.filter(|e| e.is_resting(now));
+        resting.map(|e| e.entry.id.clone()).collect()
+    }
+
+    /// Returns when the first of the endpoints that a call could otherwise use ends
+    /// its rest; `None` if none rests.
+    #[must_use]
+    pub fn first_rest_end(
+        &self,
+        now: Time,
+        service: &PoolName,
+        (homes, versions): (&Homes, &VersionRule),
+    ) -> Option<Time> {
+        let all = self.open_endpoints(service);
+        let permitted = all.filter(|e| homes.allows(e.region()) && e.satisfies(now, versions));
+        let resting = permitted.filter(|e| e.is_resting(now));
+        resting.map(Endpoint::rest_until).min()
+    }
+
     /// Handles what a response says about the rate of its endpoint.
     pub fn on_rate_notice(
         &mut self,
@@ -224,8 +339,8 @@
         (sent, notice): (Time, RateNotice),
     ) -> Option<RateChange> {
         let endpoint = self.endpoints.get_mut(id)?;
-        let change = endpoint.rate.on_response(now, sent, notice)?;
-        self.update_limited(id);
+        let change = endpoint.reported.rate.on_response(now, sent, notice)?;
+        self.update_indexes(id);
         Some(change)
     }
 
@@ -237,8 +352,8 @@
         source: SocketAddr,
     ) -> Option<RateChange> {
         let endpoint = self.endpoints.get_mut(id)?;
-        let change = endpoint.rate.on_news(now, (rate, age), source)?;
-        self.update_limited(id);
+        let change = endpoint.reported.rate.on_news(now, (rate, age), source)?;
+        self.update_indexes(id);
         Some(change)
     }
 
@@ -270,7 +385,7 @@
     /// Records that a request did not go to an endpoint because of its rate.
     pub fn record_held_back(&mut self, id: &EndpointId) {
         let endpoint = self.endpoints.get_mut(id);
-        if let Some(limit) = endpoint.and_then(|e| e.rate.limit_mut()) {
+        if let Some(limit) = endpoint.and_then(|e| e.reported.rate.limit_mut()) {
             limit.held_back += 1;
         }
     }
@@ -279,13 +394,13 @@
     /// none for a while.
     pub fn pause_grants(&mut self, now: Time, id: &EndpointId) {
         let endpoint = self.endpoints.get_mut(id);
-        if let Some(limit) = endpoint.and_then(|e| e.rate.limit_mut()) {
+        if let Some(limit) = endpoint.and_then(|e| e.reported.rate.limit_mut()) {
             limit.paused_until = now + limit.rate.refusal_pause();
         }
     }
 
     /// Returns the rate that the endpoints which a request may use accept
-    /// together, if all of them name one or are too cold.
+    /// together, if all of them name one, rest or are too cold.
     #[must_use]
     pub fn total_rate(
         &self,
@@ -295,6 +410,7 @@
     ) -> Option<RequestRate> {
         let usable = self.open_endpoints(service);
         let usable = usable.filter(|e| homes.allows(e.region()));
+        let usable = usable.filter(|e| !e.is_resting(now));
         let mut usable = usable.filter(|e| !(warm_only && e.is_cold(now))).peekable();
         usable.peek()?;
         let rate = |e: &Endpoint| Some(e.rate_limit()?.rate.per_second());
@@ -348,6 +464,10 @@
         if usable.is_empty() {
             return Some(Unavailable::Evacuated);
         }
+        usable.retain(|e| !e.is_resting(now));
+        if usable.is_empty() {
+            return Some(Unavailable::Resting);
+        }
         let all_cold = warm_only && usable.iter().all(|e| e.is_cold(now));
         all_cold.then_some(Unavailable::Cold)
     }
@@ -409,7 +529,8 @@
         let permitted = |e: &&Endpoint| {
             let too_cold = criteria.warm_only && e.is_cold(now);
             let limited = criteria.unlimited_only && e.rate_limit().is_some();
-            let permitted = criteria.homes.allows(e.region()) && !too_cold && !limited;
+            let held_back = too_cold || limited || e.is_resting(now);
+            let permitted = criteria.homes.allows(e.region()) && !held_back;
             permitted && e.satisfies(now, criteria.versions)
         };
         let all = self.open_endpoints(criteria.service).filter(permitted);
@@ -454,7 +575,8 @@
         id: &EndpointId,
         versions: &VersionRule,
     ) -> Option<Choice> {
-        let may_get = |e: &&Endpoint| e.is_open() && e.satisfies(now, versions);
+        let may_get =
+            |e: &&Endpoint| e.is_open() && !e.is_resting(now) && e.satisfies(now, versions);
         let endpoint = self.get(id).filter(may_get)?;
         Some(choice(now, endpoint, Reason::Booked))
     }
@@ -476,10 +598,7 @@
     /// Records the load that an endpoint reported with a response.
     pub fn apply_load(&mut self, now: Time, id: &EndpointId, load: LoadReport) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
-            // The report includes this node's calls, which are counted in
-            // `own_calls`.
-            endpoint.other_calls = load.calls.saturating_sub(endpoint.own_calls);
-            endpoint.reported_at = now;
+            endpoint.reported.on_load(now, endpoint.own_calls, load);
         }
     }
 
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -27,6 +27,7 @@
 pub mod releases;
 pub mod replica;
 pub mod retry_after;
+pub mod self_report;
 pub mod shutdown;
 pub mod slices;
 pub mod stream_origins;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -36,6 +36,7 @@
 mod test_query;
 mod test_rate_limits;
 mod test_releases;
+mod test_self_reports;
 mod test_serving;
 mod test_shutdown;
 mod test_slices;
--- a/lib/tests/test_query.rs
+++ b/lib/tests/test_query.rs
@@ -223,6 +223,8 @@
                 source: "response".to_owned(),
                 held_back: 3,
             }),
+            rest: args.named.get("rest").map(|_| args.duration("rest")),
+            leave_age: args.named.get("leaving").map(|_| args.duration("leaving")),
             version: args.named.get("version").map(|version| VersionFact {
                 version: (*version).into(),
                 age: args.duration("version-age"),
--- a/router/src/control/endpoints.rs
+++ b/router/src/control/endpoints.rs
@@ -115,6 +115,8 @@
             draining: self.load.draining,
             models: self.load.models.clone(),
             limit: None,
+            rest: None,
+            leave_age: None,
             version: None,
         };
         fact.draining |= drains::covers(config, id, &fact.host, &fact.domain);
