gateway, lib: give up responses without end

An endpoint in trouble may send bytes that are no response until its connection is closed.

A head has 64 KiB and what is read before it is complete 256 KiB; a failure 256 KiB; repeated events 1 MiB; a release 64 KiB. The connection is closed, the request goes elsewhere or ends with 502. An event is searched for its end once, not anew with each chunk.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -7,6 +7,10 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
 use std::time::Duration;
 
 use async_executor::Task;
@@ -14,6 +18,8 @@
 use bytes::Bytes;
 use derive_more::Display;
 use derive_more::Error;
+use futures_lite::AsyncRead;
+use futures_lite::AsyncWrite;
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
@@ -41,6 +47,17 @@
 /// The idle time after which the kernel sends keepalive probes.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
 
+/// The largest head of a response, and the most bytes that are buffered, in bytes.
+///
+/// Heads have some hundred bytes. Endpoints in trouble may send one without end.
+const HEAD_BYTES_MAX: usize = 64 << 10;
+
+/// The most bytes that are read until the head of a response is complete, in bytes.
+///
+/// Interim responses are skipped one by one and may come without end, too. The parser
+/// reads ahead of the head by what it buffers.
+const UNANSWERED_BYTES_MAX: usize = 4 * HEAD_BYTES_MAX;
+
 /// Why a call has no response.
 #[derive(Debug)]
 #[derive(Display, Error)]
@@ -113,7 +130,16 @@
     let stream = link::connect(address, CONNECT_TIMEOUT);
     let stream = stream.await.map_err(CallError::NotSent)?;
     enable_keepalive(&stream).map_err(CallError::NotSent)?;
-    let (mut sender, conn) = http1::handshake(FuturesIo::new(stream))
+    let answered = Flag::default();
+    let stream = BoundedHead {
+        stream,
+        read: 0,
+        answered: answered.clone(),
+    };
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(HEAD_BYTES_MAX);
+    let (mut sender, conn) = builder
+        .handshake(FuturesIo::new(stream))
         .await
         .map_err(CallError::NotAccepted)?;
     let conn = exec.spawn(async move {
@@ -127,6 +153,7 @@
     handed_off.set();
     match sender.try_send_request(request).await {
         Ok(response) => {
+            answered.set();
             let (head, body) = response.into_parts();
             Ok(Call {
                 head,
@@ -141,6 +168,49 @@
     }
 }
 
+/// A connection that fails if too many bytes arrive before the head of a response.
+struct BoundedHead {
+    stream: Async<std::net::TcpStream>,
+    read: usize,
+    /// Set once the head is complete.
+    answered: Flag,
+}
+
+impl AsyncRead for BoundedHead {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let is_endless = self.read > UNANSWERED_BYTES_MAX && !self.answered.is_set();
+        if is_endless {
+            let text = "the response has no end of its head: check the endpoint";
+            return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
+        }
+        let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        self.read = self.read.saturating_add(count);
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl AsyncWrite for BoundedHead {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
+
 fn enable_keepalive(stream: &Async<std::net::TcpStream>) -> io::Result<()> {
     link::set_socket_options(stream, UNACKED_MAX)?;
     let socket = stream.get_ref();
--- a/gateway/src/dispatch/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -24,6 +24,9 @@
 /// The largest response to a batch call, in bytes.
 const RESPONSE_BYTES_MAX: usize = 1 << 20;
 
+/// The largest response to a release, in bytes.
+const RELEASE_BYTES_MAX: usize = 64 << 10;
+
 /// The time-out of a call that releases results.
 const RELEASE_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -161,7 +164,13 @@
         };
         let rate = response.report.rate.filter(is_evidence);
         shared.on_response(&entry, sent_at, &response, rate);
-        while let Ok(Some(_)) = call.next().await {}
+        let mut read = 0;
+        while let Ok(Some(bytes)) = call.next().await {
+            read += bytes.len();
+            if read > RELEASE_BYTES_MAX {
+                return false;
+            }
+        }
         call.head.status.is_success()
     };
     let timeout = async {
--- a/gateway/src/unary.rs
+++ b/gateway/src/unary.rs
@@ -30,7 +30,7 @@
 /// bytes.
 ///
 /// A response that breaks off before this can be retried at another endpoint. A
-/// longer one is relayed as it arrives.
+/// longer one is relayed as it arrives, unless it is a failure: these may have no end.
 const BUFFER_MAX: usize = 256 << 10;
 
 /// Serves a request with a single response.
@@ -107,7 +107,14 @@
                 return ReadResult::Failed(None);
             }
         }
-        if buffer.len() > BUFFER_MAX && status.is_success() && response.head.signed {
+        let is_whole_later = status.is_success() && response.head.signed;
+        if buffer.len() > BUFFER_MAX && !is_whole_later {
+            log::warn!(event = "answer-endless", request = ctx.request.id.as_str(), endpoint = response.flight.entry.id.to_string().as_str(), status = status.as_u16(), bytes = buffer.len(); "");
+            response.flight.settle();
+            record_failure(ctx, &mut response.flight);
+            return ReadResult::Failed(None);
+        }
+        if buffer.len() > BUFFER_MAX {
             return ReadResult::Oversized((status, headers), buffer.freeze(), Box::new(response));
         }
     }
--- a/lib/src/serving/events.rs
+++ b/lib/src/serving/events.rs
@@ -9,6 +9,11 @@
 /// unbounded memory.
 const MAX_EVENT_BYTES: usize = 256 << 10;
 
+/// The most bytes of events that were already forwarded, between two new ones.
+///
+/// A run that restarts repeats its events. Repeating them without end is a fault.
+const MAX_REPEATED_BYTES: usize = 1 << 20;
+
 /// Why a stream can't be continued.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[derive(derive_more::Display, derive_more::Error)]
@@ -16,6 +21,9 @@
     /// An event exceeds the maximum size.
     #[display("an event has over {MAX_EVENT_BYTES} bytes: use another endpoint")]
     TooLong,
+    /// Only events come that were already forwarded.
+    #[display("{MAX_REPEATED_BYTES} bytes of earlier events came again: use another endpoint")]
+    Repeating,
     /// An event's id doesn't follow the last one.
     #[display("event {found} does not follow event {last}: use another endpoint")]
     OutOfOrder {
@@ -30,16 +38,29 @@
 #[derive(Debug, Clone, Default)]
 pub struct EventAssembler {
     partial: Vec<u8>,
+    /// How far `partial` was searched for the end of an event.
+    scan: Scan,
+    /// The bytes of repeated events since the last new one.
+    repeated: usize,
     last_id: Option<u64>,
     count: u64,
 }
 
+/// The progress of a search for a blank line.
+#[derive(Debug, Clone, Copy, Default)]
+struct Scan {
+    at: usize,
+    line_start: usize,
+}
+
 impl EventAssembler {
     /// Creates an assembler that resumes after the last event that the client has, if any.
     #[must_use]
     pub const fn resume_after(last: Option<u64>) -> Self {
         Self {
             partial: Vec::new(),
+            scan: Scan::START,
+            repeated: 0,
             last_id: last,
             count: 0,
         }
@@ -66,26 +87,31 @@
     /// Discards an incomplete event whose endpoint won't send the rest.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
+        self.scan = Scan::START;
+        self.repeated = 0;
     }
 
     /// Adds bytes and returns the events that they complete.
     ///
     /// # Errors
     ///
-    /// Returns [`EventError`] if an event is too long or out of order.
+    /// Returns [`EventError`] if an event is too long, or earlier events come without
+    /// end.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
         self.partial.extend_from_slice(bytes);
         let mut out = Vec::new();
         let mut start = 0;
-        while let Some(len) = event_len(&self.partial[start..]) {
+        while let Some(len) = event_len(&self.partial[start..], &mut self.scan) {
             let event = &self.partial[start..start + len];
             if let Some(id) = event_id(event) {
                 // An id at or before the last one was already forwarded: the run restarted, or
                 // the event is a duplicate.
                 if self.last_id.is_some_and(|last| id <= last) {
                     start += len;
+                    self.repeated += len;
                     continue;
                 }
+                self.repeated = 0;
                 self.last_id = Some(id);
                 self.count += 1;
             }
@@ -96,23 +122,36 @@
         if self.partial.len() > MAX_EVENT_BYTES {
             return Err(EventError::TooLong);
         }
+        if self.repeated > MAX_REPEATED_BYTES {
+            return Err(EventError::Repeating);
+        }
         Ok(out)
     }
 }
 
+impl Scan {
+    const START: Self = Self {
+        at: 0,
+        line_start: 0,
+    };
+}
+
 /// Returns the length of the first complete event, including its blank line.
-fn event_len(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    for (at, &byte) in bytes.iter().enumerate() {
+///
+/// `scan` is where an earlier search of the same bytes ended.
+fn event_len(bytes: &[u8], scan: &mut Scan) -> Option<usize> {
+    for (at, &byte) in bytes.iter().enumerate().skip(scan.at) {
         if byte != b'\n' {
             continue;
         }
-        let line = &bytes[line_start..at];
+        let line = &bytes[scan.line_start..at];
         if line.is_empty() || line == b"\r" {
+            *scan = Scan::START;
             return Some(at + 1);
         }
-        line_start = at + 1;
+        scan.line_start = at + 1;
     }
+    scan.at = bytes.len();
     None
 }
 
--- a/lib/tests/test_serving.rs
+++ b/lib/tests/test_serving.rs
@@ -18,6 +18,7 @@
 use snipeyoke_lib::serving::durations::Remaining;
 use snipeyoke_lib::serving::durations::RequestTiming;
 use snipeyoke_lib::serving::events::EventAssembler;
+use snipeyoke_lib::serving::events::EventError;
 use snipeyoke_lib::serving::health::Health;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::serving::replica::Replica;
@@ -338,3 +339,30 @@
     assert!(waits[0] < waits[1] && waits[1] < waits[2]);
     assert!(waits[2] < Duration::from_millis(100));
 }
+
+#[test]
+fn events_that_were_forwarded_may_not_come_again_without_end() {
+    // Guards against a stream that brings nothing new until its deadline.
+    let mut events = EventAssembler::resume_after(Some(7));
+    let repeated = "id: 3\ndata: a\n\n".repeat(1_000);
+    assert_eq!(events.push(repeated.as_bytes()), Ok(Vec::new()));
+    let mut pushed = (0..100).map(|_| events.push(repeated.as_bytes()));
+    let ended = pushed.find_map(Result::err);
+    assert_eq!(ended, Some(EventError::Repeating));
+    // Whoever goes on begins anew.
+    events.discard_partial();
+    assert_eq!(events.push(b"id: 8\n\n"), Ok(b"id: 8\n\n".to_vec()));
+}
+
+#[test]
+fn an_event_without_end_is_refused_at_any_chunk_size() {
+    for size in [1, 7, 4_096] {
+        let mut events = EventAssembler::resume_after(None);
+        let chunk = vec![b'a'; size];
+        let mut pushed = 0;
+        while events.push(&chunk).is_ok() {
+            pushed += size;
+        }
+        assert!(pushed <= 256 << 10, "{pushed} bytes");
+    }
+}
