--- a/gateway/src/changes.rs
+++ b/gateway/src/changes.rs
@@ -8,9 +8,9 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::Backoff;
 use snipeyoke_lib::serving::freshness::LongPollWaits;
+use snipeyoke_lib::serving::position::Position;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
 
 use crate::follow;
@@ -24,8 +24,10 @@
 pub(crate) async fn follow(shared: Arc<Shared>, seed: u64) {
     let mut backoff = Backoff::new(seed);
     let mut waits = LongPollWaits::new(seed);
+    let mut listed = None;
     loop {
         follow::read_list(&shared, Topic::Config, &mut backoff).await;
+        follow::pause_after_list(&shared, Topic::Config, &mut listed).await;
         let wait = wait_for_changes(&shared, &mut backoff, &mut waits);
         wait.or(poll_topic(&shared, ReplicaKind::Config, seed ^ 3))
             .await;
@@ -44,7 +46,7 @@
             Timer::after(pause).await;
         }
         let sent = shared.now();
-        let from = shared.next_offset(Topic::Config);
+        let from = shared.next_position(Topic::Config);
         let wait = waits.sample();
         let Some(update) = long_poll(shared, from, wait).await else {
             continue;
@@ -64,14 +66,14 @@
 ///
 /// An unresponsive registry may lose a long poll, which then never gets a
 /// response. The short polls detect when the registry responds again.
-async fn long_poll(shared: &Shared, from: Offset, wait: Duration) -> Option<Update> {
+async fn long_poll(shared: &Shared, from: Position, wait: Duration) -> Option<Update> {
     let started_at = shared.now();
     let receiving = AtomicBool::new(false);
     let on_progress = || {
         receiving.store(true, Ordering::Relaxed);
         follow::record_progress(shared, Topic::Config);
     };
-    log::info!(event = "registry-asked", topic = "config", from = from.0, wait_ms = wait.as_millis() as u64; "");
+    log::info!(event = "registry-asked", topic = "config", from = from.to_string().as_str(), wait_ms = wait.as_millis() as u64; "");
     let response = shared
         .registry
         .read(Topic::Config, from, wait, &on_progress);
@@ -81,7 +83,7 @@
     shared.catch_up().on_registry_end();
     let elapsed_ms = shared.now().since(started_at).as_millis() as u64;
     let outcome = outcome_name(update.as_ref());
-    log::info!(event = "registry-answered", topic = "config", from = from.0, took_ms = elapsed_ms, ended = outcome; "");
+    log::info!(event = "registry-answered", topic = "config", from = from.to_string().as_str(), took_ms = elapsed_ms, ended = outcome; "");
     update
 }
 
@@ -91,6 +93,7 @@
         Some(Update::Records { records, .. }) if records.is_empty() => "nothing-new",
         Some(Update::Records { .. }) => "records",
         Some(Update::Truncated) => "gone",
+        Some(Update::OtherEra(_)) => "other-era",
         Some(Update::Failed(_)) => "failed",
         None => "given-up",
     }
@@ -101,11 +104,11 @@
 /// A response in progress was not lost. On a saturated link, short reads fail
 /// and succeed again every second. Restarting a large response each time would
 /// waste the link's bandwidth.
-async fn read_lost(shared: &Shared, from: Offset, receiving: &AtomicBool) -> Option<Update> {
+async fn read_lost(shared: &Shared, from: Position, receiving: &AtomicBool) -> Option<Update> {
     shared.registry_regained.listen().await;
     while receiving.load(Ordering::Relaxed) {
         shared.registry_regained.listen().await;
     }
-    log::info!(event = "registry-asked-again", topic = "config", from = from.0; "");
+    log::info!(event = "registry-asked-again", topic = "config", from = from.to_string().as_str(); "");
     None
 }
--- a/gateway/src/dispatch/convert.rs
+++ b/gateway/src/dispatch/convert.rs
@@ -3,7 +3,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::serving::batching::Job;
 use snipeyoke_lib::serving::batching::StageInput;
 use snipeyoke_lib::serving::crashes::Casualty;
@@ -16,6 +15,8 @@
 use snipeyoke_lib::serving::crashes::Verdict;
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
 use snipeyoke_lib::serving::homes::Homes;
+use snipeyoke_lib::serving::position::Position;
+use snipeyoke_lib::serving::position::Rank;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Bytes;
@@ -140,12 +141,28 @@
     }
 }
 
+/// Returns the version that stands for a rank of a configuration in frames; 0 for
+/// none.
+pub(super) fn version_of(rank: Option<Rank>) -> u64 {
+    rank.map_or(0, |r| r.major)
+}
+
+/// Returns the rank of a version.
+pub(super) fn rank_of(version: u64) -> Option<Rank> {
+    let rank = Rank {
+        major: version,
+        minor: 0,
+    };
+    (version > 0).then_some(rank)
+}
+
 /// Converts a record to its frame.
 pub(super) fn record_frame(record: Record) -> KeyedRecord {
     KeyedRecord {
         key: record.key,
         value: record.value.map(|v| v.to_vec().into()),
-        offset: record.offset.0,
+        offset: record.position.offset.0,
+        era: record.position.era.0,
     }
 }
 
@@ -154,7 +171,7 @@
     Record {
         key: frame.key,
         value: frame.value.map(|v| Arc::from(v.as_ref())),
-        offset: Offset(frame.offset),
+        position: Position::new(frame.era, frame.offset),
     }
 }
 
--- a/gateway/src/dispatch/crashes.rs
+++ b/gateway/src/dispatch/crashes.rs
@@ -81,6 +81,11 @@
 }
 
 impl CrashReports {
+    /// Records that the registry may have lost the quarantines.
+    pub(super) const fn mark_unrecorded(&mut self) {
+        self.recorded_change = 0;
+    }
+
     pub(super) const fn on_recorded(&mut self, change: u64, recorded: bool) {
         self.recording = false;
         if recorded {
--- a/gateway/src/dispatch/inbound.rs
+++ b/gateway/src/dispatch/inbound.rs
@@ -3,11 +3,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::batching::Job;
 use snipeyoke_lib::serving::batching::JobId;
+use snipeyoke_lib::serving::catch_up::ConfigMark;
 use snipeyoke_lib::serving::owners::Owners;
+use snipeyoke_lib::serving::position::Position;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::time::Time;
@@ -220,8 +221,11 @@
             };
             learn_node(&mut self.shared.owners(), now, &known);
             self.departed.remove(&address);
-            let next = Offset(poll.config_next);
-            self.shared.on_peer_config(address, next, 0);
+            let mark = ConfigMark {
+                next: Position::new(poll.config_era, poll.config_next),
+                rank: convert::rank_of(poll.config_version),
+            };
+            self.shared.on_peer_config(address, mark, 0);
             if let Some(inbound) = self.inbound.get_mut(&link) {
                 inbound.node = Some(address);
             }
@@ -272,18 +276,20 @@
             ..SyncReply::default()
         };
         let replicas = self.shared.replicas();
-        reply.config_next = replicas.config.next().0;
+        reply.config_next = replicas.config.next().offset.0;
+        reply.config_era = replicas.config.next().era.0;
+        reply.config_version = convert::version_of(replicas.config.rank());
         reply.config_bytes = replicas.config.value_bytes() as u64;
         let Some(poll) = poll else {
             return reply;
         };
-        let changes = replicas
-            .endpoints
-            .changes_since(Offset(poll.endpoints_next));
+        let from = Position::new(poll.endpoints_era, poll.endpoints_next);
+        let changes = replicas.endpoints.changes_since(from);
         let is_small = |all: &Vec<Record>| all.len() <= CHANGES_MAX && poll.endpoints_next > 0;
         if let Some(changes) = changes.filter(|all| poll.stale || is_small(all)) {
             reply.endpoints = changes.into_iter().map(convert::record_frame).collect();
-            reply.endpoints_next = replicas.endpoints.next().0;
+            reply.endpoints_next = replicas.endpoints.next().offset.0;
+            reply.endpoints_era = replicas.endpoints.next().era.0;
             reply.endpoints_age_us = polling
                 .freshness(ReplicaKind::Endpoints)
                 .age(now)
--- a/gateway/src/dispatch/messages.rs
+++ b/gateway/src/dispatch/messages.rs
@@ -5,7 +5,6 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use snipeyoke_lib::ids::EndpointId;
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::batching::CallResult;
 use snipeyoke_lib::serving::batching::Job;
@@ -14,6 +13,7 @@
 use snipeyoke_lib::serving::crashes::Clearance;
 use snipeyoke_lib::serving::crashes::Verdict;
 use snipeyoke_lib::serving::endpoint_loss::Incarnation;
+use snipeyoke_lib::serving::position::Position;
 use snipeyoke_lib::serving::stream_origins::OriginAnswer;
 use snipeyoke_lib::serving::stream_origins::StreamId;
 use snipeyoke_lib::serving::stream_origins::VersionSets;
@@ -65,7 +65,7 @@
     /// This node has begun a stream whose origin has to be kept.
     StreamBegun,
     /// The read of saved origins has ended.
-    OriginsLoaded(Result<(Vec<Bytes>, Offset), RegistryError>),
+    OriginsLoaded(Result<(Vec<Bytes>, Position), RegistryError>),
     /// The save of origins has ended.
     OriginsSaved { streams: Vec<StreamId>, saved: bool },
     /// The record of the versions of all services has ended.
@@ -105,6 +105,8 @@
     EndpointsChanged,
     /// This node has a newer configuration.
     ConfigChanged,
+    /// The registry came back from a copy.
+    RegistryReturned,
     /// This node is leaving.
     Leaving,
     /// A batch call ended.
--- a/gateway/src/dispatch/mod.rs
+++ b/gateway/src/dispatch/mod.rs
@@ -205,6 +205,11 @@
         self.send(Message::ConfigChanged);
     }
 
+    /// Notifies the task that the registry came back from a copy.
+    pub(crate) fn registry_returned(&self) {
+        self.send(Message::RegistryReturned);
+    }
+
     /// Announces to the other nodes that this node is leaving.
     pub(crate) fn announce_leaving(&self) {
         self.send(Message::Leaving);
--- a/gateway/src/dispatch/origins.rs
+++ b/gateway/src/dispatch/origins.rs
@@ -10,9 +10,9 @@
 use async_channel::Sender;
 use bytes::Bytes;
 use prost::Message as _;
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::ids::SoftwareVersion;
+use snipeyoke_lib::serving::position::Position;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
 use snipeyoke_lib::serving::stream_origins::Origin;
 use snipeyoke_lib::serving::stream_origins::OriginAnswer;
@@ -82,8 +82,8 @@
     waiting: Vec<WaitingQuestion>,
     /// Whether a read of the saved origins is in flight.
     loading: bool,
-    /// The offset from which to read saved origins.
-    next: Offset,
+    /// The position from which to read saved origins.
+    next: Position,
     saving: bool,
     save_from: Time,
     recording: bool,
@@ -250,7 +250,7 @@
 
     pub(super) fn handle_origins_loaded(
         &mut self,
-        read: Result<(Vec<Bytes>, Offset), RegistryError>,
+        read: Result<(Vec<Bytes>, Position), RegistryError>,
     ) {
         self.origins.loading = false;
         match read {
@@ -264,7 +264,7 @@
                     loaded += 1;
                 }
                 drop(origins);
-                log::info!(event = "stream-origins-read", streams = loaded, records = records.len(), next = next.0; "");
+                log::info!(event = "stream-origins-read", streams = loaded, records = records.len(), next = next.to_string().as_str(); "");
             }
             Err(error) => {
                 log::warn!(event = "registry-failed", topic = "origins", call = "read", why = error.to_string().as_str(); "");
--- a/gateway/src/dispatch/peers.rs
+++ b/gateway/src/dispatch/peers.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::serving::catch_up::ConfigMark;
 use snipeyoke_lib::serving::owners::Owners;
+use snipeyoke_lib::serving::position::Position;
 use snipeyoke_lib::serving::registry_polling::ReplicaStatus;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::MilliCores;
@@ -75,8 +76,11 @@
             self.handle_verdict(frame);
         }
         self.shared.budget().set_nodes(count);
-        let next = Offset(reply.config_next);
-        self.shared.on_peer_config(peer, next, reply.config_bytes);
+        let mark = ConfigMark {
+            next: Position::new(reply.config_era, reply.config_next),
+            rank: convert::rank_of(reply.config_version),
+        };
+        self.shared.on_peer_config(peer, mark, reply.config_bytes);
         if self.endpoints_request.is_some_and(|(node, _)| node == peer) {
             self.endpoints_request = None;
         }
@@ -84,7 +88,7 @@
         if reply.stamp == 0 {
             return;
         }
-        let has_config = self.shared.replicas().config.next() >= next;
+        let has_config = !mark.is_ahead_of(&self.shared.config_mark());
         let age = |micros: Option<u64>| micros.map(Duration::from_micros);
         let status = ReplicaStatus {
             cannot_read: reply.unread,
@@ -98,8 +102,8 @@
 
     /// Applies a peer's endpoints; returns whether this node has all of them.
     fn apply_endpoints(&self, peer: SocketAddr, reply: &mut SyncReply) -> bool {
-        let next = Offset(reply.endpoints_next);
-        if next == Offset(0) {
+        let next = Position::new(reply.endpoints_era, reply.endpoints_next);
+        if reply.endpoints_next == 0 {
             return false;
         }
         // A peer that is behind has no records that this node lacks.
@@ -116,7 +120,7 @@
         // Two replicas at the same offset must be equal. If they differ, the
         // registry decides which one is wrong.
         if same && sum != reply.endpoints_sum {
-            log::warn!(event = "endpoints-differ", node = peer.to_string().as_str(), next = next.0; "");
+            log::warn!(event = "endpoints-differ", node = peer.to_string().as_str(), next = next.to_string().as_str(); "");
             self.shared.on_endpoints_differ();
             return false;
         }
@@ -186,8 +190,11 @@
         let replicas = self.shared.replicas();
         let request = SyncRequest {
             address: self.shared.settings.listen.peers.to_string(),
-            config_next: replicas.config.next().0,
-            endpoints_next: replicas.endpoints.next().0,
+            config_next: replicas.config.next().offset.0,
+            config_era: replicas.config.next().era.0,
+            config_version: convert::version_of(replicas.config.rank()),
+            endpoints_next: replicas.endpoints.next().offset.0,
+            endpoints_era: replicas.endpoints.next().era.0,
             stale: false,
             power: self.shared.settings.power.0,
             brief,
--- a/gateway/src/dispatch/run.rs
+++ b/gateway/src/dispatch/run.rs
@@ -279,6 +279,11 @@
                 self.crash_reports.on_recorded(change, recorded);
             }
             Message::Clearances(clearances) => self.send_clearances(&clearances),
+            Message::RegistryReturned => {
+                // What this node wrote may be lost.
+                self.shared.origins().mark_unrecorded();
+                self.crash_reports.mark_unrecorded();
+            }
             Message::EndpointsChanged => {
                 self.update_endpoints();
                 self.record_versions(self.shared.now());
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -6,8 +6,9 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::Backoff;
+use snipeyoke_lib::serving::position::Position;
+use snipeyoke_lib::serving::position::rewrite_delay;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::serving::stream_origins::VersionSets;
@@ -19,6 +20,7 @@
 use crate::registry::RegistryError;
 use crate::registry::Topic;
 use crate::registry::Update;
+use crate::request_context::sample;
 use crate::shared::Shared;
 
 /// The pauses before further reads of the list of nodes.
@@ -40,18 +42,31 @@
 /// Follows the endpoints until the process ends.
 pub(crate) async fn follow_endpoints(shared: Arc<Shared>, seed: u64) {
     let mut backoff = Backoff::new(seed);
+    let mut listed = None;
     loop {
         read_list(&shared, Topic::Endpoints, &mut backoff).await;
+        pause_after_list(&shared, Topic::Endpoints, &mut listed).await;
         shared.must_relist.store(false, Ordering::Relaxed);
         poll_topic(&shared, ReplicaKind::Endpoints, seed ^ 5).await;
     }
 }
 
+/// Waits after a list that brought no later position than the one before.
+///
+/// The read that follows it would show at once that a list is needed, again and again.
+pub(crate) async fn pause_after_list(shared: &Shared, topic: Topic, listed: &mut Option<Position>) {
+    let position = shared.next_position(topic);
+    if listed.replace(position) == Some(position) {
+        let pause = shared.registry_polling().poll_interval();
+        Timer::after(pause).await;
+    }
+}
+
 /// Reads the whole list, with retries.
 ///
 /// Also ends when a peer has sent newer records.
 pub(crate) async fn read_list(shared: &Shared, topic: Topic, backoff: &mut Backoff) {
-    let from = shared.next_offset(topic);
+    let from = shared.next_position(topic);
     loop {
         let sent = shared.now();
         let list = read_pages(shared, topic).await;
@@ -73,13 +88,16 @@
             }
         }
         Timer::after(backoff.failed()).await;
-        if shared.next_offset(topic) > from {
+        if shared.next_position(topic) > from {
             return;
         }
     }
 }
 
-async fn read_pages(shared: &Shared, topic: Topic) -> Result<(Vec<Record>, Offset), RegistryError> {
+async fn read_pages(
+    shared: &Shared,
+    topic: Topic,
+) -> Result<(Vec<Record>, Position), RegistryError> {
     let mut all = Vec::new();
     // Pages are not a snapshot: continue reading from the end of the first one.
     let mut first_end = None;
@@ -94,7 +112,11 @@
             .list_page(topic, after, &|| record_progress(shared, topic))
             .await?;
         all.extend(records);
+        let page_era = end.era;
         let end = *first_end.get_or_insert(end);
+        if page_era != end.era {
+            return Err(RegistryError::EraChanged);
+        }
         match next_key {
             Some(key) => after = Some(key),
             None => return Ok((all, end)),
@@ -128,16 +150,21 @@
             !should_relist(topic, next, end)
         }
         Update::Truncated => {
-            let from = shared.next_offset(topic).0;
-            log::info!(event = "registry-history-gone", topic = topic.to_string().as_str(), from; "");
+            let from = shared.next_position(topic).to_string();
+            log::info!(event = "registry-history-gone", topic = topic.to_string().as_str(), from = from.as_str(); "");
+            false
+        }
+        Update::OtherEra(era) => {
+            shared.registry_polling().on_read(shared.now(), true);
+            shared.on_era(era, "registry");
             false
         }
         Update::Failed(error) => {
             shared.registry_polling().on_read(shared.now(), false);
             shared.catch_up().set_registry_failed(true);
             if !std::mem::replace(failing, true) {
-                let from = shared.next_offset(topic).0;
-                log::warn!(event = "registry-lost", topic = topic.to_string().as_str(), from, why = error.to_string().as_str(); "");
+                let from = shared.next_position(topic).to_string();
+                log::warn!(event = "registry-lost", topic = topic.to_string().as_str(), from = from.as_str(), why = error.to_string().as_str(); "");
             }
             true
         }
@@ -149,10 +176,10 @@
 /// A response carries at most a megabyte, and only the newest configuration
 /// counts. The list has only that one, while reading on also transfers all
 /// those that it replaced.
-fn should_relist(topic: Topic, next: Offset, end: Offset) -> bool {
+fn should_relist(topic: Topic, next: Position, end: Position) -> bool {
     let relist = topic == Topic::Config && next < end;
     if relist {
-        log::info!(event = "registry-far-ahead", topic = topic.to_string().as_str(), next = next.0, end = end.0; "");
+        log::info!(event = "registry-far-ahead", topic = topic.to_string().as_str(), next = next.to_string().as_str(), end = end.to_string().as_str(); "");
     }
     relist
 }
@@ -229,3 +256,31 @@
         }
     }
 }
+
+/// Registers this node again each time that the registry came back from a copy.
+pub(crate) async fn keep_registered(shared: Arc<Shared>, seed: u64) {
+    let mut backoff = Backoff::new(seed);
+    let node = shared.settings.node.clone();
+    let own = NodeEntry {
+        address: shared.settings.listen.peers,
+        power: Some(shared.settings.power),
+    };
+    let mut handled = 0;
+    loop {
+        let returned = shared.registry_returned.listen();
+        let returns = shared.returns().count();
+        if returns == handled {
+            returned.await;
+            continue;
+        }
+        let nodes = shared.owners().count();
+        Timer::after(rewrite_delay(nodes, sample(&format!("{node} {returns}")))).await;
+        while !shared.registry.register(&node, own).await {
+            Timer::after(backoff.failed()).await;
+        }
+        backoff.succeeded();
+        handled = returns;
+        log::info!(event = "registered-again", returns; "");
+        metrics::counter!("snipeyoke_registrations_repeated_total").increment(1);
+    }
+}
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -202,6 +202,7 @@
         scope.spawn(changes::follow(shared(), seed));
         scope.spawn(follow::follow_endpoints(shared(), seed ^ 1));
         scope.spawn(follow::discover_peers(shared(), seed ^ 2));
+        scope.spawn(follow::keep_registered(shared(), seed ^ 4));
     }
 
     /// Applies new settings; changed addresses take effect at the next start.
--- a/gateway/src/polling.rs
+++ b/gateway/src/polling.rs
@@ -5,8 +5,8 @@
 
 use async_io::Timer;
 use futures_lite::FutureExt;
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::Backoff;
+use snipeyoke_lib::serving::position::Position;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
 use snipeyoke_lib::time::Time;
 
@@ -28,11 +28,11 @@
     loop {
         let not_before = shared.now() + pause;
         wait_until_due(shared, kind, &mut staleness, not_before).await;
-        if kind == ReplicaKind::Endpoints && shared.must_relist.load(Ordering::Relaxed) {
+        if must_list(shared, kind) {
             return;
         }
         let sent = shared.now();
-        let from = shared.next_offset(topic);
+        let from = shared.next_position(topic);
         pause = Duration::ZERO;
         // Records that arrived meanwhile move the offset of the next read.
         let Some(update) = read(shared, topic, from).await else {
@@ -50,7 +50,7 @@
 }
 
 /// Reads once without waiting; returns `None` if a peer sent the records.
-async fn read(shared: &Shared, topic: Topic, from: Offset) -> Option<Update> {
+async fn read(shared: &Shared, topic: Topic, from: Position) -> Option<Update> {
     if topic != Topic::Config {
         let response = shared.registry.read(topic, from, Duration::ZERO, &|| ());
         return Some(response.await);
@@ -70,10 +70,10 @@
 ///
 /// Otherwise the same records would be transferred twice, over a link that may
 /// be saturated.
-pub(crate) async fn received_elsewhere(shared: &Shared, from: Offset) -> Option<Update> {
+pub(crate) async fn received_elsewhere(shared: &Shared, from: Position) -> Option<Update> {
     loop {
         let grown = shared.config_grown.listen();
-        if shared.next_offset(Topic::Config) > from {
+        if shared.next_position(Topic::Config) > from {
             return None;
         }
         grown.await;
@@ -94,8 +94,7 @@
         staleness.update(shared, kind);
         let now = shared.now();
         let at = next_read(shared, kind).max(not_before);
-        if at <= now || kind == ReplicaKind::Endpoints && shared.must_relist.load(Ordering::Relaxed)
-        {
+        if at <= now || must_list(shared, kind) {
             return;
         }
         // The registry reader may change at any time.
@@ -107,6 +106,12 @@
     }
 }
 
+/// Returns whether a topic has to be listed instead of read on.
+fn must_list(shared: &Shared, kind: ReplicaKind) -> bool {
+    let differs = kind == ReplicaKind::Endpoints && shared.must_relist.load(Ordering::Relaxed);
+    differs || shared.returns().needs_list(shared.now(), kind)
+}
+
 fn next_read(shared: &Shared, kind: ReplicaKind) -> Time {
     let reader = shared.is_reader();
     let scheduled = shared.registry_polling().read_at(kind, reader);
@@ -139,6 +144,9 @@
         gauge.set(age.as_secs_f64());
         shared.report_rates();
         shared.report_absences();
+        if let Some(era) = shared.returns().era() {
+            metrics::gauge!("snipeyoke_registry_era").set(era.0 as f64);
+        }
         let is_stale = freshness.cannot_read(freshness.age(now));
         if is_stale {
             shared.owners().defer_admissions(now);
--- a/gateway/src/records.rs
+++ b/gateway/src/records.rs
@@ -5,10 +5,13 @@
 
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::FailureDomain;
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::directory::Directory;
+use snipeyoke_lib::serving::position::ListMode;
+use snipeyoke_lib::serving::position::Position;
+use snipeyoke_lib::serving::registry_polling::ReplicaKind;
+use snipeyoke_lib::serving::replica::Reading;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::serving::stream_origins::VersionSets;
 
@@ -18,8 +21,8 @@
 
 impl Shared {
     fn on_config_records(&self, changes: &[Record], source: &str) {
-        let next = self.replicas().config.next();
-        self.catch_up().advance_to(next);
+        let mark = self.config_mark();
+        self.catch_up().advance_to(mark);
         self.apply_operator_records(changes, source);
         self.config_grown.notify(usize::MAX);
         // The other nodes poll this one soon; a notification reaches them at once.
@@ -45,7 +48,7 @@
                     self.set_evacuated(&domain, active, source);
                 }
                 Some(Err(error)) => {
-                    log::error!(event = "config-refused", key = record.key.as_str(), offset = record.offset.0, error = error.to_string().as_str(); "");
+                    log::error!(event = "config-refused", key = record.key.as_str(), position = record.position.to_string().as_str(), error = error.to_string().as_str(); "");
                 }
                 None => {}
             }
@@ -111,7 +114,7 @@
         }
         self.catalog.set(Some(Arc::new(catalog)));
         metrics::gauge!("snipeyoke_config_version").set(version as f64);
-        log::info!(event = "config-in-force", version, offset = record.offset.0, source; "");
+        log::info!(event = "config-in-force", version, position = record.position.to_string().as_str(), source; "");
     }
 
     fn on_endpoint_records(&self, changes: &[Record]) {
@@ -148,14 +151,14 @@
                     self.record_versions(&before);
                     self.record_versions(&after);
                     let id = id.to_string();
-                    log::info!(event = "endpoint-known", endpoint = id.as_str(), version = version.as_str(), draining, fresh, cold_ms = cold_left.as_millis() as u64, offset = record.offset.0, source; "");
+                    log::info!(event = "endpoint-known", endpoint = id.as_str(), version = version.as_str(), draining, fresh, cold_ms = cold_left.as_millis() as u64, position = record.position.to_string().as_str(), source; "");
                 }
                 changed
             }
             // Writers other than the endpoint may append anything. Such a record names
             // no usable endpoint; the others remain valid.
             Err(error) => {
-                log::warn!(event = "endpoint-refused", key = record.key.as_str(), offset = record.offset.0, error = error.to_string().as_str(); "");
+                log::warn!(event = "endpoint-refused", key = record.key.as_str(), position = record.position.to_string().as_str(), error = error.to_string().as_str(); "");
                 self.remove_endpoint(&record.key, record, source, "unreadable")
             }
         }
@@ -172,24 +175,43 @@
         drop(directory);
         self.record_versions(&before);
         if known {
-            log::info!(event = "endpoint-gone", endpoint = key, why, offset = record.offset.0, source; "");
+            log::info!(event = "endpoint-gone", endpoint = key, why, position = record.position.to_string().as_str(), source; "");
         }
         known
     }
 
     /// Applies records of a topic from a peer or the registry.
-    pub(crate) fn extend(&self, topic: Topic, records: Vec<Record>, next: Offset, source: &str) {
+    pub(crate) fn extend(&self, topic: Topic, records: Vec<Record>, next: Position, source: &str) {
+        self.on_era(next.era, source);
+        if let Some(earliest) = records.iter().map(|r| r.position.era).min() {
+            self.returns().on_record(self.now(), earliest);
+        }
+        let rank = |record: &Record| self.registry.rank(topic, record);
         match topic {
             Topic::Config => {
-                let changes = self.replicas().config.extend(records, next);
+                let mut reading = Reading {
+                    rank: &rank,
+                    is_change: &mut |_| true,
+                };
+                let mut replicas = self.replicas();
+                let changes = replicas.config.extend_with(records, next, &mut reading);
+                let holds_lost = replicas.config.holds_unranked_before(next);
+                drop(replicas);
+                if holds_lost {
+                    // Only the list shows which of them the operator has ended.
+                    self.returns().mark_unsettled(ReplicaKind::Config);
+                }
                 self.on_config_records(&changes, source);
             }
             Topic::Endpoints => {
+                let mut reading = Reading {
+                    rank: &rank,
+                    is_change: &mut |record| self.apply_endpoint(record, source),
+                };
                 // Update replica and directory together: a peer that polls this node
                 // must not see a complete replica with an incomplete directory.
                 let mut replicas = self.replicas();
-                let apply = |record: &Record| self.apply_endpoint(record, source);
-                let changes = replicas.endpoints.extend_with(records, next, apply);
+                let changes = replicas.endpoints.extend_with(records, next, &mut reading);
                 drop(replicas);
                 self.on_endpoint_records(&changes);
             }
@@ -198,17 +220,41 @@
     }
 
     /// Applies a list of all keys of a topic.
-    pub(crate) fn replace(&self, topic: Topic, records: Vec<Record>, end: Offset) {
+    pub(crate) fn replace(&self, topic: Topic, records: Vec<Record>, end: Position) {
+        self.on_era(end.era, "registry");
+        let rank = |record: &Record| self.registry.rank(topic, record);
+        let mode = |kind| self.returns().on_list(self.now(), kind);
         match topic {
             Topic::Config => {
-                let changes = self.replicas().config.replace(records, end);
+                let mode = mode(ReplicaKind::Config);
+                let mut reading = Reading {
+                    rank: &rank,
+                    is_change: &mut |_| true,
+                };
+                let listed = records.len();
+                let mut replicas = self.replicas();
+                let before = replicas.config.next();
+                let changes = replicas
+                    .config
+                    .replace_with(records, (end, mode), &mut reading);
+                drop(replicas);
+                log_list(topic, (before, end), (listed, changes.len()), mode);
                 self.on_config_records(&changes, "registry");
             }
             Topic::Endpoints => {
+                let mode = mode(ReplicaKind::Endpoints);
+                let mut reading = Reading {
+                    rank: &rank,
+                    is_change: &mut |record| self.apply_endpoint(record, "registry"),
+                };
+                let listed = records.len();
                 let mut replicas = self.replicas();
-                let apply = |record: &Record| self.apply_endpoint(record, "registry");
-                let changes = replicas.endpoints.replace_with(records, end, apply);
+                let before = replicas.endpoints.next();
+                let changes = replicas
+                    .endpoints
+                    .replace_with(records, (end, mode), &mut reading);
                 drop(replicas);
+                log_list(topic, (before, end), (listed, changes.len()), mode);
                 self.on_endpoint_records(&changes);
             }
             Topic::Nodes => self.learn_nodes(&records),
@@ -250,3 +296,20 @@
     let sets = services.iter();
     sets.map(|s| (s.clone(), directory.versions(s))).collect()
 }
+
+/// Logs a list that was read since the registry came back from a copy.
+fn log_list(
+    topic: Topic,
+    (before, end): (Position, Position),
+    (listed, changed): (usize, usize),
+    mode: ListMode,
+) {
+    let event = match mode {
+        ListMode::Unsettled => "registry-unsettled",
+        ListMode::Whole if before.era > Position::default().era => "registry-settled",
+        ListMode::Whole => return,
+    };
+    let lost = before.offset.0.saturating_sub(end.offset.0);
+    let lost = if before.era < end.era { lost } else { 0 };
+    log::info!(event, topic = topic.to_string().as_str(), before = before.to_string().as_str(), end = end.to_string().as_str(), lost, listed, changed; "");
+}
--- a/gateway/src/registry.rs
+++ b/gateway/src/registry.rs
@@ -9,10 +9,12 @@
 use derive_more::Error;
 use snipeyoke_lib::ids::FailureDomain;
 use snipeyoke_lib::ids::NodeId;
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::log::LogFuture;
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::directory::Entry;
+use snipeyoke_lib::serving::position::Era;
+use snipeyoke_lib::serving::position::Position;
+use snipeyoke_lib::serving::position::Rank;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::serving::stream_origins::VersionSets;
@@ -49,8 +51,8 @@
     pub records: Vec<Record>,
     /// The key after which the next page starts, if there is one.
     pub next_key: Option<String>,
-    /// The offset after the newest record.
-    pub end: Offset,
+    /// The position after the newest record.
+    pub end: Position,
 }
 
 /// The result of a read of new records.
@@ -60,11 +62,14 @@
     Records {
         /// The records.
         records: Vec<Record>,
-        /// The offset after them.
-        next: Offset,
-        /// The offset after the newest record of the topic.
-        end: Offset,
+        /// The position after them.
+        next: Position,
+        /// The position after the newest record of the topic.
+        end: Position,
     },
+    /// The registry is of another era: its offsets have started anew, and the list has
+    /// to be read.
+    OtherEra(Era),
     /// The requested records are no longer retained; the list has to be read.
     Truncated,
     /// No response, or a failure.
@@ -96,6 +101,9 @@
         /// The HTTP status.
         status: u16,
     },
+    /// The era changed between two pages.
+    #[display("the registry came back from a copy during the call; it is made again")]
+    EraChanged,
     /// The response can't be parsed.
     #[display(
         "the response is not a list of records; check that this release supports the registry"
@@ -158,12 +166,12 @@
         on_progress: OnProgress<'a>,
     ) -> LogFuture<'a, Result<Page, RegistryError>>;
 
-    /// Reads the records from an offset on; waits up to `wait` if there is
+    /// Reads the records from a position on; waits up to `wait` if there is
     /// none.
     fn read<'a>(
         &'a self,
         topic: Topic,
-        from: Offset,
+        from: Position,
         wait: Duration,
         on_progress: OnProgress<'a>,
     ) -> LogFuture<'a, Update>;
@@ -174,12 +182,13 @@
     /// Adds a record of the origins of streams; returns whether it is confirmed.
     fn append_origins(&self, value: Bytes) -> LogFuture<'_, bool>;
 
-    /// Reads the records of the origins of streams from an offset on, or from
-    /// the oldest that is retained. Returns them with the offset after them.
+    /// Reads the records of the origins of streams from a position on, or from
+    /// the oldest that is retained if it is of another era or no longer retained. Returns
+    /// them with the position after them.
     fn read_origins(
         &self,
-        from: Offset,
-    ) -> LogFuture<'_, Result<(Vec<Bytes>, Offset), RegistryError>>;
+        from: Position,
+    ) -> LogFuture<'_, Result<(Vec<Bytes>, Position), RegistryError>>;
 
     /// Records the versions of all services, among the nodes; returns whether
     /// the record is confirmed.
@@ -200,6 +209,10 @@
     /// Returns the quarantines if a record of the topic of nodes holds them.
     fn quarantines_of(&self, record: &Record) -> Option<Bytes>;
 
+    /// Returns the rank that its writer gave to a record, if it has one: the version of a
+    /// configuration; the start and the number of an endpoint's record.
+    fn rank(&self, topic: Topic, record: &Record) -> Option<Rank>;
+
     /// Parses a record of the topic of the configuration; `value` is `None` if
     /// its key was dropped. Returns `None` for a record without a meaning.
     ///
--- a/gateway/src/shared.rs
+++ b/gateway/src/shared.rs
@@ -14,15 +14,19 @@
 use event_listener::Event;
 use hyper::header::HeaderName;
 use snipeyoke_lib::ids::EndpointId;
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::serving::budget::SharedBudget;
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::catch_up::CatchUp;
+use snipeyoke_lib::serving::catch_up::ConfigMark;
 use snipeyoke_lib::serving::crashes::CrashTracker;
 use snipeyoke_lib::serving::directory::Directory;
 use snipeyoke_lib::serving::durations::Durations;
 use snipeyoke_lib::serving::first_event::FirstEventTimes;
 use snipeyoke_lib::serving::owners::Owners;
+use snipeyoke_lib::serving::position::Era;
+use snipeyoke_lib::serving::position::EraChange;
+use snipeyoke_lib::serving::position::Position;
+use snipeyoke_lib::serving::position::Returns;
 use snipeyoke_lib::serving::registry_polling::RegistryPolling;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
 use snipeyoke_lib::serving::replica::Replica;
@@ -72,6 +76,8 @@
     pub(crate) quarantines_changed: Event,
     /// Notifies that the registry responds again after an outage.
     pub(crate) registry_regained: Event,
+    /// Notifies that the registry came back from a copy.
+    pub(crate) registry_returned: Event,
     /// Whether the endpoints have to be listed again.
     pub(crate) must_relist: AtomicBool,
     /// Notifies that the replica of the configuration has grown.
@@ -100,6 +106,7 @@
     crashes: Mutex<CrashTracker>,
     polling: Mutex<RegistryPolling>,
     origins: Mutex<StreamOrigins>,
+    returns: Mutex<Returns>,
     /// The unknown headers of endpoints that have been reported.
     unread_headers: Mutex<BTreeSet<String>>,
 }
@@ -132,10 +139,12 @@
             polling: Mutex::new(RegistryPolling::new(settings.change, settings.notice)),
             catch_up: Mutex::new(CatchUp::new(settings.listen.peers)),
             origins: Mutex::default(),
+            returns: Mutex::default(),
             catalog: WatchedValue::new(None),
             endpoints_changed: Event::new(),
             quarantines_changed: Event::new(),
             registry_regained: Event::new(),
+            registry_returned: Event::new(),
             must_relist: AtomicBool::new(false),
             config_grown: Event::new(),
             config_behind: Event::new(),
@@ -193,6 +202,10 @@
         lock(&self.origins)
     }
 
+    pub(crate) fn returns(&self) -> MutexGuard<'_, Returns> {
+        lock(&self.returns)
+    }
+
     pub(crate) fn registry_polling(&self) -> MutexGuard<'_, RegistryPolling> {
         lock(&self.polling)
     }
@@ -217,26 +230,64 @@
         polling.is_reader(now, &mut self.owners())
     }
 
+    /// Handles the era of the registry that a response or a peer names.
+    pub(crate) fn on_era(&self, era: Era, source: &str) {
+        let Some(change) = self.returns().on_era(self.now(), era) else {
+            return;
+        };
+        match change {
+            EraChange::Returned { previous } => {
+                let replicas = self.replicas();
+                let config = replicas.config.next().to_string();
+                let endpoints = replicas.endpoints.next().to_string();
+                drop(replicas);
+                log::warn!(event = "registry-returned", era = era.0, previous = previous.0, config = config.as_str(), endpoints = endpoints.as_str(), source, remedy = "what was written since the registry's copy is written again; see registry-settled"; "");
+                metrics::counter!("snipeyoke_registry_returns_total").increment(1);
+                self.dispatcher.registry_returned();
+                self.registry_returned.notify(usize::MAX);
+            }
+            EraChange::Lower { known } => {
+                log::warn!(event = "registry-era-lower", era = era.0, known = known.0, source, remedy = "check whether this is the same registry; a restart of all nodes starts with its era"; "");
+            }
+        }
+    }
+
+    /// Returns what this node has of the configuration.
+    pub(crate) fn config_mark(&self) -> ConfigMark {
+        let replicas = self.replicas();
+        ConfigMark {
+            next: replicas.config.next(),
+            rank: replicas.config.rank(),
+        }
+    }
+
     /// Handles a replica of the endpoints that differs from a peer's.
     pub(crate) fn on_endpoints_differ(&self) {
+        // Nodes know different parts of what the registry has lost.
+        if self.returns().is_unsettled(self.now()) {
+            return;
+        }
         if self.registry_polling().on_mismatch(self.now()) {
             self.must_relist.store(true, Ordering::Relaxed);
             self.registry_regained.notify(usize::MAX);
         }
     }
 
-    /// Handles a peer's report of the next offset of its configuration.
+    /// Handles a peer's report of what it has of the configuration.
     ///
     /// `size` is the size of its configuration in bytes.
-    pub(crate) fn on_peer_config(&self, node: SocketAddr, next: Offset, size: u64) {
-        if self.catch_up().on_peer_offset(self.now(), node, next, size) {
-            log::info!(event = "config-behind", node = node.to_string().as_str(), next = next.0; "");
+    pub(crate) fn on_peer_config(&self, node: SocketAddr, mark: ConfigMark, size: u64) {
+        if mark.next.era.0 > 0 {
+            self.on_era(mark.next.era, &node.to_string());
+        }
+        if self.catch_up().on_peer_mark(self.now(), node, mark, size) {
+            log::info!(event = "config-behind", node = node.to_string().as_str(), next = mark.next.to_string().as_str(), version = mark.rank.unwrap_or_default().major; "");
             self.config_behind.notify(usize::MAX);
         }
     }
 
-    /// Returns the offset from which to read a topic next.
-    pub(crate) fn next_offset(&self, topic: Topic) -> Offset {
+    /// Returns the position from which to read a topic next.
+    pub(crate) fn next_position(&self, topic: Topic) -> Position {
         match topic {
             Topic::Config => self.replicas().config.next(),
             Topic::Endpoints | Topic::Nodes => self.replicas().endpoints.next(),
--- a/lib/src/serving/catch_up.rs
+++ b/lib/src/serving/catch_up.rs
@@ -1,8 +1,8 @@
 //! Selection of the source from which a node gets a configuration that it
 //! lacks.
 //!
-//! Every node reads the registry, and its peers report up to which offset they
-//! are complete. A configuration may have a megabyte: over a link of 10 Mbit/s
+//! Every node reads the registry, and its peers report up to which position they
+//! are complete, and which version they have. A configuration may have a megabyte: over a link of 10 Mbit/s
 //! one copy takes a second, and several concurrent copies all arrive late. A
 //! copy is therefore requested from a peer only if no response of the registry
 //! is in transit, and from one peer at a time.
@@ -14,8 +14,9 @@
 use rapidhash::v3::RapidSecrets;
 use rapidhash::v3::rapidhash_v3_seeded;
 
+use super::position::Position;
+use super::position::Rank;
 use super::slices::SLICE_MAX_BYTES;
-use crate::ids::Offset;
 use crate::time::Time;
 use crate::units::MilliCores;
 
@@ -60,10 +61,33 @@
     last_progress: Time,
 }
 
-/// A peer that is complete up to a later offset than this node.
+/// What a node has of the configuration.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ConfigMark {
+    /// The position up to which it is complete.
+    pub next: Position,
+    /// The greatest rank of its records, which the registry may have lost since.
+    pub rank: Option<Rank>,
+}
+
+impl ConfigMark {
+    /// Returns whether a node with this mark has something that one with the other
+    /// mark lacks.
+    #[must_use]
+    pub fn is_ahead_of(&self, other: &Self) -> bool {
+        self.next > other.next || self.rank > other.rank
+    }
+
+    fn merge(&mut self, other: Self) {
+        self.next = self.next.max(other.next);
+        self.rank = self.rank.max(other.rank);
+    }
+}
+
+/// A peer that has something of the configuration that this node lacks.
 #[derive(Debug, Clone, Copy)]
 struct Holder {
-    next: Offset,
+    mark: ConfigMark,
     /// Whether its configuration fits into one slice.
     fits_in_slice: bool,
 }
@@ -72,8 +96,8 @@
 #[derive(Debug, Clone)]
 pub struct CatchUp {
     own: SocketAddr,
-    complete_to: Offset,
-    /// The peers that reported a later offset than this node has.
+    complete_to: ConfigMark,
+    /// The peers that reported something that this node lacks.
     holders: BTreeMap<SocketAddr, Holder>,
     behind_since: Option<Time>,
     /// When a part of the registry's response last arrived.
@@ -91,7 +115,10 @@
     pub const fn new(own: SocketAddr) -> Self {
         Self {
             own,
-            complete_to: Offset(0),
+            complete_to: ConfigMark {
+                next: Position::new(0, 0),
+                rank: None,
+            },
             holders: BTreeMap::new(),
             behind_since: None,
             last_registry_data: None,
@@ -101,21 +128,27 @@
         }
     }
 
-    /// Records the offset up to which this node is complete.
-    pub fn advance_to(&mut self, complete_to: Offset) {
-        self.complete_to = self.complete_to.max(complete_to);
-        self.holders.retain(|_, h| h.next > self.complete_to);
+    /// Records what this node has.
+    pub fn advance_to(&mut self, mark: ConfigMark) {
+        self.complete_to.merge(mark);
+        let complete_to = self.complete_to;
+        self.holders.retain(|_, h| h.mark.is_ahead_of(&complete_to));
         if self.holders.is_empty() {
             self.behind_since = None;
             self.transfer = None;
         }
     }
 
-    /// Records the offset up to which a peer is complete, and the size of its
-    /// configuration in bytes. Returns whether this node has just learned that
-    /// it is behind.
-    pub fn on_peer_offset(&mut self, now: Time, node: SocketAddr, next: Offset, size: u64) -> bool {
-        if next <= self.complete_to {
+    /// Records what a peer has, and the size of its configuration in bytes. Returns
+    /// whether this node has just learned that it is behind.
+    pub fn on_peer_mark(
+        &mut self,
+        now: Time,
+        node: SocketAddr,
+        mark: ConfigMark,
+        size: u64,
+    ) -> bool {
+        if !mark.is_ahead_of(&self.complete_to) {
             self.forget_holder(node);
             return false;
         }
@@ -123,7 +156,7 @@
         self.holders.insert(
             node,
             Holder {
-                next,
+                mark,
                 fits_in_slice,
             },
         );
@@ -242,9 +275,10 @@
     }
 
     fn registry_patience(&self) -> Duration {
-        match (self.registry_failed, self.complete_to.0) {
+        let is_empty = self.complete_to.next == Position::default();
+        match (self.registry_failed, is_empty) {
             (true, _) => Duration::ZERO,
-            (false, 0) => EMPTY_REGISTRY_PATIENCE,
+            (false, true) => EMPTY_REGISTRY_PATIENCE,
             (false, _) if self.fits_in_slice() => Duration::ZERO,
             (false, _) => REGISTRY_PATIENCE,
         }
--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -22,6 +22,7 @@
 pub mod health;
 pub mod homes;
 pub mod owners;
+pub mod position;
 pub mod rate_limit;
 pub mod registry_polling;
 pub mod releases;
--- a/lib/src/serving/slices.rs
+++ b/lib/src/serving/slices.rs
@@ -7,7 +7,8 @@
 
 use std::sync::Arc;
 
-use crate::ids::Offset;
+use super::position::Position;
+use super::position::Rank;
 use crate::serving::replica::Record;
 use crate::serving::replica::Replica;
 
@@ -26,10 +27,12 @@
 /// A reader's request for a slice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct SliceRequest {
-    /// The offset up to which the reader is complete.
-    pub from: Offset,
-    /// The offset of the record that is being assembled.
-    pub offset: Offset,
+    /// The position up to which the reader is complete.
+    pub from: Position,
+    /// The greatest rank of a record that the reader has.
+    pub rank: Option<Rank>,
+    /// The position of the record that is being assembled.
+    pub position: Position,
     /// The number of bytes received of that record.
     pub at: u64,
 }
@@ -39,8 +42,10 @@
 pub struct Slice {
     /// The record's key.
     pub key: String,
-    /// The record's offset.
-    pub offset: Offset,
+    /// The record's position.
+    pub position: Position,
+    /// Whether earlier changes may be missing when the record is complete.
+    pub is_ahead: bool,
     /// The position of the slice in the value, in bytes.
     pub at: u64,
     /// The size of the whole value in bytes; `None` if the key was dropped.
@@ -53,12 +58,14 @@
     /// Returns the slice for a request; `None` if nothing is newer.
     ///
     /// It belongs to the oldest record that the reader lacks: records in the
-    /// order of their offsets leave no gap, wherever the reader stops.
+    /// order of their positions leave no gap, wherever the reader stops. One of a
+    /// greater rank than the reader knows goes first: the registry may have lost it.
     #[must_use]
     pub fn slice(&self, request: SliceRequest) -> Option<Slice> {
-        let oldest = self.first_change_from(request.from)?;
+        let ranked = self.ranked_above(request.rank);
+        let oldest = ranked.or_else(|| self.first_change_from(request.from))?;
         let value = oldest.value.as_deref();
-        let start = if oldest.offset == request.offset {
+        let start = if oldest.position == request.position {
             request.at
         } else {
             0
@@ -67,7 +74,8 @@
         let rest = rest.unwrap_or_default();
         Some(Slice {
             key: oldest.key.clone(),
-            offset: oldest.offset,
+            position: oldest.position,
+            is_ahead: ranked.is_some(),
             at: start,
             total: value.map(|v| v.len() as u64),
             data: rest[..rest.len().min(SLICE_MAX_BYTES)].to_vec(),
@@ -78,35 +86,37 @@
 /// Assembles a record from its slices.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Assembly {
-    offset: Offset,
+    position: Position,
     data: Vec<u8>,
 }
 
 impl Assembly {
-    /// Returns the next request of a reader that is complete up to `from`.
+    /// Returns the next request of a reader that is complete up to `from` and has
+    /// records of `rank` at most.
     #[must_use]
-    pub const fn next_request(&self, from: Offset) -> SliceRequest {
+    pub const fn next_request(&self, from: Position, rank: Option<Rank>) -> SliceRequest {
         SliceRequest {
             from,
-            offset: self.offset,
+            rank,
+            position: self.position,
             at: self.data.len() as u64,
         }
     }
 
     /// Adds a slice and returns the record if it is complete.
     ///
-    /// Slices of the same offset hold parts of the same bytes from any sender.
+    /// Slices of the same position hold parts of the same bytes from any sender.
     /// A slice that does not fit is dropped; the next request says what is
     /// missing.
     pub fn add(&mut self, slice: Slice) -> Option<Record> {
         if slice.total.is_some_and(|total| total > RECORD_MAX_BYTES) {
             return None;
         }
-        if slice.offset != self.offset && slice.at == 0 {
-            self.offset = slice.offset;
+        if slice.position != self.position && slice.at == 0 {
+            self.position = slice.position;
             self.data.clear();
         }
-        if slice.offset != self.offset || slice.at != self.data.len() as u64 {
+        if slice.position != self.position || slice.at != self.data.len() as u64 {
             return None;
         }
         self.data.extend_from_slice(&slice.data);
@@ -119,7 +129,7 @@
         Some(Record {
             key: slice.key,
             value,
-            offset: slice.offset,
+            position: slice.position,
         })
     }
 }
--- a/lib/src/serving/stream_origins.rs
+++ b/lib/src/serving/stream_origins.rs
@@ -121,6 +121,8 @@
     watched_since: Time,
     /// The sets that this node last read or wrote.
     recorded: Option<VersionSets>,
+    /// Whether the registry may have lost them.
+    must_rewrite: bool,
 }
 
 #[derive(Debug, Clone)]
@@ -189,6 +191,14 @@
             }
         }
         self.history.recorded = Some(sets);
+        self.history.must_rewrite = false;
+    }
+
+    /// Records that the registry may have lost what nodes wrote: the versions, and the
+    /// origins of streams.
+    pub fn mark_unrecorded(&mut self) {
+        self.history.must_rewrite = true;
+        self.unsaved.extend(self.entries.keys());
     }
 
     /// Records that streams may have begun at a version.
@@ -315,6 +325,7 @@
                 .all(|(s, versions)| recorded.get(s) == Some(versions))
         };
         let is_recorded = self.history.recorded.as_ref().is_some_and(covers);
+        let is_recorded = is_recorded && !self.history.must_rewrite;
         (!is_recorded && !sets.is_empty()).then_some(sets)
     }
 
--- a/lib/tests/test_catch_up.rs
+++ b/lib/tests/test_catch_up.rs
@@ -4,11 +4,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::serving::catch_up::CatchUp;
+use snipeyoke_lib::serving::catch_up::ConfigMark;
 use snipeyoke_lib::serving::catch_up::REGISTRY_GRACE;
 use snipeyoke_lib::serving::catch_up::REGISTRY_PATIENCE;
 use snipeyoke_lib::serving::catch_up::STALL_TIMEOUT;
+use snipeyoke_lib::serving::position::Position;
 use snipeyoke_lib::serving::slices::SLICE_MAX_BYTES;
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::MilliCores;
@@ -28,6 +29,14 @@
 /// The interval between two polls of peers.
 const POLL_INTERVAL: Duration = Duration::from_millis(250);
 
+/// Returns what a node complete up to an offset has.
+fn mark(offset: u64) -> ConfigMark {
+    ConfigMark {
+        next: Position::new(0, offset),
+        rank: None,
+    }
+}
+
 fn node(n: u16) -> SocketAddr {
     ([10, 0, 0, 1], n).into()
 }
@@ -49,7 +58,7 @@
 impl Lagging {
     fn new() -> Self {
         let mut catch_up = CatchUp::new(node(99));
-        catch_up.advance_to(Offset(6));
+        catch_up.advance_to(mark(6));
         Self {
             now: Time::from_millis(10_000),
             catch_up,
@@ -65,7 +74,7 @@
         if since.is_multiple_of(POLL_INTERVAL.as_millis() as u64) {
             let polled = node(1 + (since / 250 % u64::from(PEERS)) as u16);
             self.catch_up
-                .on_peer_offset(self.now, polled, Offset(7), LARGE_CONFIG);
+                .on_peer_mark(self.now, polled, mark(7), LARGE_CONFIG);
         }
         if let Some(node) = self.catch_up.choose_source(self.now, live()) {
             self.sources.push(node);
@@ -103,7 +112,7 @@
         elapsed < REGISTRY_PATIENCE + copy + 2 * POLL_INTERVAL,
         "after {elapsed:?}"
     );
-    lagging.catch_up.advance_to(Offset(7));
+    lagging.catch_up.advance_to(mark(7));
     assert_eq!(lagging.catch_up.wake(), Time::NEVER);
 }
 
@@ -157,7 +166,7 @@
     lagging.catch_up.set_registry_failed(true);
     lagging
         .catch_up
-        .on_peer_offset(lagging.now, node(3), Offset(7), LARGE_CONFIG);
+        .on_peer_mark(lagging.now, node(3), mark(7), LARGE_CONFIG);
     assert_eq!(
         lagging.catch_up.choose_source(lagging.now, live()),
         Some(node(3))
@@ -174,7 +183,7 @@
         let mut catch_up = CatchUp::new(node(own));
         catch_up.set_registry_failed(true);
         for holder in 1..=PEERS {
-            catch_up.on_peer_offset(Time::ZERO, node(holder), Offset(7), LARGE_CONFIG);
+            catch_up.on_peer_mark(Time::ZERO, node(holder), mark(7), LARGE_CONFIG);
         }
         sources.extend(catch_up.choose_source(Time::ZERO, live()));
     }
@@ -188,10 +197,10 @@
     // keep the node busy for nothing.
     let mut catch_up = CatchUp::new(node(99));
     catch_up.set_registry_failed(true);
-    assert!(catch_up.on_peer_offset(Time::ZERO, node(50), Offset(7), LARGE_CONFIG));
+    assert!(catch_up.on_peer_mark(Time::ZERO, node(50), mark(7), LARGE_CONFIG));
     assert_eq!(catch_up.choose_source(Time::ZERO, live()), None);
     assert_eq!(catch_up.wake(), Time::NEVER);
-    assert!(catch_up.on_peer_offset(Time::ZERO, node(3), Offset(7), LARGE_CONFIG));
+    assert!(catch_up.on_peer_mark(Time::ZERO, node(3), mark(7), LARGE_CONFIG));
     assert_eq!(catch_up.choose_source(Time::ZERO, live()), Some(node(3)));
 }
 
@@ -201,8 +210,8 @@
     // waits for the response and then reads once per missing change.
     let mut catch_up = CatchUp::new(node(99));
     let reported = Time::from_millis(1_000);
-    catch_up.on_peer_offset(reported, node(3), Offset(7), LARGE_CONFIG);
-    catch_up.on_peer_offset(reported + POLL_INTERVAL, node(4), Offset(7), LARGE_CONFIG);
+    catch_up.on_peer_mark(reported, node(3), mark(7), LARGE_CONFIG);
+    catch_up.on_peer_mark(reported + POLL_INTERVAL, node(4), mark(7), LARGE_CONFIG);
     assert_eq!(catch_up.read_at(), reported + REGISTRY_GRACE);
     catch_up.on_registry_read();
     assert_eq!(catch_up.read_at(), Time::NEVER);
@@ -213,8 +222,8 @@
     );
     catch_up.on_registry_end();
     assert_eq!(catch_up.registry_active_until(), Time::ZERO);
-    catch_up.advance_to(Offset(7));
-    catch_up.on_peer_offset(reported + STALL_TIMEOUT, node(3), Offset(8), LARGE_CONFIG);
+    catch_up.advance_to(mark(7));
+    catch_up.on_peer_mark(reported + STALL_TIMEOUT, node(3), mark(8), LARGE_CONFIG);
     assert_eq!(
         catch_up.read_at(),
         reported + STALL_TIMEOUT + REGISTRY_GRACE
@@ -226,9 +235,9 @@
     // One node reads the registry for all and reports a change. If each node
     // read it for itself, hundreds would do so at the same moment.
     let mut catch_up = CatchUp::new(node(99));
-    catch_up.advance_to(Offset(6));
+    catch_up.advance_to(mark(6));
     let reported = Time::from_millis(10_000);
-    catch_up.on_peer_offset(reported, node(3), Offset(7), 8_000);
+    catch_up.on_peer_mark(reported, node(3), mark(7), 8_000);
     assert_eq!(catch_up.choose_source(reported, live()), Some(node(3)));
     assert!(
         catch_up.read_at() >= reported + REGISTRY_PATIENCE,
--- a/lib/tests/test_serving.rs
+++ b/lib/tests/test_serving.rs
@@ -10,7 +10,6 @@
 use proptest::test_runner::RngAlgorithm;
 use proptest::test_runner::TestRng;
 use proptest::test_runner::TestRunner;
-use snipeyoke_lib::ids::Offset;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::budget::BudgetLimits;
 use snipeyoke_lib::serving::budget::SharedBudget;
@@ -20,6 +19,8 @@
 use snipeyoke_lib::serving::events::EventAssembler;
 use snipeyoke_lib::serving::events::EventError;
 use snipeyoke_lib::serving::health::Health;
+use snipeyoke_lib::serving::position::Position;
+use snipeyoke_lib::serving::replica::Reading;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::serving::replica::Replica;
 use snipeyoke_lib::serving::retry_after::other_node_retry_after;
@@ -30,7 +31,7 @@
     Record {
         key: key.to_owned(),
         value: value.map(Arc::from),
-        offset: Offset(offset),
+        position: Position::new(0, offset),
     }
 }
 
@@ -38,11 +39,11 @@
 fn an_older_record_changes_nothing_from_any_source() {
     // A partitioned peer sends an old record of a key that was revoked since.
     let mut replica = Replica::default();
-    replica.extend(vec![record("k", None, 7)], Offset(8));
-    let changes = replica.extend(vec![record("k", Some(b"old"), 3)], Offset(4));
+    replica.extend(vec![record("k", None, 7)], Position::new(0, 8));
+    let changes = replica.extend(vec![record("k", Some(b"old"), 3)], Position::new(0, 4));
     assert!(changes.is_empty());
     assert_eq!(replica.get("k").and_then(|r| r.value.clone()), None);
-    assert_eq!(replica.next(), Offset(8));
+    assert_eq!(replica.next(), Position::new(0, 8));
 }
 
 #[test]
@@ -54,15 +55,15 @@
         record("gone", Some(b"1"), 2),
         record("newer", Some(b"2"), 9),
     ];
-    replica.extend(held, Offset(10));
+    replica.extend(held, Position::new(0, 10));
     let listed = vec![record("kept", Some(b"3"), 4)];
-    let changes = replica.replace(listed, Offset(6));
+    let changes = replica.replace(listed, Position::new(0, 6));
     let keys: Vec<&str> = changes.iter().map(|r| r.key.as_str()).collect();
     assert_eq!(keys, ["gone", "kept"]);
     assert!(replica.get("newer").is_some_and(|r| r.value.is_some()));
     assert_eq!(
         replica
-            .changes_since(Offset(5))
+            .changes_since(Position::new(0, 5))
             .map(|changes| changes.len()),
         Some(2),
         "the drop is sent to peers"
@@ -75,17 +76,21 @@
     // change. Sent on to hundreds of nodes, these records would fill the links.
     let mut replica = Replica::default();
     let first = vec![record("a", Some(b"1"), 1), record("b", Some(b"1"), 2)];
-    replica.extend(first, Offset(3));
+    replica.extend(first, Position::new(0, 3));
     let repeated = vec![record("a", Some(b"1 again"), 3), record("b", None, 4)];
-    let changes = replica.extend_with(repeated, Offset(5), |r| r.value.is_none());
+    let mut reading = Reading {
+        rank: &|_| None,
+        is_change: &mut |r| r.value.is_none(),
+    };
+    let changes = replica.extend_with(repeated, Position::new(0, 5), &mut reading);
     assert_eq!(changes.len(), 1);
     let sent = replica
-        .changes_since(Offset(3))
+        .changes_since(Position::new(0, 3))
         .expect("nothing is forgotten");
     assert_eq!(sent, [record("b", None, 4)]);
     // A reader without any records gets the newest value, and no dropped key.
     let all = replica
-        .changes_since(Offset(0))
+        .changes_since(Position::new(0, 0))
         .expect("nothing is forgotten");
     assert_eq!(all, [record("a", Some(b"1 again"), 1)]);
 }
@@ -102,14 +107,14 @@
             record(&key, Some(b"1"), 2 * n),
             record(&key, None, 2 * n + 1),
         ];
-        replica.extend(records, Offset(2 * n + 2));
+        replica.extend(records, Position::new(0, 2 * n + 2));
     }
-    assert_eq!(replica.changes_since(Offset(10)), None);
+    assert_eq!(replica.changes_since(Position::new(0, 10)), None);
     let recent = replica
-        .changes_since(Offset(9_900))
+        .changes_since(Position::new(0, 9_900))
         .expect("these are kept");
     assert_eq!(recent.len(), 50);
-    assert_eq!(replica.changes_since(Offset(0)), Some(Vec::new()));
+    assert_eq!(replica.changes_since(Position::new(0, 0)), Some(Vec::new()));
 }
 
 #[test]
--- a/lib/tests/test_slices.rs
+++ b/lib/tests/test_slices.rs
@@ -9,7 +9,7 @@
 use proptest::test_runner::RngAlgorithm;
 use proptest::test_runner::TestRng;
 use proptest::test_runner::TestRunner;
-use snipeyoke_lib::ids::Offset;
+use snipeyoke_lib::serving::position::Position;
 use snipeyoke_lib::serving::replica::Record;
 use snipeyoke_lib::serving::replica::Replica;
 use snipeyoke_lib::serving::slices::Assembly;
@@ -29,7 +29,7 @@
         Record {
             key: format!("k{}", offset % 3 / 2),
             value: value.filter(|_| offset % 5 != 4),
-            offset: Offset(offset),
+            position: Position::new(0, offset),
         }
     };
     (0..RECORDS).map(record).collect()
@@ -39,7 +39,7 @@
 fn copies(topic: &[Record]) -> Vec<Replica> {
     let copy = |next: u64| {
         let mut replica = Replica::default();
-        replica.extend(topic[..next as usize].to_vec(), Offset(next));
+        replica.extend(topic[..next as usize].to_vec(), Position::new(0, next));
         replica
     };
     (0..=RECORDS).map(copy).collect()
@@ -63,21 +63,21 @@
     let mut reader = Replica::default();
     let mut assembly = Assembly::default();
     for &Step { holder, lost } in steps {
-        let slice = copies[holder as usize].slice(assembly.next_request(reader.next()));
+        let slice = copies[holder as usize].slice(assembly.next_request(reader.next(), None));
         let Some(slice) = slice.filter(|_| !lost) else {
             continue;
         };
         prop_assert!(slice.data.len() <= SLICE_MAX_BYTES);
         if let Some(record) = assembly.add(slice) {
-            let next = record.offset.next();
+            let next = record.position.next();
             reader.extend(vec![record], next);
         }
         for key in ["k0", "k1"] {
             let held = reader.get(key);
-            let same = held.map(|h| &topic[h.offset.0 as usize]);
+            let same = held.map(|h| &topic[h.position.offset.0 as usize]);
             prop_assert_eq!(held, same);
             let newest = copies[RECORDS as usize].get(key);
-            let covered = newest.filter(|r| r.offset < reader.next());
+            let covered = newest.filter(|r| r.position < reader.next());
             prop_assert!(covered.is_none_or(|r| Some(r) == held));
         }
     }
@@ -111,16 +111,16 @@
     let record = Record {
         key: "config".to_owned(),
         value: Some(value),
-        offset: Offset(4),
+        position: Position::new(0, 4),
     };
-    holder.extend(vec![record.clone()], Offset(5));
+    holder.extend(vec![record.clone()], Position::new(0, 5));
     let other = holder.clone();
     let mut assembly = Assembly::default();
     let mut received = 0;
     let mut assembled = None;
     for holder in [&holder, &holder, &other, &other] {
         let slice = holder
-            .slice(assembly.next_request(Offset(3)))
+            .slice(assembly.next_request(Position::new(0, 3), None))
             .expect("it is newer");
         received += slice.data.len();
         assembled = assembly.add(slice);
@@ -133,14 +133,15 @@
 fn a_record_above_the_maximum_size_is_not_started() {
     // A faulty sender announces a size that would exhaust the reader's memory.
     let mut assembly = Assembly::default();
-    let before = assembly.next_request(Offset(0));
+    let before = assembly.next_request(Position::new(0, 0), None);
     let slice = Slice {
         key: "config".to_owned(),
-        offset: Offset(1),
+        position: Position::new(0, 1),
+        is_ahead: false,
         at: 0,
         total: Some(RECORD_MAX_BYTES + 1),
         data: vec![0; SLICE_MAX_BYTES],
     };
     assert_eq!(assembly.add(slice), None);
-    assert_eq!(assembly.next_request(Offset(0)), before);
+    assert_eq!(assembly.next_request(Position::new(0, 0), None), before);
 }
--- a/wire/tests/frames.rs
+++ b/wire/tests/frames.rs
@@ -92,11 +92,16 @@
                 key: "i-7f3a91c2".to_owned(),
                 value: Some(b"{}".to_vec().into()),
                 offset: 4,
+                era: 2,
             }],
             ..SyncReply::default()
         }),
         Body::RecordSlice(RecordSlice {
             next: 5,
+            next_era: 2,
+            offset_era: 1,
+            ahead: true,
+            version: 7,
             offset: Some(4),
             key: "config".to_owned(),
             at: 65_536,
