gateway, lib: show the era of the registry that a node knows

Operators saw a return of the registry in lines and metrics only. A gateway now answers 'show nodes' for itself, with the era and the time since it noticed the last return.

--- a/gateway/src/operators.rs
+++ b/gateway/src/operators.rs
@@ -53,7 +53,7 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Where an operator finds what a gateway does not keep.
-const REMEDY: &str = "a gateway answers 'show endpoints' and 'show quarantines'; the rest is in its logs and metrics";
+const REMEDY: &str = "a gateway answers 'show endpoints', 'show nodes' (itself) and 'show quarantines'; the rest is in its logs and metrics";
 
 /// Serves metrics scrapers and the queries of operators.
 pub(crate) struct OperatorPort(pub(crate) Arc<Shared>);
@@ -79,7 +79,7 @@
             Ok(_) => return self.error(StatusCode::BAD_REQUEST, not_kept("changes").to_string()),
             Err(error) => return self.error(StatusCode::BAD_REQUEST, error.to_string()),
         };
-        let kept = [Subject::Endpoints, Subject::Quarantines];
+        let kept = [Subject::Endpoints, Subject::Quarantines, Subject::Nodes];
         let is_kept = matches!(&query, Query::Show(show) if kept.contains(&show.subject));
         let table = if is_kept {
             evaluate(&query, &NodeFacts(&self.0))
@@ -210,8 +210,9 @@
         Err(not_kept("the host list"))
     }
 
+    /// Returns this node; each gateway answers for itself.
     fn nodes(&self) -> Vec<NodeFact> {
-        Vec::new()
+        node_fact(self.0).into_iter().collect()
     }
 
     fn leases(&self) -> Result<Vec<LeaseFact>, FactError> {
@@ -227,6 +228,31 @@
     }
 }
 
+fn node_fact(shared: &Shared) -> Option<NodeFact> {
+    let now = shared.now();
+    let catalog = shared.catalog.get();
+    let version = catalog.as_ref().as_ref().map(|c| c.version());
+    let age = shared
+        .registry_polling()
+        .freshness(ReplicaKind::Config)
+        .age(now);
+    let returns = shared.returns();
+    let settings = &shared.settings;
+    Some(NodeFact {
+        node: settings.node.clone(),
+        kind: "gateway".to_owned(),
+        host: settings.listen.peers.ip().to_string().parse().ok()?,
+        domain: settings.domain.clone(),
+        address: settings.listen.peers.to_string(),
+        revision: version.map(Revision),
+        report_age: age.unwrap_or_default(),
+        fresh: age.is_some(),
+        draining: shared.out_of_rotation.is_set(),
+        era: returns.era().map(|era| era.0),
+        returned: returns.last_return().map(|at| now.since(at)),
+    })
+}
+
 fn endpoint_fact(now: Time, endpoint: &Endpoint) -> Option<EndpointFact> {
     let entry = endpoint.entry();
     let unknown_region = || "unknown".parse::<Region>().ok();
--- a/lib/src/query/facts.rs
+++ b/lib/src/query/facts.rs
@@ -255,6 +255,10 @@
     pub fresh: bool,
     /// Whether it is leaving.
     pub draining: bool,
+    /// The latest era of the registry that it knows, if the registry has eras.
+    pub era: Option<u64>,
+    /// The time since it noticed that the registry came back from a copy.
+    pub returned: Option<Duration>,
 }
 
 /// A lease as recorded in the log.
@@ -523,6 +527,8 @@
             Field::Report => self.report_age.into(),
             Field::Fresh => self.fresh.into(),
             Field::Draining => self.draining.into(),
+            Field::Era => Value::from_option(self.era.map(Value::from_count)),
+            Field::Returned => Value::from_option(self.returned),
             _ => Value::Absent,
         }
     }
--- a/lib/src/query/field.rs
+++ b/lib/src/query/field.rs
@@ -92,6 +92,8 @@
     Endpoint("endpoint", Text),
     /// Whether its endpoints get no new calls.
     Evacuated("evacuated", Flag),
+    /// The latest era of the registry that a node knows.
+    Era("era", Number),
     /// The kind of event.
     Event("event", Text),
     /// The fencing number.
@@ -158,6 +160,8 @@
     Requests("requests", Number),
     /// The remaining time of the rest that an endpoint asked for.
     Rest("rest", Interval),
+    /// The time since a node noticed that the registry came back from a copy.
+    Returned("returned", Interval),
     /// A revision of the configuration.
     Revision("revision", Number),
     /// The router that answered.
@@ -244,7 +248,9 @@
     /// Failure domains, with their endpoint and call counts.
     Domains("domains", [Domain, Region, Draining, Evacuated, Count, Active]),
     /// Router and agent processes as known to the router.
-    Nodes("nodes", [Node, Kind, Host, Domain, Address, Revision, Report, Fresh, Draining]),
+    Nodes("nodes", [
+        Node, Kind, Host, Domain, Address, Revision, Report, Fresh, Draining, Era, Returned
+    ]),
     /// Leases as recorded in the log.
     Leases("leases", [Lease, Holder, Fence, Left, State]),
     /// Requests and parts of prompts that are refused because they crash endpoints.
--- a/lib/src/serving/position.rs
+++ b/lib/src/serving/position.rs
@@ -88,6 +88,8 @@
     era: Option<Era>,
     /// The returns that this node has noticed.
     count: u64,
+    /// When it noticed the last one.
+    last_return: Option<Time>,
     unsettled_until: Time,
     /// The latest era of which this node noticed that it followed a return.
     returned: Option<Era>,
@@ -125,6 +127,12 @@
         self.count
     }
 
+    /// Returns when this node noticed the last return.
+    #[must_use]
+    pub const fn last_return(&self) -> Option<Time> {
+        self.last_return
+    }
+
     /// Handles the era of a response, or of another node.
     pub fn on_era(&mut self, now: Time, era: Era) -> Option<EraChange> {
         let Some(known) = self.era else {
@@ -140,6 +148,7 @@
         }
         self.era = Some(era);
         self.count += 1;
+        self.last_return = Some(now);
         self.lower_reported = false;
         self.mark_returned(now, era);
         Some(EraChange::Returned { previous: known })
--- a/router/src/control/endpoints.rs
+++ b/router/src/control/endpoints.rs
@@ -135,6 +135,8 @@
             report_age: now.since(self.reported_at),
             fresh: self.is_fresh(now),
             draining: self.load.draining,
+            era: None,
+            returned: None,
         })
     }
 }
--- a/router/src/control/facts.rs
+++ b/router/src/control/facts.rs
@@ -103,5 +103,7 @@
         report_age: Duration::ZERO,
         fresh: true,
         draining: node.board.drain.is_set(),
+        era: None,
+        returned: None,
     }
 }
--- a/router/src/control/peers.rs
+++ b/router/src/control/peers.rs
@@ -81,6 +81,8 @@
             report_age: now.since(*since),
             fresh: *state == PeerState::Alive,
             draining: false,
+            era: None,
+            returned: None,
         };
         self.lock().routers.values().map(fact).collect()
     }
