lib, gateway: write versions and quarantines again though older calls were under way

Now only a record that is handed out for writing after the return counts. The new test in lib/tests/test_stream_versions.rs passes; it was not run on the code before, which lacks one of its calls.

--- a/gateway/src/dispatch/crashes.rs
+++ b/gateway/src/dispatch/crashes.rs
@@ -75,6 +75,8 @@
     /// The last change to a verdict that the registry holds, and whether a record is in flight.
     recorded_change: u64,
     recording: bool,
+    /// Whether the registry may have lost the record in flight.
+    is_write_lost: bool,
     record_from: Time,
     /// When to see next who counts, and what follows.
     next_check: Time,
@@ -84,11 +86,13 @@
     /// Records that the registry may have lost the quarantines.
     pub(super) const fn mark_unrecorded(&mut self) {
         self.recorded_change = 0;
+        self.is_write_lost = self.recording;
     }
 
     pub(super) const fn on_recorded(&mut self, change: u64, recorded: bool) {
         self.recording = false;
-        if recorded {
+        let is_lost = std::mem::replace(&mut self.is_write_lost, false);
+        if recorded && !is_lost {
             self.recorded_change = change;
         }
     }
--- a/gateway/src/dispatch/origins.rs
+++ b/gateway/src/dispatch/origins.rs
@@ -431,6 +431,8 @@
             let now = self.shared.now();
             self.announce_versions(now, &sets);
             self.shared.origins().apply_record(now, sets);
+        } else {
+            self.shared.origins().on_record_failed();
         }
     }
 
--- a/lib/src/serving/stream_origins.rs
+++ b/lib/src/serving/stream_origins.rs
@@ -191,11 +191,17 @@
             }
         }
         self.history.recorded = Some(sets);
-        self.history.must_rewrite = false;
+    }
+
+    /// Records that a write of the versions failed.
+    pub const fn on_record_failed(&mut self) {
+        self.history.must_rewrite = true;
     }
 
     /// Records that the registry may have lost what nodes wrote: the versions, and the
     /// origins of streams.
+    ///
+    /// A list or a write that was under way at that moment shows nothing of it.
     pub fn mark_unrecorded(&mut self) {
         self.history.must_rewrite = true;
         self.unsaved.extend(self.entries.keys());
@@ -326,7 +332,11 @@
         };
         let is_recorded = self.history.recorded.as_ref().is_some_and(covers);
         let is_recorded = is_recorded && !self.history.must_rewrite;
-        (!is_recorded && !sets.is_empty()).then_some(sets)
+        if is_recorded || sets.is_empty() {
+            return None;
+        }
+        self.history.must_rewrite = false;
+        Some(sets)
     }
 
     /// Returns the versions of a service within [`ORIGIN_RETENTION`].
--- a/lib/tests/test_stream_versions.rs
+++ b/lib/tests/test_stream_versions.rs
@@ -846,3 +846,26 @@
     let answer = origins.answer(stale_at, Some(StreamId(7)), (&service(), &current), true);
     assert_eq!(answer, OriginAnswer::Known(origin(1)));
 }
+
+#[test]
+fn versions_are_recorded_again_after_a_return_of_the_registry() {
+    // Guards against a list, or a write, that was under way when the registry came back
+    // from a copy, and that is taken for the record which is lost.
+    let service: PoolName = "llm".parse().expect("a name");
+    let now = Time::from_millis(100_000);
+    let current: VersionSets = [(service, ["v1".into()].into())].into();
+    let mut origins = StreamOrigins::default();
+    origins.apply_record(now, VersionSets::new());
+    let first = origins.versions_to_record(now, &current);
+    assert_eq!(first.as_ref(), Some(&current));
+    origins.mark_unrecorded();
+    origins.apply_record(now, current.clone());
+    let again = origins.versions_to_record(now, &current);
+    assert_eq!(again.as_ref(), Some(&current));
+    origins.apply_record(now, current.clone());
+    assert_eq!(origins.versions_to_record(now, &current), None);
+    origins.mark_unrecorded();
+    assert!(origins.versions_to_record(now, &current).is_some());
+    origins.on_record_failed();
+    assert!(origins.versions_to_record(now, &current).is_some());
+}
