gateway: take offset 0 of a later era for a position

Cause: polls between nodes took offset 0 for 'no endpoints told', although era 1, offset 0 is a position. All nodes but the reader found their endpoints stale again and again, and a node with stale endpoints records no versions.

Change: the default position, not the offset, stands for nothing.

--- a/gateway/src/dispatch/inbound.rs
+++ b/gateway/src/dispatch/inbound.rs
@@ -285,7 +285,8 @@
         };
         let from = Position::new(poll.endpoints_era, poll.endpoints_next);
         let changes = replicas.endpoints.changes_since(from);
-        let is_small = |all: &Vec<Record>| all.len() <= CHANGES_MAX && poll.endpoints_next > 0;
+        let is_known = from != Position::default();
+        let is_small = |all: &Vec<Record>| all.len() <= CHANGES_MAX && is_known;
         if let Some(changes) = changes.filter(|all| poll.stale || is_small(all)) {
             reply.endpoints = changes.into_iter().map(convert::record_frame).collect();
             reply.endpoints_next = replicas.endpoints.next().offset.0;
--- a/gateway/src/dispatch/peers.rs
+++ b/gateway/src/dispatch/peers.rs
@@ -103,7 +103,7 @@
     /// Applies a peer's endpoints; returns whether this node has all of them.
     fn apply_endpoints(&self, peer: SocketAddr, reply: &mut SyncReply) -> bool {
         let next = Position::new(reply.endpoints_era, reply.endpoints_next);
-        if reply.endpoints_next == 0 {
+        if next == Position::default() {
             return false;
         }
         // A peer that is behind has no records that this node lacks.
