--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -228,7 +228,7 @@
         let may_send = || {
             let now = shared.now();
             let admitted = !limited || now.since(asked_at) <= ADMISSION_LIFETIME;
-            admitted && shared.directory().may_send(now, &choice.entry)
+            admitted && shared.directory().accepts_calls(now, &choice.entry)
         };
         let response = send_request(
             &exec,
@@ -532,7 +532,7 @@
         Verdict::NotRun => rate != RateNotice::Unlimited,
         Verdict::WrongEndpoint => false,
     });
-    tell_granting_node(&flight, rate);
+    forward_rate_notice(&flight, rate);
     shared.on_response(&flight.entry, sent, &head, rate);
     let status = call.head.status;
     if head.verdict != Verdict::Ran {
@@ -559,7 +559,7 @@
 
 /// Tells the node that grants the requests to an endpoint what a response says about
 /// its rate.
-fn tell_granting_node(flight: &InFlight, rate: Option<RateNotice>) {
+fn forward_rate_notice(flight: &InFlight, rate: Option<RateNotice>) {
     let was_limited = flight.shared.is_limited(&flight.entry.id);
     let news = rate.filter(|&rate| was_limited || rate != RateNotice::Unlimited);
     if let (Some(notice), Some(booking)) = (news, &flight.booking) {
--- a/gateway/src/dispatch/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -44,7 +44,7 @@
             batch.entry.address,
             request,
             (&sent, &|| {
-                shared.directory().may_send(shared.now(), &batch.entry)
+                shared.directory().accepts_calls(shared.now(), &batch.entry)
             }),
         )
         .await
@@ -151,7 +151,7 @@
             entry.address,
             request,
             (&Flag::default(), &|| {
-                shared.directory().may_send(shared.now(), &entry)
+                shared.directory().accepts_calls(shared.now(), &entry)
             }),
         )
         .await
--- a/lib/src/serving/directory/mod.rs
+++ b/lib/src/serving/directory/mod.rs
@@ -275,7 +275,7 @@
     /// Asked right before the first byte is sent, since a choice may be hundreds of
     /// milliseconds old by then.
     #[must_use]
-    pub fn may_send(&self, now: Time, entry: &Entry) -> bool {
+    pub fn accepts_calls(&self, now: Time, entry: &Entry) -> bool {
         if let Some(endpoint) = self.endpoints.get(&entry.id) {
             let is_same = endpoint.entry.is_same_run(entry);
             return !is_same || endpoint.is_present() && !endpoint.is_resting(now);
--- a/lib/tests/test_self_reports.rs
+++ b/lib/tests/test_self_reports.rs
@@ -263,7 +263,7 @@
         let now = at(ms);
         match step {
             Step::Leaves(entry) => {
-                if !self.nodes[node].may_send(now, &entry) {
+                if !self.nodes[node].accepts_calls(now, &entry) {
                     return;
                 }
                 let run = entry.started_at.expect("all have one");
@@ -347,7 +347,7 @@
                 let run = (node, entry.id.clone(), self.endpoints[number].started_at);
                 let left = self.bounds.get(&run) == Some(&Time::NEVER);
                 self.nodes[node].set(entry.clone());
-                let usable = self.nodes[node].may_send(now, &entry);
+                let usable = self.nodes[node].accepts_calls(now, &entry);
                 assert_eq!(usable, !left, "node {node}, {}", entry.id);
             }
         }
@@ -432,7 +432,7 @@
         let run = entry(0, 1);
         directory.on_report(at(0), &run, (at(0), &report));
         directory.remove(at(10), &run.id);
-        assert!(!directory.may_send(at(20), &run));
+        assert!(!directory.accepts_calls(at(20), &run));
         directory.set(run.clone());
         assert_eq!(choose(&directory, at(30)), None);
         // A response that arrives while there is no registration counts, too.
