gateway: decide in one place what a response shows of a rate

Three senders each had the rule that a refusal without a rate is no evidence. It is a method of the head of a response now; what they take over is the same.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -526,12 +526,8 @@
     let endpoint = flight.entry.id.clone();
     shared.report_unread(&endpoint, &head.unread);
     let is_own = head.id.as_deref() == Some(ctx.request.id.as_str());
-    let rate = head.report.rate.filter(|&rate| match head.verdict {
-        Verdict::Ran => is_own,
-        // A refusal without a rate is no evidence that the endpoint names none.
-        Verdict::NotRun => rate != RateNotice::Unlimited,
-        Verdict::WrongEndpoint => false,
-    });
+    let rate = head.rate_evidence();
+    let rate = rate.filter(|_| is_own || head.verdict == Verdict::NotRun);
     forward_rate_notice(&flight, rate);
     shared.on_response(&flight.entry, sent, &head, rate);
     let status = call.head.status;
--- a/gateway/src/dialect.rs
+++ b/gateway/src/dialect.rs
@@ -19,6 +19,7 @@
 use snipeyoke_lib::serving::batching::ItemOutcome;
 use snipeyoke_lib::serving::bookings::LeadingPrefix;
 use snipeyoke_lib::serving::crashes::PartId;
+use snipeyoke_lib::serving::rate_limit::RateNotice;
 use snipeyoke_lib::serving::self_report::SelfReport;
 
 /// What a request declares about its prompt.
@@ -167,6 +168,22 @@
     pub unread: Vec<HeaderName>,
 }
 
+impl ResponseHead {
+    /// Returns what it shows of the rate that its endpoint accepts.
+    ///
+    /// A refusal without a rate is no evidence that the endpoint names none, and the
+    /// response of another endpoint says nothing of the intended one.
+    #[must_use]
+    pub fn rate_evidence(&self) -> Option<RateNotice> {
+        let rate = self.report.rate;
+        match self.verdict {
+            Verdict::Ran => rate,
+            Verdict::NotRun => rate.filter(|&rate| rate != RateNotice::Unlimited),
+            Verdict::WrongEndpoint => None,
+        }
+    }
+}
+
 /// Translates between the node and the protocols of callers and endpoints.
 pub trait Dialect: Debug + Send + Sync + 'static {
     /// Parses the head of a caller's request.
--- a/gateway/src/dispatch/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -100,12 +100,7 @@
 ) -> CallResult {
     let response = shared.dialect.parse_response(&call.head);
     shared.report_unread(&batch.entry.id, &response.unread);
-    // A refusal without a rate is no evidence that the endpoint names none.
-    let is_evidence = |rate: &RateNotice| {
-        let is_news = response.verdict == Verdict::Ran || *rate != RateNotice::Unlimited;
-        is_news && response.verdict != Verdict::WrongEndpoint
-    };
-    let rate = response.report.rate.filter(is_evidence);
+    let rate = response.rate_evidence();
     shared.on_response(&batch.entry, sent_at, &response, rate);
     match response.verdict {
         Verdict::WrongEndpoint => return CallResult::WrongEndpoint,
@@ -159,10 +154,9 @@
             return false;
         };
         let response = shared.dialect.parse_response(&call.head);
-        let is_evidence = |rate: &RateNotice| {
-            *rate != RateNotice::Unlimited && response.verdict != Verdict::WrongEndpoint
-        };
-        let rate = response.report.rate.filter(is_evidence);
+        // A release may be answered without a rate whatever the endpoint accepts.
+        let rate = response.rate_evidence();
+        let rate = rate.filter(|&rate| rate != RateNotice::Unlimited);
         shared.on_response(&entry, sent_at, &response, rate);
         let mut read = 0;
         while let Ok(Some(bytes)) = call.next().await {
