lib, gateway: tell the list that settles a return from other lists

registry-settled was written for any list that was read once the era was above 0, so that operators saw it without a return. The list that is due after a return has a mode of its own now, which is applied like a whole one. The test of the modes asks for the new one, and for a whole one after it.

--- a/gateway/src/records.rs
+++ b/gateway/src/records.rs
@@ -306,7 +306,7 @@
 ) {
     let event = match mode {
         ListMode::Unsettled => "registry-unsettled",
-        ListMode::Whole if before.era > Position::default().era => "registry-settled",
+        ListMode::Settled => "registry-settled",
         ListMode::Whole => return,
     };
     let lost = before.offset.0.saturating_sub(end.offset.0);
--- a/lib/src/serving/position.rs
+++ b/lib/src/serving/position.rs
@@ -78,6 +78,8 @@
 pub enum ListMode {
     /// A key that is missing was dropped.
     Whole,
+    /// The same, for the first list after the registry has settled.
+    Settled,
     /// The registry has just come back: what it lacks may be written again.
     Unsettled,
 }
@@ -183,8 +185,11 @@
             self.unsettled.insert(kind);
             return ListMode::Unsettled;
         }
-        self.unsettled.remove(&kind);
-        ListMode::Whole
+        if self.unsettled.remove(&kind) {
+            ListMode::Settled
+        } else {
+            ListMode::Whole
+        }
     }
 
     /// Records that a replica may hold what the registry has lost for good.
--- a/lib/tests/test_store_returns.rs
+++ b/lib/tests/test_store_returns.rs
@@ -491,10 +491,10 @@
     assert!(!returns.needs_list(at(12), ReplicaKind::Config));
     assert!(returns.needs_list(settled, ReplicaKind::Config));
     assert!(!returns.needs_list(settled, ReplicaKind::Endpoints));
-    assert_eq!(
-        returns.on_list(settled, ReplicaKind::Config),
-        ListMode::Whole
-    );
+    let mode = returns.on_list(settled, ReplicaKind::Config);
+    assert_eq!(mode, ListMode::Settled);
+    let mode = returns.on_list(settled, ReplicaKind::Config);
+    assert_eq!(mode, ListMode::Whole);
     assert!(!returns.needs_list(settled, ReplicaKind::Config));
 }
 
