--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -4,6 +4,7 @@
 mod crash_world;
 mod node_world;
 mod pipeline_world;
+mod schedules;
 mod test_admission;
 mod test_batching;
 mod test_bookings;
--- a/lib/tests/test_self_reports.rs
+++ b/lib/tests/test_self_reports.rs
@@ -4,12 +4,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use proptest::prelude::any;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::TestRng;
-use proptest::test_runner::TestRunner;
-use rapidhash::v3::rapidhash_v3;
 use snipeyoke_lib::ids::EndpointId;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::serving::batching::BatchQueue;
@@ -38,6 +32,9 @@
 use snipeyoke_lib::time::Time;
 use snipeyoke_lib::units::Bytes;
 
+use crate::schedules::Dice;
+use crate::schedules::run_seeds;
+
 /// The random schedules of the property.
 const CASES: u32 = 32;
 
@@ -132,17 +129,6 @@
     directory.first_rest_end(now, &service(), (&Homes::default(), &VersionRule::Any))
 }
 
-/// Numbers that follow from a seed.
-struct Dice(u64);
-
-impl Dice {
-    /// Returns a number below `end`.
-    fn roll(&mut self, end: u64) -> u64 {
-        self.0 = rapidhash_v3(&self.0.to_le_bytes());
-        self.0 % end
-    }
-}
-
 /// What happens to a request.
 #[derive(Debug, Clone)]
 enum Step {
@@ -370,18 +356,7 @@
 fn nothing_is_sent_in_a_rest_or_after_a_leave() {
     // Guards against choices that are sent late, responses that cross, bookings of
     // another node and registrations that end a rest or a leave too soon.
-    let config = Config {
-        cases: CASES,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let mut runner = TestRunner::new_with_rng(config, rng);
-    let result = runner.run(&any::<u64>(), |seed| {
-        ReportWorld::new(seed).run();
-        Ok(())
-    });
-    result.expect("the bound holds");
+    run_seeds(CASES, &|seed| ReportWorld::new(seed).run());
 }
 
 #[test]
--- a/lib/tests/test_store_returns.rs
+++ b/lib/tests/test_store_returns.rs
@@ -4,12 +4,6 @@
 use std::sync::Arc;
 
 use assert_matches::assert_matches;
-use proptest::prelude::any;
-use proptest::test_runner::Config;
-use proptest::test_runner::RngAlgorithm;
-use proptest::test_runner::TestRng;
-use proptest::test_runner::TestRunner;
-use rapidhash::v3::rapidhash_v3;
 use snipeyoke_lib::serving::catch_up::ConfigMark;
 use snipeyoke_lib::serving::position::Era;
 use snipeyoke_lib::serving::position::EraChange;
@@ -26,6 +20,9 @@
 use snipeyoke_lib::serving::slices::Assembly;
 use snipeyoke_lib::time::Time;
 
+use crate::schedules::Dice;
+use crate::schedules::run_seeds;
+
 /// The random schedules of the property.
 const CASES: u32 = 96;
 
@@ -246,7 +243,7 @@
 }
 
 struct StoreWorld {
-    dice: u64,
+    dice: Dice,
     ms: u64,
     era: u64,
     config: Log,
@@ -262,7 +259,7 @@
 impl StoreWorld {
     fn new(seed: u64) -> Self {
         let mut world = Self {
-            dice: seed,
+            dice: Dice(seed),
             ms: 0,
             era: 0,
             config: Log::default(),
@@ -293,8 +290,7 @@
     }
 
     fn roll(&mut self, end: u64) -> u64 {
-        self.dice = rapidhash_v3(&self.dice.to_le_bytes());
-        self.dice % end
+        self.dice.roll(end)
     }
 
     fn now(&self) -> Time {
@@ -453,18 +449,7 @@
 fn nothing_goes_back_and_all_nodes_meet_after_returns() {
     // Guards against offsets that order records of two eras, at a node and between
     // nodes: restored once and again, with nodes that start at any moment.
-    let config = Config {
-        cases: CASES,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    let mut runner = TestRunner::new_with_rng(config, rng);
-    let result = runner.run(&any::<u64>(), |seed| {
-        StoreWorld::new(seed).run();
-        Ok(())
-    });
-    result.expect("all nodes meet");
+    run_seeds(CASES, &|seed| StoreWorld::new(seed).run());
 }
 
 #[test]
