--- a/gateway/src/lib.rs
+++ b/gateway/src/lib.rs
@@ -8,6 +8,7 @@
 mod attempt;
 mod call;
 mod changes;
+mod choice;
 pub mod dialect;
 mod dispatch;
 mod fingerprint;
