review: a burst of large requests takes processes over their memory

Cause: bodies are kept to the end of their requests and nothing bounds their sum. Change: a case, review/2; the product is not changed.

--- a/review/bed/src/main.rs
+++ b/review/bed/src/main.rs
@@ -6,6 +6,7 @@
 mod record;
 mod replaced;
 mod store;
+mod uploads;
 mod worker;
 
 use std::path::Path;
@@ -37,6 +38,7 @@
     let root = Path::new(root);
     let result = match case.as_str() {
         "replaced" => replaced::run(root, &record, trouble),
+        "uploads" => uploads::run(root, &record, trouble),
         other => Err(std::io::Error::other(format!("no case is named {other}"))),
     };
     match result {
