review: long answers are cut by a machine that was stopped

Cause: a duration that is not known counts as zero, and an answer of over 256 KiB is under way when the others are given up.

--- /dev/null
+++ b/review/bed/src/leaving.rs
@@ -0,0 +1,180 @@
+//! A machine is stopped while its zone has no other; long answers are under way.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::time::Duration;
+
+use crate::Verdict;
+use crate::client;
+use crate::front::Bed;
+use crate::front::Front;
+use crate::record::Record;
+use crate::store::Store;
+use crate::worker::REPORTS;
+use crate::worker::Work;
+use crate::worker::Worker;
+
+const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
+
+/// The bound `grace-s`.
+const GRACE_S: f64 = 8.0;
+
+/// When the reports are sent, in seconds after SIGTERM: later than the three for which an
+/// answer that takes long is excused.
+const REPORTS_AT: [f64; 5] = [3.2, 3.5, 3.8, 4.1, 4.4];
+
+/// The chunks of a report, each a tenth of a second.
+const CHUNKS: u64 = 48;
+
+const DEADLINE_MS: u64 = 9_500;
+
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-draft","host":"pule25.example","path-prefix":"/puxa400/","kind":"streaming","timeout-ms":10000,"goal-ms":1300,"priority":0,"service":"copyllm","max-attempts":2,"public":false,"sticky":true,"can-resume":true,"gap-goal-ms":400},{"name":"r-lookup","host":"pule25.example","path-prefix":"/wuhu344/","kind":"safe","timeout-ms":1500,"goal-ms":300,"priority":2,"service":"ordredesk","max-attempts":2,"public":false},{"name":"r-report","host":"pule25.example","path-prefix":"/bobo563/","kind":"safe","timeout-ms":10000,"goal-ms":5000,"priority":2,"service":"ordredesk","max-attempts":2,"public":false}],"services":[{"name":"copyllm","health-path":"/health","max-conns":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-capacity":625250,"kv-token-bytes":327680,"link-mbps":320000.0}},{"name":"ordredesk","health-path":"/health","max-conns":110,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"bozi300","api-keys":["9dnn2ctnfzs989anu6ws"],"priority":1}]}"#;
+
+pub fn run(root: &Path, record: &Arc<Record>, trouble: bool) -> io::Result<Verdict> {
+    let (store, address) = Store::start()?;
+    let bed = Bed::new(root, address)?;
+    store.put("keyed.op", "config", CONFIG.as_bytes());
+    let model = Work::Model {
+        events: 60,
+        first_ms: 500,
+        gap_ms: 80,
+    };
+    let desk = Work::Plain {
+        work_ms: 60,
+        chunks: CHUNKS,
+    };
+    let mut workers = Vec::new();
+    for number in 0..9 {
+        let zone = ZONES[number % 3];
+        workers.push(Worker::start(record, &store, ("copyllm", zone), 64, model)?);
+    }
+    for zone in ZONES {
+        workers.push(Worker::start(record, &store, ("ordredesk", zone), 6, desk)?);
+    }
+    let mut fronts = Vec::new();
+    for (number, zone) in (1..).zip(ZONES) {
+        let mut front = Front::new(&bed, number, zone, &[1, 2, 3])?;
+        front.start()?;
+        fronts.push(front);
+    }
+    for front in &fronts {
+        if !front.await_ready(Duration::from_secs(8)) {
+            return Err(io::Error::other(format!("{} is not ready", front.name)));
+        }
+    }
+    let stop = Arc::new(AtomicBool::new(false));
+    let mut traffic = Vec::new();
+    for front in &fronts {
+        let (record, stop, node) = (Arc::clone(record), Arc::clone(&stop), front.callers);
+        traffic.push(thread::spawn(move || send_usual(&record, node, &stop)));
+    }
+    thread::sleep(Duration::from_secs(8));
+
+    // Zone hall-a has one machine. None of its zone is in rotation then, and the platform goes
+    // on with all machines of the zone.
+    let leaving = &mut fronts[0];
+    let start = record.now();
+    if trouble {
+        leaving.terminate();
+        record.say(&format!("{} gets SIGTERM", leaving.name));
+    }
+    let lost: Arc<Mutex<Vec<String>>> = Arc::default();
+    let refused: Arc<Mutex<Vec<String>>> = Arc::default();
+    let mut reports = Vec::new();
+    for at in REPORTS_AT {
+        let left = start + at - record.now();
+        thread::sleep(Duration::from_secs_f64(left.max(0.0)));
+        let (record, node) = (Arc::clone(record), leaving.callers);
+        let (lost, refused) = (Arc::clone(&lost), Arc::clone(&refused));
+        reports.push(thread::spawn(move || {
+            send_report(&record, node, (&lost, &refused))
+        }));
+    }
+    while trouble && !leaving.has_ended() && record.now() < start + GRACE_S {
+        thread::sleep(Duration::from_millis(5));
+    }
+    if trouble {
+        let ended = leaving.has_ended();
+        record.say(&format!(
+            "{:.2} s after SIGTERM the process has ended: {ended}",
+            record.now() - start
+        ));
+        leaving.kill();
+    }
+    for report in reports {
+        let _ended = report.join();
+    }
+    stop.store(true, Ordering::SeqCst);
+    for thread in traffic {
+        let _ended = thread.join();
+    }
+    let lost = lost.lock().expect("no thread panics").len();
+    let refused = refused.lock().expect("no thread panics").len();
+    record.say(&format!(
+        "of {} reports {refused} were refused and {lost} ended without a complete answer",
+        REPORTS_AT.len()
+    ));
+    Ok(if lost > 0 {
+        Verdict::Broken
+    } else {
+        Verdict::Held
+    })
+}
+
+/// Sends two drafts and some lookups a second until told to stop.
+fn send_usual(record: &Arc<Record>, node: SocketAddr, stop: &AtomicBool) {
+    let mut sent = Vec::new();
+    for number in 0_u64.. {
+        if stop.load(Ordering::SeqCst) {
+            break;
+        }
+        let record = Arc::clone(record);
+        sent.push(thread::spawn(move || {
+            let id = client::new_id();
+            let request = if number.is_multiple_of(3) {
+                let headers = "Snipeyoke-Model: m\r\nSnipeyoke-Token-Count: 17020,240\r\nSnipeyoke-Prompt-Prefix: 5c1e07a2:13300,e4402b7d:3720\r\n";
+                client::request(&id, "POST /puxa400/2f", 10_000, headers, b"draft")
+            } else {
+                client::request(&id, "GET /wuhu344/2f", 3_000, "", b"")
+            };
+            let response = client::send(node, &request, 10_000);
+            let status = response.as_ref().map_or(0, |r| r.status());
+            let whole = response.is_some_and(|r| r.whole);
+            record.line(&format!("client gets {status} for {id} from {node}, whole: {whole}"));
+        }));
+        thread::sleep(Duration::from_millis(170));
+    }
+    for thread in sent {
+        let _ended = thread.join();
+    }
+}
+
+fn send_report(
+    record: &Record,
+    node: SocketAddr,
+    (lost, refused): (&Mutex<Vec<String>>, &Mutex<Vec<String>>),
+) {
+    let id = client::new_id();
+    let target = format!("GET {REPORTS}2f");
+    let request = client::request(&id, &target, DEADLINE_MS, "", b"");
+    record.say(&format!("client sends {id}, a report, to {node}"));
+    let sent_at = record.now();
+    let response = client::send(node, &request, DEADLINE_MS);
+    let took = record.now() - sent_at;
+    let status = response.as_ref().map_or(0, |r| r.status());
+    let whole = response.as_ref().is_some_and(|r| r.whole);
+    record.say(&format!(
+        "client gets {status} for {id} after {took:.2} s, whole: {whole}"
+    ));
+    if status == 503 && whole {
+        refused.lock().expect("no thread panics").push(id);
+    } else if !whole && status != 0 {
+        lost.lock().expect("no thread panics").push(id);
+    }
+}
--- a/review/bed/src/main.rs
+++ b/review/bed/src/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod front;
 mod http;
+mod leaving;
 mod record;
 mod replaced;
 mod store;
@@ -37,6 +38,7 @@
     };
     let root = Path::new(root);
     let result = match case.as_str() {
+        "leaving" => leaving::run(root, &record, trouble),
         "replaced" => replaced::run(root, &record, trouble),
         "uploads" => uploads::run(root, &record, trouble),
         other => Err(std::io::Error::other(format!("no case is named {other}"))),
--- a/review/bed/src/worker.rs
+++ b/review/bed/src/worker.rs
@@ -20,6 +20,12 @@
 use crate::record::Record;
 use crate::store::Store;
 
+/// The path of reports, which are long.
+pub const REPORTS: &str = "/bobo563/";
+
+/// The bytes of a chunk of a report.
+const CHUNK: usize = 50_000;
+
 /// What a worker does.
 #[derive(Debug, Clone, Copy)]
 pub enum Work {
@@ -35,8 +41,9 @@
         first_ms: u64,
         gap_ms: u64,
     },
-    /// Answers once, after some milliseconds.
-    Plain { work_ms: u64 },
+    /// Answers once, after some milliseconds; a report, on its path, comes in as many chunks,
+    /// 100 ms apart.
+    Plain { work_ms: u64, chunks: u64 },
 }
 
 pub struct Worker {
@@ -142,7 +149,15 @@
                 first_ms,
                 gap_ms,
             } => self.stream_events(&id, request, (events, first_ms, gap_ms), stream),
-            Work::Plain { work_ms } => {
+            Work::Plain { chunks, .. } if path.starts_with(REPORTS) => {
+                send_report(&id, chunks, stream)?;
+                self.record.line(&format!(
+                    "worker {} has sent the whole report {id}",
+                    self.id
+                ));
+                Ok(true)
+            }
+            Work::Plain { work_ms, .. } => {
                 thread::sleep(Duration::from_millis(work_ms));
                 let body = format!("done {id}");
                 let headers = [
@@ -246,3 +261,17 @@
         Ok(true)
     }
 }
+
+fn send_report(id: &str, chunks: u64, stream: &mut TcpStream) -> io::Result<()> {
+    let length = chunks as usize * CHUNK;
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\nSnipeyoke-Attempt-Id: {id}\r\nSnipeyoke-Response-Seal: 1.2.3\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes())?;
+    let chunk = vec![b'r'; CHUNK];
+    for _ in 0..chunks {
+        stream.write_all(&chunk)?;
+        thread::sleep(Duration::from_millis(100));
+    }
+    Ok(())
+}
