--- a/review/bed/src/leaving.rs
+++ b/review/bed/src/leaving.rs
@@ -25,18 +25,33 @@
 /// The bound `grace-s`.
 const GRACE_S: f64 = 8.0;
 
-/// When the reports are sent, in seconds after SIGTERM: later than the three for which an
-/// answer that takes long is excused.
-const REPORTS_AT: [f64; 5] = [3.2, 3.5, 3.8, 4.1, 4.4];
+/// What the workers of reports do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reports {
+    /// Three answer in chunks, for 4.8 s.
+    Long,
+    /// The only one fails them at once, with 500.
+    Failing,
+}
 
-/// The chunks of a report, each a tenth of a second.
-const CHUNKS: u64 = 48;
+impl Reports {
+    /// Returns when the reports are sent, in seconds after SIGTERM.
+    ///
+    /// Long ones come later than the three seconds for which an answer that takes long is
+    /// excused.
+    fn sent_at(self) -> Vec<f64> {
+        match self {
+            Self::Long => vec![3.2, 3.5, 3.8, 4.1, 4.4],
+            Self::Failing => (0..13).map(|n| 3.2 + 0.3 * f64::from(n)).collect(),
+        }
+    }
+}
 
 const DEADLINE_MS: u64 = 9_500;
 
-const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-draft","host":"pule25.example","path-prefix":"/puxa400/","kind":"streaming","timeout-ms":10000,"goal-ms":1300,"priority":0,"service":"copyllm","max-attempts":2,"public":false,"sticky":true,"can-resume":true,"gap-goal-ms":400},{"name":"r-lookup","host":"pule25.example","path-prefix":"/wuhu344/","kind":"safe","timeout-ms":1500,"goal-ms":300,"priority":2,"service":"ordredesk","max-attempts":2,"public":false},{"name":"r-report","host":"pule25.example","path-prefix":"/bobo563/","kind":"safe","timeout-ms":10000,"goal-ms":5000,"priority":2,"service":"ordredesk","max-attempts":2,"public":false}],"services":[{"name":"copyllm","health-path":"/health","max-conns":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-capacity":625250,"kv-token-bytes":327680,"link-mbps":320000.0}},{"name":"ordredesk","health-path":"/health","max-conns":110,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"bozi300","api-keys":["9dnn2ctnfzs989anu6ws"],"priority":1}]}"#;
+const CONFIG: &str = r#"{"version":7,"routes":[{"name":"r-draft","host":"pule25.example","path-prefix":"/puxa400/","kind":"streaming","timeout-ms":10000,"goal-ms":1300,"priority":0,"service":"copyllm","max-attempts":2,"public":false,"sticky":true,"can-resume":true,"gap-goal-ms":400},{"name":"r-lookup","host":"pule25.example","path-prefix":"/wuhu344/","kind":"safe","timeout-ms":1500,"goal-ms":300,"priority":2,"service":"ordredesk","max-attempts":2,"public":false},{"name":"r-report","host":"pule25.example","path-prefix":"/bobo563/","kind":"safe","timeout-ms":10000,"goal-ms":5000,"priority":2,"service":"archive","max-attempts":2,"public":false}],"services":[{"name":"copyllm","health-path":"/health","max-conns":370,"protocol":"h1","tls":false,"engine":{"slots":64,"kv-capacity":625250,"kv-token-bytes":327680,"link-mbps":320000.0}},{"name":"ordredesk","health-path":"/health","max-conns":110,"protocol":"h1","tls":false},{"name":"archive","health-path":"/health","max-conns":110,"protocol":"h1","tls":false}],"limits":{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":3000,"idle-timeout-ms":15000},"tenants":[{"name":"bozi300","api-keys":["9dnn2ctnfzs989anu6ws"],"priority":1}]}"#;
 
-pub fn run(root: &Path, record: &Arc<Record>, trouble: bool) -> io::Result<Verdict> {
+pub fn run(root: &Path, record: &Arc<Record>, trouble: bool, kind: Reports) -> io::Result<Verdict> {
     let (store, address) = Store::start()?;
     let bed = Bed::new(root, address)?;
     store.put("keyed.op", "config", CONFIG.as_bytes());
@@ -47,7 +62,15 @@
     };
     let desk = Work::Plain {
         work_ms: 60,
-        chunks: CHUNKS,
+        chunks: 0,
+    };
+    let (archive, count) = match kind {
+        Reports::Long => (48, 3),
+        Reports::Failing => (0, 1),
+    };
+    let archive = Work::Plain {
+        work_ms: 60,
+        chunks: archive,
     };
     let mut workers = Vec::new();
     for number in 0..9 {
@@ -57,6 +80,16 @@
     for zone in ZONES {
         workers.push(Worker::start(record, &store, ("ordredesk", zone), 6, desk)?);
     }
+    for zone in &ZONES[..count] {
+        workers.push(Worker::start(
+            record,
+            &store,
+            ("archive", zone),
+            6,
+            archive,
+        )?);
+    }
+    let workers = Arc::new(workers);
     let mut fronts = Vec::new();
     for (number, zone) in (1..).zip(ZONES) {
         let mut front = Front::new(&bed, number, zone, &[1, 2, 3])?;
@@ -87,13 +120,15 @@
     let lost: Arc<Mutex<Vec<String>>> = Arc::default();
     let refused: Arc<Mutex<Vec<String>>> = Arc::default();
     let mut reports = Vec::new();
-    for at in REPORTS_AT {
+    let sent_at = kind.sent_at();
+    for at in &sent_at {
         let left = start + at - record.now();
         thread::sleep(Duration::from_secs_f64(left.max(0.0)));
         let (record, node) = (Arc::clone(record), leaving.callers);
         let (lost, refused) = (Arc::clone(&lost), Arc::clone(&refused));
+        let workers = Arc::clone(&workers);
         reports.push(thread::spawn(move || {
-            send_report(&record, node, (&lost, &refused))
+            send_report(&record, node, &workers, (&lost, &refused))
         }));
     }
     while trouble && !leaving.has_ended() && record.now() < start + GRACE_S {
@@ -117,8 +152,8 @@
     let lost = lost.lock().expect("no thread panics").len();
     let refused = refused.lock().expect("no thread panics").len();
     record.say(&format!(
-        "of {} reports {refused} were refused and {lost} ended without a complete answer",
-        REPORTS_AT.len()
+        "of {} reports {refused} were refused and {lost} ended without a complete answer once a worker had them",
+        sent_at.len()
     ));
     Ok(if lost > 0 {
         Verdict::Broken
@@ -158,6 +193,7 @@
 fn send_report(
     record: &Record,
     node: SocketAddr,
+    workers: &[Arc<Worker>],
     (lost, refused): (&Mutex<Vec<String>>, &Mutex<Vec<String>>),
 ) {
     let id = client::new_id();
@@ -174,7 +210,7 @@
     ));
     if status == 503 && whole {
         refused.lock().expect("no thread panics").push(id);
-    } else if !whole && status != 0 {
+    } else if !whole && workers.iter().any(|w| w.has_run(&id)) {
         lost.lock().expect("no thread panics").push(id);
     }
 }
--- a/review/bed/src/main.rs
+++ b/review/bed/src/main.rs
@@ -14,6 +14,7 @@
 use std::process::ExitCode;
 use std::sync::Arc;
 
+use leaving::Reports;
 use record::Record;
 
 /// The result of a case.
@@ -38,7 +39,8 @@
     };
     let root = Path::new(root);
     let result = match case.as_str() {
-        "leaving" => leaving::run(root, &record, trouble),
+        "leaving" => leaving::run(root, &record, trouble, Reports::Long),
+        "unanswered" => leaving::run(root, &record, trouble, Reports::Failing),
         "replaced" => replaced::run(root, &record, trouble),
         "uploads" => uploads::run(root, &record, trouble),
         other => Err(std::io::Error::other(format!("no case is named {other}"))),
--- a/review/bed/src/worker.rs
+++ b/review/bed/src/worker.rs
@@ -42,7 +42,7 @@
         gap_ms: u64,
     },
     /// Answers once, after some milliseconds; a report, on its path, comes in as many chunks,
-    /// 100 ms apart.
+    /// 100 ms apart, or fails with 500 if that is none.
     Plain { work_ms: u64, chunks: u64 },
 }
 
@@ -149,6 +149,15 @@
                 first_ms,
                 gap_ms,
             } => self.stream_events(&id, request, (events, first_ms, gap_ms), stream),
+            Work::Plain { work_ms, chunks: 0 } if path.starts_with(REPORTS) => {
+                thread::sleep(Duration::from_millis(work_ms));
+                let headers = [
+                    ("Snipeyoke-Attempt-Id", id.as_str()),
+                    ("Snipeyoke-Response-Seal", "1.2.3"),
+                ];
+                http::respond(stream, "500 Internal Server Error", &headers, b"failed")?;
+                Ok(true)
+            }
             Work::Plain { chunks, .. } if path.starts_with(REPORTS) => {
                 send_report(&id, chunks, stream)?;
                 self.record.line(&format!(
