--- a/review/bed/src/front.rs
+++ b/review/bed/src/front.rs
@@ -40,9 +40,11 @@
         for attempt in 0..200_u16 {
             let first = 12_000 + (pid % 1_000) as u16 * 16 + attempt * 4;
             let ports = [first, first + 1, first + 2, first + 3];
-            let free = ports
+            let hosts = [[127, 0, 0, 1], [127, net, 1, 1]];
+            let addresses = ports
                 .iter()
-                .all(|&port| TcpListener::bind(("0.0.0.0", port)).is_ok());
+                .flat_map(|&p| hosts.map(|h| SocketAddr::from((h, p))));
+            let free = addresses.into_iter().all(|a| TcpListener::bind(a).is_ok());
             if free {
                 let terms = "[\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"platform\",\"stages\"]";
                 return Ok(Self {
