review: case 1 replaces one machine at a time

Change: 36 machines are replaced one after the other, a second or more apart, each by one that is ready before it leaves.

--- a/review/bed/src/replaced.rs
+++ b/review/bed/src/replaced.rs
@@ -22,8 +22,11 @@
 
 const ZONES: [&str; 3] = ["hall-a", "hall-b", "hall-c"];
 
-/// How often each machine is replaced.
-const ROUNDS: u8 = 12;
+/// How many machines are replaced, one after the other.
+const REPLACED: u8 = 36;
+
+/// The pause between two of them, as `gap_s` in the site file.
+const GAP: Duration = Duration::from_secs(1);
 
 /// The bound `recovery-s`.
 const RECOVERY_S: f64 = 12.0;
@@ -57,31 +60,26 @@
     thread::sleep(Duration::from_secs(6));
 
     if trouble {
-        let mut next = 4;
         let mut leaving: Vec<Front> = Vec::new();
-        for round in 1..=ROUNDS {
-            let mut added = Vec::new();
-            for zone in ZONES {
-                let seeds: Vec<u8> = fronts.iter().map(|f| f.machine).collect();
-                let mut front = Front::new(&bed, next, zone, &seeds)?;
-                front.start()?;
-                added.push(front);
-                next += 1;
-            }
-            await_all(&added)?;
-            // The platform takes the new machines in and looks at each one once a second.
-            set_rotation(&rotation, &added);
-            for front in &fronts {
-                front.terminate();
+        for number in 0..REPLACED {
+            let place = usize::from(number % 3);
+            let seeds: Vec<u8> = fronts.iter().map(|f| f.machine).collect();
+            let mut added = Front::new(&bed, 4 + number, ZONES[place], &seeds)?;
+            let started_at = record.now();
+            added.start()?;
+            if !added.await_ready(Duration::from_secs(8)) {
+                return Err(io::Error::other(format!("{} is not ready", added.name)));
             }
-            leaving.append(&mut fronts);
-            fronts = added;
-            thread::sleep(Duration::from_millis(1_200));
+            let left = std::mem::replace(&mut fronts[place], added);
+            // The platform takes the new machine in, and looks at each one once a second.
+            set_rotation(&rotation, &fronts);
+            left.terminate();
+            leaving.push(left);
             leaving.retain_mut(|front| !front.has_ended());
-            record.say(&format!(
-                "round {round}: 3 machines were replaced by others"
-            ));
+            let spent = Duration::from_secs_f64(record.now() - started_at);
+            thread::sleep(GAP.saturating_sub(spent));
         }
+        record.say(&format!("{REPLACED} machines were replaced by others"));
         for _ in 0..100 {
             leaving.retain_mut(|front| !front.has_ended());
             if leaving.is_empty() {
@@ -115,7 +113,7 @@
     await_all(&fronts)?;
     let back_at = record.now();
     record.say("all machines are back and ready");
-    thread::sleep(Duration::from_secs_f64(RECOVERY_S + 14.0));
+    thread::sleep(Duration::from_secs_f64(RECOVERY_S + 12.0));
     stop.store(true, Ordering::SeqCst);
     for thread in traffic {
         let _ended = thread.join();
