gateway: end every wait for an endpoint with a response

Cause: the choice of an endpoint may wait up to two seconds for one, since entries that expired in an outage of the registry come back that late. This wait, unlike those for stages, sends and responses, did not end with the grace period, nor with a quarantine of the request: of a request that was cut, the log has `retry why=endpoint-failed`, then nothing until `request-ended outcome=cut-leaving`, 0.6 to 1.8 s later. Nothing in the log named the wait, so `endpoint-awaited` does now. The deadline did end it, but as `no-endpoint`.

Change: the whole choice ends as a response does: at the deadline, at the end of the grace period, or when the request is quarantined. The wait for the first configuration, 0.4 s long, ends with the grace period, too: with a grace of 3 to 5 s its requests were cut. All other waits between the first byte and the response were read; they end with it already.

--- a/gateway/src/choice.rs
+++ b/gateway/src/choice.rs
@@ -42,17 +42,19 @@
 
 /// Chooses an endpoint, by the node that books the service or by this one.
 ///
-/// If there is none, sets the time after which one may be had.
+/// Waits for one no longer than for a response: until the deadline, the end of the
+/// grace period or a quarantine of the request. If there is none, sets the time after
+/// which one may be had.
 pub(crate) async fn choose_endpoint(
     ctx: &mut RequestContext,
     failed: &[EndpointId],
 ) -> Result<(Choice, Option<Booking>), Refusal> {
-    if let Some((choice, booking)) = request_placement(ctx, failed).await {
-        return Ok((choice, Some(booking)));
-    }
-    let refusal = match wait_for_choice(ctx, failed).await {
-        Ok(choice) => return Ok((choice, None)),
-        Err(refusal) => refusal,
+    let chosen = ctx.before_quarantine(place_or_wait(ctx, failed)).await;
+    let refusal = match chosen {
+        Some(Ok(chosen)) => return Ok(chosen),
+        Some(Err(refusal)) => refusal,
+        None if ctx.quarantine_remaining().is_some() => Refusal::Quarantined,
+        None => ctx.timeout_refusal(),
     };
     let now = ctx.shared.now();
     let backlog = match refusal {
@@ -64,6 +66,17 @@
     Err(refusal)
 }
 
+async fn place_or_wait(
+    ctx: &RequestContext,
+    failed: &[EndpointId],
+) -> Result<(Choice, Option<Booking>), Refusal> {
+    if let Some((choice, booking)) = request_placement(ctx, failed).await {
+        return Ok((choice, Some(booking)));
+    }
+    let choice = wait_for_choice(ctx, failed).await?;
+    Ok((choice, None))
+}
+
 /// Requests the endpoint for a prompt from the node that books its service.
 ///
 /// Returns `None` if this node has to choose by itself.
@@ -178,6 +191,7 @@
 async fn wait_for_choice(ctx: &RequestContext, failed: &[EndpointId]) -> Result<Choice, Refusal> {
     let shared = &ctx.shared;
     let deadline = shared.now() + ENDPOINT_WAIT;
+    let mut logged = false;
     loop {
         let changed = shared.endpoints_changed.listen();
         if let Some(choice) = choose_now(ctx, failed, Limits::UnlimitedOnly) {
@@ -203,10 +217,13 @@
             async_io::Timer::after(rest).await;
             continue;
         }
-        let remaining = deadline.min(ctx.deadline).since(shared.now());
+        let remaining = deadline.since(shared.now());
         if remaining.is_zero() {
             return Err(Refusal::NoEndpoint);
         }
+        if !std::mem::replace(&mut logged, true) {
+            log::info!(event = "endpoint-awaited", request = ctx.request.id.as_str(), service = ctx.service.as_str(), tries = ctx.attempted.len(), wait_ms = remaining.as_millis() as u64, left_ms = ctx.remaining().as_millis() as u64; "");
+        }
         let expiry = async_io::Timer::after(remaining);
         let timer = async {
             expiry.await;
--- a/gateway/src/ingress.rs
+++ b/gateway/src/ingress.rs
@@ -119,7 +119,7 @@
         let timeout = async {
             Timer::after(CONFIG_WAIT).await;
         };
-        known.or(timeout).await;
+        known.or(timeout).or(self.0.given_up.wait()).await;
     }
 
     fn admit(
