gateway, lib: begin no stream at a version that is not recorded

Cause: a node that has just started takes a version that the registry has not recorded for unused, since streams begin at recorded versions only. But where no endpoint of a recorded version was to be had (expired, resting, limited, outside the homes or the shard), they began at an unrecorded one at once. Once the old version was back, its endpoints got the streams of the new one, also those whose origins were saved: a keeper that believes in one version does not read them.

Change: endpoints of unrecorded versions get no new streams that may be resumed. Such a stream waits for the record, two seconds at most; the record is due at once when no usable endpoint has a recorded version, where it came two seconds later before. After two seconds the stream begins all the same, with a line in the log, as the registry may be away for hours.

Not taken (trial): to take no version for unused at a start.

--- a/gateway/src/choice.rs
+++ b/gateway/src/choice.rs
@@ -8,6 +8,7 @@
 use snipeyoke_lib::serving::directory::Choice;
 use snipeyoke_lib::serving::directory::EndpointCriteria;
 use snipeyoke_lib::serving::directory::Unavailable;
+use snipeyoke_lib::serving::directory::VersionRule;
 use snipeyoke_lib::serving::rate_limit::interval;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
 use snipeyoke_lib::units::RequestRate;
@@ -153,7 +154,8 @@
             limited: None,
         });
     }
-    let endpoint = choose_now(ctx, failed, Limits::Any)?.entry.id;
+    let versions = ctx.version_rule();
+    let endpoint = choose_now(ctx, failed, (Limits::Any, &versions))?.entry.id;
     let now = ctx.shared.now();
     let directory = ctx.shared.directory();
     let paused_until = directory.get(&endpoint)?.rate_limit()?.paused_until;
@@ -194,7 +196,8 @@
     let mut logged = false;
     loop {
         let changed = shared.endpoints_changed.listen();
-        if let Some(choice) = choose_now(ctx, failed, Limits::UnlimitedOnly) {
+        let versions = ctx.version_rule();
+        if let Some(choice) = choose_now(ctx, failed, (Limits::UnlimitedOnly, &versions)) {
             return Ok(choice);
         }
         if let Some(why) = ctx.unavailability(&ctx.service) {
@@ -219,7 +222,7 @@
         }
         let remaining = deadline.since(shared.now());
         if remaining.is_zero() {
-            return Err(Refusal::NoEndpoint);
+            return choose_unrecorded(ctx, failed).ok_or(Refusal::NoEndpoint);
         }
         if !std::mem::replace(&mut logged, true) {
             log::info!(event = "endpoint-awaited", request = ctx.request.id.as_str(), service = ctx.service.as_str(), tries = ctx.attempted.len(), wait_ms = remaining.as_millis() as u64, left_ms = ctx.remaining().as_millis() as u64; "");
@@ -241,12 +244,27 @@
     UnlimitedOnly,
 }
 
-fn choose_now(ctx: &RequestContext, failed: &[EndpointId], limits: Limits) -> Option<Choice> {
+/// Chooses an endpoint for a new stream although its version is not recorded.
+///
+/// While the registry is away none is, and no endpoint of another one may be left.
+fn choose_unrecorded(ctx: &RequestContext, failed: &[EndpointId]) -> Option<Choice> {
+    let VersionRule::NewStream { .. } = ctx.version_rule() else {
+        return None;
+    };
+    let choice = choose_now(ctx, failed, (Limits::UnlimitedOnly, &VersionRule::Any))?;
+    log::warn!(event = "version-unrecorded", request = ctx.request.id.as_str(), service = ctx.service.as_str(), version = choice.entry.version.to_string().as_str(), remedy = "check the registry"; "");
+    Some(choice)
+}
+
+fn choose_now(
+    ctx: &RequestContext,
+    failed: &[EndpointId],
+    (limits, versions): (Limits, &VersionRule),
+) -> Option<Choice> {
     let mut avoid = ctx.attempted.clone();
     avoid.extend_from_slice(failed);
     let prompt = ctx.request.prompt.filter(|p| p.shared >= SHARED_TOKENS_MIN);
     let required = ctx.domain.as_ref();
-    let versions = ctx.version_rule();
     let wanted = EndpointCriteria {
         service: &ctx.service,
         avoid: &avoid,
@@ -256,7 +274,7 @@
         homes: &ctx.homes,
         warm_only: ctx.limits_cold_calls(),
         unlimited_only: limits == Limits::UnlimitedOnly,
-        versions: &versions,
+        versions,
     };
     ctx.shared.directory().choose(ctx.shared.now(), wanted)
 }
--- a/gateway/src/dispatch/origins.rs
+++ b/gateway/src/dispatch/origins.rs
@@ -406,15 +406,20 @@
         if self.origins.recording || now < self.origins.record_from || !self.shared.knows_owners() {
             return;
         }
-        self.origins.record_from = now + RECORD_INTERVAL;
         let keepers = self.shared.owners().origin_keepers(now);
         if keepers.recorder() != Some(self.shared.settings.listen.peers) {
             return;
         }
         let current = self.shared.current_versions();
-        let Some(sets) = self.shared.origins().versions_to_record(now, &current) else {
+        let usable = self.shared.usable_versions();
+        let sets = self
+            .shared
+            .origins()
+            .versions_to_record(now, &current, &usable);
+        let Some(sets) = sets else {
             return;
         };
+        self.origins.record_from = now + RECORD_INTERVAL;
         self.origins.recording = true;
         let shared = Arc::clone(&self.shared);
         let inbox = self.inbox.clone();
@@ -431,6 +436,8 @@
             let now = self.shared.now();
             self.announce_versions(now, &sets);
             self.shared.origins().apply_record(now, sets);
+            // New streams may wait for these versions.
+            self.shared.endpoints_changed.notify(usize::MAX);
         } else {
             self.shared.origins().on_record_failed();
         }
@@ -468,6 +475,8 @@
                 origins.record_open(now, &service, &version);
             }
         }
+        drop(origins);
+        self.shared.endpoints_changed.notify(usize::MAX);
     }
 }
 
--- a/gateway/src/stream_versions.rs
+++ b/gateway/src/stream_versions.rs
@@ -7,6 +7,7 @@
 use futures_lite::FutureExt;
 use snipeyoke_lib::ids::PoolName;
 use snipeyoke_lib::ids::SoftwareVersion;
+use snipeyoke_lib::serving::directory::Endpoint;
 use snipeyoke_lib::serving::directory::VersionRule;
 use snipeyoke_lib::serving::registry_polling::ReplicaKind;
 use snipeyoke_lib::serving::stream_origins::Origin;
@@ -30,8 +31,17 @@
 impl Shared {
     /// Returns the versions of the endpoints of all services that are known.
     pub(crate) fn current_versions(&self) -> VersionSets {
+        self.versions_where(|_| true)
+    }
+
+    /// Returns the versions of the endpoints of all services that may get calls.
+    pub(crate) fn usable_versions(&self) -> VersionSets {
+        self.versions_where(Endpoint::is_open)
+    }
+
+    fn versions_where(&self, is_wanted: impl Fn(&Endpoint) -> bool) -> VersionSets {
         let mut sets = VersionSets::new();
-        for endpoint in self.directory().iter() {
+        for endpoint in self.directory().iter().filter(|e| is_wanted(e)) {
             let entry = endpoint.entry();
             let versions = sets.entry(entry.service.clone()).or_default();
             versions.insert(entry.version.clone());
--- a/lib/src/serving/directory/choice.rs
+++ b/lib/src/serving/directory/choice.rs
@@ -53,7 +53,7 @@
     Any,
     /// Any version, since the call starts a stream that may continue elsewhere.
     NewStream {
-        /// The versions to avoid unless there is no other.
+        /// The versions at which no stream may begin yet.
         closed: BTreeSet<SoftwareVersion>,
     },
     /// The version at which the stream began.
@@ -137,8 +137,8 @@
     pub limited: bool,
 }
 
-/// Leaves out endpoints that a new stream should not get while there are others:
-/// those of closed versions, and of several versions those that are nearly full.
+/// Leaves out endpoints that a new stream may not get: those of closed versions and,
+/// while there are others, of several versions those that are nearly full.
 pub(in crate::serving) fn prefer_for_new(
     pool: &mut Vec<&Endpoint>,
     versions: &VersionRule,
@@ -148,13 +148,11 @@
         return;
     };
     let first = pool.first().map(|e| &e.entry.version);
-    if pool.iter().all(|e| Some(&e.entry.version) == first) {
+    let is_mixed = pool.iter().any(|e| Some(&e.entry.version) != first);
+    pool.retain(|e| !closed.contains(&e.entry.version));
+    if !is_mixed {
         return;
     }
-    let is_open = |e: &&Endpoint| !closed.contains(&e.entry.version);
-    if pool.iter().any(is_open) {
-        pool.retain(is_open);
-    }
     let has_room = |e: &&Endpoint| calls(e) < e.entry.slots as f32 * NEW_STREAMS_FRACTION;
     if pool.iter().any(has_room) {
         pool.retain(has_room);
--- a/lib/src/serving/stream_origins.rs
+++ b/lib/src/serving/stream_origins.rs
@@ -219,8 +219,9 @@
         sighting.open = true;
     }
 
-    /// Returns the versions of a service that get no new streams yet, since the
-    /// registry has not recorded them.
+    /// Returns the versions of a service at which no stream may begin yet, since the
+    /// registry has not recorded them: after a loss of all nodes they would be taken for
+    /// unused.
     ///
     /// If it has recorded none of the service, none has to wait.
     #[must_use]
@@ -306,8 +307,15 @@
 
     /// Returns the versions to record in the registry, if they have changed.
     ///
-    /// `current` has the versions of the endpoints that are known.
-    pub fn versions_to_record(&mut self, now: Time, current: &VersionSets) -> Option<VersionSets> {
+    /// `current` has the versions of the endpoints that are known, `usable` those of
+    /// endpoints that may get calls. If no stream can begin before a version is recorded,
+    /// it is due at once.
+    pub fn versions_to_record(
+        &mut self,
+        now: Time,
+        current: &VersionSets,
+        usable: &VersionSets,
+    ) -> Option<VersionSets> {
         if !self.history.has_record {
             return None;
         }
@@ -317,9 +325,13 @@
         let mut sets = VersionSets::new();
         for (service, seen) in &self.history.seen {
             let recent = seen.iter().filter(|(_, s)| is_recent(now, s.last));
-            let is_first = !recent.clone().any(|(_, s)| s.open);
+            let mut open = recent.clone().filter(|(_, s)| s.open);
+            let is_urgent = match usable.get(service) {
+                Some(usable) => !open.any(|(v, _)| usable.contains(v)),
+                None => open.next().is_none(),
+            };
             let is_due = |s: &Sighting| s.open || now.since(s.first) >= RECORD_DELAY;
-            let due = recent.filter(|(_, s)| is_first || is_due(s));
+            let due = recent.filter(|(_, s)| is_urgent || is_due(s));
             let versions: BTreeSet<SoftwareVersion> = due.map(|(v, _)| v.clone()).collect();
             if !versions.is_empty() {
                 sets.insert(service.clone(), versions);
--- a/lib/tests/test_stream_versions.rs
+++ b/lib/tests/test_stream_versions.rs
@@ -336,7 +336,7 @@
         let node = &mut self.nodes[index];
         if keepers.recorder() == Some(address(index)) {
             let current = BTreeMap::from([(service(), node.versions())]);
-            if let Some(sets) = node.origins.versions_to_record(local, &current) {
+            if let Some(sets) = node.origins.versions_to_record(local, &current, &current) {
                 node.origins.apply_record(local, sets.clone());
                 self.record = Some(sets.clone());
                 self.writes += 1;
@@ -472,10 +472,7 @@
         let alive = alive.filter(|(id, _)| self.endpoints.contains_key(id));
         let mut alive: Vec<(u32, u32)> = alive.map(|(&id, &v)| (id, v)).collect();
         let closed = self.nodes[node].origins.closed_versions(&service());
-        let is_open = |(_, v): &(u32, u32)| !closed.contains(&version(*v));
-        if alive.iter().any(is_open) {
-            alive.retain(is_open);
-        }
+        alive.retain(|(_, v)| !closed.contains(&version(*v)));
         let Some(&(endpoint, version)) = alive.choose(&mut self.random) else {
             return;
         };
@@ -740,6 +737,76 @@
     }
 }
 
+/// Guards against streams that go on at the version before theirs after all nodes have
+/// died, when no endpoint of that version could be used for a moment.
+#[test]
+fn no_version_is_taken_for_unused_after_the_one_before_was_away() {
+    for seed in 0..16 {
+        let mut world = World::new(seed, 6, 4);
+        let mut next_stream = Time::ZERO;
+        let replaced_at = Time::ZERO + Duration::from_secs(10);
+        let kill_at = replaced_at + Duration::from_millis(200 + 50 * seed);
+        let back_at = kill_at + Duration::from_millis(100);
+        let mut away = None;
+        let (mut killed, mut back) = (false, false);
+        world.run(|world| {
+            while next_stream <= world.now {
+                world.begin_stream();
+                next_stream = next_stream + Duration::from_millis(40);
+            }
+            if world.now >= replaced_at && away.is_none() {
+                away = Some(std::mem::take(&mut world.endpoints));
+                for endpoint in 100..104 {
+                    world.endpoints.insert(endpoint, 2);
+                }
+            }
+            if !std::mem::replace(&mut killed, world.now >= kill_at) && killed {
+                for node in 0..6 {
+                    world.kill(node, Duration::from_millis(300));
+                }
+            }
+            if !std::mem::replace(&mut back, world.now >= back_at) && back {
+                world.endpoints.extend(away.clone().unwrap_or_default());
+            }
+        });
+        assert!(
+            world.violations.is_empty(),
+            "seed {seed}: {:#?}",
+            world.violations
+        );
+        let later = world.streams.iter().filter(|s| s.version == 2);
+        assert!(
+            later.count() > 0,
+            "seed {seed}: none began at the new version"
+        );
+    }
+}
+
+/// Guards against new streams that wait for the record of a version although no endpoint
+/// of another one can get them.
+#[test]
+fn a_version_is_recorded_at_once_when_no_other_can_get_streams() {
+    let start = Time::ZERO;
+    let sets = |numbers: &[u32]| {
+        let versions = numbers.iter().map(|&n| version(n)).collect();
+        VersionSets::from([(service(), versions)])
+    };
+    let mut origins = StreamOrigins::default();
+    origins.apply_record(start, sets(&[1]));
+    origins.record_versions(start, &service(), &[version(1), version(2)].into());
+    let both = sets(&[1, 2]);
+    assert_eq!(origins.versions_to_record(start, &both, &both), None);
+    assert_eq!(
+        origins.closed_versions(&service()),
+        BTreeSet::from([version(2)])
+    );
+    // The endpoints of the old version leave.
+    let due = origins.versions_to_record(start, &both, &sets(&[2]));
+    assert_eq!(due, Some(both.clone()));
+    origins.apply_record(start, both);
+    assert_eq!(origins.closed_versions(&service()), BTreeSet::new());
+}
+
 /// Guards against costs of a deployment that has one version.
 #[test]
 fn one_version_costs_no_frame_and_one_record() {
@@ -856,16 +923,24 @@
     let current: VersionSets = [(service, ["v1".into()].into())].into();
     let mut origins = StreamOrigins::default();
     origins.apply_record(now, VersionSets::new());
-    let first = origins.versions_to_record(now, &current);
+    let first = origins.versions_to_record(now, &current, &current);
     assert_eq!(first.as_ref(), Some(&current));
     origins.mark_unrecorded();
     origins.apply_record(now, current.clone());
-    let again = origins.versions_to_record(now, &current);
+    let again = origins.versions_to_record(now, &current, &current);
     assert_eq!(again.as_ref(), Some(&current));
     origins.apply_record(now, current.clone());
-    assert_eq!(origins.versions_to_record(now, &current), None);
+    assert_eq!(origins.versions_to_record(now, &current, &current), None);
     origins.mark_unrecorded();
-    assert!(origins.versions_to_record(now, &current).is_some());
+    assert!(
+        origins
+            .versions_to_record(now, &current, &current)
+            .is_some()
+    );
     origins.on_record_failed();
-    assert!(origins.versions_to_record(now, &current).is_some());
+    assert!(
+        origins
+            .versions_to_record(now, &current, &current)
+            .is_some()
+    );
 }
