gateway: take a body without a length that never began for broken

Reported from systems like this one of endpoints that stop in the middle of a head.

Evidence: an endpoint on bare sockets that stops after each byte of its response. Inside a head, at any byte and in any framing, nothing was ever taken for a response. Right after a head with neither a length nor chunks, plain calls and streams got an empty 200 as a whole one.

Cause: a body without a length ends with its connection, so one that never began looks like an empty one.

Change: such a body is an error, unless status or method rule a body out. Safe requests and resumable streams go elsewhere, others get 502. An endpoint that sends empty bodies that way has to send a length of 0.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -27,6 +27,7 @@
 use http_body_util::Full;
 use hyper::Request;
 use hyper::Version;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
@@ -118,6 +119,20 @@
     }
 }
 
+/// Why the rest of a body is not to be had.
+#[derive(Debug)]
+#[derive(Display, Error)]
+pub(crate) enum BodyError {
+    /// The connection failed.
+    #[display("the connection failed: {_0}; the body is incomplete")]
+    Broken(hyper::Error),
+    /// The connection ended right after a head without a length.
+    #[display(
+        "the connection ended before a body without a length began; check that the endpoint sends its responses to the end"
+    )]
+    Missing,
+}
+
 /// A response whose body is still to be read.
 ///
 /// Dropping it closes the connection, which cancels the work at the endpoint.
@@ -128,18 +143,30 @@
     conn: Connection,
     is_reused: bool,
     is_whole: bool,
+    /// Whether no byte of a body that ends with its connection has arrived.
+    awaits_body: bool,
     /// What the connection may be kept for once the response was read.
     pub(crate) kept_for: Option<CallKind>,
 }
 
 impl Call {
     /// Returns the next bytes of the body, or `None` at its proper end.
-    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, hyper::Error> {
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError`] if the connection fails, or if it ends before the first
+    /// byte of a body without a length: an endpoint that stops after the head looks the
+    /// same as one whose body is empty.
+    pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
         while let Some(frame) = self.body.frame().await {
-            if let Ok(data) = frame?.into_data() {
+            if let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() {
+                self.awaits_body = false;
                 return Ok(Some(data));
             }
         }
+        if self.awaits_body {
+            return Err(BodyError::Missing);
+        }
         self.is_whole = true;
         Ok(None)
     }
@@ -242,7 +269,11 @@
         self.progress.answered.store(true, Ordering::SeqCst);
         self.sender = kept_for.map(|_| sender);
         let (head, body) = response.into_parts();
+        let has_end = head.headers.contains_key(CONTENT_LENGTH)
+            || head.headers.contains_key(TRANSFER_ENCODING);
         Ok(Call {
+            // Some statuses have no body.
+            awaits_body: !has_end && !body.is_end_stream(),
             head,
             body,
             conn: self,
