gateway: pass on no part of an endpoint's failure of a stream

What callers would have seen: in place of a stream, an endpoint's 500 whose body had broken off, framed as a whole one.

Cause: the body of such a failure was read by a loop that ended at the end of the body, at a break, and when the node gave up, all alike.

Change: only a body that was read to its end is passed on; otherwise the request is repeated if it may be, and ends with 502. A failure that was read whole is settled, so that its request is not reported as given up.

--- a/gateway/src/attempt.rs
+++ b/gateway/src/attempt.rs
@@ -23,6 +23,7 @@
 use snipeyoke_lib::time::Time;
 use snipeyoke_runtime::flag::Flag;
 
+use crate::call::BodyError;
 use crate::call::Call;
 use crate::call::CallError;
 use crate::call::send_completed;
@@ -447,6 +448,12 @@
     );
 }
 
+/// Reports that the body of a response broke off while it was read.
+pub(crate) fn report_broken_body(ctx: &RequestContext, flight: &mut InFlight, error: &BodyError) {
+    log::warn!(event = "answer-broken", request = ctx.request.id.as_str(), endpoint = flight.entry.id.to_string().as_str(), error = error.to_string().as_str(); "");
+    report_break(ctx, flight);
+}
+
 /// Returns whether a status claims that the request did not run.
 ///
 /// Such a status must not be relayed from an endpoint that does not vouch for
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -14,6 +14,7 @@
 use crate::attempt::record_failure;
 use crate::attempt::record_latency;
 use crate::attempt::report_break;
+use crate::attempt::report_broken_body;
 use crate::refusal::Refusal;
 use crate::request_context::RequestContext;
 use crate::retry::Step;
@@ -96,12 +97,21 @@
         return Err(None);
     }
     let mut body = Vec::new();
-    while let Some(Ok(Some(bytes))) = ctx.before_give_up(response.call.next()).await {
-        body.extend_from_slice(&bytes);
+    loop {
+        match ctx.before_give_up(response.call.next()).await {
+            Some(Ok(Some(bytes))) => body.extend_from_slice(&bytes),
+            Some(Ok(None)) => break,
+            Some(Err(error)) => {
+                report_broken_body(ctx, &mut response.flight, &error);
+                return Err(None);
+            }
+            None => return Err(None),
+        }
         if body.len() > ERROR_BODY_MAX {
             return Err(None);
         }
     }
+    response.flight.settle();
     let headers = std::mem::take(&mut response.head.headers);
     Err(Some(((status, headers), body.into())))
 }
--- a/gateway/src/unary.rs
+++ b/gateway/src/unary.rs
@@ -17,6 +17,7 @@
 use crate::attempt::record_failure;
 use crate::attempt::record_latency;
 use crate::attempt::report_break;
+use crate::attempt::report_broken_body;
 use crate::refusal::Refusal;
 use crate::request_context::RequestContext;
 use crate::retry::Step;
@@ -102,9 +103,8 @@
                 break;
             }
             Some(Err(error)) => {
-                log::warn!(event = "answer-broken", request = ctx.request.id.as_str(), endpoint = response.flight.entry.id.to_string().as_str(), error = error.to_string().as_str(); "");
                 record_failure(ctx, &mut response.flight);
-                report_break(ctx, &mut response.flight);
+                report_broken_body(ctx, &mut response.flight, &error);
                 return ReadResult::Failed(None);
             }
         }
