gateway: let a stream wait a second for the record of a version

A stream that only endpoints of unrecorded versions may get waited two seconds before it began all the same; the record comes within the second in which the recording node hears of an endpoint, and callers expect a first event within one to three seconds. It waits for one second now. The recording node checks ten times a second at most whether something is to be recorded, since a check goes through all endpoints; before it did so once a second.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -119,7 +119,7 @@
     }
 }
 
-/// Why the rest of a body is not to be had.
+/// The reason why a body can't be read to its end.
 #[derive(Debug)]
 #[derive(Display, Error)]
 pub(crate) enum BodyError {
--- a/gateway/src/choice.rs
+++ b/gateway/src/choice.rs
@@ -25,6 +25,13 @@
 /// its return. A service without endpoints for longer has none.
 const ENDPOINT_WAIT: Duration = Duration::from_secs(2);
 
+/// How long a new stream waits until the version of an endpoint is recorded.
+///
+/// The recording node hears of an endpoint within a second, and writes within
+/// milliseconds. While the registry is away nothing is recorded, and the endpoints of
+/// recorded versions may all have left.
+const RECORD_WAIT: Duration = Duration::from_secs(1);
+
 /// How long a request waits for the response to its placement request.
 ///
 /// The booking node responds within milliseconds. An endpoint chosen locally is
@@ -192,7 +199,8 @@
 /// Waits for an endpoint that may get the request.
 async fn wait_for_choice(ctx: &RequestContext, failed: &[EndpointId]) -> Result<Choice, Refusal> {
     let shared = &ctx.shared;
-    let deadline = shared.now() + ENDPOINT_WAIT;
+    let started_at = shared.now();
+    let (record_by, deadline) = (started_at + RECORD_WAIT, started_at + ENDPOINT_WAIT);
     let mut logged = false;
     loop {
         let changed = shared.endpoints_changed.listen();
@@ -220,14 +228,20 @@
             async_io::Timer::after(rest).await;
             continue;
         }
-        let remaining = deadline.since(shared.now());
-        if remaining.is_zero() {
-            return choose_unrecorded(ctx, failed).ok_or(Refusal::NoEndpoint);
+        let now = shared.now();
+        if now >= record_by
+            && let Some(choice) = choose_unrecorded(ctx, failed)
+        {
+            return Ok(choice);
+        }
+        if now >= deadline {
+            return Err(Refusal::NoEndpoint);
         }
         if !std::mem::replace(&mut logged, true) {
-            log::info!(event = "endpoint-awaited", request = ctx.request.id.as_str(), service = ctx.service.as_str(), tries = ctx.attempted.len(), wait_ms = remaining.as_millis() as u64, left_ms = ctx.remaining().as_millis() as u64; "");
+            log::info!(event = "endpoint-awaited", request = ctx.request.id.as_str(), service = ctx.service.as_str(), tries = ctx.attempted.len(), wait_ms = ENDPOINT_WAIT.as_millis() as u64, left_ms = ctx.remaining().as_millis() as u64; "");
         }
-        let expiry = async_io::Timer::after(remaining);
+        let next = if now < record_by { record_by } else { deadline };
+        let expiry = async_io::Timer::after(next.since(now));
         let timer = async {
             expiry.await;
         };
@@ -245,8 +259,6 @@
 }
 
 /// Chooses an endpoint for a new stream although its version is not recorded.
-///
-/// While the registry is away none is, and no endpoint of another one may be left.
 fn choose_unrecorded(ctx: &RequestContext, failed: &[EndpointId]) -> Option<Choice> {
     let VersionRule::NewStream { .. } = ctx.version_rule() else {
         return None;
--- a/gateway/src/dispatch/origins.rs
+++ b/gateway/src/dispatch/origins.rs
@@ -48,6 +48,12 @@
 /// When a deployment starts, its services register one after the other.
 const RECORD_INTERVAL: Duration = Duration::from_secs(1);
 
+/// The shortest interval between two checks whether the versions have to be recorded.
+///
+/// New streams may wait for the record. A check goes through all endpoints, which may
+/// change many times a second.
+const RECORD_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
 /// A question of this node's requests.
 #[derive(Debug)]
 pub(super) struct OriginQuestion {
@@ -406,6 +412,7 @@
         if self.origins.recording || now < self.origins.record_from || !self.shared.knows_owners() {
             return;
         }
+        self.origins.record_from = now + RECORD_CHECK_INTERVAL;
         let keepers = self.shared.owners().origin_keepers(now);
         if keepers.recorder() != Some(self.shared.settings.listen.peers) {
             return;
