gateway: set memory and connections of a process in its settings

A node does not know how much memory it may use, and the number of callers that it accepts is a constant.

--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -56,12 +56,6 @@
 /// take up to 0.3 s after it, which fits into a grace period of 5 s or more.
 const CUT_FRACTION: f64 = 0.93;
 
-/// The maximum number of concurrent caller connections.
-///
-/// A third of the file descriptors that a small host allows; each request in
-/// flight uses one more for its endpoint.
-const CALLER_CONNS_MAX: usize = 1_300;
-
 /// The time limit for a request head and for an idle caller connection.
 ///
 /// Configurations allow callers up to fifteen seconds of idle time.
@@ -162,7 +156,7 @@
         let ingress = Arc::new(Ingress(Arc::clone(&self.shared)));
         let bounds = Bounds {
             head_timeout: HEAD_TIMEOUT,
-            conns: CALLER_CONNS_MAX,
+            conns: self.shared.settings.conns,
         };
         let scope = self.conns.clone();
         let drain = self.shared.drain.clone();
--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -14,6 +14,7 @@
 use snipeyoke_lib::ids::Region;
 use snipeyoke_lib::serving::budget::BudgetLimits;
 use snipeyoke_lib::serving::cold_start::ColdBound;
+use snipeyoke_lib::units::Bytes;
 use snipeyoke_lib::units::MilliCores;
 use snipeyoke_runtime::settings::Checked;
 
@@ -38,6 +39,15 @@
 /// The largest factor on the rate of calls that a cold endpoint tolerates.
 const COLD_EXCESS_MAX: f64 = 100.0;
 
+/// The default maximum number of concurrent caller connections.
+///
+/// A third of the file descriptors that a small host allows; each request in
+/// flight uses one more for its endpoint.
+const CALLER_CONNS_MAX: usize = 1_300;
+
+/// The least memory of a process, in megabytes.
+const MEMORY_MIN_MB: f64 = 32.0;
+
 /// The settings as written in the file.
 #[derive(Debug, Clone)]
 #[derive(Deserialize)]
@@ -59,6 +69,9 @@
     /// The processor capacity of this process.
     #[serde(default)]
     pub processor: Processor,
+    /// The memory of this process and the connections that it accepts.
+    #[serde(default)]
+    pub limits: Limits,
     /// The time between SIGTERM and SIGKILL, in seconds.
     pub grace_s: f64,
     /// The time within which an endpoint that shuts down receives its last
@@ -137,6 +150,27 @@
     }
 }
 
+/// The limits of a process.
+#[derive(Debug, Clone, Copy)]
+#[derive(Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// The memory that the process may use, in megabytes; all that the system has if
+    /// missing.
+    pub memory_mb: Option<f64>,
+    /// The maximum number of concurrent caller connections.
+    pub conns: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            memory_mb: None,
+            conns: CALLER_CONNS_MAX,
+        }
+    }
+}
+
 /// The bound on calls to a cold endpoint in any second, across all nodes.
 #[derive(Debug, Clone, Copy)]
 #[derive(Deserialize)]
@@ -183,6 +217,10 @@
     pub registry: SocketAddr,
     /// The processor power of this process.
     pub power: MilliCores,
+    /// The memory that the process may use, if it is set.
+    pub memory: Option<Bytes>,
+    /// The maximum number of concurrent caller connections.
+    pub conns: usize,
     /// The time between SIGTERM and SIGKILL.
     pub grace: Duration,
     /// The time within which an endpoint that shuts down receives its last
@@ -257,6 +295,10 @@
         check("slack", raw.cold.slack, 0.0, 1e6);
         check("share", raw.processor.share, 0.001, 1_024.0);
         check("speed", raw.processor.speed, 0.01, 100.0);
+        if let Some(memory_mb) = raw.limits.memory_mb {
+            check("memory_mb", memory_mb, MEMORY_MIN_MB, 1e9);
+        }
+        check("conns", raw.limits.conns as f64, 1.0, 1e6);
         check("ratio", raw.retries.ratio, 0.0, 10.0);
         check("window_s", raw.retries.window_s, 0.1, 3_600.0);
         check("extra", raw.retries.extra, 0.0, 1e6);
@@ -284,6 +326,8 @@
             listen: raw.listen,
             seeds: raw.seeds,
             registry: raw.registry,
+            memory: raw.limits.memory_mb.map(|mb| Bytes((mb * 1e6) as u64)),
+            conns: raw.limits.conns,
             power: MilliCores((raw.processor.share * raw.processor.speed * 1_000.0) as u32),
             grace: Duration::from_secs_f64(raw.grace_s),
             notice: Duration::from_secs_f64(raw.notice_ms / 1_000.0),
