runtime: read a body into one buffer

A request of 2 MB in chunks of one byte, which is within the limits, made a node take 89 MB, and 30 that stopped at 150 KB made it take 200 MB. The body was kept as the list of its frames until its end and then copied. A frame has some tens of bytes beside its data and keeps the read buffer alive that it was split from, up to 8 KiB for one byte.

Frames are now copied into one buffer as they arrive and are dropped, so a body costs what it holds.

--- a/runtime/src/http/body.rs
+++ b/runtime/src/http/body.rs
@@ -13,8 +13,6 @@
 use futures_util::StreamExt;
 use http_body_util::BodyExt;
 use http_body_util::Full;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
 use http_body_util::StreamBody;
 use http_body_util::combinators::UnsyncBoxBody;
 use hyper::body::Body;
@@ -106,22 +104,24 @@
 /// Returns [`BodyError`] if it is larger than `max` bytes or its connection
 /// fails.
 pub async fn collect_with_progress(
-    body: Incoming,
+    mut body: Incoming,
     max: usize,
     mut on_frame: impl FnMut(usize),
 ) -> Result<Bytes, BodyError> {
-    let observed = body.map_frame(|frame| {
-        on_frame(frame.data_ref().map_or(0, Bytes::len));
-        frame
-    });
-    match Limited::new(observed, max).collect().await {
-        Ok(collected) => Ok(collected.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(BodyError::TooLarge { max }),
-        Err(error) => match error.downcast::<hyper::Error>() {
-            Ok(error) => Err(BodyError::Connection(*error)),
-            Err(_other) => Err(BodyError::TooLarge { max }),
-        },
+    // A frame may hold a whole read buffer, however small it is, so its bytes are copied.
+    let mut bytes = Vec::new();
+    while let Some(frame) = body.frame().await {
+        let Ok(data) = frame.map_err(BodyError::Connection)?.into_data() else {
+            continue;
+        };
+        if data.len() > max - bytes.len() {
+            return Err(BodyError::TooLarge { max });
+        }
+        bytes.extend_from_slice(&data);
+        on_frame(data.len());
     }
+    bytes.shrink_to_fit();
+    Ok(Bytes::from(bytes))
 }
 
 /// Returns the same body, which drops `guard` once it is sent or abandoned.
