lib: decide which callers keep their places and memory

Nothing bounds what callers hold together: each connection may send a body of the largest size, and a connection that finishes nothing keeps its place until a time-out while newcomers are closed.

`CallerConnections` counts connections and the bytes of their requests. It closes for a new connection one whose head does not arrive, then one whose body does not, then one between two requests. It grants memory to bodies as they arrive, never makes one wait for another, takes memory from bodies that arrive slowly only, and leaves a quarter to small bodies. The limits follow from the memory of the process. Nothing uses it yet.

--- a/lib/src/serving/mod.rs
+++ b/lib/src/serving/mod.rs
@@ -9,6 +9,7 @@
 pub mod batching;
 pub mod bookings;
 pub mod budget;
+pub mod caller_connections;
 pub mod catalog;
 pub mod catch_up;
 pub mod cold_start;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -9,6 +9,7 @@
 mod test_batching;
 mod test_bookings;
 mod test_boundaries;
+mod test_caller_connections;
 mod test_catch_up;
 mod test_chain;
 mod test_chain_admission;
