runtime, gateway, router: bound the memory of all bodies together

Callers that sent 40 bodies of 4 MiB, whole, in pieces or in chunks, most stopping 1 KB short of the end, made a node hold all of them until their deadlines: 210 to 234 MB, and 1,300 connections may send as many. The memory of a node was not known to it, and a body was charged to nobody.

A body now gets its memory from `CallerConnections` as its buffer grows, until its request has ended. If there is none, bodies that arrive slowly are given up, and the request is refused with 503 `no-memory` and `Retry-After`, which is true: nothing was sent. A declared length that can't be had is refused before the body is read. Buffers lie in the server's table, so that the one who takes the memory also frees it.

--- a/gateway/src/ingress.rs
+++ b/gateway/src/ingress.rs
@@ -18,11 +18,13 @@
 use snipeyoke_lib::serving::catalog::Denial;
 use snipeyoke_lib::serving::durations::Remaining;
 use snipeyoke_lib::time::Time;
+use snipeyoke_runtime::http::BodyError;
+use snipeyoke_runtime::http::CallerConnection;
 use snipeyoke_runtime::http::HEADER_MAX_BYTES;
 use snipeyoke_runtime::http::Handler;
+use snipeyoke_runtime::http::HeldBody;
 use snipeyoke_runtime::http::Reply;
 use snipeyoke_runtime::http::Request;
-use snipeyoke_runtime::http::collect;
 
 use crate::dialect::RequestHead;
 use crate::refusal::Refusal;
@@ -71,7 +73,8 @@
 impl Ingress {
     async fn serve(&self, request: Request) -> Reply {
         let started_at = self.0.now();
-        let (head, body) = request.into_parts();
+        let (mut head, body) = request.into_parts();
+        let connection = head.extensions.remove::<Arc<CallerConnection>>();
         let request = match self.0.dialect.parse_request(&head) {
             Ok(request) => request,
             Err(error) => {
@@ -90,13 +93,20 @@
         if content_length(&ctx.head).is_some_and(|n| n > max_body) {
             return refuse(ctx, Refusal::TooLarge);
         }
-        match ctx.before_give_up(collect(body, max_body)).await {
-            Some(Ok(bytes)) => ctx.body = bytes,
+        let received = async {
+            let connection = connection.as_ref().ok_or(BodyError::NoMemory)?;
+            connection.receive(body, max_body).await
+        };
+        match ctx.before_give_up(received).await {
+            Some(Ok(HeldBody { bytes, memory })) => {
+                ctx.body = bytes;
+                ctx.memory = Some(memory);
+            }
             Some(Err(error)) => {
-                let refusal = if error.is_too_large() {
-                    Refusal::TooLarge
-                } else {
-                    Refusal::BodyIncomplete
+                let refusal = match error {
+                    BodyError::TooLarge { .. } => Refusal::TooLarge,
+                    BodyError::Connection(_) => Refusal::BodyIncomplete,
+                    BodyError::NoMemory => Refusal::NoMemory,
                 };
                 return refuse(ctx, refusal);
             }
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -157,6 +157,7 @@
         let bounds = Bounds {
             head_timeout: HEAD_TIMEOUT,
             conns: self.shared.settings.conns,
+            memory: self.shared.settings.memory,
         };
         let scope = self.conns.clone();
         let drain = self.shared.drain.clone();
@@ -172,6 +173,7 @@
         let bounds = Bounds {
             head_timeout: HEAD_TIMEOUT,
             conns: 64,
+            memory: None,
         };
         let scope = Scope::new(self.control.exec());
         let never = Flag::default();
--- a/gateway/src/refusal.rs
+++ b/gateway/src/refusal.rs
@@ -27,6 +27,8 @@
     TooLarge,
     /// The body is incomplete.
     BodyIncomplete,
+    /// Other requests have the memory for bodies.
+    NoMemory,
     /// No endpoint accepts work.
     NoEndpoint,
     /// All endpoints are full.
@@ -84,6 +86,7 @@
             Self::NoKey => "no-key",
             Self::TooLarge => "too-large",
             Self::BodyIncomplete => "body-broken",
+            Self::NoMemory => "no-memory",
             Self::NoEndpoint => "no-endpoint",
             Self::Full => "full",
             Self::StagesLate => "stages-late",
@@ -114,6 +117,7 @@
             Self::Timeout => StatusCode::GATEWAY_TIMEOUT,
             Self::ResponseLost => StatusCode::BAD_GATEWAY,
             Self::NoConfig
+            | Self::NoMemory
             | Self::NoEndpoint
             | Self::Full
             | Self::StagesLate
--- a/gateway/src/request_context.rs
+++ b/gateway/src/request_context.rs
@@ -26,6 +26,7 @@
 use snipeyoke_lib::serving::durations::RequestTiming;
 use snipeyoke_lib::serving::homes::Homes;
 use snipeyoke_lib::time::Time;
+use snipeyoke_runtime::http::HeldMemory;
 
 use crate::dialect::RequestHead;
 use crate::fingerprint::fingerprint;
@@ -40,6 +41,8 @@
     pub(crate) request: RequestHead,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
+    /// The memory of the body.
+    pub(crate) memory: Option<HeldMemory>,
     fingerprint: OnceLock<Fingerprint>,
     /// The suspect of which this is a trial, after its quarantine.
     pub(crate) trial: Option<Suspect>,
@@ -114,6 +117,7 @@
             request,
             head,
             body: Bytes::new(),
+            memory: None,
             fingerprint: OnceLock::new(),
             trial: None,
             route,
--- a/router/src/ingress/chat.rs
+++ b/router/src/ingress/chat.rs
@@ -15,6 +15,7 @@
 use snipeyoke_lib::outcome::Reason;
 use snipeyoke_lib::prefix;
 use snipeyoke_lib::units::Tokens;
+use snipeyoke_runtime::http::HeldBody;
 use snipeyoke_runtime::http::Reply;
 use snipeyoke_runtime::http::Request;
 use snipeyoke_runtime::http::streamed;
@@ -63,13 +64,13 @@
 ) -> Result<Reply, IngressError> {
     let authenticated = intake::authenticate(node, id, request.headers())?;
     let headers = request.headers().clone();
-    let bytes = intake::read_body(node, request).await?;
+    let HeldBody { bytes, memory } = intake::read_body(node, request).await?;
     let chat: ChatBody = serde_json::from_slice(&bytes).map_err(|e| bad_body(&e))?;
     let binding = authenticated.bind(&chat.model)?;
     let key = authenticated.idempotency_key(&binding.pipeline, &headers, &bytes)?;
     let (prompt, data) = prepare(&chat, bytes, &binding)?;
     let model = chat.model;
-    let context = authenticated.start(node, binding, prompt, data, key, chat.stream);
+    let context = authenticated.start(node, binding, prompt, (data, memory), key, chat.stream);
     if chat.stream {
         return Ok(stream_reply(id, model, context).await);
     }
--- a/router/src/ingress/error.rs
+++ b/router/src/ingress/error.rs
@@ -31,6 +31,8 @@
     TooLarge { max: usize },
     #[display("the body did not arrive in time or was incomplete: send it again")]
     SlowBody,
+    #[display("the memory for requests is in use: send it again later")]
+    NoMemory,
     #[display("this request kind must not run twice: send `Idempotency-Key` with a UUIDv7")]
     KeyMissing,
     #[display("the idempotency key is not ASCII text: generate a UUIDv7 for each new request")]
@@ -58,14 +60,14 @@
             }
             Self::TooLarge { .. } => StatusCode::PAYLOAD_TOO_LARGE,
             Self::SlowBody => StatusCode::REQUEST_TIMEOUT,
-            Self::NoConfig | Self::Draining => StatusCode::SERVICE_UNAVAILABLE,
+            Self::NoMemory | Self::NoConfig | Self::Draining => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 
     fn kind(&self) -> &'static str {
         match self {
             Self::NoKey | Self::BadKey => "authentication_error",
-            Self::NoConfig | Self::Draining => "server_error",
+            Self::NoMemory | Self::NoConfig | Self::Draining => "server_error",
             _ => "invalid_request_error",
         }
     }
@@ -80,7 +82,7 @@
 
     const fn retry_after(&self) -> Option<Duration> {
         match self {
-            Self::NoConfig | Self::Draining => Some(Duration::from_millis(500)),
+            Self::NoMemory | Self::NoConfig | Self::Draining => Some(Duration::from_millis(500)),
             _ => None,
         }
     }
--- a/router/src/ingress/intake.rs
+++ b/router/src/ingress/intake.rs
@@ -23,8 +23,11 @@
 use snipeyoke_lib::outcome::Outcome;
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::flag::Flag;
+use snipeyoke_runtime::http::BodyError;
+use snipeyoke_runtime::http::CallerConnection;
+use snipeyoke_runtime::http::HeldBody;
+use snipeyoke_runtime::http::HeldMemory;
 use snipeyoke_runtime::http::Request;
-use snipeyoke_runtime::http::collect;
 use snipeyoke_wire::OnceKey;
 
 use super::auth;
@@ -63,11 +66,15 @@
 
 /// Notifies the driver on drop that the caller disconnected.
 #[derive(Debug)]
-pub(crate) struct CallerGuard(Flag);
+pub(crate) struct CallerGuard {
+    gone: Flag,
+    /// The memory of the request's body.
+    _memory: HeldMemory,
+}
 
 impl Drop for CallerGuard {
     fn drop(&mut self) {
-        self.0.set();
+        self.gone.set();
     }
 }
 
@@ -98,17 +105,16 @@
 /// # Errors
 ///
 /// Returns [`IngressError`] for a body that is too large, too slow or incomplete.
-pub(crate) async fn read_body(node: &Node, request: Request) -> Result<Bytes, IngressError> {
+pub(crate) async fn read_body(node: &Node, mut request: Request) -> Result<HeldBody, IngressError> {
     let bounds = node.settings.bounds;
+    let connection = request.extensions_mut().remove::<Arc<CallerConnection>>();
     let read = async {
-        let body = collect(request.into_body(), bounds.body_bytes).await;
-        body.map_err(|error| {
-            if error.is_too_large() {
-                return IngressError::TooLarge {
-                    max: bounds.body_bytes,
-                };
-            }
-            IngressError::SlowBody
+        let connection = connection.ok_or(IngressError::NoMemory)?;
+        let body = connection.receive(request.into_body(), bounds.body_bytes);
+        body.await.map_err(|error| match error {
+            BodyError::TooLarge { max } => IngressError::TooLarge { max },
+            BodyError::Connection(_) => IngressError::SlowBody,
+            BodyError::NoMemory => IngressError::NoMemory,
         })
     };
     let timeout = async {
@@ -186,7 +192,7 @@
         node: &Arc<Node>,
         binding: PipelineBinding,
         prompt: Prompt,
-        data: PipelineData,
+        (data, memory): (PipelineData, HeldMemory),
         key: Option<IdempotencyKey>,
         stream: bool,
     ) -> RequestContext {
@@ -210,7 +216,10 @@
         let caller_gone = Flag::default();
         let stop = Flag::default();
         node.control.records.begin(now, &spec, stop.clone());
-        let guard = CallerGuard(caller_gone.clone());
+        let guard = CallerGuard {
+            gone: caller_gone.clone(),
+            _memory: memory,
+        };
         let admitted = node.admission.admit(now, &spec, &mut node.shared());
         if let Err(refusal) = admitted {
             refuse(node, &spec, refusal, &sender);
--- a/router/src/ingress/plain.rs
+++ b/router/src/ingress/plain.rs
@@ -10,6 +10,7 @@
 use snipeyoke_lib::ids::RequestId;
 use snipeyoke_lib::outcome::Outcome;
 use snipeyoke_lib::outcome::Reason;
+use snipeyoke_runtime::http::HeldBody;
 use snipeyoke_runtime::http::Reply;
 use snipeyoke_runtime::http::Request;
 use snipeyoke_runtime::http::full;
@@ -41,7 +42,7 @@
     let authenticated = intake::authenticate(node, id, request.headers())?;
     let binding = authenticated.bind(kind)?;
     let headers = request.headers().clone();
-    let bytes = intake::read_body(node, request).await?;
+    let HeldBody { bytes, memory } = intake::read_body(node, request).await?;
     let checked = serde_json::from_slice::<IgnoredAny>(&bytes);
     checked.map_err(|error| IngressError::BadBody {
         what: error.to_string(),
@@ -50,7 +51,7 @@
     let text = String::from_utf8_lossy(&bytes).into_owned();
     let messages = vec![json!({"role": "user", "content": text})];
     let data = PipelineData::new(messages, text, bytes, MAX_TOKENS);
-    let context = authenticated.start(node, binding, Prompt::default(), data, key, false);
+    let context = authenticated.start(node, binding, Prompt::default(), (data, memory), key, false);
     while let Ok(message) = context.messages.recv().await {
         if let DriverMessage::Done(result) = message {
             return Ok(final_reply(id, *result));
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -208,6 +208,7 @@
         let bounds = Bounds {
             head_timeout: Duration::from_millis(raw.bounds.head_ms),
             conns: raw.bounds.conns,
+            memory: None,
         };
         let address = raw.listen.peers;
         let wrap = |source| StartError::Listen { address, source };
--- a/runtime/src/http/body.rs
+++ b/runtime/src/http/body.rs
@@ -45,6 +45,10 @@
     /// The connection failed.
     #[display("the body ended early: {_0}; send it again")]
     Connection(hyper::Error),
+    /// Other requests have the memory.
+    #[display("the memory for requests is in use: send it again later")]
+    #[from(ignore)]
+    NoMemory,
 }
 
 impl BodyError {
@@ -53,6 +57,12 @@
     pub const fn is_too_large(&self) -> bool {
         matches!(self, Self::TooLarge { .. })
     }
+
+    /// Returns whether there was no memory for the body.
+    #[must_use]
+    pub const fn is_no_memory(&self) -> bool {
+        matches!(self, Self::NoMemory)
+    }
 }
 
 /// Returns a body with the given bytes.
--- /dev/null
+++ b/runtime/src/http/connections.rs
@@ -0,0 +1,357 @@
+//! The open connections of a server, and the memory of their requests.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::TcpStream;
+use std::pin::Pin;
+use std::pin::pin;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+
+use async_io::Async;
+use bytes::Bytes;
+use futures_lite::AsyncRead;
+use futures_lite::AsyncWrite;
+use futures_lite::FutureExt;
+use http_body_util::BodyExt;
+use hyper::body::Body;
+use hyper::body::Incoming;
+use snipeyoke_lib::serving::caller_connections::CallerConnections;
+use snipeyoke_lib::serving::caller_connections::ConnectionId;
+use snipeyoke_lib::serving::caller_connections::ConnectionLimits;
+use snipeyoke_lib::serving::caller_connections::ConnectionState;
+use snipeyoke_lib::serving::caller_connections::NoPlace;
+
+use super::body::BodyError;
+use crate::clock::Clock;
+use crate::flag::Flag;
+
+/// The least size of a buffer for a body, in bytes.
+const BUFFER_MIN_BYTES: usize = 4 << 10;
+
+/// The most by which a buffer for a body grows at once, in bytes.
+const BUFFER_STEP_BYTES: usize = 256 << 10;
+
+/// The open connections of a server.
+#[derive(Debug)]
+pub(super) struct Connections {
+    clock: Clock,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    table: CallerConnections,
+    open: BTreeMap<ConnectionId, Open>,
+}
+
+#[derive(Debug)]
+struct Open {
+    evicted: Flag,
+    /// The part of a request's body that has arrived.
+    body: Vec<u8>,
+}
+
+impl State {
+    fn evict(&mut self, id: ConnectionId) {
+        if let Some(open) = self.open.remove(&id) {
+            open.evicted.set();
+        }
+    }
+
+    fn record_memory(&self) {
+        metrics::gauge!("snipeyoke_request_memory_bytes").set(self.table.held().0 as f64);
+    }
+}
+
+impl Connections {
+    pub(super) fn new(limits: ConnectionLimits) -> Self {
+        Self {
+            clock: Clock::start(),
+            state: Mutex::new(State {
+                table: CallerConnections::new(limits),
+                open: BTreeMap::new(),
+            }),
+        }
+    }
+
+    /// Adds a connection, which may close another.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`NoPlace`] if no other may be closed.
+    pub(super) fn open(self: &Arc<Self>) -> Result<CallerConnection, NoPlace> {
+        let mut state = self.lock();
+        let (id, evicted) = state.table.open(self.clock.now())?;
+        if let Some(evicted) = evicted {
+            metrics::counter!("snipeyoke_conns_evicted_total").increment(1);
+            state.evict(evicted);
+        }
+        let evicted = Flag::default();
+        let open = Open {
+            evicted: evicted.clone(),
+            body: Vec::new(),
+        };
+        state.open.insert(id, open);
+        drop(state);
+        Ok(CallerConnection {
+            id,
+            connections: Arc::clone(self),
+            evicted,
+            is_waiting: AtomicBool::new(true),
+            has_request: AtomicBool::new(false),
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// An open connection of a caller; dropping it frees its place.
+#[derive(Debug)]
+pub struct CallerConnection {
+    id: ConnectionId,
+    connections: Arc<Connections>,
+    evicted: Flag,
+    /// Whether no byte of the next request has arrived.
+    is_waiting: AtomicBool,
+    has_request: AtomicBool,
+}
+
+impl CallerConnection {
+    /// Reads the body of the connection's request within the memory for requests.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError`] if it has more than `max` bytes, if its connection fails, or
+    /// if there is no memory for it. A body that arrives slowly loses its memory to others.
+    pub async fn receive(
+        self: &Arc<Self>,
+        mut body: Incoming,
+        max: usize,
+    ) -> Result<HeldBody, BodyError> {
+        let declared = body.size_hint().exact().map(|n| n as usize);
+        if declared.is_some_and(|n| n > max) {
+            return Err(BodyError::TooLarge { max });
+        }
+        self.check_memory(declared.unwrap_or_default(), max)?;
+        let mut evicted = pin!(self.evicted.wait());
+        loop {
+            let frame = async { Some(body.frame().await) };
+            let given_up = async {
+                evicted.as_mut().await;
+                None
+            };
+            let frame = frame.or(given_up).await.ok_or(BodyError::NoMemory)?;
+            let Some(frame) = frame else {
+                return self.take_body();
+            };
+            if let Ok(data) = frame.map_err(BodyError::Connection)?.into_data() {
+                self.append(&data, declared.unwrap_or(max), max)?;
+            }
+        }
+    }
+
+    /// Waits until the connection is to be closed for another.
+    pub(super) async fn evicted(&self) {
+        self.evicted.wait().await;
+    }
+
+    /// Returns whether the connection is to be closed for another.
+    pub(super) fn is_evicted(&self) -> bool {
+        self.evicted.is_set()
+    }
+
+    /// Returns whether a request is in progress.
+    pub(super) fn has_request(&self) -> bool {
+        self.has_request.load(Ordering::SeqCst)
+    }
+
+    /// Records that the head of a request is complete.
+    pub(super) fn begin_request(&self, has_body: bool) {
+        self.is_waiting.store(false, Ordering::SeqCst);
+        self.has_request.store(true, Ordering::SeqCst);
+        self.set_state(if has_body {
+            ConnectionState::Body
+        } else {
+            ConnectionState::Running
+        });
+    }
+
+    /// Records that the response has been sent.
+    pub(super) fn end_request(&self) {
+        self.set_state(ConnectionState::Idle);
+        self.has_request.store(false, Ordering::SeqCst);
+        self.is_waiting.store(true, Ordering::SeqCst);
+    }
+
+    fn begin_head(&self) {
+        if self.is_waiting.swap(false, Ordering::SeqCst) {
+            self.set_state(ConnectionState::Head);
+        }
+    }
+
+    fn set_state(&self, next: ConnectionState) {
+        let now = self.connections.clock.now();
+        self.connections.lock().table.set_state(now, self.id, next);
+    }
+
+    fn check_memory(&self, length: usize, max: usize) -> Result<(), BodyError> {
+        let now = self.connections.clock.now();
+        let state = self.connections.lock();
+        let has_memory = state
+            .table
+            .has_memory(now, self.id, length as u64, max as u64);
+        has_memory.then_some(()).ok_or(BodyError::NoMemory)
+    }
+
+    fn append(&self, data: &[u8], expected: usize, max: usize) -> Result<(), BodyError> {
+        let now = self.connections.clock.now();
+        let mut state = self.connections.lock();
+        let State { table, open } = &mut *state;
+        let buffer = &open.get(&self.id).ok_or(BodyError::NoMemory)?.body;
+        let length = buffer.len() + data.len();
+        if length > max {
+            return Err(BodyError::TooLarge { max });
+        }
+        let capacity = grown_capacity(buffer.capacity(), length, expected);
+        let granted = table.hold(now, self.id, capacity as u64, max as u64);
+        let Ok(evicted) = granted else {
+            return Err(BodyError::NoMemory);
+        };
+        for id in evicted {
+            state.evict(id);
+        }
+        if let Some(open) = state.open.get_mut(&self.id) {
+            let more = capacity - open.body.len();
+            open.body.reserve_exact(more);
+            open.body.extend_from_slice(data);
+        }
+        state.record_memory();
+        Ok(())
+    }
+
+    fn take_body(self: &Arc<Self>) -> Result<HeldBody, BodyError> {
+        let now = self.connections.clock.now();
+        let mut state = self.connections.lock();
+        let open = state.open.get_mut(&self.id).ok_or(BodyError::NoMemory)?;
+        let mut body = std::mem::take(&mut open.body);
+        body.shrink_to_fit();
+        state.table.shrink(self.id, body.len() as u64);
+        state
+            .table
+            .set_state(now, self.id, ConnectionState::Running);
+        drop(state);
+        Ok(HeldBody {
+            bytes: Bytes::from(body),
+            memory: HeldMemory(Arc::clone(self)),
+        })
+    }
+
+    fn free_memory(&self) {
+        let mut state = self.connections.lock();
+        state.table.shrink(self.id, 0);
+        state.record_memory();
+    }
+}
+
+impl Drop for CallerConnection {
+    fn drop(&mut self) {
+        let mut state = self.connections.lock();
+        state.table.close(self.id);
+        state.open.remove(&self.id);
+        state.record_memory();
+    }
+}
+
+/// Returns the capacity of a buffer that is to hold `length` bytes of the `expected`.
+fn grown_capacity(capacity: usize, length: usize, expected: usize) -> usize {
+    if length <= capacity {
+        return capacity;
+    }
+    let step = capacity.clamp(BUFFER_MIN_BYTES, BUFFER_STEP_BYTES);
+    let grown = capacity.saturating_add(step);
+    grown.min(expected).max(length)
+}
+
+/// A body that was read, and its part of the memory for requests.
+#[derive(Debug)]
+pub struct HeldBody {
+    /// The whole body.
+    pub bytes: Bytes,
+    /// To be kept for as long as the bytes.
+    pub memory: HeldMemory,
+}
+
+/// A part of the memory for requests, which is free when this is dropped.
+#[derive(Debug)]
+pub struct HeldMemory(Arc<CallerConnection>);
+
+impl Drop for HeldMemory {
+    fn drop(&mut self) {
+        self.0.free_memory();
+    }
+}
+
+/// Ends a request when its response has been sent or abandoned.
+pub(super) struct RequestGuard(pub(super) Arc<CallerConnection>);
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.0.end_request();
+    }
+}
+
+/// The socket of a connection, which records when a head begins to arrive.
+pub(super) struct ObservedStream {
+    pub(super) stream: Async<TcpStream>,
+    pub(super) connection: Arc<CallerConnection>,
+}
+
+impl AsyncRead for ObservedStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut [u8],
+    ) -> Poll<io::Result<usize>> {
+        let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
+        if count > 0 {
+            self.connection.begin_head();
+        }
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl AsyncWrite for ObservedStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_close(cx)
+    }
+}
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -2,6 +2,7 @@
 
 mod body;
 mod client;
+mod connections;
 mod server;
 
 pub use body::BodyAborted;
@@ -18,6 +19,9 @@
 pub use client::ClientError;
 pub use client::PooledConn;
 pub use client::Response;
+pub use connections::CallerConnection;
+pub use connections::HeldBody;
+pub use connections::HeldMemory;
 pub use server::Bounds;
 pub use server::HEADER_MAX_BYTES;
 pub use server::Handler;
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -14,15 +14,24 @@
 use async_io::Timer;
 use futures_lite::FutureExt;
 use futures_lite::future;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::header::CONNECTION;
 use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
+use rustix::system::sysinfo;
 use smol_hyper::rt::FuturesIo;
 use smol_hyper::rt::SmolTimer;
+use snipeyoke_lib::serving::caller_connections::ConnectionLimits;
+use snipeyoke_lib::units::Bytes;
 
 use super::body::ReplyBody;
+use super::body::with_guard;
+use super::connections::CallerConnection;
+use super::connections::Connections;
+use super::connections::ObservedStream;
+use super::connections::RequestGuard;
 use crate::flag::Flag;
 use crate::link::set_socket_options;
 use crate::scope::Scope;
@@ -66,6 +75,23 @@
     pub head_timeout: Duration,
     /// The maximum number of open connections.
     pub conns: usize,
+    /// The memory of the process; all that the system has if `None`.
+    pub memory: Option<Bytes>,
+}
+
+impl Bounds {
+    fn limits(&self, header_max: usize) -> ConnectionLimits {
+        let memory = self.memory.unwrap_or_else(system_memory);
+        ConnectionLimits {
+            count: usize::MAX,
+            ..ConnectionLimits::new(memory, self.conns, Bytes(header_max as u64))
+        }
+    }
+}
+
+fn system_memory() -> Bytes {
+    let system = sysinfo();
+    Bytes(system.totalram * u64::from(system.mem_unit))
 }
 
 impl Default for Bounds {
@@ -73,6 +99,7 @@
         Self {
             head_timeout: Duration::from_secs(30),
             conns: 3_500,
+            memory: None,
         }
     }
 }
@@ -124,6 +151,7 @@
     end: Flag,
 ) {
     let server = Server {
+        connections: Arc::new(Connections::new(bounds.limits(handler.header_max()))),
         listener,
         handler,
         bounds,
@@ -153,6 +181,7 @@
     handler: Arc<dyn Handler>,
     bounds: Bounds,
     scope: Scope,
+    connections: Arc<Connections>,
 }
 
 impl Server {
@@ -170,14 +199,20 @@
             };
             match accepted.or(ended).await {
                 None => return,
-                Some(Ok((stream, _peer))) if self.scope.len() < self.bounds.conns => {
-                    let handler = Arc::clone(&self.handler);
-                    let conn = connection(stream, handler, self.bounds, lifetime());
-                    self.scope.spawn(conn);
-                }
-                // Over the limit, the connection is closed unread, so nothing ran.
-                Some(Ok(_refused)) => {
-                    metrics::counter!("snipeyoke_conns_refused_total").increment(1);
+                Some(Ok((stream, _peer))) => {
+                    if let Some(connection) = self.open() {
+                        let handler = Arc::clone(&self.handler);
+                        let conn = serve_stream(
+                            (stream, Arc::new(connection)),
+                            handler,
+                            self.bounds,
+                            lifetime(),
+                        );
+                        self.scope.spawn(conn);
+                    } else {
+                        // The connection is closed unread, so nothing ran.
+                        metrics::counter!("snipeyoke_conns_refused_total").increment(1);
+                    }
                 }
                 Some(Err(error)) => {
                     log::warn!(event = "accept-failed", error = error.to_string().as_str(), remedy = "raise the descriptor limit"; "");
@@ -188,8 +223,19 @@
     }
 }
 
-async fn connection(
-    stream: Async<TcpStream>,
+impl Server {
+    /// Returns the place of a connection that was accepted, if there is one.
+    fn open(&self) -> Option<CallerConnection> {
+        // Over the limit, the connection is closed unread, so nothing ran.
+        if self.scope.len() >= self.bounds.conns {
+            return None;
+        }
+        self.connections.open().ok()
+    }
+}
+
+async fn serve_stream(
+    (stream, connection): (Async<TcpStream>, Arc<CallerConnection>),
     handler: Arc<dyn Handler>,
     bounds: Bounds,
     lifetime: ConnLifetime,
@@ -202,11 +248,15 @@
     let has_request = Flag::default();
     let header_max = handler.header_max();
     let head_max = header_max.saturating_add(REQUEST_LINE_MAX_BYTES);
-    let service = service_fn(|request: Request| {
+    let service = service_fn(|mut request: Request| {
         has_request.set();
+        connection.begin_request(!request.body().is_end_stream());
+        let guard = RequestGuard(Arc::clone(&connection));
+        request.extensions_mut().insert(Arc::clone(&connection));
         let handler = Arc::clone(&handler);
         async move {
-            let mut reply = handler.handle(request).await;
+            let reply = handler.handle(request).await;
+            let mut reply = reply.map(|body| with_guard(body, guard));
             if handler.header_max() > header_max {
                 // Later requests may have larger headers than this connection reads.
                 let close = HeaderValue::from_static("close");
@@ -219,13 +269,17 @@
         ConnLifetime::KeepAlive(_) => bounds.head_timeout,
         ConnLifetime::OneRequest => bounds.head_timeout.min(DRAIN_HEAD_TIMEOUT),
     };
+    let observed = ObservedStream {
+        stream,
+        connection: Arc::clone(&connection),
+    };
     let conn = http1::Builder::new()
         .timer(SmolTimer::new())
         .keep_alive(matches!(lifetime, ConnLifetime::KeepAlive(_)))
         .header_read_timeout(head_timeout)
         .max_header_size(head_max)
         .max_buf_size(head_max.saturating_add(READ_AHEAD_BYTES))
-        .serve_connection(FuturesIo::new(stream), service);
+        .serve_connection(FuturesIo::new(observed), service);
     let mut conn = pin!(conn);
     let served = async { Some(conn.as_mut().await) };
     let drained = async {
@@ -240,9 +294,15 @@
         has_request.wait().or(first_request_timeout).await;
         None
     };
-    let ended = served.or(drained).await;
+    let evicted = async {
+        connection.evicted().await;
+        None
+    };
+    let ended = served.or(drained).or(evicted).await;
     let result = if let Some(result) = ended {
         result
+    } else if connection.is_evicted() && !connection.has_request() {
+        return;
     } else {
         conn.as_mut().graceful_shutdown();
         conn.await
