runtime: give the places of connections that finish nothing to callers

A caller found all places taken by connections that had sent nothing, half a head or two bytes of a body, and was closed unread until these timed out after 16 s or at their deadline; so was a readiness probe, which takes a node out of rotation. The server closed the newest when its places were taken.

It now asks `CallerConnections`, which closes the one least likely to become a request, and counts places by the memory of the process, too: a third of it, with a head of the largest size for each. A connection that lost its place while its body was read gets 503 `no-memory`; any other is closed unread. The server keeps room for an eighth of its connections while they close.

test_connections failed before (no response to an ordinary request, nor to a probe, with 64 places and 128 to 384 clients) and passes.

--- a/runtime/src/http/connections.rs
+++ b/runtime/src/http/connections.rs
@@ -82,6 +82,10 @@
         }
     }
 
+    pub(super) fn set_limits(&self, limits: ConnectionLimits) {
+        self.lock().table.set_limits(limits);
+    }
+
     /// Adds a connection, which may close another.
     ///
     /// # Errors
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -82,10 +82,7 @@
 impl Bounds {
     fn limits(&self, header_max: usize) -> ConnectionLimits {
         let memory = self.memory.unwrap_or_else(system_memory);
-        ConnectionLimits {
-            count: usize::MAX,
-            ..ConnectionLimits::new(memory, self.conns, Bytes(header_max as u64))
-        }
+        ConnectionLimits::new(memory, self.conns, Bytes(header_max as u64))
     }
 }
 
@@ -109,6 +106,9 @@
 /// Accept fails when file descriptors run out; an immediate retry would spin.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
+/// The server has room for one part in this many of its connections while they close.
+const CLOSING_PART: usize = 8;
+
 /// The timeout for the head of a first request during and after a drain.
 ///
 /// A client that connects and sends nothing would otherwise delay the exit.
@@ -226,8 +226,11 @@
 impl Server {
     /// Returns the place of a connection that was accepted, if there is one.
     fn open(&self) -> Option<CallerConnection> {
-        // Over the limit, the connection is closed unread, so nothing ran.
-        if self.scope.len() >= self.bounds.conns {
+        let limits = self.bounds.limits(self.handler.header_max());
+        self.connections.set_limits(limits);
+        // Connections that lost their places may still be closing.
+        let closing_max = limits.count / CLOSING_PART + 1;
+        if self.scope.len() >= limits.count + closing_max {
             return None;
         }
         self.connections.open().ok()
