runtime: let connections that lost their places close before refusing more

In one of four runs a readiness probe beside 128 connections got no response: the server accepted the whole queue before any connection that had lost its place was dropped, so the room for closing ones was used up and the probe was refused.

--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -200,7 +200,7 @@
             match accepted.or(ended).await {
                 None => return,
                 Some(Ok((stream, _peer))) => {
-                    if let Some(connection) = self.open() {
+                    if let Some(connection) = self.open().await {
                         let handler = Arc::clone(&self.handler);
                         let conn = serve_stream(
                             (stream, Arc::new(connection)),
@@ -225,12 +225,16 @@
 
 impl Server {
     /// Returns the place of a connection that was accepted, if there is one.
-    fn open(&self) -> Option<CallerConnection> {
+    async fn open(&self) -> Option<CallerConnection> {
         let limits = self.bounds.limits(self.handler.header_max());
         self.connections.set_limits(limits);
-        // Connections that lost their places may still be closing.
-        let closing_max = limits.count / CLOSING_PART + 1;
-        if self.scope.len() >= limits.count + closing_max {
+        // Connections that lost their places may still be closing, most of them as soon
+        // as their tasks run.
+        let most = limits.count + limits.count / CLOSING_PART + 1;
+        if self.scope.len() >= most {
+            future::yield_now().await;
+        }
+        if self.scope.len() >= most {
             return None;
         }
         self.connections.open().ok()
