runtime: take all header lines that fit into the limit in bytes

A head of 16 KB with over 100 lines got 431, although it is within `max-header-bytes`, the only limit that callers are told of. 100 lines are the default of the HTTP library.

The server now takes as many lines as fit. Progress of a body and growth of its buffer are two calls now, as growth alone needs a decision.

--- a/gateway/src/ingress.rs
+++ b/gateway/src/ingress.rs
@@ -95,7 +95,7 @@
         }
         let received = async {
             let connection = connection.as_ref().ok_or(BodyError::NoMemory)?;
-            connection.receive(body, max_body).await
+            connection.receive(&ctx.head.headers, body, max_body).await
         };
         match ctx.before_give_up(received).await {
             Some(Ok(HeldBody { bytes, memory })) => {
--- a/lib/src/serving/caller_connections.rs
+++ b/lib/src/serving/caller_connections.rs
@@ -197,6 +197,13 @@
         }
     }
 
+    /// Records that more of a request has arrived.
+    pub fn record_progress(&mut self, now: Time, id: ConnectionId) {
+        if let Some(connection) = self.connections.get_mut(&id) {
+            connection.progress = now;
+        }
+    }
+
     /// Returns whether a request with a body of `length` bytes can get its memory now.
     ///
     /// `body_max` is the largest body that callers may send.
@@ -238,9 +245,7 @@
             self.close(oldest);
         }
         self.resize(id, bytes);
-        if let Some(connection) = self.connections.get_mut(&id) {
-            connection.progress = now;
-        }
+        self.record_progress(now, id);
         Ok(evicted)
     }
 
--- a/router/src/ingress/intake.rs
+++ b/router/src/ingress/intake.rs
@@ -110,7 +110,8 @@
     let connection = request.extensions_mut().remove::<Arc<CallerConnection>>();
     let read = async {
         let connection = connection.ok_or(IngressError::NoMemory)?;
-        let body = connection.receive(request.into_body(), bounds.body_bytes);
+        let (head, body) = request.into_parts();
+        let body = connection.receive(&head.headers, body, bounds.body_bytes);
         body.await.map_err(|error| match error {
             BodyError::TooLarge { max } => IngressError::TooLarge { max },
             BodyError::Connection(_) => IngressError::SlowBody,
--- a/runtime/src/http/connections.rs
+++ b/runtime/src/http/connections.rs
@@ -21,6 +21,7 @@
 use futures_lite::AsyncWrite;
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
+use hyper::HeaderMap;
 use hyper::body::Body;
 use hyper::body::Incoming;
 use snipeyoke_lib::serving::caller_connections::CallerConnections;
@@ -39,6 +40,12 @@
 /// The most by which a buffer for a body grows at once, in bytes.
 const BUFFER_STEP_BYTES: usize = 256 << 10;
 
+/// The number of headers that a request may have before they count as memory.
+const FREE_HEADERS: usize = 100;
+
+/// What a header holds beside its text, here and in the call to the endpoint, in bytes.
+const HEADER_BYTES: usize = 512;
+
 /// The open connections of a server.
 #[derive(Debug)]
 pub(super) struct Connections {
@@ -131,7 +138,8 @@
 }
 
 impl CallerConnection {
-    /// Reads the body of the connection's request within the memory for requests.
+    /// Reads the body of the connection's request within the memory for requests, in
+    /// which the request's headers count, too, if they are many.
     ///
     /// # Errors
     ///
@@ -139,6 +147,7 @@
     /// if there is no memory for it. A body that arrives slowly loses its memory to others.
     pub async fn receive(
         self: &Arc<Self>,
+        headers: &HeaderMap,
         mut body: Incoming,
         max: usize,
     ) -> Result<HeldBody, BodyError> {
@@ -146,7 +155,9 @@
         if declared.is_some_and(|n| n > max) {
             return Err(BodyError::TooLarge { max });
         }
-        self.check_memory(declared.unwrap_or_default(), max)?;
+        let head = headers.len().saturating_sub(FREE_HEADERS) * HEADER_BYTES;
+        self.check_memory(head + declared.unwrap_or_default(), head + max)?;
+        self.hold(head, head + max)?;
         let mut evicted = pin!(self.evicted.wait());
         loop {
             let frame = async { Some(body.frame().await) };
@@ -156,10 +167,10 @@
             };
             let frame = frame.or(given_up).await.ok_or(BodyError::NoMemory)?;
             let Some(frame) = frame else {
-                return self.take_body();
+                return self.take_body(head);
             };
             if let Ok(data) = frame.map_err(BodyError::Connection)?.into_data() {
-                self.append(&data, declared.unwrap_or(max), max)?;
+                self.append(&data, head, (declared.unwrap_or(max), max))?;
             }
         }
     }
@@ -217,39 +228,55 @@
         has_memory.then_some(()).ok_or(BodyError::NoMemory)
     }
 
-    fn append(&self, data: &[u8], expected: usize, max: usize) -> Result<(), BodyError> {
+    /// Makes the request hold `bytes` in total, which others may have to give up.
+    fn hold(&self, bytes: usize, max: usize) -> Result<(), BodyError> {
         let now = self.connections.clock.now();
         let mut state = self.connections.lock();
-        let State { table, open } = &mut *state;
-        let buffer = &open.get(&self.id).ok_or(BodyError::NoMemory)?.body;
-        let length = buffer.len() + data.len();
-        if length > max {
-            return Err(BodyError::TooLarge { max });
-        }
-        let capacity = grown_capacity(buffer.capacity(), length, expected);
-        let granted = table.hold(now, self.id, capacity as u64, max as u64);
+        let granted = state.table.hold(now, self.id, bytes as u64, max as u64);
         let Ok(evicted) = granted else {
             return Err(BodyError::NoMemory);
         };
         for id in evicted {
             state.evict(id);
         }
-        if let Some(open) = state.open.get_mut(&self.id) {
-            let more = capacity - open.body.len();
-            open.body.reserve_exact(more);
-            open.body.extend_from_slice(data);
-        }
         state.record_memory();
         Ok(())
     }
 
-    fn take_body(self: &Arc<Self>) -> Result<HeldBody, BodyError> {
+    fn append(
+        &self,
+        data: &[u8],
+        head: usize,
+        (expected, max): (usize, usize),
+    ) -> Result<(), BodyError> {
+        let (length, capacity) = {
+            let state = self.connections.lock();
+            let buffer = &state.open.get(&self.id).ok_or(BodyError::NoMemory)?.body;
+            (buffer.len() + data.len(), buffer.capacity())
+        };
+        if length > max {
+            return Err(BodyError::TooLarge { max });
+        }
+        let grown = grown_capacity(capacity, length, expected);
+        if grown > capacity {
+            self.hold(head + grown, head + max)?;
+        }
+        let now = self.connections.clock.now();
+        let mut state = self.connections.lock();
+        state.table.record_progress(now, self.id);
+        let open = state.open.get_mut(&self.id).ok_or(BodyError::NoMemory)?;
+        open.body.reserve_exact(grown - open.body.len());
+        open.body.extend_from_slice(data);
+        Ok(())
+    }
+
+    fn take_body(self: &Arc<Self>, head: usize) -> Result<HeldBody, BodyError> {
         let now = self.connections.clock.now();
         let mut state = self.connections.lock();
         let open = state.open.get_mut(&self.id).ok_or(BodyError::NoMemory)?;
         let mut body = std::mem::take(&mut open.body);
         body.shrink_to_fit();
-        state.table.shrink(self.id, body.len() as u64);
+        state.table.shrink(self.id, (head + body.len()) as u64);
         state
             .table
             .set_state(now, self.id, ConnectionState::Running);
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -63,6 +63,9 @@
 /// Limits on headers do not include them.
 const REQUEST_LINE_MAX_BYTES: usize = 4 << 10;
 
+/// The size of the shortest header line, in bytes: a letter, a colon and the line's end.
+const HEADER_LINE_MIN_BYTES: usize = 4;
+
 /// What is read beyond a head, in bytes.
 ///
 /// The HTTP library allocates and reads in steps of this size.
@@ -284,6 +287,7 @@
         .timer(SmolTimer::new())
         .keep_alive(matches!(lifetime, ConnLifetime::KeepAlive(_)))
         .header_read_timeout(head_timeout)
+        .max_headers(header_max / HEADER_LINE_MIN_BYTES)
         .max_header_size(head_max)
         .max_buf_size(head_max.saturating_add(READ_AHEAD_BYTES))
         .serve_connection(FuturesIo::new(observed), service);
