runtime, gateway: bound the memory of long responses that are not read

150 clients that asked for a response of 32 MB and read nothing made a node take 99 MB: it buffers 256 KiB of a response before it relays it, so that one that breaks off can be tried again, copies it into the write buffer, and counts neither.

From 16 KiB on a response counts in the memory for requests, with the buffers of its relay. It is sent in slices of 16 KiB without a copy. If the memory runs out, responses of which callers have taken nothing for 2 s are cut; without any of these the request ends with 502, as it has run.

--- a/gateway/src/unary.rs
+++ b/gateway/src/unary.rs
@@ -11,6 +11,8 @@
 use snipeyoke_runtime::http::ReplyBody;
 use snipeyoke_runtime::http::abortable;
 use snipeyoke_runtime::http::full;
+use snipeyoke_runtime::http::next_slice;
+use snipeyoke_runtime::http::sliced;
 
 use crate::attempt::OpenResponse;
 use crate::attempt::claims_not_run;
@@ -34,6 +36,14 @@
 /// longer one is relayed as it arrives, unless it is a failure: these may have no end.
 const BUFFER_MAX: usize = 256 << 10;
 
+/// The maximum size of a response that does not count in the memory for requests, in
+/// bytes.
+const UNCOUNTED_MAX: usize = 16 << 10;
+
+/// What a response that is relayed as it arrives holds at most, in bytes: the read
+/// buffer of the endpoint's connection and what waits to be written.
+const RELAY_BYTES: usize = 96 << 10;
+
 /// Serves a request with a single response.
 pub(crate) async fn serve_unary(mut ctx: RequestContext, mut stages: Option<StageWork>) -> Reply {
     loop {
@@ -48,9 +58,13 @@
             }
             ReadResult::Failed(_) if try_repeat(&ctx, "endpoint-failed") => continue,
             ReadResult::Complete(head, bytes) | ReadResult::Failed(Some((head, bytes))) => {
-                return relay(ctx, head, full(bytes));
+                let body = match ctx.memory.take() {
+                    Some(memory) if bytes.len() > UNCOUNTED_MAX => sliced(bytes, memory),
+                    _ => full(bytes),
+                };
+                return relay(ctx, head, body);
             }
-            ReadResult::Failed(None) => Refusal::ResponseLost,
+            ReadResult::Failed(None) | ReadResult::NoMemory => Refusal::ResponseLost,
             ReadResult::Timeout => ctx.timeout_refusal(),
         };
         return refuse(ctx, refusal);
@@ -87,6 +101,8 @@
     Complete(Head, Bytes),
     Oversized(Head, Bytes, Box<OpenResponse>),
     Failed(Option<(Head, Bytes)>),
+    /// Other requests have the memory for the response.
+    NoMemory,
     Timeout,
 }
 
@@ -108,6 +124,14 @@
                 return ReadResult::Failed(None);
             }
         }
+        let needed = buffer.capacity() + RELAY_BYTES;
+        let memory = ctx.memory.as_ref();
+        if buffer.len() > UNCOUNTED_MAX && memory.is_some_and(|m| m.hold_response(needed).is_err())
+        {
+            log::info!(event = "response-without-memory", request = ctx.request.id.as_str(), bytes = buffer.len(); "");
+            response.flight.settle();
+            return ReadResult::NoMemory;
+        }
         let is_whole_later = status.is_success() && response.head.signed;
         if buffer.len() > BUFFER_MAX && !is_whole_later {
             log::warn!(event = "answer-endless", request = ctx.request.id.as_str(), endpoint = response.flight.entry.id.to_string().as_str(), status = status.as_u16(), bytes = buffer.len(); "");
@@ -155,14 +179,18 @@
     first: Bytes,
     rest: Box<OpenResponse>,
 ) -> Reply {
-    let state = (ctx, rest, Some(first));
+    let state = (ctx, rest, first);
     let chunks = stream::unfold(Some(state), move |state| async move {
-        let (mut ctx, mut rest, first) = state?;
-        if let Some(first) = first {
-            return Some((Ok(first), Some((ctx, rest, None))));
+        let (mut ctx, mut rest, mut buffered) = state?;
+        if let Some(memory) = &ctx.memory {
+            memory.record_progress();
+        }
+        if !buffered.is_empty() {
+            let slice = next_slice(&mut buffered);
+            return Some((Ok(slice), Some((ctx, rest, buffered))));
         }
         match ctx.before_deadline(rest.call.next()).await {
-            Some(Ok(Some(bytes))) => Some((Ok(bytes), Some((ctx, rest, None)))),
+            Some(Ok(Some(bytes))) => Some((Ok(bytes), Some((ctx, rest, Bytes::new())))),
             Some(Ok(None)) => {
                 rest.flight.settle();
                 ctx.set_outcome(status, "answered");
--- a/lib/src/serving/caller_connections.rs
+++ b/lib/src/serving/caller_connections.rs
@@ -22,6 +22,12 @@
 /// Callers send bodies at once, and few wait for a response much longer than this.
 const ARRIVAL_TIME: Duration = Duration::from_secs(2);
 
+/// The time for which a caller may read nothing of a long response before its connection
+/// may lose its place or its memory to another.
+///
+/// A caller that is out of reach for a moment reads on sooner.
+const UNREAD_TIME: Duration = Duration::from_secs(2);
+
 /// The size up to which a body may use all memory for requests, in bytes.
 const SMALL_BODY_BYTES: u64 = 128 << 10;
 
@@ -77,6 +83,8 @@
     Body,
     /// The response to its request.
     Running,
+    /// The caller to read the rest of a long response.
+    Responding,
     /// The next request.
     Idle,
 }
@@ -98,7 +106,7 @@
     state: ConnectionState,
     /// When the state began.
     since: Time,
-    /// When the last bytes of a body arrived.
+    /// When the last bytes of a body arrived, or of a response were taken.
     progress: Time,
     /// The bytes that its request holds.
     held: u64,
@@ -109,8 +117,17 @@
         matches!(self.state, ConnectionState::New | ConnectionState::Head)
     }
 
+    /// Returns whether its caller keeps others waiting: a head or body arrives slowly, or
+    /// a response is not read.
     fn is_slow(&self, now: Time) -> bool {
-        now.since(self.progress) >= STALL_TIME || now.since(self.since) >= ARRIVAL_TIME
+        let unchanged = now.since(self.progress);
+        match self.state {
+            ConnectionState::New | ConnectionState::Head | ConnectionState::Body => {
+                unchanged >= STALL_TIME || now.since(self.since) >= ARRIVAL_TIME
+            }
+            ConnectionState::Responding => unchanged >= UNREAD_TIME,
+            ConnectionState::Running | ConnectionState::Idle => false,
+        }
     }
 }
 
@@ -161,8 +178,9 @@
     /// Adds a connection; returns it and the one to close for it.
     ///
     /// The first to close are those whose heads do not arrive, or the oldest of these if
-    /// most connections wait for heads; then those whose bodies do not arrive; then those
-    /// between two requests, on which a caller may just be sending.
+    /// most connections wait for heads; then those whose bodies do not arrive or whose
+    /// responses are not read; then those between two requests, on which a caller may
+    /// just be sending.
     ///
     /// # Errors
     ///
@@ -197,7 +215,7 @@
         }
     }
 
-    /// Records that more of a request has arrived.
+    /// Records that more of a request has arrived, or more of a response was taken.
     pub fn record_progress(&mut self, now: Time, id: ConnectionId) {
         if let Some(connection) = self.connections.get_mut(&id) {
             connection.progress = now;
@@ -210,13 +228,14 @@
     #[must_use]
     pub fn has_memory(&self, now: Time, id: ConnectionId, length: u64, body_max: u64) -> bool {
         let missing = self.missing(id, length, body_max);
-        missing == 0 || missing <= self.slow_bodies(now, id).map(|(_, c)| c.held).sum()
+        missing == 0 || missing <= self.slow(now, id).map(|(_, c)| c.held).sum()
     }
 
     /// Grants a request `bytes` of memory in total; returns the requests to give up for
     /// it, whose memory is free from now on.
     ///
-    /// These are bodies that arrive slowly, the oldest first. A body never waits for the
+    /// These are bodies that arrive slowly and responses that are not read, the oldest
+    /// first. A body never waits for the
     /// memory of another, so no two wait for each other. One of `body_max` bytes, the
     /// largest that callers may send, is always granted its memory if it is alone.
     ///
@@ -235,9 +254,7 @@
         }
         let mut evicted = Vec::new();
         while self.missing(id, bytes, body_max) > 0 {
-            let oldest = self
-                .slow_bodies(now, id)
-                .min_by_key(|(id, c)| (c.since, **id));
+            let oldest = self.slow(now, id).min_by_key(|(id, c)| (c.since, **id));
             let Some((&oldest, _)) = oldest else {
                 break;
             };
@@ -276,14 +293,15 @@
         needed.saturating_sub(usable)
     }
 
-    /// Returns the bodies that arrive slowly, but for that of `id`.
-    fn slow_bodies(
+    /// Returns the requests that hold memory and keep others waiting, but for that of `id`.
+    fn slow(
         &self,
         now: Time,
         id: ConnectionId,
     ) -> impl Iterator<Item = (&ConnectionId, &Connection)> {
         self.connections.iter().filter(move |&(&other, c)| {
-            other != id && c.state == ConnectionState::Body && c.held > 0 && c.is_slow(now)
+            let may_yield = matches!(c.state, ConnectionState::Body | ConnectionState::Responding);
+            other != id && may_yield && c.held > 0 && c.is_slow(now)
         })
     }
 
@@ -294,7 +312,7 @@
         let are_many = headless.count() > self.limits.count / 2;
         let rank = |c: &Connection| match c.state {
             _ if c.is_headless() && (are_many || c.is_slow(now)) => Some(0),
-            ConnectionState::Body if c.is_slow(now) => Some(1),
+            _ if c.is_slow(now) => Some(1),
             ConnectionState::Idle => Some(2),
             _ => None,
         };
--- a/runtime/src/http/body.rs
+++ b/runtime/src/http/body.rs
@@ -20,6 +20,13 @@
 use hyper::body::Incoming;
 use hyper::body::SizeHint;
 
+use super::connections::HeldMemory;
+
+/// The largest slice of a long response, in bytes.
+///
+/// The connection takes the next slice when most of the one before has been sent.
+const SLICE_MAX_BYTES: usize = 16 << 10;
+
 /// The body of a response sent by the server.
 pub type ReplyBody = UnsyncBoxBody<Bytes, BodyAborted>;
 
@@ -71,6 +78,47 @@
     Full::new(bytes.into()).map_err(never).boxed_unsync()
 }
 
+/// Returns a body with the given bytes, which is sent in slices so that `memory` is held
+/// until the caller has taken most of it.
+#[must_use]
+pub fn sliced(bytes: Bytes, memory: HeldMemory) -> ReplyBody {
+    SlicedBody { bytes, memory }.boxed_unsync()
+}
+
+struct SlicedBody {
+    bytes: Bytes,
+    memory: HeldMemory,
+}
+
+impl Body for SlicedBody {
+    type Data = Bytes;
+    type Error = BodyAborted;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        _cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAborted>>> {
+        if self.bytes.is_empty() {
+            return Poll::Ready(None);
+        }
+        self.memory.record_progress();
+        Poll::Ready(Some(Ok(Frame::data(next_slice(&mut self.bytes)))))
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.bytes.is_empty()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        SizeHint::with_exact(self.bytes.len() as u64)
+    }
+}
+
+/// Takes the next slice to be sent off the start of `bytes`.
+pub fn next_slice(bytes: &mut Bytes) -> Bytes {
+    bytes.split_to(bytes.len().min(SLICE_MAX_BYTES))
+}
+
 /// Returns an empty body.
 #[must_use]
 pub fn empty() -> ReplyBody {
--- a/runtime/src/http/connections.rs
+++ b/runtime/src/http/connections.rs
@@ -118,6 +118,7 @@
             evicted,
             is_waiting: AtomicBool::new(true),
             has_request: AtomicBool::new(false),
+            is_responding: AtomicBool::new(false),
         })
     }
 
@@ -135,6 +136,8 @@
     /// Whether no byte of the next request has arrived.
     is_waiting: AtomicBool,
     has_request: AtomicBool,
+    /// Whether a long response is being sent.
+    is_responding: AtomicBool,
 }
 
 impl CallerConnection {
@@ -155,9 +158,9 @@
         if declared.is_some_and(|n| n > max) {
             return Err(BodyError::TooLarge { max });
         }
-        let head = headers.len().saturating_sub(FREE_HEADERS) * HEADER_BYTES;
-        self.check_memory(head + declared.unwrap_or_default(), head + max)?;
-        self.hold(head, head + max)?;
+        let extra = headers.len().saturating_sub(FREE_HEADERS) * HEADER_BYTES;
+        self.check_memory(extra + declared.unwrap_or_default(), extra + max)?;
+        self.hold(extra, extra + max)?;
         let mut evicted = pin!(self.evicted.wait());
         loop {
             let frame = async { Some(body.frame().await) };
@@ -167,10 +170,10 @@
             };
             let frame = frame.or(given_up).await.ok_or(BodyError::NoMemory)?;
             let Some(frame) = frame else {
-                return self.take_body(head);
+                return self.take_body(extra, extra + max);
             };
             if let Ok(data) = frame.map_err(BodyError::Connection)?.into_data() {
-                self.append(&data, head, (declared.unwrap_or(max), max))?;
+                self.append(&data, extra, (declared.unwrap_or(max), max))?;
             }
         }
     }
@@ -185,9 +188,9 @@
         self.evicted.is_set()
     }
 
-    /// Returns whether a request is in progress.
-    pub(super) fn has_request(&self) -> bool {
-        self.has_request.load(Ordering::SeqCst)
+    /// Returns whether the connection has a request to which a response can still be sent.
+    pub(super) fn can_respond(&self) -> bool {
+        self.has_request.load(Ordering::SeqCst) && !self.is_responding.load(Ordering::SeqCst)
     }
 
     /// Records that the head of a request is complete.
@@ -205,6 +208,7 @@
     pub(super) fn end_request(&self) {
         self.set_state(ConnectionState::Idle);
         self.has_request.store(false, Ordering::SeqCst);
+        self.is_responding.store(false, Ordering::SeqCst);
         self.is_waiting.store(true, Ordering::SeqCst);
     }
 
@@ -246,7 +250,7 @@
     fn append(
         &self,
         data: &[u8],
-        head: usize,
+        extra: usize,
         (expected, max): (usize, usize),
     ) -> Result<(), BodyError> {
         let (length, capacity) = {
@@ -259,7 +263,7 @@
         }
         let grown = grown_capacity(capacity, length, expected);
         if grown > capacity {
-            self.hold(head + grown, head + max)?;
+            self.hold(extra + grown, extra + max)?;
         }
         let now = self.connections.clock.now();
         let mut state = self.connections.lock();
@@ -270,20 +274,25 @@
         Ok(())
     }
 
-    fn take_body(self: &Arc<Self>, head: usize) -> Result<HeldBody, BodyError> {
+    fn take_body(self: &Arc<Self>, extra: usize, max: usize) -> Result<HeldBody, BodyError> {
         let now = self.connections.clock.now();
         let mut state = self.connections.lock();
         let open = state.open.get_mut(&self.id).ok_or(BodyError::NoMemory)?;
         let mut body = std::mem::take(&mut open.body);
         body.shrink_to_fit();
-        state.table.shrink(self.id, (head + body.len()) as u64);
+        let held = extra + body.len();
+        state.table.shrink(self.id, held as u64);
         state
             .table
             .set_state(now, self.id, ConnectionState::Running);
         drop(state);
         Ok(HeldBody {
             bytes: Bytes::from(body),
-            memory: HeldMemory(Arc::clone(self)),
+            memory: HeldMemory {
+                connection: Arc::clone(self),
+                held,
+                max,
+            },
         })
     }
 
@@ -324,11 +333,45 @@
 
 /// A part of the memory for requests, which is free when this is dropped.
 #[derive(Debug)]
-pub struct HeldMemory(Arc<CallerConnection>);
+pub struct HeldMemory {
+    connection: Arc<CallerConnection>,
+    /// What the request holds, without its response, in bytes.
+    held: usize,
+    max: usize,
+}
+
+impl HeldMemory {
+    /// Grants memory for `bytes` of a long response in total.
+    ///
+    /// From now on, the connection may be closed for others while its caller reads
+    /// nothing.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError::NoMemory`] if there is none.
+    pub fn hold_response(&self, bytes: usize) -> Result<(), BodyError> {
+        let connection = &self.connection;
+        connection.hold(self.held + bytes, self.max.max(self.held + bytes))?;
+        if !connection.is_responding.swap(true, Ordering::SeqCst) {
+            connection.set_state(ConnectionState::Responding);
+        }
+        Ok(())
+    }
+
+    /// Records that the caller has taken more of the response.
+    pub fn record_progress(&self) {
+        let connections = &self.connection.connections;
+        let now = connections.clock.now();
+        connections
+            .lock()
+            .table
+            .record_progress(now, self.connection.id);
+    }
+}
 
 impl Drop for HeldMemory {
     fn drop(&mut self) {
-        self.0.free_memory();
+        self.connection.free_memory();
     }
 }
 
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -13,6 +13,8 @@
 pub use body::collect_with_progress;
 pub use body::empty;
 pub use body::full;
+pub use body::next_slice;
+pub use body::sliced;
 pub use body::streamed;
 pub use body::with_guard;
 pub use client::Client;
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -287,6 +287,7 @@
         .timer(SmolTimer::new())
         .keep_alive(matches!(lifetime, ConnLifetime::KeepAlive(_)))
         .header_read_timeout(head_timeout)
+        .writev(true)
         .max_headers(header_max / HEADER_LINE_MIN_BYTES)
         .max_header_size(head_max)
         .max_buf_size(head_max.saturating_add(READ_AHEAD_BYTES))
@@ -312,7 +313,7 @@
     let ended = served.or(drained).or(evicted).await;
     let result = if let Some(result) = ended {
         result
-    } else if connection.is_evicted() && !connection.has_request() {
+    } else if connection.is_evicted() && !connection.can_respond() {
         return;
     } else {
         conn.as_mut().graceful_shutdown();
