runtime: let a caller whose request is refused send its body

A caller whose request was refused before its body was read got a reset while it sent: the server closed the connection with unread bytes. A caller that reads only after it has sent everything may then lose the refusal, and with it the promise that nothing ran.

The server now ends its side of such a connection and discards what arrives, 8 MiB and a second at most; these connections lose their places first.

--- a/lib/src/serving/caller_connections.rs
+++ b/lib/src/serving/caller_connections.rs
@@ -87,6 +87,8 @@
     Responding,
     /// The next request.
     Idle,
+    /// The caller to close it.
+    Closing,
 }
 
 /// No connection may be closed for a new one.
@@ -126,7 +128,7 @@
                 unchanged >= STALL_TIME || now.since(self.since) >= ARRIVAL_TIME
             }
             ConnectionState::Responding => unchanged >= UNREAD_TIME,
-            ConnectionState::Running | ConnectionState::Idle => false,
+            ConnectionState::Running | ConnectionState::Idle | ConnectionState::Closing => false,
         }
     }
 }
@@ -177,7 +179,7 @@
 
     /// Adds a connection; returns it and the one to close for it.
     ///
-    /// The first to close are those whose heads do not arrive, or the oldest of these if
+    /// The first to close are those that are closing anyway, then those whose heads do not arrive, or the oldest of these if
     /// most connections wait for heads; then those whose bodies do not arrive or whose
     /// responses are not read; then those between two requests, on which a caller may
     /// just be sending.
@@ -311,9 +313,10 @@
         // Few of these must not displace each other before their heads can arrive.
         let are_many = headless.count() > self.limits.count / 2;
         let rank = |c: &Connection| match c.state {
-            _ if c.is_headless() && (are_many || c.is_slow(now)) => Some(0),
-            _ if c.is_slow(now) => Some(1),
-            ConnectionState::Idle => Some(2),
+            ConnectionState::Closing => Some(0),
+            _ if c.is_headless() && (are_many || c.is_slow(now)) => Some(1),
+            _ if c.is_slow(now) => Some(2),
+            ConnectionState::Idle => Some(3),
             _ => None,
         };
         let candidates = self.connections.iter();
--- a/lib/tests/test_caller_connections.rs
+++ b/lib/tests/test_caller_connections.rs
@@ -156,13 +156,14 @@
     assert_eq!(limits(0).count, 1);
 }
 
-const STATES: [ConnectionState; 6] = [
+const STATES: [ConnectionState; 7] = [
     ConnectionState::New,
     ConnectionState::Head,
     ConnectionState::Body,
     ConnectionState::Running,
     ConnectionState::Responding,
     ConnectionState::Idle,
+    ConnectionState::Closing,
 ];
 
 /// Random steps keep true that no place or memory is granted beyond the limits or counted
@@ -185,7 +186,7 @@
                 }
             }
             (3..6, Some(id)) => {
-                let state = STATES[dice.roll(6) as usize];
+                let state = STATES[dice.roll(7) as usize];
                 table.set_state(at(now), id, state);
                 model.get_mut(&id).expect("it is open").0 = state;
             }
--- a/runtime/src/http/connections.rs
+++ b/runtime/src/http/connections.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
+use std::net::Shutdown;
 use std::net::TcpStream;
 use std::pin::Pin;
 use std::pin::pin;
@@ -14,8 +15,10 @@
 use std::task::Context;
 use std::task::Poll;
 use std::task::ready;
+use std::time::Duration;
 
 use async_io::Async;
+use async_io::Timer;
 use bytes::Bytes;
 use futures_lite::AsyncRead;
 use futures_lite::AsyncWrite;
@@ -46,6 +49,19 @@
 /// What a header holds beside its text, here and in the call to the endpoint, in bytes.
 const HEADER_BYTES: usize = 512;
 
+/// The longest time for which what a caller sends after its response is discarded.
+///
+/// Callers that read while they send close the connection after one round trip.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
+/// The most of what a caller sends after its response that is discarded, in bytes.
+///
+/// Twice the bodies that are usually allowed.
+const DISCARD_MAX_BYTES: usize = 8 << 20;
+
+/// The size of the buffer for discarded bytes.
+const DISCARD_BUFFER_BYTES: usize = 8 << 10;
+
 /// The open connections of a server.
 #[derive(Debug)]
 pub(super) struct Connections {
@@ -119,6 +135,7 @@
             is_waiting: AtomicBool::new(true),
             has_request: AtomicBool::new(false),
             is_responding: AtomicBool::new(false),
+            awaits_body: AtomicBool::new(false),
         })
     }
 
@@ -138,6 +155,8 @@
     has_request: AtomicBool,
     /// Whether a long response is being sent.
     is_responding: AtomicBool,
+    /// Whether a body has not been read to its end.
+    awaits_body: AtomicBool,
 }
 
 impl CallerConnection {
@@ -197,6 +216,7 @@
     pub(super) fn begin_request(&self, has_body: bool) {
         self.is_waiting.store(false, Ordering::SeqCst);
         self.has_request.store(true, Ordering::SeqCst);
+        self.awaits_body.store(has_body, Ordering::SeqCst);
         self.set_state(if has_body {
             ConnectionState::Body
         } else {
@@ -384,10 +404,48 @@
     }
 }
 
-/// The socket of a connection, which records when a head begins to arrive.
+/// The socket of a connection, which records when a head begins to arrive and closes in
+/// order.
 pub(super) struct ObservedStream {
-    pub(super) stream: Async<TcpStream>,
-    pub(super) connection: Arc<CallerConnection>,
+    stream: Async<TcpStream>,
+    connection: Arc<CallerConnection>,
+    /// While the rest of what the caller sends is discarded.
+    discarding: Option<Discarding>,
+}
+
+struct Discarding {
+    timeout: Timer,
+    bytes: usize,
+}
+
+impl ObservedStream {
+    pub(super) const fn new(stream: Async<TcpStream>, connection: Arc<CallerConnection>) -> Self {
+        Self {
+            stream,
+            connection,
+            discarding: None,
+        }
+    }
+
+    /// Discards what the caller sends until it closes the connection.
+    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let mut buffer = [0; DISCARD_BUFFER_BYTES];
+        let discarding = self.discarding.get_or_insert_with(|| Discarding {
+            timeout: Timer::after(DISCARD_TIME),
+            bytes: 0,
+        });
+        while discarding.bytes < DISCARD_MAX_BYTES {
+            if Pin::new(&mut discarding.timeout).poll(cx).is_ready() {
+                break;
+            }
+            let count = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer))?;
+            if count == 0 {
+                break;
+            }
+            discarding.bytes += count;
+        }
+        Poll::Ready(Ok(()))
+    }
 }
 
 impl AsyncRead for ObservedStream {
@@ -426,6 +484,15 @@
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_close(cx)
+        // A close with unread bytes resets the connection, which may destroy the response
+        // before the caller reads it.
+        if !self.connection.awaits_body.load(Ordering::SeqCst) {
+            return Pin::new(&mut self.stream).poll_close(cx);
+        }
+        if self.discarding.is_none() {
+            self.connection.set_state(ConnectionState::Closing);
+            self.stream.get_ref().shutdown(Shutdown::Write)?;
+        }
+        self.poll_discard(cx)
     }
 }
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -279,10 +279,7 @@
         ConnLifetime::KeepAlive(_) => bounds.head_timeout,
         ConnLifetime::OneRequest => bounds.head_timeout.min(DRAIN_HEAD_TIMEOUT),
     };
-    let observed = ObservedStream {
-        stream,
-        connection: Arc::clone(&connection),
-    };
+    let observed = ObservedStream::new(stream, Arc::clone(&connection));
     let conn = http1::Builder::new()
         .timer(SmolTimer::new())
         .keep_alive(matches!(lifetime, ConnLifetime::KeepAlive(_)))
