runtime: cut unread responses while a connection drains, too

A connection that was told to close after its request no longer noticed that its memory was given to others, so a response that nobody reads kept it until the end of the grace period. Growth of a body also took the table's lock three times for each frame; it takes it once.

Seen by reading.

--- a/runtime/src/http/connections.rs
+++ b/runtime/src/http/connections.rs
@@ -32,6 +32,7 @@
 use snipeyoke_lib::serving::caller_connections::ConnectionLimits;
 use snipeyoke_lib::serving::caller_connections::ConnectionState;
 use snipeyoke_lib::serving::caller_connections::NoPlace;
+use snipeyoke_lib::time::Time;
 
 use super::body::BodyError;
 use crate::clock::Clock;
@@ -89,6 +90,24 @@
         }
     }
 
+    fn hold(
+        &mut self,
+        now: Time,
+        id: ConnectionId,
+        bytes: usize,
+        max: usize,
+    ) -> Result<(), BodyError> {
+        let granted = self.table.hold(now, id, bytes as u64, max as u64);
+        let Ok(evicted) = granted else {
+            return Err(BodyError::NoMemory);
+        };
+        for id in evicted {
+            self.evict(id);
+        }
+        self.record_memory();
+        Ok(())
+    }
+
     fn record_memory(&self) {
         metrics::gauge!("snipeyoke_request_memory_bytes").set(self.table.held().0 as f64);
     }
@@ -202,11 +221,6 @@
         self.evicted.wait().await;
     }
 
-    /// Returns whether the connection is to be closed for another.
-    pub(super) fn is_evicted(&self) -> bool {
-        self.evicted.is_set()
-    }
-
     /// Returns whether the connection has a request to which a response can still be sent.
     pub(super) fn can_respond(&self) -> bool {
         self.has_request.load(Ordering::SeqCst) && !self.is_responding.load(Ordering::SeqCst)
@@ -255,16 +269,7 @@
     /// Makes the request hold `bytes` in total, which others may have to give up.
     fn hold(&self, bytes: usize, max: usize) -> Result<(), BodyError> {
         let now = self.connections.clock.now();
-        let mut state = self.connections.lock();
-        let granted = state.table.hold(now, self.id, bytes as u64, max as u64);
-        let Ok(evicted) = granted else {
-            return Err(BodyError::NoMemory);
-        };
-        for id in evicted {
-            state.evict(id);
-        }
-        state.record_memory();
-        Ok(())
+        self.connections.lock().hold(now, self.id, bytes, max)
     }
 
     fn append(
@@ -273,8 +278,9 @@
         extra: usize,
         (expected, max): (usize, usize),
     ) -> Result<(), BodyError> {
+        let now = self.connections.clock.now();
+        let mut state = self.connections.lock();
         let (length, capacity) = {
-            let state = self.connections.lock();
             let buffer = &state.open.get(&self.id).ok_or(BodyError::NoMemory)?.body;
             (buffer.len() + data.len(), buffer.capacity())
         };
@@ -283,10 +289,8 @@
         }
         let grown = grown_capacity(capacity, length, expected);
         if grown > capacity {
-            self.hold(extra + grown, extra + max)?;
+            state.hold(now, self.id, extra + grown, extra + max)?;
         }
-        let now = self.connections.clock.now();
-        let mut state = self.connections.lock();
         state.table.record_progress(now, self.id);
         let open = state.open.get_mut(&self.id).ok_or(BodyError::NoMemory)?;
         open.body.reserve_exact(grown - open.body.len());
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -307,14 +307,22 @@
         connection.evicted().await;
         None
     };
-    let ended = served.or(drained).or(evicted).await;
-    let result = if let Some(result) = ended {
-        result
-    } else if connection.is_evicted() && !connection.can_respond() {
-        return;
-    } else {
+    let mut ended = served.or(drained).or(evicted).await;
+    if ended.is_none() {
         conn.as_mut().graceful_shutdown();
-        conn.await
+        let served = async { Some(conn.as_mut().await) };
+        // A request that can still get its response gets it first.
+        let cut = async {
+            connection.evicted().await;
+            if connection.can_respond() {
+                future::pending::<()>().await;
+            }
+            None
+        };
+        ended = cut.or(served).await;
+    }
+    let Some(result) = ended else {
+        return;
     };
     if let Err(error) = result {
         log::debug!(event = "conn-ended", error = error.to_string().as_str(); "");
