gateway: keep idle connections as long as the configuration says

Callers may reuse a connection that was idle for up to four fifths of `idle-timeout-ms`, but a node closed any after a constant 16 s, so that with limits of over 20 s a caller's next request met a closed connection. The limit was read and not used.

Connections are now kept for the limit and a second, 16 s at least.

--- a/gateway/src/ingress.rs
+++ b/gateway/src/ingress.rs
@@ -14,6 +14,7 @@
 use hyper::header::TRANSFER_ENCODING;
 use hyper::http::request;
 use snipeyoke_lib::ids::PoolName;
+use snipeyoke_lib::serving::catalog::CallerLimits;
 use snipeyoke_lib::serving::catalog::Catalog;
 use snipeyoke_lib::serving::catalog::Denial;
 use snipeyoke_lib::serving::durations::Remaining;
@@ -44,6 +45,11 @@
 /// a peer, unless both are down.
 const CONFIG_WAIT: Duration = Duration::from_millis(400);
 
+/// How much longer than allowed a connection may be idle.
+///
+/// A request that was sent in time may still be on its way.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
+
 /// Serves callers.
 pub(crate) struct Ingress(pub(crate) Arc<Shared>);
 
@@ -64,13 +70,22 @@
     }
 
     fn header_max(&self) -> usize {
-        let catalog = self.0.catalog.get();
-        let limits = catalog.as_ref().as_ref().map(|c| c.limits());
+        let limits = self.limits();
         limits.map_or(HEADER_MAX_BYTES, |limits| limits.max_head)
     }
+
+    fn idle_min(&self) -> Duration {
+        let limits = self.limits();
+        limits.map_or(Duration::ZERO, |l| l.idle_timeout + IDLE_MARGIN)
+    }
 }
 
 impl Ingress {
+    fn limits(&self) -> Option<CallerLimits> {
+        let catalog = self.0.catalog.get();
+        catalog.as_ref().as_ref().map(|c| c.limits())
+    }
+
     async fn serve(&self, request: Request) -> Reply {
         let started_at = self.0.now();
         let (mut head, body) = request.into_parts();
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -53,6 +53,11 @@
     fn header_max(&self) -> usize {
         HEADER_MAX_BYTES
     }
+
+    /// Returns the least time for which a connection may be idle.
+    fn idle_min(&self) -> Duration {
+        Duration::ZERO
+    }
 }
 
 /// The default maximum size of the header of a request, in bytes.
@@ -276,7 +281,7 @@
         }
     });
     let head_timeout = match lifetime {
-        ConnLifetime::KeepAlive(_) => bounds.head_timeout,
+        ConnLifetime::KeepAlive(_) => bounds.head_timeout.max(handler.idle_min()),
         ConnLifetime::OneRequest => bounds.head_timeout.min(DRAIN_HEAD_TIMEOUT),
     };
     let observed = ObservedStream::new(stream, Arc::clone(&connection));
