lib: let connections and requests share their memory

With fixed parts, a host of 260 MB refused 195 of 462 requests with bodies of 3 MB in calm, at a peak of 61 MB: a quarter of the memory was for requests, and a third for connections, of which it had fifty.

Connections and requests now have six tenths of the process's memory together. A quarter of the places is always kept for connections; any further one, and any request, is accepted if what the others hold leaves room for it.

--- a/lib/src/serving/caller_connections.rs
+++ b/lib/src/serving/caller_connections.rs
@@ -34,15 +34,20 @@
 /// Larger bodies leave one part in this many to small ones.
 const SMALL_BODIES_PART: u64 = 4;
 
-/// The fraction of the process's memory for what connections hold beside bodies.
+/// The fraction of the process's memory for connections and their requests.
+///
+/// The rest is for what the process knows and for what it sends.
+const CALLERS_FRACTION: f64 = 0.6;
+
+/// The fraction of the process's memory that connections may have at most.
 const CONNECTIONS_FRACTION: f64 = 0.33;
 
-/// The fraction of the process's memory for requests.
-const REQUESTS_FRACTION: f64 = 0.25;
+/// One in this many connections finds a place whatever requests hold.
+const KEPT_PLACES_PART: usize = 4;
 
 /// What a connection needs beside the head that it reads, in bytes: its buffers and
 /// its task.
-const CONNECTION_BYTES: f64 = 32_768.0;
+const CONNECTION_BYTES: u64 = 32 << 10;
 
 /// The number of a connection; later ones have higher numbers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -54,8 +59,10 @@
 pub struct ConnectionLimits {
     /// The maximum number of connections.
     pub count: usize,
-    /// The memory for requests.
+    /// The memory for connections and their requests.
     pub memory: Bytes,
+    /// The memory of a connection without a request.
+    pub connection: Bytes,
 }
 
 impl ConnectionLimits {
@@ -64,12 +71,25 @@
     #[must_use]
     pub fn new(memory: Bytes, count: usize, header_max: Bytes) -> Self {
         let total = memory.0 as f64;
-        let affordable = total * CONNECTIONS_FRACTION / (CONNECTION_BYTES + header_max.0 as f64);
+        let connection = CONNECTION_BYTES + header_max.0;
+        let affordable = total * CONNECTIONS_FRACTION / connection as f64;
         Self {
             count: count.min(affordable as usize).max(1),
-            memory: Bytes((total * REQUESTS_FRACTION) as u64),
+            memory: Bytes((total * CALLERS_FRACTION) as u64),
+            connection: Bytes(connection),
         }
     }
+
+    /// Returns the memory for requests beside `count` connections.
+    fn for_requests(&self, count: usize) -> u64 {
+        let count = count.max(self.kept_places());
+        let connections = self.connection.0.saturating_mul(count as u64);
+        self.memory.0.saturating_sub(connections)
+    }
+
+    const fn kept_places(&self) -> usize {
+        self.count / KEPT_PLACES_PART
+    }
 }
 
 /// What a connection is waiting for.
@@ -188,7 +208,7 @@
     ///
     /// Returns [`NoPlace`] if there is no place, and no connection may be closed.
     pub fn open(&mut self, now: Time) -> Result<(ConnectionId, Option<ConnectionId>), NoPlace> {
-        let evicted = if self.connections.len() < self.limits.count {
+        let evicted = if self.has_place() {
             None
         } else {
             Some(self.least_promising(now).ok_or(NoPlace)?)
@@ -281,10 +301,17 @@
         self.connections.remove(&id);
     }
 
+    fn has_place(&self) -> bool {
+        let count = self.connections.len();
+        let is_kept = count < self.limits.kept_places();
+        count < self.limits.count && (is_kept || self.limits.for_requests(count + 1) >= self.held)
+    }
+
     /// Returns the bytes to be freed for a request that is to hold `bytes`.
     fn missing(&self, id: ConnectionId, bytes: u64, body_max: u64) -> u64 {
         let for_large = body_max.saturating_add(body_max / (SMALL_BODIES_PART - 1));
-        let total = self.limits.memory.0.max(for_large);
+        let for_requests = self.limits.for_requests(self.connections.len());
+        let total = for_requests.max(for_large);
         let usable = if bytes > SMALL_BODY_BYTES {
             total - total / SMALL_BODIES_PART
         } else {
