router: set the memory of a router in its settings

A router reads callers' bodies by the same bounds as a gateway, but took all memory of the system for its own. `bounds.memory_mb` sets what it may use; the default is as before.

--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -33,6 +33,7 @@
 use snipeyoke_lib::routing::RoundRobin;
 use snipeyoke_lib::routing::RouterLocation;
 use snipeyoke_lib::time::Time;
+use snipeyoke_lib::units::Bytes;
 use snipeyoke_lib::units::Tokens;
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::config_store::ConfigStore;
@@ -208,7 +209,7 @@
         let bounds = Bounds {
             head_timeout: Duration::from_millis(raw.bounds.head_ms),
             conns: raw.bounds.conns,
-            memory: None,
+            memory: raw.bounds.memory_mb.map(|mb| Bytes(mb * 1_000_000)),
         };
         let address = raw.listen.peers;
         let wrap = |source| StartError::Listen { address, source };
--- a/router/src/settings.rs
+++ b/router/src/settings.rs
@@ -16,6 +16,9 @@
 /// The maximum number of traffic threads of a router.
 const THREADS_MAX: usize = 64;
 
+/// The least memory of a router, in megabytes.
+const MEMORY_MIN_MB: u64 = 32;
+
 /// The largest caller body, in bytes, that a frame between processes can carry.
 pub const BODY_MAX_BYTES: usize = 1 << 20;
 
@@ -104,6 +107,9 @@
     pub body_ms: u64,
     /// The maximum number of open connections.
     pub conns: usize,
+    /// The memory that the process may use, in megabytes; all that the system has if
+    /// missing.
+    pub memory_mb: Option<u64>,
 }
 
 impl Default for Bounds {
@@ -113,6 +119,7 @@
             head_ms: 30_000,
             body_ms: 10_000,
             conns: 3_500,
+            memory_mb: None,
         }
     }
 }
@@ -157,6 +164,12 @@
         /// The number found.
         found: usize,
     },
+    /// The memory is too small.
+    #[display("`bounds.memory_mb` is {found}: give at least {MEMORY_MIN_MB}")]
+    Memory {
+        /// The megabytes found.
+        found: u64,
+    },
     /// A limit is zero.
     #[display("`bounds.{key}` is 0: give at least 1")]
     Zero {
@@ -185,6 +198,9 @@
         if found == 0 || found > BODY_MAX_BYTES {
             return Err(ValueError::Body { found });
         }
+        if let Some(found) = raw.bounds.memory_mb.filter(|&mb| mb < MEMORY_MIN_MB) {
+            return Err(ValueError::Memory { found });
+        }
         if raw.bounds.head_ms == 0 {
             return Err(ValueError::Zero { key: "head_ms" });
         }
--- a/router/tests/settings.rs
+++ b/router/tests/settings.rs
@@ -24,7 +24,7 @@
   "agents": ["127.0.0.1:7200"], "routers": [], "platform": "127.0.0.1:7000",
   "policy": "predicted", /* or a baseline */
   "operators": [{"name": "kari", "digest": "0000000000000000000000000000000000000000000000000000000000000000"}],
-  "bounds": {"body_bytes": 1048576, "head_ms": 30000, "body_ms": 10000, "conns": 3500},
+  "bounds": {"body_bytes": 1048576, "head_ms": 30000, "body_ms": 10000, "conns": 3500, "memory_mb": 256},
   "threads": 2, "log": "info",
 }"#;
 
