runtime: read the system's memory once, and add up the metric over servers

A server without a memory setting, as at the readiness and metrics ports, asked the system for its memory at each connection. The gauge of request memory was set by each server of a process, so that a probe set it to zero. Two functions without callers are gone. Seen on reading the change.

--- a/lib/src/serving/caller_connections.rs
+++ b/lib/src/serving/caller_connections.rs
@@ -199,10 +199,10 @@
 
     /// Adds a connection; returns it and the one to close for it.
     ///
-    /// The first to close are those that are closing anyway, then those whose heads do not arrive, or the oldest of these if
-    /// most connections wait for heads; then those whose bodies do not arrive or whose
-    /// responses are not read; then those between two requests, on which a caller may
-    /// just be sending.
+    /// The first to close are those that are closing anyway, then those whose heads do
+    /// not arrive, or the oldest of these if most connections wait for heads; then those
+    /// whose bodies do not arrive or whose responses are not read; then those between two
+    /// requests, on which a caller may just be sending.
     ///
     /// # Errors
     ///
@@ -257,9 +257,9 @@
     /// it, whose memory is free from now on.
     ///
     /// These are bodies that arrive slowly and responses that are not read, the oldest
-    /// first. A body never waits for the
-    /// memory of another, so no two wait for each other. One of `body_max` bytes, the
-    /// largest that callers may send, is always granted its memory if it is alone.
+    /// first. A body never waits for the memory of another, so no two wait for each other.
+    /// One of `body_max` bytes, the largest that callers may send, is always granted its
+    /// memory if it is alone.
     ///
     /// # Errors
     ///
--- a/runtime/src/http/body.rs
+++ b/runtime/src/http/body.rs
@@ -58,20 +58,6 @@
     NoMemory,
 }
 
-impl BodyError {
-    /// Returns whether the body was too large.
-    #[must_use]
-    pub const fn is_too_large(&self) -> bool {
-        matches!(self, Self::TooLarge { .. })
-    }
-
-    /// Returns whether there was no memory for the body.
-    #[must_use]
-    pub const fn is_no_memory(&self) -> bool {
-        matches!(self, Self::NoMemory)
-    }
-}
-
 /// Returns a body with the given bytes.
 #[must_use]
 pub fn full(bytes: impl Into<Bytes>) -> ReplyBody {
--- a/runtime/src/http/connections.rs
+++ b/runtime/src/http/connections.rs
@@ -74,6 +74,8 @@
 struct State {
     table: CallerConnections,
     open: BTreeMap<ConnectionId, Open>,
+    /// What the metric has of this server, as all servers of a process add to it.
+    recorded: f64,
 }
 
 #[derive(Debug)]
@@ -108,8 +110,13 @@
         Ok(())
     }
 
-    fn record_memory(&self) {
-        metrics::gauge!("snipeyoke_request_memory_bytes").set(self.table.held().0 as f64);
+    fn record_memory(&mut self) {
+        let held = self.table.held().0 as f64;
+        let change = held - self.recorded;
+        if change.abs() >= 1.0 {
+            metrics::gauge!("snipeyoke_request_memory_bytes").increment(change);
+            self.recorded = held;
+        }
     }
 }
 
@@ -120,6 +127,7 @@
             state: Mutex::new(State {
                 table: CallerConnections::new(limits),
                 open: BTreeMap::new(),
+                recorded: 0.0,
             }),
         }
     }
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -87,13 +87,6 @@
     pub memory: Option<Bytes>,
 }
 
-impl Bounds {
-    fn limits(&self, header_max: usize) -> ConnectionLimits {
-        let memory = self.memory.unwrap_or_else(system_memory);
-        ConnectionLimits::new(memory, self.conns, Bytes(header_max as u64))
-    }
-}
-
 fn system_memory() -> Bytes {
     let system = sysinfo();
     Bytes(system.totalram * u64::from(system.mem_unit))
@@ -158,11 +151,13 @@
     drain: Flag,
     end: Flag,
 ) {
+    let memory = bounds.memory.unwrap_or_else(system_memory);
     let server = Server {
-        connections: Arc::new(Connections::new(bounds.limits(handler.header_max()))),
+        connections: Arc::new(Connections::new(limits(memory, bounds, &*handler))),
         listener,
         handler,
         bounds,
+        memory,
         scope,
     };
     let lifetime = || {
@@ -188,10 +183,15 @@
     listener: Async<TcpListener>,
     handler: Arc<dyn Handler>,
     bounds: Bounds,
+    memory: Bytes,
     scope: Scope,
     connections: Arc<Connections>,
 }
 
+fn limits(memory: Bytes, bounds: Bounds, handler: &dyn Handler) -> ConnectionLimits {
+    ConnectionLimits::new(memory, bounds.conns, Bytes(handler.header_max() as u64))
+}
+
 impl Server {
     async fn accept_until(
         &self,
@@ -234,7 +234,7 @@
 impl Server {
     /// Returns the place of a connection that was accepted, if there is one.
     async fn open(&self) -> Option<CallerConnection> {
-        let limits = self.bounds.limits(self.handler.header_max());
+        let limits = limits(self.memory, self.bounds, &*self.handler);
         self.connections.set_limits(limits);
         // Connections that lost their places may still be closing, most of them as soon
         // as their tasks run.
