--- a/lib/src/serving/caller_connections.rs
+++ b/lib/src/serving/caller_connections.rs
@@ -43,7 +43,7 @@
 const CONNECTIONS_FRACTION: f64 = 0.33;
 
 /// One in this many connections finds a place whatever requests hold.
-const KEPT_PLACES_PART: usize = 4;
+const RESERVED_PLACES_PART: usize = 4;
 
 /// What a connection needs beside the head that it reads, in bytes: its buffers and
 /// its task.
@@ -82,13 +82,13 @@
 
     /// Returns the memory for requests beside `count` connections.
     fn for_requests(&self, count: usize) -> u64 {
-        let count = count.max(self.kept_places());
+        let count = count.max(self.reserved_places());
         let connections = self.connection.0.saturating_mul(count as u64);
         self.memory.0.saturating_sub(connections)
     }
 
-    const fn kept_places(&self) -> usize {
-        self.count / KEPT_PLACES_PART
+    const fn reserved_places(&self) -> usize {
+        self.count / RESERVED_PLACES_PART
     }
 }
 
@@ -303,8 +303,9 @@
 
     fn has_place(&self) -> bool {
         let count = self.connections.len();
-        let is_kept = count < self.limits.kept_places();
-        count < self.limits.count && (is_kept || self.limits.for_requests(count + 1) >= self.held)
+        let is_reserved = count < self.limits.reserved_places();
+        count < self.limits.count
+            && (is_reserved || self.limits.for_requests(count + 1) >= self.held)
     }
 
     /// Returns the bytes to be freed for a request that is to hold `bytes`.
--- a/runtime/src/http/connections.rs
+++ b/runtime/src/http/connections.rs
@@ -204,9 +204,12 @@
         if declared.is_some_and(|n| n > max) {
             return Err(BodyError::TooLarge { max });
         }
-        let extra = headers.len().saturating_sub(FREE_HEADERS) * HEADER_BYTES;
-        self.check_memory(extra + declared.unwrap_or_default(), extra + max)?;
-        self.hold(extra, extra + max)?;
+        let header_bytes = headers.len().saturating_sub(FREE_HEADERS) * HEADER_BYTES;
+        self.check_memory(
+            header_bytes + declared.unwrap_or_default(),
+            header_bytes + max,
+        )?;
+        self.hold(header_bytes, header_bytes + max)?;
         let mut evicted = pin!(self.evicted.wait());
         loop {
             let frame = async { Some(body.frame().await) };
@@ -216,10 +219,10 @@
             };
             let frame = frame.or(given_up).await.ok_or(BodyError::NoMemory)?;
             let Some(frame) = frame else {
-                return self.take_body(extra, extra + max);
+                return self.finish_body(header_bytes, header_bytes + max);
             };
             if let Ok(data) = frame.map_err(BodyError::Connection)?.into_data() {
-                self.append(&data, extra, (declared.unwrap_or(max), max))?;
+                self.append(&data, header_bytes, (declared.unwrap_or(max), max))?;
             }
         }
     }
@@ -283,7 +286,7 @@
     fn append(
         &self,
         data: &[u8],
-        extra: usize,
+        header_bytes: usize,
         (expected, max): (usize, usize),
     ) -> Result<(), BodyError> {
         let now = self.connections.clock.now();
@@ -297,7 +300,7 @@
         }
         let grown = grown_capacity(capacity, length, expected);
         if grown > capacity {
-            state.hold(now, self.id, extra + grown, extra + max)?;
+            state.hold(now, self.id, header_bytes + grown, header_bytes + max)?;
         }
         state.table.record_progress(now, self.id);
         let open = state.open.get_mut(&self.id).ok_or(BodyError::NoMemory)?;
@@ -306,13 +309,17 @@
         Ok(())
     }
 
-    fn take_body(self: &Arc<Self>, extra: usize, max: usize) -> Result<HeldBody, BodyError> {
+    fn finish_body(
+        self: &Arc<Self>,
+        header_bytes: usize,
+        max: usize,
+    ) -> Result<HeldBody, BodyError> {
         let now = self.connections.clock.now();
         let mut state = self.connections.lock();
         let open = state.open.get_mut(&self.id).ok_or(BodyError::NoMemory)?;
         let mut body = std::mem::take(&mut open.body);
         body.shrink_to_fit();
-        let held = extra + body.len();
+        let held = header_bytes + body.len();
         state.table.shrink(self.id, held as u64);
         state
             .table
