runtime: move the socket of a caller's connection to a file of its own

connections.rs had the table, the connection and its socket. Code is moved; two methods of the connection take the place of accesses to its fields.

--- a/runtime/src/http/connections.rs
+++ b/runtime/src/http/connections.rs
@@ -1,10 +1,6 @@
 //! The open connections of a server, and the memory of their requests.
 
 use std::collections::BTreeMap;
-use std::io;
-use std::net::Shutdown;
-use std::net::TcpStream;
-use std::pin::Pin;
 use std::pin::pin;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -12,16 +8,8 @@
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
-use std::task::Context;
-use std::task::Poll;
-use std::task::ready;
-use std::time::Duration;
 
-use async_io::Async;
-use async_io::Timer;
 use bytes::Bytes;
-use futures_lite::AsyncRead;
-use futures_lite::AsyncWrite;
 use futures_lite::FutureExt;
 use http_body_util::BodyExt;
 use hyper::HeaderMap;
@@ -50,19 +38,6 @@
 /// What a header holds beside its text, here and in the call to the endpoint, in bytes.
 const HEADER_BYTES: usize = 512;
 
-/// The longest time for which what a caller sends after its response is discarded.
-///
-/// Callers that read while they send close the connection after one round trip.
-const DISCARD_TIME: Duration = Duration::from_secs(1);
-
-/// The most of what a caller sends after its response that is discarded, in bytes.
-///
-/// Twice the bodies that are usually allowed.
-const DISCARD_MAX_BYTES: usize = 8 << 20;
-
-/// The size of the buffer for discarded bytes.
-const DISCARD_BUFFER_BYTES: usize = 8 << 10;
-
 /// The open connections of a server.
 #[derive(Debug)]
 pub(super) struct Connections {
@@ -257,12 +232,23 @@
         self.is_waiting.store(true, Ordering::SeqCst);
     }
 
-    fn begin_head(&self) {
+    /// Records that bytes have arrived.
+    pub(super) fn begin_head(&self) {
         if self.is_waiting.swap(false, Ordering::SeqCst) {
             self.set_state(ConnectionState::Head);
         }
     }
 
+    /// Returns whether the body of the last request was not read to its end.
+    pub(super) fn is_unread(&self) -> bool {
+        self.awaits_body.load(Ordering::SeqCst)
+    }
+
+    /// Records that the connection waits for its caller to close it.
+    pub(super) fn begin_close(&self) {
+        self.set_state(ConnectionState::Closing);
+    }
+
     fn set_state(&self, next: ConnectionState) {
         let now = self.connections.clock.now();
         self.connections.lock().table.set_state(now, self.id, next);
@@ -422,96 +408,3 @@
         self.0.end_request();
     }
 }
-
-/// The socket of a connection, which records when a head begins to arrive and closes in
-/// order.
-pub(super) struct ObservedStream {
-    stream: Async<TcpStream>,
-    connection: Arc<CallerConnection>,
-    /// While the rest of what the caller sends is discarded.
-    discarding: Option<Discarding>,
-}
-
-struct Discarding {
-    timeout: Timer,
-    bytes: usize,
-}
-
-impl ObservedStream {
-    pub(super) const fn new(stream: Async<TcpStream>, connection: Arc<CallerConnection>) -> Self {
-        Self {
-            stream,
-            connection,
-            discarding: None,
-        }
-    }
-
-    /// Discards what the caller sends until it closes the connection.
-    fn poll_discard(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        let mut buffer = [0; DISCARD_BUFFER_BYTES];
-        let discarding = self.discarding.get_or_insert_with(|| Discarding {
-            timeout: Timer::after(DISCARD_TIME),
-            bytes: 0,
-        });
-        while discarding.bytes < DISCARD_MAX_BYTES {
-            if Pin::new(&mut discarding.timeout).poll(cx).is_ready() {
-                break;
-            }
-            let count = ready!(Pin::new(&mut self.stream).poll_read(cx, &mut buffer))?;
-            if count == 0 {
-                break;
-            }
-            discarding.bytes += count;
-        }
-        Poll::Ready(Ok(()))
-    }
-}
-
-impl AsyncRead for ObservedStream {
-    fn poll_read(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &mut [u8],
-    ) -> Poll<io::Result<usize>> {
-        let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        if count > 0 {
-            self.connection.begin_head();
-        }
-        Poll::Ready(Ok(count))
-    }
-}
-
-impl AsyncWrite for ObservedStream {
-    fn poll_write(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        buf: &[u8],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
-    }
-
-    fn poll_write_vectored(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-        bufs: &[io::IoSlice<'_>],
-    ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
-    }
-
-    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
-    }
-
-    fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        // A close with unread bytes resets the connection, which may destroy the response
-        // before the caller reads it.
-        if !self.connection.awaits_body.load(Ordering::SeqCst) {
-            return Pin::new(&mut self.stream).poll_close(cx);
-        }
-        if self.discarding.is_none() {
-            self.connection.set_state(ConnectionState::Closing);
-            self.stream.get_ref().shutdown(Shutdown::Write)?;
-        }
-        self.poll_discard(cx)
-    }
-}
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -4,6 +4,7 @@
 mod client;
 mod connections;
 mod server;
+mod socket;
 
 pub use body::BodyAborted;
 pub use body::BodyError;
