Show requests that run on the results of others after second answers

Cause: answers to batch calls have no id. On a kept connection a second answer with new handles and the same number of items counts as that of the next call, and each later answer as that of the call after it.

--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -1,7 +1,9 @@
 //! The stand-ins of the second review: `review-standin-2 CASE FOLDER`.
 
 mod http;
+mod second;
 mod site;
+mod stage;
 mod store;
 mod unframed;
 mod worker;
@@ -17,6 +19,11 @@
             worker::main(&arguments[1..]);
             return ExitCode::SUCCESS;
         }
+        Some("stage") => {
+            stage::main(&arguments[1..]);
+            return ExitCode::SUCCESS;
+        }
+        Some("second") => second::run(Path::new(&arguments[1]), is_troubled),
         Some("unframed") => unframed::run(Path::new(&arguments[1]), is_troubled),
         _ => site::cannot_run("name a case"),
     };
--- a/review/standin-2/src/site.rs
+++ b/review/standin-2/src/site.rs
@@ -15,6 +15,19 @@
 /// The header with the key of the only tenant.
 pub const KEY: &str = "Host: pule25.example\r\nAuthorization: Bearer key-1\r\n";
 
+/// Figures of vp-flyer.
+const USUAL: &str = r#""processor":{"share":0.19,"speed":1},"limits":{"memory_mb":260},
+    "grace_s":8,"notice_ms":2000,"change_ms":2000,
+    "retries":{"ratio":0.2,"window_s":10,"extra":58},
+    "terms":["base","drain","config","cost","retry","recover","engine","stream","tenants","platform","stages"]"#;
+
+/// Figures of apprec-bkk-grown.
+const PRESSURE: &str = r#""processor":{"share":0.5,"speed":1},"limits":{"memory_mb":512},
+    "grace_s":8,"notice_ms":3000,"change_ms":3000,"evacuate_ms":5000,
+    "cold":{"excess":1.5,"slack":5},"retries":{"ratio":0.2,"window_s":10,"extra":94},
+    "terms":["base","drain","config","cost","retry","recover","health","pool","engine","stream","tenants",
+        "places","pressure","platform","stages"]"#;
+
 pub struct Front {
     child: Child,
     pub callers: String,
@@ -41,6 +54,8 @@
     record: PathBuf,
     pub store: Arc<Store>,
     store_address: String,
+    /// Whether the deployment has the contract `pressure`.
+    pub has_pressure: bool,
     pub fronts: Vec<Front>,
     pub workers: Vec<Worker>,
 }
@@ -60,11 +75,17 @@
             record,
             store,
             store_address: address.to_string(),
+            has_pressure: false,
             fronts: Vec::new(),
             workers: Vec::new(),
         }
     }
 
+    /// Returns a path in the temporary folder.
+    pub fn file(&self, name: &str) -> PathBuf {
+        self.directory.join(name)
+    }
+
     pub fn note(&self, line: &str) {
         println!("{line}");
         let record = OpenOptions::new().append(true).open(&self.record);
@@ -79,13 +100,14 @@
     }
 
     pub fn start_worker(&mut self, id: &str, service: &str, options: &[&str]) {
+        self.start_program("worker", id, service, options);
+    }
+
+    /// Starts a stand-in as a process, and registers it.
+    pub fn start_program(&mut self, program: &str, id: &str, service: &str, options: &[&str]) {
         let own = std::env::current_exe().expect("it has a path");
         let mut command = Command::new(own);
-        command
-            .arg("worker")
-            .arg(id)
-            .args(options)
-            .arg(&self.record);
+        command.arg(program).arg(id).args(options).arg(&self.record);
         let mut child = command.stdout(Stdio::piped()).spawn().expect("it starts");
         let mut address = String::new();
         let out = child.stdout.take().expect("it is piped");
@@ -121,15 +143,12 @@
             .collect();
         for number in 0..count {
             let [peers, callers, ready, metrics] = [0, 1, 2, 3].map(|n| address(4 * number + n));
-            // The bounds and limits of the front machines of vp-flyer.
+            // The bounds and limits of front machines of vp-flyer and apprec-bkk-grown.
+            let figures = if self.has_pressure { PRESSURE } else { USUAL };
             let settings = format!(
                 r#"{{"node":"front-{number}","domain":"hall-a","region":"bergen",
                 "listen":{{"callers":"{callers}","ready":"{ready}","peers":"{peers}","metrics":"{metrics}"}},
-                "seeds":[{}],"registry":"{}","processor":{{"share":0.19,"speed":1}},
-                "limits":{{"memory_mb":260}},"grace_s":8,"notice_ms":2000,"change_ms":2000,
-                "regions":{{"hall-a":"bergen"}},
-                "retries":{{"ratio":0.2,"window_s":10,"extra":58}},
-                "terms":["base","drain","config","cost","retry","recover","engine","stream","tenants","platform","stages"],
+                "seeds":[{}],"registry":"{}","regions":{{"hall-a":"bergen"}},{figures},
                 "log":"info"}}"#,
                 seeds.join(","),
                 self.store_address
@@ -179,8 +198,8 @@
 
 /// Ends the case as one that couldn't run.
 pub fn cannot_run(why: &str) -> ! {
-    eprintln!("the case couldn't run: {why}");
-    std::process::exit(2);
+    // Unwinds, so that all processes that were started are ended.
+    panic!("the case couldn't run: {why}");
 }
 
 /// Returns free ports below those that the system hands out.
--- a/review/standin-2/src/worker.rs
+++ b/review/standin-2/src/worker.rs
@@ -79,7 +79,10 @@
             .header("last-event-id")
             .and_then(|n| n.parse().ok())
             .unwrap_or(0);
-        self.note(&format!("runs {attempt} after event {last}"));
+        match request.header("snipeyoke-inputs") {
+            Some(inputs) => self.note(&format!("runs {attempt} with {inputs}")),
+            None => self.note(&format!("runs {attempt} after event {last}")),
+        }
         let mut head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nSnipeyoke-Weight-Versions: 1\r\n\
              Snipeyoke-Attempt-Id: {attempt}\r\nSnipeyoke-Response-Seal: seal.{}\r\n",
