runtime, gateway: let a start wait for what passes by itself

A host whose process ends is refused connections.

Cause: a process ended with 1 at the first obstacle of its start: an address that a connection of any program, its remains for 60 s, or a predecessor in its grace still holds; a settings file that is being written; a metrics port that another program has.

Change: lib decides how long a start waits for what (StartRetries): an address in use for the grace of a predecessor and at least as long as the system keeps the port of a closed connection; an address that the host lacks for 5 s; settings that can't be read or parsed for 3 s. SIGTERM ends a start that waits, new settings replace those that it waits with. Metrics are served later. The reason of a start that fails is in the log, not on standard error alone. Router and agent start the same way.

Gateway::start, Router::start and Agent::start are async now; http::bind is listen::bind; the unused is_address_in_use is gone.

--- a/agent/src/node.rs
+++ b/agent/src/node.rs
@@ -1,7 +1,6 @@
 //! The shared state of an agent, its start and its drain.
 
 use std::collections::BTreeMap;
-use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -13,6 +12,7 @@
 use async_io::Timer;
 use derive_more::Display;
 use derive_more::Error;
+use derive_more::From;
 use snipeyoke_lib::drain::Drain;
 use snipeyoke_lib::drain::DrainAction;
 use snipeyoke_lib::drain::DrainBlockers;
@@ -26,9 +26,10 @@
 use snipeyoke_runtime::clock::Clock;
 use snipeyoke_runtime::config_store::ConfigStore;
 use snipeyoke_runtime::flag::Flag;
-use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Client;
 use snipeyoke_runtime::link::LinkSender;
+use snipeyoke_runtime::listen::ListenError;
+use snipeyoke_runtime::listen::bind_when_free;
 use snipeyoke_runtime::platform::HttpHosts;
 use snipeyoke_runtime::platform::HttpLog;
 use snipeyoke_runtime::scope::Scope;
@@ -64,18 +65,16 @@
 /// The interval for polling what a drain waits for.
 const DRAIN_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
+/// The time that an agent that leaves has at most.
+const PREDECESSOR_GRACE: Duration = Duration::from_mins(1);
+
 /// The reason why an agent can't start.
 #[derive(Debug)]
-#[derive(Display, Error)]
+#[derive(Display, Error, From)]
 pub enum StartError {
-    /// The address to listen on can't be bound.
-    #[display("can't listen on {address}: {source}; free the address or change `listen`")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The system's error.
-        source: io::Error,
-    },
+    /// It can't listen at an address.
+    #[display("{_0}")]
+    Listen(ListenError),
 }
 
 /// The state shared by the tasks of an agent.
@@ -237,21 +236,18 @@
 }
 
 impl Agent {
-    /// Starts an agent on the given executors.
+    /// Starts an agent on the given executors, once its address is free.
     ///
     /// # Errors
     ///
-    /// Returns [`StartError`] if the address can't be bound.
-    pub fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
+    /// Returns [`StartError`] if it can't listen at its address.
+    pub async fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
         let raw = settings.raw;
         let term = settings.term;
-        let listen = raw.listen;
-        let listen_error = |source| StartError::Listen {
-            address: listen,
-            source,
-        };
-        let listener = http::bind(listen).map_err(listen_error)?;
-        let address = listener.get_ref().local_addr().map_err(listen_error)?;
+        let address = raw.listen;
+        let listener = bind_when_free(address, PREDECESSOR_GRACE).await?;
+        let bound = listener.get_ref().local_addr();
+        let address = bound.map_err(|source| ListenError { address, source })?;
         let scope = Scope::new(Arc::clone(&execs.traffic));
         let client = Client::new(scope.clone(), CONNECT_TIMEOUT);
         let drain = Flag::default();
--- a/agent/src/program.rs
+++ b/agent/src/program.rs
@@ -22,8 +22,8 @@
         settings.raw.threads
     }
 
-    fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
-        Self::start(settings, execs)
+    async fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
+        Self::start(settings, execs).await
     }
 
     async fn leave_requested(&self) {
--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -1,6 +1,5 @@
 //! A whole gateway: its tasks and its shutdown.
 
-use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -10,6 +9,7 @@
 use async_io::Timer;
 use derive_more::Display;
 use derive_more::Error;
+use derive_more::From;
 use futures_lite::FutureExt;
 use futures_lite::future;
 use rapidhash::v3::rapidhash_v3;
@@ -19,6 +19,9 @@
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Bounds;
 use snipeyoke_runtime::http::Handler;
+use snipeyoke_runtime::listen::ListenError;
+use snipeyoke_runtime::listen::bind;
+use snipeyoke_runtime::listen::bind_when_free;
 use snipeyoke_runtime::scope::Scope;
 use snipeyoke_runtime::threads::Execs;
 
@@ -61,29 +64,18 @@
 /// Configurations allow callers up to fifteen seconds of idle time.
 const HEAD_TIMEOUT: Duration = Duration::from_secs(16);
 
+/// The interval between attempts to listen for metrics scrapers.
+///
+/// A scraper that comes every 15 s misses the node once.
+const METRICS_RETRY_INTERVAL: Duration = Duration::from_secs(5);
+
 /// The reason why a node can't start.
 #[derive(Debug)]
-#[derive(Display, Error)]
+#[derive(Display, Error, From)]
 pub enum StartError {
-    /// Can't listen on an address.
-    #[display(
-        "{address}: can't listen: {source}; check that the address belongs to this host and is free"
-    )]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The error of the operating system.
-        source: io::Error,
-    },
-}
-
-impl StartError {
-    /// Returns whether an address is already in use.
-    #[must_use]
-    pub fn is_address_in_use(&self) -> bool {
-        let Self::Listen { source, .. } = self;
-        source.kind() == io::ErrorKind::AddrInUse
-    }
+    /// It can't listen at an address.
+    #[display("{_0}")]
+    Listen(ListenError),
 }
 
 /// A running gateway.
@@ -98,22 +90,23 @@
 }
 
 impl Gateway {
-    /// Starts a gateway on the given executors.
+    /// Starts a gateway on the given executors, once its addresses are free.
     ///
     /// # Errors
     ///
-    /// Returns [`StartError`] if it can't listen on an address.
-    pub fn start(
+    /// Returns [`StartError`] if it can't listen at an address.
+    pub async fn start(
         settings: Settings,
         dialect: Arc<dyn Dialect>,
         registry: Arc<dyn Registry>,
         execs: &Execs,
     ) -> Result<Self, StartError> {
         let listen = settings.listen.clone();
-        let callers_listener = bind(listen.callers)?;
-        let ready_listener = bind(listen.ready)?;
-        let peers_listener = bind(listen.peers)?;
-        let metrics_listener = listen.metrics.map(bind).transpose()?;
+        // Readiness comes last: probes of a node that waits for another address are
+        // refused, not left without a response.
+        let peers_listener = bind_when_free(listen.peers, settings.grace).await?;
+        let callers_listener = bind_when_free(listen.callers, settings.grace).await?;
+        let ready_listener = bind_when_free(listen.ready, settings.grace).await?;
         let (dispatcher, messages) = Dispatcher::new();
         let traffic = Arc::clone(&execs.traffic);
         let seeds = settings.seeds.clone();
@@ -135,11 +128,8 @@
             ready_listener,
             Arc::new(Readiness(Arc::clone(&gateway.shared))),
         );
-        if let Some(listener) = metrics_listener {
-            gateway.serve_http(
-                listener,
-                Arc::new(OperatorPort(Arc::clone(&gateway.shared))),
-            );
+        if let Some(address) = listen.metrics {
+            gateway.serve_metrics(address);
         }
         gateway.run_control(peers_listener, messages);
         log::info!(
@@ -170,15 +160,29 @@
     }
 
     fn serve_http(&self, listener: Async<TcpListener>, handler: Arc<dyn Handler>) {
-        let bounds = Bounds {
-            head_timeout: HEAD_TIMEOUT,
-            conns: 64,
-            memory: None,
+        let scope = Scope::new(self.control.exec());
+        self.control.spawn(serve_control(listener, handler, scope));
+    }
+
+    /// Serves operators and metrics scrapers at an address, if need be later.
+    fn serve_metrics(&self, address: SocketAddr) {
+        let handler = Arc::new(OperatorPort(Arc::clone(&self.shared)));
+        let error = match bind(address) {
+            Ok(listener) => return self.serve_http(listener, handler),
+            Err(error) => error,
         };
+        log::warn!(event = "metrics-unavailable", error = error.to_string().as_str(), outcome = "callers are served without metrics"; "");
         let scope = Scope::new(self.control.exec());
-        let never = Flag::default();
-        self.control
-            .spawn(http::serve(listener, handler, bounds, scope, never));
+        self.control.spawn(async move {
+            let listener = loop {
+                Timer::after(METRICS_RETRY_INTERVAL).await;
+                if let Ok(listener) = bind(address) {
+                    break listener;
+                }
+            };
+            log::info!(event = "metrics-available", address = address.to_string().as_str(); "");
+            serve_control(listener, handler, scope).await;
+        });
     }
 
     fn run_control(
@@ -266,6 +270,12 @@
     }
 }
 
-fn bind(address: SocketAddr) -> Result<Async<TcpListener>, StartError> {
-    http::bind(address).map_err(|source| StartError::Listen { address, source })
+/// Serves a port that callers don't use.
+async fn serve_control(listener: Async<TcpListener>, handler: Arc<dyn Handler>, scope: Scope) {
+    let bounds = Bounds {
+        head_timeout: HEAD_TIMEOUT,
+        conns: 64,
+        memory: None,
+    };
+    http::serve(listener, handler, bounds, scope, Flag::default()).await;
 }
--- a/gateway/src/program.rs
+++ b/gateway/src/program.rs
@@ -46,10 +46,10 @@
         1
     }
 
-    fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
+    async fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
         let dialect = A::dialect(&settings);
         let registry = A::registry(&settings, execs);
-        let gateway = Gateway::start(settings, dialect, registry, execs)?;
+        let gateway = Gateway::start(settings, dialect, registry, execs).await?;
         Ok(Self {
             gateway,
             adapter: PhantomData,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -27,5 +27,6 @@
 pub mod retry;
 pub mod routing;
 pub mod serving;
+pub mod startup;
 pub mod time;
 pub mod units;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -48,5 +48,6 @@
 mod test_slices;
 mod test_slots;
 mod test_stage_domains;
+mod test_startup;
 mod test_store_returns;
 mod test_stream_versions;
--- a/load/src/experiment/trial.rs
+++ b/load/src/experiment/trial.rs
@@ -149,7 +149,7 @@
         Timer::at(from).await;
         bed.lose(&domain).await;
         Timer::at(until).await;
-        bed.regain(&domain)?;
+        bed.regain(&domain).await?;
     }
     if let Some(domain) = trial.fault.cut(deployment) {
         Timer::at(from).await;
--- a/load/src/scene/bed.rs
+++ b/load/src/scene/bed.rs
@@ -3,7 +3,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::path::Path;
-use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -150,13 +149,14 @@
         };
         bed.publish(deployment).await?;
         for place in Place::all(deployment) {
-            bed.seat(&place, options, &outside.execs())?;
+            bed.seat(&place, options, &outside.execs()).await?;
         }
         let peers = (0..scene.routers).map(|_| ports::free());
         let peers = peers.collect::<io::Result<Vec<SocketAddr>>>()?;
         for index in 0..scene.routers {
             let settings = bed.router(scene, index, &peers, options, &exec)?;
-            bed.routers.push(Router::start(settings, &entry.execs())?);
+            bed.routers
+                .push(Router::start(settings, &entry.execs()).await?);
         }
         bed.threads = vec![entry, beside, outside];
         bed.ready().await?;
@@ -200,11 +200,11 @@
     /// # Errors
     ///
     /// Returns [`BedError`] if one can't start.
-    pub fn regain(&mut self, domain: &FailureDomain) -> Result<(), BedError> {
+    pub async fn regain(&mut self, domain: &FailureDomain) -> Result<(), BedError> {
         let execs = &self.agent_execs;
         for seat in self.seats.iter_mut().filter(|s| s.domain == *domain) {
             if seat.agent.is_none() {
-                seat.agent = Some(agent(&seat.settings, execs)?);
+                seat.agent = Some(agent(&seat.settings, execs).await?);
             }
         }
         Ok(())
@@ -229,7 +229,7 @@
         Ok(())
     }
 
-    fn seat(
+    async fn seat(
         &mut self,
         place: &Place<'_>,
         options: &Options,
@@ -242,7 +242,7 @@
         let endpoint = standin.address();
         self.standins.push(standin);
         let settings = place.agent(ports::free()?, endpoint, self.platform);
-        let agent = agent(&settings, &self.agent_execs)?;
+        let agent = agent(&settings, &self.agent_execs).await?;
         self.seats.push(Seat {
             pool: place.pool.name.clone(),
             domain: place.domain().clone(),
@@ -310,14 +310,8 @@
     }
 }
 
-fn agent(settings: &serde_json::Value, execs: &Execs) -> Result<Agent, BedError> {
+async fn agent(settings: &serde_json::Value, execs: &Execs) -> Result<Agent, BedError> {
     let path = Path::new("agent settings");
     let settings = settings::parse(path, &settings.to_string())?;
-    Ok(Agent::start(
-        settings,
-        &Execs {
-            control: Arc::clone(&execs.control),
-            traffic: Arc::clone(&execs.traffic),
-        },
-    )?)
+    Ok(Agent::start(settings, execs).await?)
 }
--- a/router/src/node.rs
+++ b/router/src/node.rs
@@ -1,6 +1,5 @@
 //! The router: its shared state, start and shutdown.
 
-use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
@@ -13,6 +12,7 @@
 use async_io::Timer;
 use derive_more::Display;
 use derive_more::Error;
+use derive_more::From;
 use snipeyoke_lib::chain::RequestSpec;
 use snipeyoke_lib::chain::Shared;
 use snipeyoke_lib::drain::Drain;
@@ -40,6 +40,8 @@
 use snipeyoke_runtime::http;
 use snipeyoke_runtime::http::Bounds;
 use snipeyoke_runtime::http::Client;
+use snipeyoke_runtime::listen::ListenError;
+use snipeyoke_runtime::listen::bind_when_free;
 use snipeyoke_runtime::platform::HttpHosts;
 use snipeyoke_runtime::platform::HttpLog;
 use snipeyoke_runtime::scope::Scope;
@@ -83,18 +85,16 @@
 /// The poll interval for the work that a drain waits for.
 const DRAIN_POLL: Duration = Duration::from_millis(20);
 
+/// The time that a router that leaves has at most.
+const PREDECESSOR_GRACE: Duration = Duration::from_mins(1);
+
 /// The reason why a router can't start.
 #[derive(Debug)]
-#[derive(Display, Error)]
+#[derive(Display, Error, From)]
 pub enum StartError {
-    /// An address to listen on can't be bound.
-    #[display("can't listen on {address}: {source}; free the address or change `listen`")]
-    Listen {
-        /// The address.
-        address: SocketAddr,
-        /// The system's error.
-        source: io::Error,
-    },
+    /// It can't listen at an address.
+    #[display("{_0}")]
+    Listen(ListenError),
 }
 
 /// The state shared by the tasks of a router.
@@ -197,23 +197,24 @@
 }
 
 impl Router {
-    /// Starts a router on the given executors.
+    /// Starts a router on the given executors, once its addresses are free.
     ///
     /// # Errors
     ///
-    /// Returns [`StartError`] if an address can't be bound.
-    pub fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
+    /// Returns [`StartError`] if it can't listen at an address.
+    pub async fn start(settings: Settings, execs: &Execs) -> Result<Self, StartError> {
         let raw = settings.raw;
-        let (caller_listener, callers) = listen(raw.listen.callers)?;
-        let (control_listener, operators) = listen(raw.listen.control)?;
+        let listen = &raw.listen;
+        let peers = bind_when_free(listen.peers, PREDECESSOR_GRACE).await?;
+        let control_listener = bind_when_free(listen.control, PREDECESSOR_GRACE).await?;
+        let caller_listener = bind_when_free(listen.callers, PREDECESSOR_GRACE).await?;
+        let operators = bound_address(&control_listener, listen.control)?;
+        let callers = bound_address(&caller_listener, listen.callers)?;
         let bounds = Bounds {
             head_timeout: Duration::from_millis(raw.bounds.head_ms),
             conns: raw.bounds.conns,
             memory: raw.bounds.memory_mb.map(|mb| Bytes(mb * 1_000_000)),
         };
-        let address = raw.listen.peers;
-        let wrap = |source| StartError::Listen { address, source };
-        let peers = http::bind(address).map_err(wrap)?;
         let (members, events) = Members::new();
         let node = Arc::new(build_node(raw, execs, members));
         node.scope.spawn(members::accept(Arc::clone(&node), peers));
@@ -351,11 +352,13 @@
     }
 }
 
-fn listen(address: SocketAddr) -> Result<(Async<TcpListener>, SocketAddr), StartError> {
-    let wrap = |source| StartError::Listen { address, source };
-    let listener = http::bind(address).map_err(wrap)?;
-    let bound = listener.get_ref().local_addr().map_err(wrap)?;
-    Ok((listener, bound))
+/// Returns the address of a listener, whose port the system may have chosen.
+fn bound_address(
+    listener: &Async<TcpListener>,
+    address: SocketAddr,
+) -> Result<SocketAddr, ListenError> {
+    let bound = listener.get_ref().local_addr();
+    bound.map_err(|source| ListenError { address, source })
 }
 
 fn build_node(raw: Raw, execs: &Execs, members: Members) -> Node {
--- a/runtime/src/http/mod.rs
+++ b/runtime/src/http/mod.rs
@@ -30,6 +30,5 @@
 pub use server::Handler;
 pub use server::Reply;
 pub use server::Request;
-pub use server::bind;
 pub use server::serve;
 pub use server::serve_until;
--- a/runtime/src/http/server.rs
+++ b/runtime/src/http/server.rs
@@ -1,8 +1,6 @@
 //! An HTTP server with limits on connections, request heads and idle time.
 
 use std::convert::Infallible;
-use std::io;
-use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
 use std::pin::Pin;
@@ -115,15 +113,6 @@
 /// A client that connects and sends nothing would otherwise delay the exit.
 const DRAIN_HEAD_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Binds a listener.
-///
-/// # Errors
-///
-/// Returns the system's error, for example if the address is in use.
-pub fn bind(address: SocketAddr) -> io::Result<Async<TcpListener>> {
-    Async::<TcpListener>::bind(address)
-}
-
 /// Serves connections until `drain` is set and each has finished its request.
 pub async fn serve(
     listener: Async<TcpListener>,
--- a/runtime/src/lib.rs
+++ b/runtime/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod flag;
 pub mod http;
 pub mod link;
+pub mod listen;
 pub mod logs;
 pub mod measures;
 pub mod platform;
--- a/runtime/src/program.rs
+++ b/runtime/src/program.rs
@@ -1,6 +1,8 @@
 //! Start, reload and shutdown common to all programs of the system.
 
 use std::error::Error;
+use std::io;
+use std::io::Write;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -13,13 +15,17 @@
 use derive_more::Error as DeriveError;
 use futures_lite::FutureExt;
 use snipeyoke_lib::drain::Source;
+use snipeyoke_lib::startup::Obstacle;
+use snipeyoke_lib::startup::StartRetries;
 
+use crate::clock::Clock;
 use crate::faults;
 use crate::logs;
 use crate::logs::Output;
 use crate::measures;
 use crate::settings;
 use crate::settings::Checked;
+use crate::settings::SettingsError;
 use crate::settings::Watch;
 use crate::signals;
 use crate::signals::ReloadSignals;
@@ -36,7 +42,7 @@
     const LOG: Output = Output::Stderr;
 
     /// The checked settings.
-    type Settings: Checked<Error: 'static>;
+    type Settings: Checked<Error: 'static> + Clone;
 
     /// The reason why the program can't start.
     type StartError: Error + 'static;
@@ -47,12 +53,17 @@
     /// Returns the number of traffic threads.
     fn thread_count(settings: &Self::Settings) -> usize;
 
-    /// Starts the program on the given executors.
+    /// Starts the program on the given executors, once what it needs is there.
+    ///
+    /// Dropping the future gives up the start.
     ///
     /// # Errors
     ///
     /// Returns an error if the program can't start.
-    fn start(settings: Self::Settings, execs: &Execs) -> Result<Self, Self::StartError>;
+    fn start(
+        settings: Self::Settings,
+        execs: &Execs,
+    ) -> impl Future<Output = Result<Self, Self::StartError>>;
 
     /// Applies new settings at run time; by default, keeps the old ones.
     fn reload(&self, _settings: Self::Settings) {
@@ -85,6 +96,18 @@
 #[display("no settings file: pass one as argument or in {SETTINGS_VAR}")]
 pub struct NoSettings;
 
+/// The reason why a process can't be set up.
+#[derive(Debug)]
+#[derive(Display, DeriveError)]
+pub enum SetupError {
+    /// Signals can't be handled.
+    #[display("can't handle signals: {_0}; raise the descriptor limit")]
+    Signals(io::Error),
+    /// A thread can't be started.
+    #[display("can't start a thread: {_0}; raise the limit on the threads of this user")]
+    Threads(io::Error),
+}
+
 /// The interval for polling the settings file.
 ///
 /// Operators who change the file without a signal expect it in force within seconds.
@@ -127,7 +150,8 @@
     match run::<P>(&argh::from_env()) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
-            eprintln!("{}: {error}", P::NAME);
+            // Standard error may be closed.
+            let _unwritten = writeln!(io::stderr(), "{}: {error}", P::NAME);
             ExitCode::FAILURE
         }
     }
@@ -135,50 +159,120 @@
 
 fn run<P: Program>(args: &Args) -> Result<(), Box<dyn Error>> {
     // Comes first, since the signals are blocked until here.
-    let shutdown = ShutdownSignals::register()?;
-    let reload = ReloadSignals::register()?;
+    let mut signals = HandledSignals::register()?;
     signals::unblock()?;
     faults::install(P::NAME)?;
     let path = args.path()?;
-    let settings: P::Settings = settings::load(&path)?;
     if args.check {
+        let _settings: P::Settings = settings::load(&path)?;
         println!("{}: good", path.display());
         return Ok(());
     }
+    let Some(settings) = block_on(load_when_written::<P>(&path, &mut signals))? else {
+        return Ok(());
+    };
     logs::install(P::log_filter(&settings), P::LOG)?;
     measures::install();
-    let threads = Threads::start(P::thread_count(&settings))?;
-    let program = P::start(settings, &threads.execs())?;
-    block_on(serve(&program, shutdown, reload, &path));
+    let threads = Threads::start(P::thread_count(&settings)).map_err(SetupError::Threads)?;
+    let mut watch = Watch::new(&path);
+    let started = block_on(start::<P>(settings, &threads, &mut signals, &mut watch));
+    match &started {
+        Ok(Some(program)) => block_on(serve(program, &mut signals, &mut watch)),
+        Ok(None) => log::info!(event = "start-ended", why = "a signal"; ""),
+        Err(error) => {
+            log::error!(event = "start-failed", error = error.to_string().as_str(); "");
+        }
+    }
     threads.join();
     log::logger().flush();
-    Ok(())
+    Ok(started.map(|_program| ())?)
+}
+
+/// The signals that a process handles.
+struct HandledSignals {
+    shutdown: ShutdownSignals,
+    reload: ReloadSignals,
 }
 
-async fn serve<P: Program>(
-    program: &P,
-    mut shutdown: ShutdownSignals,
-    mut reload: ReloadSignals,
+impl HandledSignals {
+    fn register() -> Result<Self, SetupError> {
+        Ok(Self {
+            shutdown: ShutdownSignals::register().map_err(SetupError::Signals)?,
+            reload: ReloadSignals::register().map_err(SetupError::Signals)?,
+        })
+    }
+}
+
+/// Loads the settings; waits while they are being written.
+///
+/// Returns `None` if the process is told to end.
+async fn load_when_written<P: Program>(
     path: &Path,
-) {
+    signals: &mut HandledSignals,
+) -> Result<Option<P::Settings>, SettingsError> {
+    let clock = Clock::start();
+    let mut retries = StartRetries::new(Duration::ZERO);
+    let load = async {
+        loop {
+            let error = match settings::load::<P::Settings>(path) {
+                Ok(settings) => return Ok(Some(settings)),
+                Err(error) if !error.is_unfinished() => return Err(error),
+                Err(error) => error,
+            };
+            let pause = retries.on_failure(clock.now(), Obstacle::SettingsUnfinished);
+            Timer::after(pause.ok_or(error)?).await;
+        }
+    };
+    let stop = async {
+        signals.shutdown.next().await;
+        Ok(None)
+    };
+    load.or(stop).await
+}
+
+/// Starts a program; new settings take effect while the start waits.
+///
+/// Returns `None` if the process is told to end.
+async fn start<P: Program>(
+    mut settings: P::Settings,
+    threads: &Threads,
+    signals: &mut HandledSignals,
+    watch: &mut Watch,
+) -> Result<Option<P>, P::StartError> {
+    enum Event<P, E> {
+        Started(Result<P, E>),
+        Stopped,
+        Reloaded,
+    }
+    loop {
+        let execs = threads.execs();
+        let started = async { Event::Started(P::start(settings.clone(), &execs).await) };
+        let stopped = async {
+            signals.shutdown.next().await;
+            Event::Stopped
+        };
+        let reloaded = async {
+            reload_requested(&mut signals.reload, watch).await;
+            Event::Reloaded
+        };
+        match started.or(stopped).or(reloaded).await {
+            Event::Started(result) => return result.map(Some),
+            Event::Stopped => return Ok(None),
+            Event::Reloaded => settings = load_or_keep(watch.path()).unwrap_or(settings),
+        }
+    }
+}
+
+async fn serve<P: Program>(program: &P, signals: &mut HandledSignals, watch: &mut Watch) {
     let signal = async {
-        shutdown.next().await;
+        signals.shutdown.next().await;
         Source::Signal
     };
     let reloads = async {
-        let mut watch = Watch::new(path);
         loop {
-            let signal = async {
-                reload.next().await;
-                true
-            };
-            let poll = async {
-                Timer::after(SETTINGS_POLL_INTERVAL).await;
-                false
-            };
-            let signalled = signal.or(poll).await;
-            if watch.has_changed() || signalled {
-                reload_settings(program, path);
+            reload_requested(&mut signals.reload, watch).await;
+            if let Some(settings) = load_or_keep(watch.path()) {
+                program.reload(settings);
             }
         }
     };
@@ -191,12 +285,30 @@
     program.drain(source).await;
 }
 
-// An invalid file must not stop a running process: the old settings stay in force.
-fn reload_settings<P: Program>(program: &P, path: &Path) {
-    match settings::load::<P::Settings>(path) {
-        Ok(settings) => program.reload(settings),
-        Err(error) => {
-            log::error!(event = "settings-refused", error = error.to_string().as_str(), outcome = "the old settings stay in force"; "");
+/// Waits for a reload signal or a changed settings file.
+async fn reload_requested(signals: &mut ReloadSignals, watch: &mut Watch) {
+    loop {
+        let signal = async {
+            signals.next().await;
+            true
+        };
+        let poll = async {
+            Timer::after(SETTINGS_POLL_INTERVAL).await;
+            false
+        };
+        let signalled = signal.or(poll).await;
+        if watch.has_changed() || signalled {
+            return;
         }
     }
 }
+
+/// Loads new settings. Returns `None` for an invalid file, which must not stop a running
+/// process.
+fn load_or_keep<S: Checked>(path: &Path) -> Option<S> {
+    let loaded = settings::load(path);
+    if let Err(error) = &loaded {
+        log::error!(event = "settings-refused", error = error.to_string().as_str(), outcome = "the old settings stay in force"; "");
+    }
+    loaded.ok()
+}
--- a/runtime/src/settings.rs
+++ b/runtime/src/settings.rs
@@ -25,6 +25,12 @@
         /// The system's error.
         source: io::Error,
     },
+    /// The file has no value.
+    #[display("{}: is empty; write the settings as JSON", path.display())]
+    Empty {
+        /// The file.
+        path: PathBuf,
+    },
     /// The text is not valid JSON with comments.
     #[display("{}: line {line}, column {column}: {message}; correct the syntax there", path.display())]
     Syntax {
@@ -61,6 +67,15 @@
     pub const fn is_read(&self) -> bool {
         matches!(self, Self::Read { .. })
     }
+
+    /// Returns whether the file may only have to be written to its end.
+    #[must_use]
+    pub const fn is_unfinished(&self) -> bool {
+        matches!(
+            self,
+            Self::Read { .. } | Self::Empty { .. } | Self::Syntax { .. }
+        )
+    }
 }
 
 /// Settings that are parsed as [`Checked::Raw`] and then checked.
@@ -97,6 +112,12 @@
         }
     }
 
+    /// Returns the path of the file.
+    #[must_use]
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+
     /// Returns whether the text has changed since the last call.
     ///
     /// An unreadable file is not a change, as it may be about to be replaced.
@@ -136,6 +157,12 @@
         column: error.column_display(),
         message: error.kind().to_string(),
     })?;
+    // The parser returns null for a text without a value.
+    if value.is_null() {
+        return Err(SettingsError::Empty {
+            path: path.to_owned(),
+        });
+    }
     let raw = T::Raw::deserialize(value).map_err(|error| SettingsError::Shape {
         path: path.to_owned(),
         message: with_line(text, &error.to_string()),
--- a/runtime/tests/test_config_store.rs
+++ b/runtime/tests/test_config_store.rs
@@ -23,8 +23,8 @@
 use snipeyoke_runtime::config_store::ConfigStore;
 use snipeyoke_runtime::config_store::PUSH_MAX_BYTES;
 use snipeyoke_runtime::config_store::REQUEST_STALL;
-use snipeyoke_runtime::http::bind;
 use snipeyoke_runtime::link;
+use snipeyoke_runtime::listen::bind;
 use snipeyoke_wire::frame;
 
 /// The number of client accounts in a deployment of full size.
--- a/runtime/tests/test_link_memory.rs
+++ b/runtime/tests/test_link_memory.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use futures_lite::future;
-use snipeyoke_runtime::http::bind;
 use snipeyoke_runtime::link;
+use snipeyoke_runtime::listen::bind;
 use snipeyoke_wire::Cancel;
 use snipeyoke_wire::frame::Body;
 
--- a/site/src/run.rs
+++ b/site/src/run.rs
@@ -99,18 +99,18 @@
         };
         for pool in &plan.pools {
             for index in 0..pool.count {
-                site.add_endpoint(plan, pool, index, execs)?;
+                site.add_endpoint(plan, pool, index, execs).await?;
             }
         }
         for index in 0..plan.routers {
-            site.add_router(plan, index, execs)?;
+            site.add_router(plan, index, execs).await?;
         }
         site.change(&plan.changes).await?;
         site.ready().await?;
         Ok(site)
     }
 
-    fn add_endpoint(
+    async fn add_endpoint(
         &mut self,
         plan: &Plan,
         pool: &PoolPlan,
@@ -144,7 +144,7 @@
             log: "info".to_owned(),
         };
         let settings = snipeyoke_agent::settings::Settings::try_from(raw)?;
-        self.agents.push(Agent::start(settings, execs)?);
+        self.agents.push(Agent::start(settings, execs).await?);
         self.endpoints.push(EndpointAt {
             name,
             pool: pool.name.clone(),
@@ -166,7 +166,7 @@
     /// # Errors
     ///
     /// Returns [`SiteError`] if it can't start.
-    pub fn add_router(
+    pub async fn add_router(
         &mut self,
         plan: &Plan,
         index: usize,
@@ -196,7 +196,7 @@
             log: "info".to_owned(),
         };
         let settings = snipeyoke_router::settings::Settings::try_from(raw)?;
-        self.routers.push(Router::start(settings, execs)?);
+        self.routers.push(Router::start(settings, execs).await?);
         Ok(())
     }
 
--- a/site/tests/test_state.rs
+++ b/site/tests/test_state.rs
@@ -167,6 +167,7 @@
         assert_eq!(told.expect("the platform answers").status, 200);
         let late = site.callers().len();
         site.add_router(&vestlandsprint(), late, &threads.execs())
+            .await
             .expect("the router starts");
         let router = site.callers()[late];
         for _try in 0..TRIES {
@@ -213,7 +214,9 @@
             .await
             .expect("the log takes them");
         let settings = lone_router(site.platform);
-        let router = Router::start(settings, &threads.execs()).expect("the router starts");
+        let router = Router::start(settings, &threads.execs())
+            .await
+            .expect("the router starts");
         let scope = Scope::new(threads.execs().traffic);
         let caller = Caller(Client::new(scope.clone(), Duration::from_secs(1)));
         let mut ready = false;
