runtime: refuse a connection of a socket to itself

Seen: a dial of a loopback port without a listener connected after some thousand dials; the new test failed so on the code before, within 0.25 s.

Cause: the system may give a connection the port that it dials as its own. If nobody listens there, the socket connects to itself (a simultaneous open). A node that dials a peer that is down takes the peer's port so; its frames come back to it as replies, which keep the link alive, and the peer finds its address in use when it starts again.

Change: such a connection counts as refused. It costs one system call for each connection.

--- a/runtime/src/link.rs
+++ b/runtime/src/link.rs
@@ -200,7 +200,7 @@
 ///
 /// Returns the system's error, or a timeout after `limit`.
 pub async fn connect(address: SocketAddr, limit: Duration) -> io::Result<Async<TcpStream>> {
-    let connect = Async::<TcpStream>::connect(address);
+    let connect = connect_to_other(address);
     let timeout = async {
         Timer::after(limit).await;
         Err(io::Error::from(io::ErrorKind::TimedOut))
@@ -208,6 +208,18 @@
     connect.or(timeout).await
 }
 
+/// Connects, but not to the socket itself.
+///
+/// The system connects a socket to itself if it gives it the port that it dials and nobody
+/// listens there. The node that belongs there could not start again.
+async fn connect_to_other(address: SocketAddr) -> io::Result<Async<TcpStream>> {
+    let stream = Async::<TcpStream>::connect(address).await?;
+    if stream.get_ref().local_addr()? == address {
+        return Err(io::ErrorKind::ConnectionRefused.into());
+    }
+    Ok(stream)
+}
+
 /// Splits a connection into sender, writer and reader.
 ///
 /// # Errors
--- a/runtime/tests/test_link.rs
+++ b/runtime/tests/test_link.rs
@@ -101,3 +101,27 @@
         assert_matches!(sender.send(cancel(2)), Err(SendError::Closed));
     });
 }
+
+/// Guards against a link to a node that is down which the system connects to itself, so
+/// that its port stays taken.
+#[test]
+fn a_dial_does_not_connect_to_itself() {
+    // The system goes through its range of ports for connections, one after the other of
+    // the same parity as its first.
+    const DIALS: usize = 32_768;
+    let range = std::fs::read_to_string("/proc/sys/net/ipv4/ip_local_port_range");
+    let range = range.expect("the range is readable");
+    let first: u16 = range
+        .split_ascii_whitespace()
+        .next()
+        .and_then(|first| first.parse().ok())
+        .expect("a port");
+    let address = SocketAddr::from((Ipv4Addr::LOCALHOST, first + 5_000));
+    future::block_on(async {
+        for dial in 0..DIALS {
+            let connected = link::connect(address, Duration::from_secs(5)).await;
+            let own = connected.and_then(|stream| stream.get_ref().local_addr());
+            assert!(!own.is_ok_and(|own| own == address), "dial {dial}");
+        }
+    });
+}
