runtime: end a process whose log nobody reads

What callers saw: nothing; the host's supervisor had to kill the process at the end of its grace, and a successor found its addresses in use.

Cause: the end waited for the queue of log lines to be written, without a bound. If standard output is a pipe that nobody reads, this takes forever.

Change: a process that ends waits 100 ms for the reader of its log.

--- a/runtime/src/logs.rs
+++ b/runtime/src/logs.rs
@@ -3,6 +3,10 @@
 mod bound;
 mod layout;
 
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+
 use derive_more::Display;
 use derive_more::Error;
 use logforth::Append;
@@ -25,6 +29,11 @@
 /// dropped and counted as `snipeyoke_log_dropped_total`.
 const QUEUE_MAX_LINES: usize = 8_192;
 
+/// How long a process that ends waits for the reader of its log.
+///
+/// It fits between the last responses and the end of the grace period.
+const FLUSH_TIMEOUT: Duration = Duration::from_millis(100);
+
 /// The reason why the log can't be set up.
 #[derive(Debug)]
 #[derive(Display, Error)]
@@ -93,6 +102,19 @@
     }
 }
 
+/// Writes out queued log lines; gives up if the reader of the log does not take them.
+pub fn flush() {
+    let (done, flushed) = mpsc::channel();
+    let flush = move || {
+        log::logger().flush();
+        // The receiver may have given up.
+        let _late = done.send(());
+    };
+    if thread::Builder::new().spawn(flush).is_ok() {
+        let _unread = flushed.recv_timeout(FLUSH_TIMEOUT);
+    }
+}
+
 /// Logs one event whose keys are only known at run time.
 pub fn event(target: &str, pairs: &[(&'static str, String)]) {
     let level = log::Level::Info;
--- a/runtime/src/program.rs
+++ b/runtime/src/program.rs
@@ -184,7 +184,7 @@
         }
     }
     threads.join();
-    log::logger().flush();
+    logs::flush();
     Ok(started.map(|_program| ())?)
 }
 
