runtime: remove a task that panicked from its scope, and end without an essential one

Seen on the code before: a scope whose task panicked was never joined, so a node would drain for its whole grace, and the server counted the connection as open forever; the panic was told by the language's message on standard error alone.

Change: a task leaves its scope also by a panic, which is logged and counted. If the task is one of those that a node can't do without (listeners, the dispatcher, the readers of the registry), the process drains and ends with 1, where it went on with a part missing.

--- a/gateway/src/node.rs
+++ b/gateway/src/node.rs
@@ -153,7 +153,7 @@
         let drain = self.shared.drain.clone();
         let stop_accepting = self.shared.stop_accepting.clone();
         let served = self.served.clone();
-        self.callers.spawn(async move {
+        self.callers.spawn_essential(async move {
             http::serve_until(listener, ingress, bounds, scope, drain, stop_accepting).await;
             served.set();
         });
@@ -161,7 +161,8 @@
 
     fn serve_http(&self, listener: Async<TcpListener>, handler: Arc<dyn Handler>) {
         let scope = Scope::new(self.control.exec());
-        self.control.spawn(serve_control(listener, handler, scope));
+        self.control
+            .spawn_essential(serve_control(listener, handler, scope));
     }
 
     /// Serves operators and metrics scrapers at an address, if need be later.
@@ -197,16 +198,16 @@
         // second with the owner, and no other thread has to wake up for them. They also
         // can't delay the configuration.
         let traffic = &self.stages;
-        traffic.spawn(dispatch::run(shared(), messages, traffic.clone()));
+        traffic.spawn_essential(dispatch::run(shared(), messages, traffic.clone()));
         let dispatcher = self.shared.dispatcher.clone();
-        traffic.spawn(dispatch::accept(peers, dispatcher, traffic.clone()));
+        traffic.spawn_essential(dispatch::accept(peers, dispatcher, traffic.clone()));
         if self.shared.settings.has_pressure() {
             traffic.spawn(kept_connections::sweep(shared()));
         }
-        scope.spawn(changes::follow(shared(), seed));
-        scope.spawn(follow::follow_endpoints(shared(), seed ^ 1));
-        scope.spawn(follow::discover_peers(shared(), seed ^ 2));
-        scope.spawn(follow::keep_registered(shared(), seed ^ 4));
+        scope.spawn_essential(changes::follow(shared(), seed));
+        scope.spawn_essential(follow::follow_endpoints(shared(), seed ^ 1));
+        scope.spawn_essential(follow::discover_peers(shared(), seed ^ 2));
+        scope.spawn_essential(follow::keep_registered(shared(), seed ^ 4));
     }
 
     /// Applies new settings; changed addresses take effect at the next start.
@@ -219,6 +220,12 @@
         log::info!(event = "settings-reloaded", node = settings.node.to_string().as_str(); "");
     }
 
+    /// Waits until a task has panicked without which the node can't serve.
+    pub async fn failed(&self) {
+        let traffic = self.callers.failed().or(self.stages.failed());
+        traffic.or(self.control.failed()).await;
+    }
+
     /// Shuts down: leaves the load balancer's rotation, closes idle
     /// connections, then ends requests in flight.
     pub async fn drain(&self) {
--- a/gateway/src/program.rs
+++ b/gateway/src/program.rs
@@ -64,6 +64,10 @@
         future::pending::<()>().await;
     }
 
+    async fn failed(&self) {
+        self.gateway.failed().await;
+    }
+
     async fn drain(&self, _source: Source) {
         self.gateway.drain().await;
     }
--- a/runtime/src/program.rs
+++ b/runtime/src/program.rs
@@ -14,6 +14,7 @@
 use derive_more::Display;
 use derive_more::Error as DeriveError;
 use futures_lite::FutureExt;
+use futures_lite::future;
 use snipeyoke_lib::drain::Source;
 use snipeyoke_lib::startup::Obstacle;
 use snipeyoke_lib::startup::StartRetries;
@@ -73,6 +74,11 @@
     /// Waits until the host list marks the host as leaving.
     fn leave_requested(&self) -> impl Future<Output = ()>;
 
+    /// Waits until a part of the program has failed without which it is of no use.
+    fn failed(&self) -> impl Future<Output = ()> {
+        future::pending()
+    }
+
     /// Drains and stops the program.
     fn drain(&self, source: Source) -> impl Future<Output = ()>;
 }
@@ -96,6 +102,12 @@
 #[display("no settings file: pass one as argument or in {SETTINGS_VAR}")]
 pub struct NoSettings;
 
+/// The error of a process that ends by itself after its start.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Display, DeriveError)]
+#[display("a part of the program panicked; report the panic and start the process again")]
+pub struct Failed;
+
 /// The reason why a process can't be set up.
 #[derive(Debug)]
 #[derive(Display, DeriveError)]
@@ -176,16 +188,22 @@
     let threads = Threads::start(P::thread_count(&settings)).map_err(SetupError::Threads)?;
     let mut watch = Watch::new(&path);
     let started = block_on(start::<P>(settings, &threads, &mut signals, &mut watch));
-    match &started {
-        Ok(Some(program)) => block_on(serve(program, &mut signals, &mut watch)),
-        Ok(None) => log::info!(event = "start-ended", why = "a signal"; ""),
+    let result = match started {
+        Ok(Some(program)) => {
+            block_on(serve(&program, &mut signals, &mut watch)).map_err(Box::<dyn Error>::from)
+        }
+        Ok(None) => {
+            log::info!(event = "start-ended", why = "a signal"; "");
+            Ok(())
+        }
         Err(error) => {
             log::error!(event = "start-failed", error = error.to_string().as_str(); "");
+            Err(error.into())
         }
-    }
+    };
     threads.join();
     logs::flush();
-    Ok(started.map(|_program| ())?)
+    result
 }
 
 /// The signals that a process handles.
@@ -263,10 +281,19 @@
     }
 }
 
-async fn serve<P: Program>(program: &P, signals: &mut HandledSignals, watch: &mut Watch) {
+async fn serve<P: Program>(
+    program: &P,
+    signals: &mut HandledSignals,
+    watch: &mut Watch,
+) -> Result<(), Failed> {
     let signal = async {
         signals.shutdown.next().await;
-        Source::Signal
+        (Source::Signal, Ok(()))
+    };
+    let failed = async {
+        program.failed().await;
+        log::error!(event = "program-failed", outcome = "the process ends"; "");
+        (Source::Signal, Err(Failed))
     };
     let reloads = async {
         loop {
@@ -278,11 +305,12 @@
     };
     let host_list = async {
         program.leave_requested().await;
-        Source::HostList
+        (Source::HostList, Ok(()))
     };
-    let source = signal.or(host_list).or(reloads).await;
+    let (source, result) = signal.or(host_list).or(failed).or(reloads).await;
     // Further signals stay pending and do not interrupt the drain.
     program.drain(source).await;
+    result
 }
 
 /// Waits for a reload signal or a changed settings file.
--- a/runtime/src/scope.rs
+++ b/runtime/src/scope.rs
@@ -6,6 +6,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::thread;
 use std::time::Duration;
 
 use async_executor::Task;
@@ -13,6 +14,7 @@
 use event_listener::Event;
 use futures_lite::FutureExt;
 
+use crate::flag::Flag;
 use crate::threads::Exec;
 
 /// The time for tasks to write their last frames before they are cancelled.
@@ -29,6 +31,28 @@
 struct Inner {
     tasks: Mutex<Tasks>,
     emptied: Event,
+    /// Set once an essential task has panicked.
+    failed: Flag,
+}
+
+/// Removes a task from its scope when it ends, also by a panic.
+struct RunningTask {
+    inner: Arc<Inner>,
+    id: u64,
+    is_essential: bool,
+}
+
+impl Drop for RunningTask {
+    fn drop(&mut self) {
+        if thread::panicking() {
+            log::error!(event = "task-panicked", essential = self.is_essential, remedy = "report the panic on standard error"; "");
+            metrics::counter!("snipeyoke_task_panics_total").increment(1);
+            if self.is_essential {
+                self.inner.failed.set();
+            }
+        }
+        self.inner.remove(self.id);
+    }
 }
 
 #[derive(Default)]
@@ -62,20 +86,42 @@
     }
 
     /// Spawns a task owned by this scope.
+    ///
+    /// If it panics, the panic is logged and the other tasks go on.
     pub fn spawn(&self, future: impl Future<Output = ()> + Send + 'static) {
+        self.spawn_task(future, false);
+    }
+
+    /// Spawns a task without which the process is of no use.
+    ///
+    /// If it panics, [`Self::failed`] ends.
+    pub fn spawn_essential(&self, future: impl Future<Output = ()> + Send + 'static) {
+        self.spawn_task(future, true);
+    }
+
+    fn spawn_task(&self, future: impl Future<Output = ()> + Send + 'static, is_essential: bool) {
         // Hold the lock across spawn and insert. Otherwise a task that ends at once
         // could remove its entry before the insert, and the entry would leak.
         let mut tasks = self.lock();
         let id = tasks.next;
         tasks.next += 1;
-        let inner = Arc::clone(&self.inner);
+        let running = RunningTask {
+            inner: Arc::clone(&self.inner),
+            id,
+            is_essential,
+        };
         let task = self.exec.spawn(async move {
+            let _running = running;
             future.await;
-            inner.remove(id);
         });
         tasks.running.insert(id, task);
     }
 
+    /// Waits until an essential task has panicked.
+    pub async fn failed(&self) {
+        self.inner.failed.wait().await;
+    }
+
     /// Returns the number of running tasks.
     #[must_use]
     pub fn len(&self) -> usize {
