deploy: leave out of the settings what the platform leaves out

Seen: a start ended with 1 and a syntax error when the platform had no value for a limit, a bound, the seeds, the zones or the contracts; a host whose memory or processor nobody limits has none.

--- a/gateway/src/settings.rs
+++ b/gateway/src/settings.rs
@@ -73,6 +73,7 @@
     #[serde(default)]
     pub limits: Limits,
     /// The time between SIGTERM and SIGKILL, in seconds.
+    #[serde(default = "grace_s")]
     pub grace_s: f64,
     /// The time within which an endpoint that shuts down receives its last
     /// request, in milliseconds.
@@ -93,6 +94,7 @@
     #[serde(default)]
     pub cold: Cold,
     /// The limit on retries across all nodes.
+    #[serde(default)]
     pub retries: Retries,
     /// The terms under which the deployment is served; unknown ones are ignored.
     #[serde(default)]
@@ -102,6 +104,10 @@
     pub log: String,
 }
 
+const fn grace_s() -> f64 {
+    10.0
+}
+
 const fn notice_ms() -> f64 {
     2_000.0
 }
@@ -133,7 +139,7 @@
 /// The processor capacity of a process.
 #[derive(Debug, Clone, Copy)]
 #[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct Processor {
     /// The number of cores, possibly fractional.
     pub share: f64,
@@ -192,7 +198,7 @@
 /// The limit on retries across all nodes.
 #[derive(Debug, Clone, Copy)]
 #[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct Retries {
     /// Retries per request.
     pub ratio: f64,
@@ -202,6 +208,16 @@
     pub extra: f64,
 }
 
+impl Default for Retries {
+    fn default() -> Self {
+        Self {
+            ratio: 0.2,
+            window_s: 10.0,
+            extra: 10.0,
+        }
+    }
+}
+
 /// The validated settings.
 #[derive(Debug, Clone)]
 pub struct Settings {
