gateway: don't take a response for whole that ended before its request was sent

What callers would see: 200 and a part of the response, framed as whole (MIXED), when an endpoint answers a long upload at once with a head that has no length, sends a part, closes its side and then resets the connection, while the upload is being written.

Cause: the end of such a body is the end of its connection, and the end in order arrives before the reset. A reset alone was told apart before. The class is that of responses-cut-at-the-head: an end that is taken for proof of what came before it.

Change: a body without a length is broken if its connection ends before the request was written. An endpoint that reads requests to their end is not affected.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -131,6 +131,23 @@
         "the connection ended before a body without a length began; check that the endpoint sends its responses to the end"
     )]
     Missing,
+    /// The connection ended a body without a length while the request was being sent.
+    #[display(
+        "the connection ended a body without a length before the request was sent; check that the endpoint reads requests to their end"
+    )]
+    Early,
+}
+
+/// How the end of a body is known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Framing {
+    /// By its length or chunks, or there is no body.
+    Stated,
+    /// It ends with its connection.
+    Connection {
+        /// Whether a byte of it has arrived.
+        has_begun: bool,
+    },
 }
 
 /// A response whose body is still to be read.
@@ -143,8 +160,7 @@
     conn: Connection,
     is_reused: bool,
     is_whole: bool,
-    /// Whether no byte of a body that ends with its connection has arrived.
-    awaits_body: bool,
+    framing: Framing,
     /// What the connection may be kept for once the response was read.
     pub(crate) kept_for: Option<CallKind>,
 }
@@ -154,18 +170,25 @@
     ///
     /// # Errors
     ///
-    /// Returns [`BodyError`] if the connection fails, or if it ends before the first
-    /// byte of a body without a length: an endpoint that stops after the head looks the
-    /// same as one whose body is empty.
+    /// Returns [`BodyError`] if the connection fails. A body without a length is also
+    /// broken if its connection ends before the first byte, since an endpoint that stops
+    /// after the head looks the same as one whose body is empty, or before the request
+    /// was sent, since an endpoint that fails may close its side first.
     pub(crate) async fn next(&mut self) -> Result<Option<Bytes>, BodyError> {
         while let Some(frame) = self.body.frame().await {
             if let Ok(data) = frame.map_err(BodyError::Broken)?.into_data() {
-                self.awaits_body = false;
+                if let Framing::Connection { has_begun } = &mut self.framing {
+                    *has_begun = true;
+                }
                 return Ok(Some(data));
             }
         }
-        if self.awaits_body {
-            return Err(BodyError::Missing);
+        match self.framing {
+            Framing::Connection { has_begun: false } => return Err(BodyError::Missing),
+            Framing::Connection { .. } if !self.conn.progress.is_sent() => {
+                return Err(BodyError::Early);
+            }
+            Framing::Connection { .. } | Framing::Stated => {}
         }
         self.is_whole = true;
         Ok(None)
@@ -272,9 +295,14 @@
         let (head, body) = response.into_parts();
         let has_end = head.headers.contains_key(CONTENT_LENGTH)
             || head.headers.contains_key(TRANSFER_ENCODING);
+        // Some statuses have no body.
+        let framing = if has_end || body.is_end_stream() {
+            Framing::Stated
+        } else {
+            Framing::Connection { has_begun: false }
+        };
         Ok(Call {
-            // Some statuses have no body.
-            awaits_body: !has_end && !body.is_end_stream(),
+            framing,
             head,
             body,
             conn: self,
@@ -337,6 +365,8 @@
     read: AtomicUsize,
     /// Whether the head is complete.
     answered: AtomicBool,
+    /// Whether bytes of the request are still to be written, or can't be.
+    unsent: AtomicBool,
 }
 
 impl Progress {
@@ -344,6 +374,12 @@
     fn begin(&self) {
         self.read.store(0, Ordering::SeqCst);
         self.answered.store(false, Ordering::SeqCst);
+        self.unsent.store(true, Ordering::SeqCst);
+    }
+
+    /// Returns whether the whole request was written.
+    fn is_sent(&self) -> bool {
+        !self.unsent.load(Ordering::SeqCst)
     }
 
     /// Returns whether no byte of the response has arrived.
@@ -385,6 +421,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.progress.unsent.store(true, Ordering::SeqCst);
         Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
@@ -393,11 +430,18 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.progress.unsent.store(true, Ordering::SeqCst);
         Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(cx)
+        let flushed = ready!(Pin::new(&mut self.stream).poll_flush(cx));
+        // The HTTP library flushes once it has written all that it has buffered, and it
+        // buffers the head of a request with its body.
+        if flushed.is_ok() {
+            self.progress.unsent.store(false, Ordering::SeqCst);
+        }
+        Poll::Ready(flushed)
     }
 
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
