gateway: take no response with a status that is none for an answer

Cause: any status that the library parses was passed on. Final responses have 200 to 599 (RFC 9110, section 15).

Change: a call whose response has another status counts as broken, for plain requests, streams, their continuations and batch calls alike: what may be repeated goes elsewhere, the rest gets 502 without a seal.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -6,6 +6,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
@@ -26,6 +27,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::Request;
+use hyper::StatusCode;
 use hyper::Version;
 use hyper::body::Body;
 use hyper::body::Incoming;
@@ -68,6 +70,11 @@
 /// reads ahead of the head by what it buffers.
 const UNANSWERED_BYTES_MAX: usize = 4 * HEAD_BYTES_MAX;
 
+/// The statuses of responses that are not interim (RFC 9110, section 15).
+///
+/// No request asks for an upgrade, so that 101 is no answer either.
+const FINAL_STATUSES: Range<u16> = 200..600;
+
 /// Why a call has no response.
 #[derive(Debug)]
 #[derive(Display, Error)]
@@ -86,6 +93,10 @@
     /// The connection failed after the endpoint may have read the request.
     #[display("the connection failed: {_0}; the request may have run")]
     Broken(hyper::Error),
+    /// The response has a status that no response may end with.
+    #[display("the response has the status {_0}; the request may have run; check the endpoint")]
+    #[error(ignore)]
+    NotFinal(StatusCode),
     /// A reused connection ended before any byte of a response.
     #[display("the reused connection ended without a response: {_0}; the request may have run")]
     Stale(hyper::Error),
@@ -109,7 +120,10 @@
 
     /// Returns whether the request certainly was not sent.
     pub(crate) const fn is_not_sent(&self) -> bool {
-        !matches!(self, Self::Broken(_) | Self::Stale(_) | Self::Lost(_))
+        !matches!(
+            self,
+            Self::Broken(_) | Self::NotFinal(_) | Self::Stale(_) | Self::Lost(_)
+        )
     }
 
     /// Returns whether a reused connection ended, which says nothing of the health of
@@ -290,6 +304,9 @@
                 });
             }
         };
+        if !FINAL_STATUSES.contains(&response.status().as_u16()) {
+            return Err(CallError::NotFinal(response.status()));
+        }
         self.progress.answered.store(true, Ordering::SeqCst);
         self.sender = kept_for.map(|_| sender);
         let (head, body) = response.into_parts();
