lib: don't take a version for unused that a node hears of late

What callers would see: a stream that began at a new software version goes on at the old one (ORDER), at a node that was cut off or stood still for seconds while endpoints of the new version joined. Operators of a system like ours reported it.

Cause: for a second after it first hears of a version that is not recorded, a node takes a stream that nobody can tell it of for one of the version before, since streams begin at a further version two seconds after it registered. A node that was out of step hears of it later than that. Its record of versions then counts as complete, too, unless a task happened to look at the age of its copy in between.

Change: the second counts from the last time at which the node's copy was confirmed, so it is over when the node hears late, and is one and a half; a confirmation after a gap marks the record of versions as incomplete.

A host whose steady clock stood still is not covered, as before.

--- a/gateway/src/dispatch/peers.rs
+++ b/gateway/src/dispatch/peers.rs
@@ -102,6 +102,8 @@
         let sent = Time::from_micros(reply.stamp);
         let mut polling = self.shared.registry_polling();
         polling.apply_status(now, &mut self.shared.owners(), (peer, sent), status);
+        drop(polling);
+        self.shared.record_confirmed_endpoints();
     }
 
     /// Applies a peer's endpoints; returns whether this node has all of them.
--- a/gateway/src/follow.rs
+++ b/gateway/src/follow.rs
@@ -199,6 +199,7 @@
         Topic::Nodes => return,
     };
     shared.registry_polling().confirm(kind, sent);
+    shared.record_confirmed_endpoints();
 }
 
 /// Registers this node and discovers its peers.
--- a/gateway/src/stream_versions.rs
+++ b/gateway/src/stream_versions.rs
@@ -73,6 +73,16 @@
         VersionRule::NewStream { closed }
     }
 
+    /// Records up to when this node has known all endpoints.
+    pub(crate) fn record_confirmed_endpoints(&self) {
+        let freshness = *self.registry_polling().freshness(ReplicaKind::Endpoints);
+        if let Some(at) = freshness.confirmed() {
+            let stale_after = freshness.stale_after();
+            self.origins()
+                .confirm_endpoints(self.now(), at, stale_after);
+        }
+    }
+
     /// Records the versions of services before and after a change.
     pub(crate) fn record_versions(&self, sets: &VersionSets) {
         let now = self.now();
--- a/lib/src/serving/freshness.rs
+++ b/lib/src/serving/freshness.rs
@@ -72,6 +72,19 @@
         self.confirmed = self.confirmed.max(Some(at));
     }
 
+    /// Returns the time up to which the replica is known to be complete; `None` if there
+    /// never was one.
+    #[must_use]
+    pub const fn confirmed(&self) -> Option<Time> {
+        self.confirmed
+    }
+
+    /// Returns the age from which a node cannot read for others.
+    #[must_use]
+    pub fn stale_after(&self) -> Duration {
+        self.bound.mul_f64(STALE_FRACTION)
+    }
+
     /// Returns the age of the replica; `None` if there never was one.
     #[must_use]
     pub fn age(&self, now: Time) -> Option<Duration> {
@@ -89,7 +102,7 @@
     /// others.
     #[must_use]
     pub fn cannot_read(&self, age: Option<Duration>) -> bool {
-        age.is_none_or(|age| age > self.bound.mul_f64(STALE_FRACTION))
+        age.is_none_or(|age| age > self.stale_after())
     }
 
     /// Returns whether the replica is older than a working reader lets it
--- a/lib/src/serving/stream_origins.rs
+++ b/lib/src/serving/stream_origins.rs
@@ -31,10 +31,13 @@
 /// and save the streams that began while there was one version.
 const RECORD_DELAY: Duration = Duration::from_secs(2);
 
-/// How long after it was first heard of no stream can have begun at a version
-/// that is not known to be recorded: [`RECORD_DELAY`], less the time until all
-/// nodes have heard of it.
-const UNUSED_PERIOD: Duration = Duration::from_secs(1);
+/// The time in which nodes in touch hear of a version.
+const HEARING_TIME: Duration = Duration::from_millis(500);
+
+/// How long after its first endpoint registered no stream can have begun at a version
+/// that is not known to be recorded: [`RECORD_DELAY`], less the time in which the nodes
+/// hear of the record.
+const UNUSED_PERIOD: Duration = Duration::from_millis(1_500);
 
 /// How long a node waits to be told that a version is recorded before it reads
 /// the record itself.
@@ -104,6 +107,8 @@
 struct Sighting {
     /// When an endpoint of the version was first known to exist.
     first: Time,
+    /// The earliest time at which one can have registered.
+    earliest: Time,
     /// When one was last known to exist.
     last: Time,
     /// Whether streams may have begun at it, since the registry has recorded it or
@@ -119,12 +124,25 @@
     has_record: bool,
     /// Since when this node has seen each version.
     watched_since: Time,
+    /// Until when it knew all endpoints, if it ever did.
+    confirmed: Option<Time>,
     /// The sets that this node last read or wrote.
     recorded: Option<VersionSets>,
     /// Whether the registry may have lost them.
     must_rewrite: bool,
 }
 
+impl VersionHistory {
+    /// Returns the earliest time at which a version that is heard of now can have been
+    /// registered.
+    ///
+    /// A node that has just started is taken for one in touch, since streams begin at the
+    /// version only after all nodes have heard of it.
+    fn earliest_registration(&self, now: Time) -> Time {
+        self.confirmed.unwrap_or(now - HEARING_TIME)
+    }
+}
+
 #[derive(Debug, Clone)]
 struct Entry {
     origin: Origin,
@@ -157,6 +175,7 @@
         service: &PoolName,
         versions: &BTreeSet<SoftwareVersion>,
     ) {
+        let earliest = self.history.earliest_registration(now);
         let seen = self.history.seen.entry(service.clone()).or_default();
         for version in versions {
             if let Some(sighting) = seen.get_mut(version) {
@@ -167,12 +186,25 @@
         for version in versions {
             seen.entry(version.clone()).or_insert(Sighting {
                 first: now,
+                earliest,
                 last: now,
                 open: false,
             });
         }
     }
 
+    /// Records that this node knew all endpoints that had registered by `at`.
+    ///
+    /// If it knew this of no time in the `stale_after` before, versions may have come and
+    /// gone in between.
+    pub fn confirm_endpoints(&mut self, now: Time, at: Time, stale_after: Duration) {
+        let before = self.history.confirmed;
+        self.history.confirmed = before.max(Some(at));
+        if before.is_some_and(|before| at.since(before) > stale_after) {
+            self.mark_unwatched(now);
+        }
+    }
+
     /// Applies the versions that the registry has recorded.
     ///
     /// Their endpoints may have existed until this node started.
@@ -184,6 +216,7 @@
                 // A record that is read again is no news of a version that has left.
                 let sighting = seen.entry(version.clone()).or_insert(Sighting {
                     first: now,
+                    earliest: now,
                     last: now,
                     open: true,
                 });
@@ -212,6 +245,7 @@
         let seen = self.history.seen.entry(service.clone()).or_default();
         let sighting = seen.entry(version.clone()).or_insert(Sighting {
             first: now,
+            earliest: now,
             last: now,
             open: true,
         });
@@ -260,7 +294,7 @@
         let recorded = self.history.recorded.as_ref();
         let is_recorded = recorded.is_some_and(|sets| sets.contains_key(service));
         let may_be_used =
-            |s: &Sighting| !is_recorded || s.open || now.since(s.first) >= UNUSED_PERIOD;
+            |s: &Sighting| !is_recorded || s.open || now.since(s.earliest) >= UNUSED_PERIOD;
         let begun = seen.clone().filter(|(_, s)| may_be_used(s));
         let begun: BTreeSet<&SoftwareVersion> = begun.map(|(v, _)| v).collect();
         if begun.is_empty() {
