gateway, lib: bound what many responses without end take together

What callers saw, as operators of a system like ours reported it: a faulty endpoint sent bytes without end, and the machine that had called it ran out of memory with the requests of all others.

An event may now have 64 KiB, its buffer does not double, and what is over 16 KiB counts in the memory for requests.

A batch response may have 4 KiB for each item, not 1 MiB.

--- a/gateway/src/call.rs
+++ b/gateway/src/call.rs
@@ -62,14 +62,18 @@
 /// The largest head of a response, and the most bytes that are buffered, in bytes.
 ///
 /// Heads have some hundred bytes. Endpoints in trouble may send one without end.
-const HEAD_BYTES_MAX: usize = 64 << 10;
+const HEAD_BYTES_MAX: usize = 32 << 10;
 
 /// The most bytes that are read until the head of a response is complete, in bytes.
 ///
-/// Interim responses are skipped one by one and may come without end, too. The parser
-/// reads ahead of the head by what it buffers.
+/// The parser reads ahead of the head by what it buffers.
 const UNANSWERED_BYTES_MAX: usize = 4 * HEAD_BYTES_MAX;
 
+/// The most interim responses before a response.
+///
+/// Each is parsed by itself, so that thousands would take the time of other requests.
+const INTERIM_MAX: usize = 16;
+
 /// The statuses of responses that are not interim (RFC 9110, section 15).
 ///
 /// No request asks for an upgrade, so that 101 is no answer either.
@@ -281,7 +285,7 @@
     /// `kept_for` is `None` if this is the last request of the connection.
     pub(crate) async fn send(
         mut self,
-        request: Request<Full<Bytes>>,
+        mut request: Request<Full<Bytes>>,
         kept_for: Option<CallKind>,
         is_reused: bool,
     ) -> Result<Call, CallError> {
@@ -289,6 +293,10 @@
             unreachable!("only connections with a sender are kept");
         };
         self.progress.begin();
+        let progress = Arc::clone(&self.progress);
+        hyper::ext::on_informational(&mut request, move |_interim| {
+            progress.interim.fetch_add(1, Ordering::SeqCst);
+        });
         let sent = sender.try_send_request(request).await;
         let response = match sent {
             Ok(response) => response,
@@ -380,6 +388,8 @@
 struct Progress {
     /// The bytes that arrived since the request was sent.
     read: AtomicUsize,
+    /// The interim responses among them.
+    interim: AtomicUsize,
     /// Whether the head is complete.
     answered: AtomicBool,
     /// Whether bytes of the request are still to be written, or can't be.
@@ -390,10 +400,18 @@
     /// Starts to count for the next response.
     fn begin(&self) {
         self.read.store(0, Ordering::SeqCst);
+        self.interim.store(0, Ordering::SeqCst);
         self.answered.store(false, Ordering::SeqCst);
         self.unsent.store(true, Ordering::SeqCst);
     }
 
+    /// Returns whether too much has arrived before the head of a response.
+    fn is_endless(&self) -> bool {
+        let is_answered = self.answered.load(Ordering::SeqCst);
+        let is_long = self.read.load(Ordering::SeqCst) > UNANSWERED_BYTES_MAX;
+        !is_answered && (is_long || self.interim.load(Ordering::SeqCst) > INTERIM_MAX)
+    }
+
     /// Returns whether the whole request was written.
     fn is_sent(&self) -> bool {
         !self.unsent.load(Ordering::SeqCst)
@@ -417,17 +435,12 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
-        let read = self.progress.read.load(Ordering::SeqCst);
-        let is_answered = self.progress.answered.load(Ordering::SeqCst);
-        let is_endless = read > UNANSWERED_BYTES_MAX && !is_answered;
-        if is_endless {
+        if self.progress.is_endless() {
             let text = "the response has no end of its head: check the endpoint";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::InvalidData, text)));
         }
         let count = ready!(Pin::new(&mut self.stream).poll_read(cx, buf))?;
-        self.progress
-            .read
-            .store(read.saturating_add(count), Ordering::SeqCst);
+        self.progress.read.fetch_add(count, Ordering::SeqCst);
         Poll::Ready(Ok(count))
     }
 }
--- a/gateway/src/dispatch/calls.rs
+++ b/gateway/src/dispatch/calls.rs
@@ -26,8 +26,10 @@
 use crate::kept_connections::send_pooled;
 use crate::shared::Shared;
 
-/// The largest response to a batch call, in bytes.
-const RESPONSE_BYTES_MAX: usize = 1 << 20;
+/// The largest response to a batch call for each of its items, in bytes.
+///
+/// A result takes less than a hundred.
+const ITEM_RESPONSE_BYTES_MAX: usize = 4 << 10;
 
 /// The largest response to a release, in bytes.
 const RELEASE_BYTES_MAX: usize = 64 << 10;
@@ -115,10 +117,11 @@
         Verdict::NotRun => return CallResult::Refused,
         Verdict::Ran => {}
     }
+    let bytes_max = (batch.items.len() + 1) * ITEM_RESPONSE_BYTES_MAX;
     let mut body = Vec::new();
     loop {
         match call.next().await {
-            Ok(Some(bytes)) if body.len() + bytes.len() <= RESPONSE_BYTES_MAX => {
+            Ok(Some(bytes)) if body.len() + bytes.len() <= bytes_max => {
                 body.extend_from_slice(&bytes);
             }
             Ok(None) => break,
--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -5,6 +5,7 @@
 use hyper::StatusCode;
 use snipeyoke_lib::serving::events::EventAssembler;
 use snipeyoke_runtime::http::BodyAborted;
+use snipeyoke_runtime::http::BodyError;
 use snipeyoke_runtime::http::Reply;
 use snipeyoke_runtime::http::abortable;
 use snipeyoke_runtime::http::full;
@@ -30,6 +31,10 @@
 /// The maximum size of a relayed endpoint error, in bytes.
 const ERROR_BODY_MAX: usize = 64 << 10;
 
+/// The maximum size of an incomplete event that does not count in the memory for
+/// requests, in bytes.
+const UNCOUNTED_EVENT_MAX: usize = 16 << 10;
+
 /// Serves a request up to the head of its stream; the body carries the rest.
 pub(crate) async fn serve_stream(mut ctx: RequestContext, mut stages: Option<StageWork>) -> Reply {
     let mut events = EventAssembler::resume_after(ctx.request.last_event);
@@ -43,6 +48,7 @@
                 ctx,
                 stages,
                 events,
+                counted_bytes: 0,
                 response: Some(response),
             };
             reply(
@@ -121,6 +127,8 @@
     ctx: RequestContext,
     stages: Option<StageWork>,
     events: EventAssembler,
+    /// What an incomplete event holds of the memory for requests, in bytes.
+    counted_bytes: usize,
     response: Option<Box<OpenResponse>>,
 }
 
@@ -143,14 +151,14 @@
                     self.finish(if refused { "cut" } else { "timeout" });
                     return Some((Err(BodyAborted), self));
                 }
-                Some(Ok(Some(bytes))) => match self.events.push(&bytes) {
+                Some(Ok(Some(bytes))) => match self.push(&bytes) {
                     Ok(out) if out.is_empty() => continue,
                     Ok(out) => {
                         self.ctx.timeline.events = self.events.count();
                         self.record_first_event();
                         return Some((Ok(out.into()), self));
                     }
-                    Err(error) => error.to_string(),
+                    Err(why) => why,
                 },
                 Some(Ok(None)) if !self.events.has_partial() => {
                     if let Some(response) = &mut self.response {
@@ -169,6 +177,35 @@
         }
     }
 
+    /// Adds bytes of the stream; returns the events that they complete.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream can't go on at its endpoint.
+    fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, String> {
+        let out = self.events.push(bytes).map_err(|error| error.to_string())?;
+        self.count_partial_event().map_err(|e| e.to_string())?;
+        Ok(out)
+    }
+
+    /// Counts the buffer of an incomplete event in the memory for requests.
+    fn count_partial_event(&mut self) -> Result<(), BodyError> {
+        let buffered = self.events.buffered_bytes();
+        let counted = if buffered > UNCOUNTED_EVENT_MAX {
+            buffered
+        } else {
+            0
+        };
+        if counted == self.counted_bytes {
+            return Ok(());
+        }
+        if let Some(memory) = &self.ctx.memory {
+            memory.hold_beside(counted)?;
+        }
+        self.counted_bytes = counted;
+        Ok(())
+    }
+
     fn record_first_event(&mut self) {
         let now = self.ctx.shared.now();
         if let Some(response) = &mut self.response {
@@ -199,6 +236,8 @@
             report_break(&self.ctx, &mut response.flight);
         }
         self.events.discard_partial();
+        // Giving memory back needs none.
+        let _held = self.count_partial_event();
         if !try_repeat(&self.ctx, "stream-broken") {
             return false;
         }
--- a/lib/src/serving/events.rs
+++ b/lib/src/serving/events.rs
@@ -7,7 +7,10 @@
 ///
 /// Events hold a few tokens. Buffering longer ones, which belong to no such stream, would take
 /// unbounded memory.
-const MAX_EVENT_BYTES: usize = 256 << 10;
+const MAX_EVENT_BYTES: usize = 64 << 10;
+
+/// The largest buffer that is kept between two events, in bytes.
+const IDLE_BUFFER_BYTES: usize = 16 << 10;
 
 /// The most bytes of events that were already forwarded, between two new ones.
 ///
@@ -84,9 +87,15 @@
         !self.partial.is_empty()
     }
 
+    /// Returns the memory of an incomplete event, in bytes.
+    #[must_use]
+    pub const fn buffered_bytes(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// Discards an incomplete event whose endpoint won't send the rest.
     pub fn discard_partial(&mut self) {
-        self.partial.clear();
+        self.partial = Vec::new();
         self.scan = Scan::START;
         self.repeated = 0;
     }
@@ -98,6 +107,10 @@
     /// Returns [`EventError`] if an event is too long, or earlier events come without
     /// end.
     pub fn push(&mut self, bytes: &[u8]) -> Result<Vec<u8>, EventError> {
+        // Doubling would make a long event hold twice its size.
+        if self.partial.capacity() > IDLE_BUFFER_BYTES {
+            self.partial.reserve_exact(bytes.len());
+        }
         self.partial.extend_from_slice(bytes);
         let mut out = Vec::new();
         let mut start = 0;
@@ -119,6 +132,9 @@
             start += len;
         }
         self.partial.drain(..start);
+        if self.partial.capacity() > IDLE_BUFFER_BYTES && self.partial.is_empty() {
+            self.partial = Vec::new();
+        }
         if self.partial.len() > MAX_EVENT_BYTES {
             return Err(EventError::TooLong);
         }
--- a/runtime/src/http/connections.rs
+++ b/runtime/src/http/connections.rs
@@ -383,6 +383,17 @@
         Ok(())
     }
 
+    /// Sets the memory that the request holds beside its body to `bytes`.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`BodyError::NoMemory`] if there is none.
+    pub fn hold_beside(&self, bytes: usize) -> Result<(), BodyError> {
+        let connection = &self.connection;
+        let total = self.held + bytes;
+        connection.hold(total, self.max.max(total))
+    }
+
     /// Records that the caller has taken more of the response.
     pub fn record_progress(&self) {
         let connections = &self.connection.connections;
