--- a/gateway/src/stream.rs
+++ b/gateway/src/stream.rs
@@ -196,14 +196,15 @@
         } else {
             0
         };
-        if counted == self.counted_bytes {
-            return Ok(());
-        }
-        if let Some(memory) = &self.ctx.memory {
-            memory.hold_beside(counted)?;
+        let before = std::mem::replace(&mut self.counted_bytes, counted);
+        match &self.ctx.memory {
+            Some(memory) if counted > before => memory.hold_beside(counted),
+            Some(memory) if counted < before => {
+                memory.shrink_beside(counted);
+                Ok(())
+            }
+            _ => Ok(()),
         }
-        self.counted_bytes = counted;
-        Ok(())
     }
 
     fn record_first_event(&mut self) {
@@ -236,8 +237,8 @@
             report_break(&self.ctx, &mut response.flight);
         }
         self.events.discard_partial();
-        // Giving memory back needs none.
-        let _held = self.count_partial_event();
+        // Nothing is left to count, so this can't fail.
+        let _counted = self.count_partial_event();
         if !try_repeat(&self.ctx, "stream-broken") {
             return false;
         }
--- a/runtime/src/http/connections.rs
+++ b/runtime/src/http/connections.rs
@@ -383,7 +383,7 @@
         Ok(())
     }
 
-    /// Sets the memory that the request holds beside its body to `bytes`.
+    /// Grants memory for `bytes` in total beside the request's body.
     ///
     /// # Errors
     ///
@@ -394,6 +394,15 @@
         connection.hold(total, self.max.max(total))
     }
 
+    /// Gives back what the request holds beside its body, but for `bytes`.
+    pub fn shrink_beside(&self, bytes: usize) {
+        let connection = &self.connection;
+        let mut state = connection.connections.lock();
+        let total = self.held + bytes;
+        state.table.shrink(connection.id, total as u64);
+        state.record_memory();
+    }
+
     /// Records that the caller has taken more of the response.
     pub fn record_progress(&self) {
         let connections = &self.connection.connections;
