--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -51,3 +51,4 @@
 mod test_startup;
 mod test_store_returns;
 mod test_stream_versions;
+mod version_world;
